--- /dev/null
+++ b/packages/configuration/src/mod.ts
@@ -0,0 +1,2 @@
+/** The named objects, their check and the published set. @module */
+export * from "./objects.ts";
--- /dev/null
+++ b/packages/protocol/src/messages.ts
@@ -0,0 +1,239 @@
+/**
+ * The messages between an entry and a sidecar. An entry dials; both sides send
+ * a `hello` first. Durations are milliseconds, sizes are bytes. A reservation's
+ * number is unique within one incarnation of the entry that made it.
+ * @module
+ */
+import * as v from "valibot";
+
+/** Raised whenever a message changes so that an older peer would misread it. */
+export const PROTOCOL_VERSION = 1;
+
+const text = v.pipe(v.string(), v.maxLength(512));
+const count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
+const duration = v.pipe(v.number(), v.finite());
+const bytes = v.instance(Uint8Array);
+const reservationNumber = count;
+const grantNumber = count;
+
+/** What a caller may conclude about its request having run. */
+export const ranSchema = v.picklist(["no", "unknown", "yes"]);
+/** See {@link ranSchema}. */
+export type Ran = v.InferOutput<typeof ranSchema>;
+
+/** Work expected of a backend server: tokens for an engine, calls otherwise. */
+export const costSchema = v.object({
+  promptTokens: count,
+  outputTokens: count,
+});
+/** See {@link costSchema}. */
+export type Cost = v.InferOutput<typeof costSchema>;
+
+/** The first message on a link, in both directions. */
+export const helloSchema = v.object({
+  type: v.literal("hello"),
+  protocolVersion: count,
+  role: v.picklist(["entry", "sidecar", "operator"]),
+  instance: text,
+  dataCentre: text,
+  /** Unique to one start of one process. */
+  incarnation: text,
+  configurationRevision: count,
+  service: v.optional(text),
+  version: v.optional(text),
+  leaving: v.optional(v.boolean()),
+});
+
+/** Asks for a place in the sidecar's queue; the body stays with the entry. */
+export const reserveSchema = v.object({
+  type: v.literal("reserve"),
+  reservation: reservationNumber,
+  service: text,
+  /** 0 is served first. */
+  tierRank: count,
+  organisation: text,
+  route: text,
+  cost: costSchema,
+  /** Time left until the caller gives up, counted from the sending. */
+  remaining: duration,
+  prefixKey: v.optional(text),
+  /** Hash of what would run; the same for a request sent again. */
+  fingerprint: v.optional(text),
+  /** The request may have crashed a server: it runs with nothing beside it. */
+  suspect: v.optional(v.boolean()),
+});
+
+/** Takes a reservation back, or declines a grant that came too late. */
+export const withdrawSchema = v.object({
+  type: v.literal("withdraw"),
+  reservation: reservationNumber,
+});
+
+/** The one dispatch of a request, in answer to a grant. */
+export const handOverSchema = v.object({
+  type: v.literal("handOver"),
+  reservation: reservationNumber,
+  grant: grantNumber,
+  method: text,
+  path: v.pipe(v.string(), v.maxLength(8192)),
+  headers: v.record(v.string(), v.string()),
+  body: bytes,
+  remaining: duration,
+});
+
+/** The caller has gone: stop the running request. */
+export const cancelSchema = v.object({
+  type: v.literal("cancel"),
+  reservation: reservationNumber,
+});
+
+/** Offers the engine's room; lapses unless handed over within `lapse`. */
+export const grantSchema = v.object({
+  type: v.literal("grant"),
+  reservation: reservationNumber,
+  grant: grantNumber,
+  lapse: duration,
+});
+
+/** Why a sidecar did not take, or no longer holds, a reservation. */
+export const refusalReasonSchema = v.picklist([
+  "queue_full",
+  "evicted",
+  "deadline",
+  "leaving",
+  "unhealthy",
+  "wrong_service",
+  "wrong_version",
+  "version_stopped",
+  "grant_lapsed",
+  "suspect_busy",
+  "quarantined",
+]);
+/** See {@link refusalReasonSchema}. */
+export type RefusalReason = v.InferOutput<typeof refusalReasonSchema>;
+
+/** The reservation is gone and its request did not reach the server. */
+export const refuseSchema = v.object({
+  type: v.literal("refuse"),
+  reservation: reservationNumber,
+  reason: refusalReasonSchema,
+  /** When coming back is expected to help. */
+  retryAfter: v.optional(duration),
+});
+
+/** Status and headers of the backend server's answer. */
+export const headSchema = v.object({
+  type: v.literal("head"),
+  reservation: reservationNumber,
+  status: count,
+  headers: v.record(v.string(), v.string()),
+});
+
+/** The next bytes of an answer; `sequence` counts from 0 without gaps. */
+export const chunkSchema = v.object({
+  type: v.literal("chunk"),
+  reservation: reservationNumber,
+  sequence: count,
+  bytes,
+});
+
+/** The answer is whole: all `chunks` chunks with `length` bytes were sent. */
+export const endSchema = v.object({
+  type: v.literal("end"),
+  reservation: reservationNumber,
+  chunks: count,
+  length: count,
+});
+
+/** The answer is cut, or the request never reached the server (`ran: "no"`). */
+export const failedSchema = v.object({
+  type: v.literal("failed"),
+  reservation: reservationNumber,
+  ran: ranSchema,
+  reason: v.picklist([
+    "grant_lapsed",
+    "connect_failed",
+    "server_crashed",
+    "answer_cut",
+    "answer_too_large",
+    "deadline",
+    "cancelled",
+    "stopped",
+  ]),
+});
+
+/** First-hand load of the backend server; rides beside other messages. */
+export const loadSchema = v.object({
+  type: v.literal("load"),
+  running: count,
+  waiting: count,
+  /** Requests the server can run at once, as found by its limit. */
+  limit: duration,
+  /** Lowest tier that would be queued now; absent while there is room. */
+  lowestTierRank: v.optional(count),
+  /** Expected wait of a new reservation of the lowest tier. */
+  expectedWait: duration,
+  healthy: v.boolean(),
+});
+
+/** No new work from now on; running requests finish. */
+export const leavingSchema = v.object({ type: v.literal("leaving") });
+
+/** Fingerprints of what ran when a backend server died. */
+export const crashedSchema = v.object({
+  type: v.literal("crashed"),
+  fingerprints: v.array(text),
+});
+
+/** Keeps an idle link known to be alive. */
+export const heartbeatSchema = v.object({
+  type: v.literal("heartbeat"),
+  configurationRevision: count,
+});
+
+/** Asks the peer for its configuration when it is newer than `revision`. */
+export const pullConfigurationSchema = v.object({
+  type: v.literal("pullConfiguration"),
+  revision: count,
+});
+
+/** The published set as the platform's service holds it. */
+export const configurationSchema = v.object({
+  type: v.literal("configuration"),
+  revision: count,
+  text: v.string(),
+});
+
+/** Every message. */
+export const messageSchema = v.variant("type", [
+  helloSchema,
+  reserveSchema,
+  withdrawSchema,
+  handOverSchema,
+  cancelSchema,
+  grantSchema,
+  refuseSchema,
+  headSchema,
+  chunkSchema,
+  endSchema,
+  failedSchema,
+  loadSchema,
+  leavingSchema,
+  crashedSchema,
+  heartbeatSchema,
+  pullConfigurationSchema,
+  configurationSchema,
+]);
+
+/** Any message of the protocol. */
+export type Message = v.InferOutput<typeof messageSchema>;
+/** See {@link helloSchema}. */
+export type Hello = v.InferOutput<typeof helloSchema>;
+/** See {@link reserveSchema}. */
+export type Reserve = v.InferOutput<typeof reserveSchema>;
+/** See {@link handOverSchema}. */
+export type HandOver = v.InferOutput<typeof handOverSchema>;
+/** See {@link loadSchema}. */
+export type Load = v.InferOutput<typeof loadSchema>;
+/** See {@link failedSchema}. */
+export type Failed = v.InferOutput<typeof failedSchema>;
--- /dev/null
+++ b/packages/protocol/src/mod.ts
@@ -0,0 +1,2 @@
+/** The processes' own protocol. @module */
+export * from "./messages.ts";
