Add framing, links and the hello of the processes' own protocol

A four-byte length and a CBOR array of checked messages; messages of one turn of the event loop share a frame. A frame that announces too much, is not CBOR or holds an unknown message closes the link with step and peer.

--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -1,2 +1,14 @@
-/** The processes' own protocol. @module */
+/** The processes' own protocol: messages, frames and links. @module */
 export * from "./messages.ts";
+export {
+  encodeFrame,
+  FRAME_HEADER_BYTES,
+  FrameDecoder,
+  MAXIMUM_FRAME_BYTES,
+} from "./frame_codec.ts";
+export { acceptLink, openLink } from "./handshake.ts";
+export type { OpenLink } from "./handshake.ts";
+export { Link } from "./link.ts";
+export type { LinkTraffic } from "./link.ts";
+export { LinkError } from "./link_error.ts";
+export type { LinkErrorReason, LinkStep } from "./link_error.ts";
