Call the platform's services over HTTP, with honest errors

Cause: the daemon needs the key-value service and the instance list. Change: HttpKeyValueStore and HttpInstanceList on undici, in-memory kin for tests, a token bucket over calls, the /status schema, the protocol's page. Contracts extended: PlatformError gets the reason too_large, an instance the optional statusPort; a watch ends when the revision differs from the one given, so that a service restored to an older state is noticed. Ruled out: retries within the client, since a lost answer may hide a write. Checked: a refused connection, a budget and a 4xx or 503 say applied no; a cut or late answer says unknown (packages/platform/test).

--- a/packages/platform/src/instance_list.ts
+++ b/packages/platform/src/instance_list.ts
@@ -14,6 +14,8 @@
   service: v.optional(v.string()),
   version: v.optional(v.string()),
   leaving: v.boolean(),
+  /** Port on the same host that serves the HTTP pages for operators. */
+  statusPort: v.optional(v.number()),
 });
 /** See {@link instanceSchema}. */
 export type Instance = v.InferOutput<typeof instanceSchema>;
--- a/packages/platform/src/key_value_store.ts
+++ b/packages/platform/src/key_value_store.ts
@@ -6,14 +6,30 @@
 import type { Result } from "true-myth/result";
 import type { PlatformError } from "./platform_error.ts";
 
+/** Longest value that the service takes. */
+export const MAXIMUM_VALUE_BYTES = 1024 * 1024;
+
 /** A stored value. `revision` grows with every write of the key; 0 is absent. */
 export type Entry = { value: string; revision: number };
 
+/** A write that happens only if the key is unchanged. */
+export type SwapOptions = {
+  key: string;
+  /** Revision the key must have for the write to happen; 0: absent. */
+  expected: number;
+  value: string;
+  /** Lease that the key is bound to; the key goes when the lease lapses. */
+  lease?: string;
+};
+
 /** What became of a compare-and-swap. */
 export type SwapOutcome =
   | { swapped: true; revision: number }
   | { swapped: false; current: Entry | undefined };
 
+/** Waits for a key to change; `wait` in milliseconds. */
+export type WatchOptions = { key: string; after: number; wait: number };
+
 /**
  * A failed write is ambiguous unless the error says `applied: "no"`: the
  * service may have taken it and lost the answer. Callers read back.
@@ -23,13 +39,7 @@
 
   /** Writes `value` only if the key's revision is still `expected` (0: absent). */
   abstract compareAndSwap(
-    options: {
-      key: string;
-      expected: number;
-      value: string;
-      /** Lease that the key is bound to; the key goes when the lease lapses. */
-      lease?: string;
-    },
+    options: SwapOptions,
   ): Promise<Result<SwapOutcome, PlatformError>>;
 
   /** Grants a lease of `duration` milliseconds; resolves to its identity. */
@@ -40,8 +50,12 @@
 
   abstract revokeLease(lease: string): Promise<Result<void, PlatformError>>;
 
-  /** Waits up to `wait` milliseconds until the key's revision exceeds `after`. */
+  /**
+   * Resolves to the entry as soon as its revision is not `after`, or unchanged
+   * after `wait` milliseconds. "Not", rather than "above": a service restored to
+   * an older state answers at once instead of letting the watcher wait.
+   */
   abstract watch(
-    options: { key: string; after: number; wait: number },
+    options: WatchOptions,
   ): Promise<Result<Entry | undefined, PlatformError>>;
 }
--- a/packages/platform/src/mod.ts
+++ b/packages/platform/src/mod.ts
@@ -1,6 +1,26 @@
 /** The platform's services: abstract classes and their HTTP implementations. @module */
-export { KeyValueStore } from "./key_value_store.ts";
-export type { Entry, SwapOutcome } from "./key_value_store.ts";
+export { KeyValueStore, MAXIMUM_VALUE_BYTES } from "./key_value_store.ts";
+export type {
+  Entry,
+  SwapOptions,
+  SwapOutcome,
+  WatchOptions,
+} from "./key_value_store.ts";
 export { InstanceList, instanceSchema } from "./instance_list.ts";
 export type { Instance } from "./instance_list.ts";
-export type { PlatformError } from "./platform_error.ts";
+export { describePlatformError } from "./platform_error.ts";
+export type { PlatformError, PlatformErrorReason } from "./platform_error.ts";
+export { CallBudget, callBudgetOptions } from "./call_budget.ts";
+export type { CallBudgetOptions } from "./call_budget.ts";
+export type { HttpServiceOptions } from "./http_caller.ts";
+export { HttpKeyValueStore } from "./http_key_value_store.ts";
+export { HttpInstanceList } from "./http_instance_list.ts";
+export { MemoryKeyValueStore } from "./memory_key_value_store.ts";
+export type { KeyValueBackup } from "./memory_key_value_store.ts";
+export { MemoryInstanceList } from "./memory_instance_list.ts";
+export {
+  moveStatusSchema,
+  serverStatusSchema,
+  statusSchema,
+} from "./status.ts";
+export type { MoveStatus, ServerStatus, Status } from "./status.ts";
