--- a/packages/emulator/src/mod.ts
+++ b/packages/emulator/src/mod.ts
@@ -1,1 +1,12 @@
-export {};
+/** Emulated engines, plain services and platform services. @module */
+export { answerText, isWholeAnswer, markerOf } from "./answer/marked_answer.ts";
+export { startEngine } from "./engine/start_engine.ts";
+export type { EngineSettingsInput } from "./engine/engine_settings.ts";
+export { faultsSchema } from "./faults/faults.ts";
+export type { Faults, FaultsInput } from "./faults/faults.ts";
+export { historyRecordSchema } from "./history/history_record.ts";
+export type { HistoryRecord } from "./history/history_record.ts";
+export { startPlainService } from "./plain/start_plain_service.ts";
+export type { PlainSettingsInput } from "./plain/plain_settings.ts";
+export type { BackendServer } from "./server/backend_server.ts";
+export type { EmulatedServer } from "./server/emulated_server.ts";
--- /dev/null
+++ b/packages/emulator/test/engine_test.ts
@@ -0,0 +1,115 @@
+import { once } from "node:events";
+import t from "tap";
+import { request } from "undici";
+import { isWholeAnswer, startEngine } from "../src/mod.ts";
+import type { BackendServer } from "../src/mod.ts";
+
+const FAST = { stepTime: 1, sequenceTime: 0, prefillTime: 0 };
+
+function complete(engine: BackendServer, members: Record<string, unknown>) {
+  const { prompt, ...rest } = members;
+  return request(`${engine.url}/v1/chat/completions`, {
+    method: "POST",
+    headers: { "content-type": "application/json" },
+    body: JSON.stringify({
+      model: "assistant",
+      messages: [{ role: "user", content: prompt }],
+      ...rest,
+    }),
+  });
+}
+
+function events(text: string) {
+  return text.split("\n\n").filter((event) => event !== "")
+    .map((event) => event.replace(/^data: /, ""));
+}
+
+t.test("plain answer is whole and carries usage", async (t) => {
+  const engine = await startEngine({ settings: FAST });
+  t.teardown(() => engine.close());
+  const answer = await complete(engine, { prompt: "#a1# hi", max_tokens: 5 });
+  const document = await answer.body.json() as {
+    choices: { message: { content: string } }[];
+    usage: unknown;
+  };
+  t.ok(isWholeAnswer(document.choices[0]?.message.content ?? "", "a1"));
+  t.match(document.usage, { prompt_tokens: 4, completion_tokens: 5 });
+  t.match(engine.records, [{ marker: "a1", outcome: "finished" }]);
+});
+
+t.test("streamed answer ends with usage and [DONE]", async (t) => {
+  const engine = await startEngine({ settings: FAST });
+  t.teardown(() => engine.close());
+  const answer = await complete(engine, {
+    prompt: "#a2#",
+    max_tokens: 3,
+    stream: true,
+    stream_options: { include_usage: true },
+  });
+  const all = events(await answer.body.text());
+  t.equal(all.pop(), "[DONE]");
+  const parsed = all.map((event) => JSON.parse(event));
+  const text = parsed.map((event) => event.choices[0]?.delta.content ?? "");
+  t.ok(isWholeAnswer(text.join(""), "a2"));
+  t.equal(parsed.at(-1).usage.completion_tokens, 3);
+});
+
+t.test("a shared prefix is cached", async (t) => {
+  const engine = await startEngine({ settings: FAST });
+  t.teardown(() => engine.close());
+  const prompt = "x".repeat(1000);
+  await (await complete(engine, { prompt })).body.dump();
+  await (await complete(engine, { prompt: prompt + "y" })).body.dump();
+  t.equal(engine.records[0]?.cachedTokens, 0);
+  t.equal(engine.records[1]?.cachedTokens, 240);
+});
+
+t.test("a cut stream ends as an error", async (t) => {
+  const engine = await startEngine({ settings: FAST });
+  t.teardown(() => engine.close());
+  engine.setFaults({ cutAfterTokens: 2 });
+  const options = { prompt: "#a3#", max_tokens: 9 };
+  const streamed = await complete(engine, { ...options, stream: true });
+  await t.rejects(streamed.body.text());
+  const plain = await complete(engine, options);
+  await t.rejects(plain.body.text());
+  t.match(engine.records, [{ outcome: "failed" }, { outcome: "failed" }]);
+});
+
+t.test("a crash marker drops the server", async (t) => {
+  const engine = await startEngine({ settings: FAST });
+  t.teardown(() => engine.close());
+  engine.setFaults({ crashMarkers: ["bad"] });
+  await t.rejects(complete(engine, { prompt: "#bad#" }));
+  await t.rejects(complete(engine, { prompt: "#good#" }));
+});
+
+t.test("a caller that leaves is recorded as cancelled", async (t) => {
+  const engine = await startEngine({ settings: FAST });
+  t.teardown(() => engine.close());
+  const answer = await complete(engine, {
+    prompt: "#a4#",
+    max_tokens: 1_000_000,
+    stream: true,
+  });
+  await once(answer.body, "readable");
+  answer.body.destroy();
+  while (engine.records[0]?.outcome === "running") {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  t.equal(engine.records[0]?.outcome, "cancelled");
+});
+
+t.test("faults over HTTP are checked", async (t) => {
+  const engine = await startEngine({ settings: FAST });
+  t.teardown(() => engine.close());
+  const put = (body: string) =>
+    request(`${engine.url}/faults`, { method: "PUT", body });
+  t.equal((await put('{"hang": 3}')).statusCode, 400);
+  const failing = {
+    errorRates: [{ route: "POST /v1/chat/completions", rate: 1, status: 503 }],
+  };
+  t.equal((await put(JSON.stringify(failing))).statusCode, 200);
+  const answer = await complete(engine, { prompt: "hi" });
+  t.equal(answer.statusCode, 503);
+});
