--- /dev/null
+++ b/packages/decisions/src/retries/mod.ts
@@ -0,0 +1,3 @@
+/** Repeated placements: how many and when. @module */
+export { backoff } from "./backoff.ts";
+export { RetryBudget } from "./retry_budget.ts";
--- /dev/null
+++ b/packages/decisions/src/retries/retry_budget.ts
@@ -0,0 +1,70 @@
+/**
+ * Bounds how often the placements of one service are repeated.
+ *
+ * Answers trouble that would multiply: when sidecars refuse or die, each
+ * request places again, the survivors get several times the traffic and refuse
+ * as well. A budget tied to what succeeds lets a few servers fail unnoticed and
+ * falls silent by itself when most fail. One budget per service, so that one
+ * service's trouble spends nothing of another's. Only placements are repeated;
+ * a request that was handed over never is.
+ *
+ * Figures: a tenth of the granted requests may be placed again, so trouble adds
+ * at most 10 % to the load; 2 a second go free, so that a service with little
+ * traffic still survives the loss of a server; 50 can be saved up, which covers
+ * what one server of a busy service holds when it dies.
+ * @module
+ */
+
+const SHARE_OF_SUCCESSES = 0.1;
+const FREE_PER_SECOND = 2;
+const LARGEST_BALANCE = 50;
+
+/** A token bucket filled by successes. */
+export class RetryBudget {
+  readonly #share: number;
+  readonly #freePerSecond: number;
+  readonly #largest: number;
+  #balance: number;
+  #filledAt = -Infinity;
+
+  constructor(
+    options: {
+      /** Retries earned by each success. */
+      share?: number | undefined;
+      freePerSecond?: number | undefined;
+      largest?: number | undefined;
+    } = {},
+  ) {
+    this.#share = options.share ?? SHARE_OF_SUCCESSES;
+    this.#freePerSecond = options.freePerSecond ?? FREE_PER_SECOND;
+    this.#largest = options.largest ?? LARGEST_BALANCE;
+    this.#balance = this.#largest;
+  }
+
+  /** Takes one retry; false when the budget is spent. */
+  allow(now: number): boolean {
+    this.#fill(now);
+    if (this.#balance < 1) return false;
+    this.#balance--;
+    return true;
+  }
+
+  /** States that a request was granted. */
+  success(now: number): void {
+    this.#fill(now);
+    this.#deposit(this.#share);
+  }
+
+  #fill(now: number): void {
+    const elapsed = now - this.#filledAt;
+    if (elapsed <= 0) return;
+    this.#filledAt = now;
+    if (elapsed < Infinity) {
+      this.#deposit(elapsed / 1000 * this.#freePerSecond);
+    }
+  }
+
+  #deposit(amount: number): void {
+    this.#balance = Math.min(this.#balance + amount, this.#largest);
+  }
+}
