Add the process launcher, the recording caller and history checks

End-to-end tests need real processes that are ended by their own handle only, callers that record what they saw, and checks that read nothing but histories. Each check is first shown to fail on a recorded bad history: crossed, cut and unended answers, a second dispatch, a false "not run", a high tier shed beside a waiting lower one.

--- /dev/null
+++ b/packages/testing/src/caller/caller.ts
@@ -0,0 +1,139 @@
+/** A caller of an entry that records each of its calls. @module */
+import { Agent, request } from "undici";
+import type { CallOutcome, CallRecord } from "../history/call_record.ts";
+import { readOutcome } from "./answer_reader.ts";
+
+/** One call to make. */
+export type Call = {
+  marker: string;
+  service: string;
+  tier?: string;
+  /** Rank of `tier`, for the checks only. */
+  tierRank?: number;
+  /** Milliseconds. */
+  deadline?: number;
+  idempotencyKey?: string;
+  token?: string;
+  /** Ends the call from the caller's side. */
+  signal?: AbortSignal;
+};
+
+/** A call of a model engine. */
+export type ChatCall = Call & {
+  /** Text beside the marker. */
+  prompt?: string;
+  outputTokens?: number;
+  stream?: boolean;
+};
+
+/** A call of a plain service. */
+export type PlainCall = Call & {
+  method: "GET" | "POST" | "PUT" | "DELETE";
+  path: string;
+  body?: Record<string, unknown>;
+};
+
+type HttpCall = {
+  method: PlainCall["method"];
+  path: string;
+  body: string | undefined;
+};
+
+/** Sends calls to one entry. */
+export class Caller {
+  readonly calls: CallRecord[] = [];
+  readonly #url: string;
+  readonly #token: string;
+  readonly #agent = new Agent({
+    connections: null,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+
+  constructor({ url, token }: { url: string; token: string }) {
+    this.#url = url;
+    this.#token = token;
+  }
+
+  /** Calls the service whose model is the service's name. */
+  chat(call: ChatCall): Promise<CallOutcome> {
+    const { prompt = "", outputTokens = 8, stream = false } = call;
+    const body = {
+      model: call.service,
+      messages: [{ role: "user", content: `${prompt}#${call.marker}#` }],
+      max_tokens: outputTokens,
+      stream,
+    };
+    return this.#record(call, {
+      method: "POST",
+      path: "/v1/chat/completions",
+      body: JSON.stringify(body),
+    });
+  }
+
+  /** Calls a path of a plain service. */
+  plain(call: PlainCall): Promise<CallOutcome> {
+    const body = { note: `#${call.marker}#`, ...call.body };
+    return this.#record(call, {
+      method: call.method,
+      path: `/services/${call.service}${call.path}`,
+      body: call.method === "GET" ? undefined : JSON.stringify(body),
+    });
+  }
+
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  async #record(call: Call, httpCall: HttpCall): Promise<CallOutcome> {
+    const sentAt = Date.now();
+    const outcome = await this.#send(call, httpCall);
+    const record: CallRecord = {
+      marker: call.marker,
+      service: call.service,
+      sentAt,
+      endedAt: Date.now(),
+      outcome,
+    };
+    if (call.tierRank !== undefined) {
+      record.tierRank = call.tierRank;
+    }
+    if (call.idempotencyKey !== undefined) {
+      record.idempotencyKey = call.idempotencyKey;
+    }
+    this.calls.push(record);
+    return outcome;
+  }
+
+  async #send(call: Call, httpCall: HttpCall): Promise<CallOutcome> {
+    try {
+      const response = await request(this.#url + httpCall.path, {
+        method: httpCall.method,
+        headers: this.#headers(call),
+        body: httpCall.body ?? null,
+        signal: call.signal,
+        dispatcher: this.#agent,
+      });
+      return await readOutcome(response);
+    } catch (error) {
+      return { type: "broken", detail: String(error), text: "" };
+    }
+  }
+
+  #headers(call: Call): Record<string, string> {
+    const headers: Record<string, string> = {
+      "content-type": "application/json",
+      "authorization": `Bearer ${call.token ?? this.#token}`,
+    };
+    if (call.tier !== undefined) {
+      headers["sycamorepulley-tier"] = call.tier;
+    }
+    if (call.deadline !== undefined) {
+      headers["sycamorepulley-deadline"] = String(call.deadline);
+    }
+    if (call.idempotencyKey !== undefined) {
+      headers["idempotency-key"] = call.idempotencyKey;
+    }
+    return headers;
+  }
+}
--- /dev/null
+++ b/packages/testing/src/checks/violation.ts
@@ -0,0 +1,8 @@
+/** What a check found wrong in a history. @module */
+
+/** One broken promise. */
+export type Violation = {
+  check: string;
+  marker: string;
+  detail: string;
+};
--- /dev/null
+++ b/packages/testing/src/fleet/daemon_settings.ts
@@ -0,0 +1,81 @@
+/** Settings files of daemons as tests write them. @module */
+
+/** Where a daemon listens; port 0 takes a free one. */
+export type ListenSettings = { host: string; port: number };
+
+/** URLs of the platform's services. */
+export type PlatformSettings = { keyValueStore: string; instanceList: string };
+
+type CommonSettings = {
+  instance: string;
+  dataCentre: string;
+  region: string;
+  status: ListenSettings;
+  protocol: ListenSettings;
+  platform: PlatformSettings;
+};
+
+/** Settings of a daemon in the entry role. */
+export type EntrySettings = CommonSettings & {
+  role: "entry";
+  http: ListenSettings;
+};
+
+/** The server beside a sidecar. */
+export type BackendServerSettings = {
+  url: string;
+  service: string;
+  version: string;
+  kind: "model" | "plain";
+  healthPath: string;
+};
+
+/** Settings of a daemon in the sidecar role. */
+export type SidecarSettings = CommonSettings & {
+  role: "sidecar";
+  backendServer: BackendServerSettings;
+};
+
+/** Settings of a daemon in either role. */
+export type DaemonSettings = EntrySettings | SidecarSettings;
+
+const LOOPBACK: ListenSettings = { host: "127.0.0.1", port: 0 };
+
+function commonSettings(
+  instance: string,
+  platform: PlatformSettings,
+): CommonSettings {
+  return {
+    instance,
+    dataCentre: "ljubljana-1",
+    region: "slovenia",
+    status: LOOPBACK,
+    protocol: LOOPBACK,
+    platform,
+  };
+}
+
+/** An entry on free ports of 127.0.0.1. */
+export function entrySettings(
+  instance: string,
+  platform: PlatformSettings,
+): EntrySettings {
+  return {
+    role: "entry",
+    ...commonSettings(instance, platform),
+    http: LOOPBACK,
+  };
+}
+
+/** A sidecar on free ports of 127.0.0.1. */
+export function sidecarSettings(
+  instance: string,
+  platform: PlatformSettings,
+  backendServer: BackendServerSettings,
+): SidecarSettings {
+  return {
+    role: "sidecar",
+    ...commonSettings(instance, platform),
+    backendServer,
+  };
+}
--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -1,1 +1,28 @@
-export {};
+/** Launching real processes, recording histories and checking them. @module */
+export { Caller } from "./caller/caller.ts";
+export type { Call, ChatCall, PlainCall } from "./caller/caller.ts";
+export { checkDispatchedOnce } from "./checks/dispatched_once.ts";
+export { checkNotRunTruth } from "./checks/not_run_truth.ts";
+export { checkShedOrder, SHEDDING_REASONS } from "./checks/shed_order.ts";
+export type { Violation } from "./checks/violation.ts";
+export { checkWholeAnswers } from "./checks/whole_answers.ts";
+export { entrySettings, sidecarSettings } from "./fleet/daemon_settings.ts";
+export type {
+  BackendServerSettings,
+  DaemonSettings,
+  EntrySettings,
+  PlatformSettings,
+  SidecarSettings,
+} from "./fleet/daemon_settings.ts";
+export type { CallOutcome, CallRecord } from "./history/call_record.ts";
+export type { RunRecord } from "./history/run_record.ts";
+export { freePort } from "./process/free_port.ts";
+export { LaunchedProcess } from "./process/launched_process.ts";
+export type { ProcessEnd } from "./process/launched_process.ts";
+export {
+  COMMAND_LINE_PROGRAM,
+  DAEMON_PROGRAM,
+  EMULATOR_PROGRAM,
+} from "./process/programs.ts";
+export { TemporaryDirectory } from "./process/temporary_directory.ts";
+export { waitFor } from "./process/wait_for.ts";
