--- a/packages/emulator/src/commands/serve.ts
+++ b/packages/emulator/src/commands/serve.ts
@@ -6,7 +6,7 @@
 export const CRASH_STATUS = 70;
 
 /** Writes one JSON line with the URL, then closes upon SIGTERM or SIGINT. */
-export function serve(server: EmulatedServer): void {
+export function serve(server: Pick<EmulatedServer, "url" | "close">): void {
   console.log(JSON.stringify({ message: "ready", url: server.url }));
   const stop = () => void server.close().then(() => process.exit(0));
   process.once("SIGTERM", stop);
--- /dev/null
+++ b/packages/emulator/src/load/run_load.ts
@@ -0,0 +1,87 @@
+/** Open-loop load: arrivals do not wait for answers. @module */
+import { setTimeout } from "node:timers/promises";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { Agent } from "undici";
+import { loadRequest } from "./load_request.ts";
+import type { LoadShape } from "./load_request.ts";
+import { LoadResults } from "./load_results.ts";
+import type { LoadSummary } from "./load_results.ts";
+import { loadTarget } from "./load_target.ts";
+import { pickPart } from "./mix.ts";
+import type { MixPart } from "./mix.ts";
+import { sendLoadRequest } from "./send_load_request.ts";
+
+/** Bounds that keep a slip of the keyboard from flooding the machine. */
+const MAX_RATE = 2000;
+const MAX_SECONDS = 600;
+const MAX_OUTSTANDING = 20_000;
+
+/** What to send. */
+export type LoadOptions = {
+  /** On 127.0.0.0/8. */
+  target: string;
+  /** Requests a second on average; arrivals are a Poisson process. */
+  rate: number;
+  seconds: number;
+  mix: MixPart[];
+  shape: LoadShape;
+  seed: number;
+};
+
+/** Sends the load and waits for every answer. */
+export async function runLoad(options: LoadOptions): Promise<LoadSummary[]> {
+  const target = loadTarget(options.target);
+  checkBounds(options);
+  const results = new LoadResults();
+  const outstanding = new Set<Promise<void>>();
+  const agent = new Agent({ headersTimeout: 0, bodyTimeout: 0 });
+  for await (const arrival of arrivals(options)) {
+    if (outstanding.size >= MAX_OUTSTANDING) {
+      results.add(arrival.name, { result: "unsent", firstByte: 0, total: 0 });
+      continue;
+    }
+    const request = loadRequest(arrival.part, options.shape, arrival.number);
+    const sent = sendLoadRequest(target, request, agent).then((outcome) => {
+      results.add(arrival.name, outcome);
+      outstanding.delete(sent);
+    });
+    outstanding.add(sent);
+  }
+  await Promise.all(outstanding);
+  await agent.close();
+  return results.summaries();
+}
+
+function checkBounds({ rate, seconds }: LoadOptions): void {
+  if (!(rate > 0 && rate <= MAX_RATE)) {
+    throw new Error(`use a rate over 0 and up to ${MAX_RATE} a second`);
+  }
+  if (!(seconds > 0 && seconds <= MAX_SECONDS)) {
+    throw new Error(`use seconds over 0 and up to ${MAX_SECONDS}`);
+  }
+}
+
+type Arrival = { number: number; part: MixPart; name: string };
+
+async function* arrivals(options: LoadOptions): AsyncGenerator<Arrival> {
+  const random = xoroshiro128plus(options.seed);
+  const start = performance.now();
+  const end = start + options.seconds * 1000;
+  let due = start;
+  for (let number = 1;; number++) {
+    due += -Math.log(1 - uniformFloat64(random)) * 1000 / options.rate;
+    if (due > end) {
+      return;
+    }
+    const wait = due - performance.now();
+    if (wait > 0) {
+      await setTimeout(wait);
+    }
+    const part = pickPart(options.mix, uniformFloat64(random));
+    const name = part.tier === undefined
+      ? part.kind
+      : `${part.kind}/${part.tier}`;
+    yield { number, part, name };
+  }
+}
--- a/packages/emulator/src/main.ts
+++ b/packages/emulator/src/main.ts
@@ -4,11 +4,15 @@
 import process from "node:process";
 import * as v from "valibot";
 import { registerEngine } from "./commands/engine_command.ts";
+import { registerLoad } from "./commands/load_command.ts";
 import { registerPlain } from "./commands/plain_command.ts";
+import { registerPlatform } from "./commands/platform_commands.ts";
 
 const program = cac("emulator");
 registerEngine(program);
 registerPlain(program);
+registerPlatform(program);
+registerLoad(program);
 program.help();
 program.addEventListener("command:*", () => {
   fail(new Error(`no emulator is called "${program.args[0]}"; see --help`));
--- /dev/null
+++ b/packages/emulator/test/load_test.ts
@@ -0,0 +1,55 @@
+import t from "tap";
+import { parseMix, runLoad, startEngine } from "../src/mod.ts";
+import { loadTarget } from "../src/load/load_target.ts";
+import { pickPart } from "../src/load/mix.ts";
+
+t.test("only loopback is a target", (t) => {
+  t.equal(loadTarget("http://127.0.0.1:80/"), "http://127.0.0.1");
+  for (
+    const target of [
+      "http://10.0.0.1",
+      "http://127.0.0.1.example.org",
+      "http://localhost",
+      "https://127.0.0.1",
+    ]
+  ) {
+    t.throws(() => loadTarget(target), /loopback only/);
+  }
+  t.end();
+});
+
+t.test("a mix is read and drawn by weight", (t) => {
+  const mix = parseMix("chat/urgent=1,booking=3");
+  t.same(mix, [
+    { kind: "chat", tier: "urgent", weight: 1 },
+    { kind: "booking", tier: undefined, weight: 3 },
+  ]);
+  t.equal(pickPart(mix, 0.2)?.kind, "chat");
+  t.equal(pickPart(mix, 0.9)?.kind, "booking");
+  t.throws(() => parseMix("swap=1"), /kind\/tier=weight/);
+  t.end();
+});
+
+t.test("a load counts every answer", async (t) => {
+  const engine = await startEngine({ settings: { speed: 100 } });
+  t.teardown(() => engine.close());
+  const summaries = await runLoad({
+    target: engine.url,
+    rate: 200,
+    seconds: 0.3,
+    seed: 7,
+    mix: parseMix("chat=1,stream=1"),
+    shape: {
+      model: "assistant",
+      bookingService: "bookings",
+      promptTokens: 10,
+      outputTokens: 3,
+      deadline: undefined,
+      token: undefined,
+      direct: true,
+    },
+  });
+  const answered = summaries.reduce((sum, part) => sum + part.answered, 0);
+  t.ok(answered > 0);
+  t.equal(answered, engine.records.length);
+});
--- a/packages/testing/src/checks/shed_order.ts
+++ b/packages/testing/src/checks/shed_order.ts
@@ -7,8 +7,9 @@
 export const SHEDDING_REASONS: ReadonlySet<string> = new Set([
   "queue_full",
   "evicted",
-  "overloaded",
   "tier_shed",
+  "service_waiting_full",
+  "service_memory_full",
 ]);
 
 /**
