--- /dev/null
+++ b/packages/daemon/src/entry/refusal.ts
@@ -0,0 +1,101 @@
+/** Final answers to requests that were not served. @module */
+import type { Ran } from "@sycamorepulley/protocol";
+
+/** HTTP status of each reason; the reasons are part of the interface. */
+export const REFUSAL_STATUS = {
+  malformed_request: 400,
+  unknown_tier: 400,
+  malformed_deadline: 400,
+  malformed_idempotency_key: 400,
+  idempotency_key_required: 400,
+  unauthorized: 401,
+  service_not_allowed: 403,
+  tier_not_allowed: 403,
+  unknown_path: 404,
+  unknown_service: 404,
+  unknown_model: 404,
+  idempotency_in_progress: 409,
+  idempotency_outcome_unknown: 409,
+  body_too_large: 413,
+  idempotency_key_reused: 422,
+  link_lost: 502,
+  server_crashed: 502,
+  answer_cut: 502,
+  answer_too_large: 502,
+  malformed_answer: 502,
+  caller_too_slow: 502,
+  stopped: 502,
+  cancelled: 502,
+  connect_failed: 503,
+  no_configuration: 503,
+  no_backend_server: 503,
+  queue_full: 503,
+  evicted: 503,
+  tier_shed: 503,
+  service_waiting_full: 503,
+  service_memory_full: 503,
+  retry_budget: 503,
+  unhealthy: 503,
+  leaving: 503,
+  wrong_service: 503,
+  wrong_version: 503,
+  version_stopped: 503,
+  grant_lapsed: 503,
+  suspect_busy: 503,
+  quarantined: 503,
+  claims_unavailable: 503,
+  deadline: 504,
+} as const;
+
+/** Why a request was not served. */
+export type RefusalReason = keyof typeof REFUSAL_STATUS;
+
+/** `retryAfter` in milliseconds, absent where coming back does not help. */
+export type Refusal = {
+  reason: RefusalReason;
+  ran: Ran;
+  detail: string;
+  retryAfter?: number | undefined;
+};
+
+/** Advice where nothing better is known, in milliseconds. */
+const DEFAULT_RETRY_AFTER = 1000;
+
+/** A refusal of a request that certainly did not run and may come again. */
+export function notRun(
+  reason: RefusalReason,
+  detail: string,
+  retryAfter = DEFAULT_RETRY_AFTER,
+): Refusal {
+  return { reason, ran: "no", detail, retryAfter };
+}
+
+/** A refusal of a request that is wrong: the same one fails again. */
+export function rejected(reason: RefusalReason, detail: string): Refusal {
+  return { reason, ran: "no", detail };
+}
+
+/** A problem document (RFC 9457) and its status and headers. */
+export function problemDocument(
+  refusal: Refusal,
+): { status: number; headers: Record<string, string>; body: string } {
+  const status = REFUSAL_STATUS[refusal.reason];
+  const seconds = refusal.retryAfter === undefined
+    ? undefined
+    : Math.max(1, Math.ceil(refusal.retryAfter / 1000));
+  const headers: Record<string, string> = {
+    "content-type": "application/problem+json",
+    ...(seconds === undefined ? {} : { "retry-after": String(seconds) }),
+    ...(status === 401 ? { "www-authenticate": "Bearer" } : {}),
+  };
+  const body = JSON.stringify({
+    type: `urn:sycamorepulley:refusal:${refusal.reason}`,
+    title: refusal.reason.replaceAll("_", " "),
+    status,
+    detail: refusal.detail,
+    reason: refusal.reason,
+    ran: refusal.ran,
+    ...(seconds === undefined ? {} : { retryAfter: seconds }),
+  });
+  return { status, headers, body };
+}
--- /dev/null
+++ b/packages/daemon/src/entry/request_event.ts
@@ -0,0 +1,30 @@
+/** What a request's task is told while it waits and while it is answered. @module */
+import type {
+  Failed,
+  Headers,
+  RefusalReason,
+} from "@sycamorepulley/protocol";
+
+/** `sidecar` names the instance that the event came from. */
+export type RequestEvent =
+  & { bytes?: Uint8Array | undefined }
+  & (
+    | { kind: "grant"; sidecar: string; grant: number }
+    | {
+      kind: "refuse";
+      sidecar: string;
+      reason: RefusalReason;
+      retryAfter?: number | undefined;
+    }
+    | { kind: "linkLost"; sidecar: string }
+    | { kind: "head"; sidecar: string; status: number; headers: Headers }
+    | { kind: "chunk"; sidecar: string; sequence: number; bytes: Uint8Array }
+    | { kind: "end"; sidecar: string; chunks: number; length: number }
+    | {
+      kind: "failed";
+      sidecar: string;
+      ran: Failed["ran"];
+      reason: Failed["reason"];
+    }
+    | { kind: "callerLeft" }
+  );
--- /dev/null
+++ b/packages/daemon/src/entry/resolved_request.ts
@@ -0,0 +1,26 @@
+/** A caller's request once its names have been looked up. @module */
+import type { Service } from "@sycamorepulley/configuration";
+import type { Cost, Headers } from "@sycamorepulley/protocol";
+
+/** All that scheduling and dispatch need; times in milliseconds. */
+export type ResolvedRequest = {
+  service: Service;
+  organisation: string;
+  tier: { name: string; rank: number };
+  /** Stable name of the call, for estimates and verdicts by route. */
+  route: string;
+  idempotent: boolean;
+  idempotencyKey?: string | undefined;
+  /** On the monotonic clock. */
+  arrived: number;
+  /** On the monotonic clock. */
+  deadline: number;
+  cost: Cost;
+  prefixKey?: string | undefined;
+  fingerprint: string;
+  method: string;
+  path: string;
+  headers: Headers;
+  body: Uint8Array;
+  maximumOutputTokens?: number | undefined;
+};
--- /dev/null
+++ b/packages/daemon/src/sidecar/reservation_check.ts
@@ -0,0 +1,22 @@
+/** Whether a reservation can be taken in at all. @module */
+import type { RefusalReason, Reserve } from "@sycamorepulley/protocol";
+
+/** What this sidecar stands for and how it is. */
+export type SidecarCondition = {
+  service: string;
+  leaving: boolean;
+  healthy: boolean;
+};
+
+/** The reason that speaks against `reserve`, if any. */
+export function objection(
+  reserve: Reserve,
+  condition: SidecarCondition,
+): RefusalReason | undefined {
+  // An entry that works from a stale list still comes; it must learn at once
+  // that this server leaves, and not by waiting in vain.
+  if (condition.leaving) return "leaving";
+  if (reserve.service !== condition.service) return "wrong_service";
+  if (!condition.healthy) return "unhealthy";
+  return undefined;
+}
--- /dev/null
+++ b/packages/daemon/src/sidecar/running_request.ts
@@ -0,0 +1,83 @@
+/** One request at the backend server, its answer relayed as it comes. @module */
+import type { HandOver, Headers, Reserve } from "@sycamorepulley/protocol";
+import { AnswerReceiver } from "./backend_client.ts";
+import type { EntryConnection } from "./entry_connection.ts";
+
+/** Told of an answer's progress, for the limit. */
+export type ProgressListener = {
+  onFirstToken(id: string): void;
+  onProgress(id: string, outputTokens: number): void;
+};
+
+/** Options of {@link RunningRequest}. */
+export type RunningRequestOptions = {
+  id: string;
+  connection: EntryConnection;
+  reserve: Reserve;
+  handOver: HandOver;
+  listener: ProgressListener;
+};
+
+/** Relays an answer to the entry in numbered chunks. */
+export class RunningRequest extends AnswerReceiver {
+  readonly id: string;
+  readonly reserve: Reserve;
+  readonly handOver: HandOver;
+  readonly abort = new AbortController();
+  readonly #connection: EntryConnection;
+  readonly #listener: ProgressListener;
+  #chunks = 0;
+  #length = 0;
+  #outputTokens = 0;
+
+  constructor(options: RunningRequestOptions) {
+    super();
+    this.id = options.id;
+    this.reserve = options.reserve;
+    this.handOver = options.handOver;
+    this.#connection = options.connection;
+    this.#listener = options.listener;
+  }
+
+  get outputTokens(): number {
+    return this.#outputTokens;
+  }
+
+  belongsTo(connection: EntryConnection): boolean {
+    return this.#connection === connection;
+  }
+
+  override head(status: number, headers: Headers): void {
+    this.#connection.send({
+      type: "head",
+      reservation: this.handOver.reservation,
+      status,
+      headers,
+    });
+  }
+
+  override async chunk(bytes: Uint8Array, outputTokens: number): Promise<void> {
+    if (this.#chunks === 0) this.#listener.onFirstToken(this.id);
+    this.#outputTokens += outputTokens;
+    if (outputTokens > 0) this.#listener.onProgress(this.id, outputTokens);
+    this.#connection.send({
+      type: "chunk",
+      reservation: this.handOver.reservation,
+      sequence: this.#chunks,
+      bytes,
+    });
+    this.#chunks += 1;
+    this.#length += bytes.byteLength;
+    await this.#connection.drained();
+  }
+
+  /** Tells the entry that the answer is whole. */
+  end(): void {
+    this.#connection.send({
+      type: "end",
+      reservation: this.handOver.reservation,
+      chunks: this.#chunks,
+      length: this.#length,
+    });
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/granting/grant_desk.ts
@@ -0,0 +1,199 @@
+/**
+ * Late binding at the sidecar: reservations wait here, the backend server's
+ * free room is offered as a grant, and the request itself arrives only in
+ * answer to one.
+ *
+ * Load pattern: unlike backend servers and load reports that are seconds old.
+ * Without it an entry pushes the request to a server that only looks free,
+ * and it waits behind work that the engine admits as it comes. A grant holds
+ * room while it is open, so it lapses soon: an entry that died or is paused
+ * must not keep a server idle.
+ * @module
+ */
+import type { ConcurrencyLimit } from "../limits/mod.ts";
+import type { Waiting, WaitingQueue } from "../queueing/mod.ts";
+import type { GrantDecision, RefusalCause } from "./grant_decision.ts";
+
+/**
+ * A round trip within a region takes about 2 ms; an entry that stalls for
+ * garbage collection takes tens. Beyond that the room is better offered on.
+ */
+export const GRANT_LAPSE = 250;
+
+type OpenGrant = { waiting: Waiting; grant: number; lapsesAt: number };
+
+/** What a grant's redemption found. */
+export type Redemption = { valid: true; waiting: Waiting } | { valid: false };
+
+/** Queue, limit and open grants of one backend server. */
+export class GrantDesk {
+  readonly #queue: WaitingQueue;
+  readonly #limit: ConcurrencyLimit;
+  readonly #granted = new Map<string, OpenGrant>();
+  readonly #running = new Map<string, Waiting>();
+  #nextGrant = 1;
+  #suspectAtWork: string | undefined;
+  #closed: RefusalCause | undefined;
+
+  constructor(options: { queue: WaitingQueue; limit: ConcurrencyLimit }) {
+    this.#queue = options.queue;
+    this.#limit = options.limit;
+  }
+
+  get running(): number {
+    return this.#running.size;
+  }
+
+  /** Requests that hold room: running ones and open grants. */
+  get occupied(): number {
+    return this.#running.size + this.#granted.size;
+  }
+
+  /** Open grants. */
+  get granted(): number {
+    return this.#granted.size;
+  }
+
+  get waiting(): number {
+    return this.#queue.size;
+  }
+
+  /** Lowest tier that would be queued now; undefined while all would be. */
+  get lowestTierRank(): number | undefined {
+    return this.#queue.lowestTierRank();
+  }
+
+  /** Takes a reservation in, or refuses it; may grant at once. */
+  reserve(waiting: Waiting, now: number): GrantDecision[] {
+    if (this.#closed) return [refuse(waiting, this.#closed)];
+    const offer = this.#queue.offer(waiting, now);
+    if (!offer.queued) return [refuse(waiting, offer.reason)];
+    return [
+      ...offer.evicted.map((evicted) => refuse(evicted, "evicted")),
+      ...this.#grantAll(now),
+    ];
+  }
+
+  /** Forgets a reservation or an open grant; running requests stay. */
+  withdraw(id: string, now: number): GrantDecision[] {
+    if (this.#queue.withdraw(id)) return [];
+    if (!this.#granted.has(id)) return [];
+    this.#returnGrant(id, now);
+    return this.#grantAll(now);
+  }
+
+  /**
+   * The request came in answer to a grant. A lapsed grant answered late finds
+   * its number gone: the room was offered on, so the request must not run.
+   */
+  redeem(id: string, grant: number): Redemption {
+    const open = this.#granted.get(id);
+    if (open?.grant !== grant) return { valid: false };
+    this.#granted.delete(id);
+    this.#running.set(id, open.waiting);
+    return { valid: true, waiting: open.waiting };
+  }
+
+  firstToken(id: string, now: number): void {
+    this.#limit.firstToken(id, now);
+  }
+
+  progressed(id: string, outputTokens: number, now: number): GrantDecision[] {
+    this.#limit.progressed(id, outputTokens, now);
+    return this.#grantAll(now);
+  }
+
+  /** A running request ended and gives its room back. */
+  finished(
+    id: string,
+    outcome: "ok" | "failed" | "cancelled",
+    now: number,
+  ): GrantDecision[] {
+    if (!this.#running.delete(id)) return [];
+    this.#limit.finished(id, outcome, now);
+    this.#releaseSuspect(id);
+    return this.#grantAll(now);
+  }
+
+  /** Lets grants lapse and refuses what can't meet its deadline any more. */
+  tick(now: number): GrantDecision[] {
+    const decisions: GrantDecision[] = [];
+    for (const open of [...this.#granted.values()]) {
+      if (open.lapsesAt > now) continue;
+      this.#returnGrant(open.waiting.id, now);
+      decisions.push(refuse(open.waiting, "grant_lapsed"));
+    }
+    for (const expired of this.#queue.expire(now)) {
+      decisions.push(refuse(expired, "deadline"));
+    }
+    decisions.push(...this.#grantAll(now));
+    return decisions;
+  }
+
+  /** Refuses all that waits and all that comes; running requests finish. */
+  close(cause: RefusalCause, now: number): GrantDecision[] {
+    this.#closed = cause;
+    const decisions: GrantDecision[] = [];
+    for (const open of [...this.#granted.values()]) {
+      this.#returnGrant(open.waiting.id, now);
+      decisions.push(refuse(open.waiting, cause));
+    }
+    for (;;) {
+      const waiting = this.#queue.take(now, () => true);
+      if (!waiting) return decisions;
+      decisions.push(refuse(waiting, cause));
+    }
+  }
+
+  /** Takes reservations again after {@link close}. */
+  open(): void {
+    this.#closed = undefined;
+  }
+
+  #grantAll(now: number): GrantDecision[] {
+    const decisions: GrantDecision[] = [];
+    if (this.#closed) return decisions;
+    for (;;) {
+      const waiting = this.#queue.take(now, (next) => this.#admits(next));
+      if (!waiting) return decisions;
+      decisions.push(this.#grant(waiting, now));
+    }
+  }
+
+  /**
+   * A request that may have crashed a server runs with nothing beside it:
+   * what it takes down is then only itself.
+   */
+  #admits(waiting: Waiting): boolean {
+    if (this.#suspectAtWork !== undefined) return false;
+    if (waiting.suspect) return this.occupied === 0;
+    return this.#limit.admits(waiting);
+  }
+
+  #grant(waiting: Waiting, now: number): GrantDecision {
+    const grant = this.#nextGrant;
+    this.#nextGrant += 1;
+    this.#limit.started(waiting.id, waiting.cost, now);
+    this.#granted.set(waiting.id, {
+      waiting,
+      grant,
+      lapsesAt: now + GRANT_LAPSE,
+    });
+    if (waiting.suspect) this.#suspectAtWork = waiting.id;
+    return { kind: "grant", id: waiting.id, grant, lapse: GRANT_LAPSE };
+  }
+
+  #returnGrant(id: string, now: number): void {
+    this.#granted.delete(id);
+    this.#limit.finished(id, "cancelled", now);
+    this.#releaseSuspect(id);
+  }
+
+  #releaseSuspect(id: string): void {
+    if (this.#suspectAtWork === id) this.#suspectAtWork = undefined;
+  }
+}
+
+function refuse(waiting: Waiting, reason: RefusalCause): GrantDecision {
+  return { kind: "refuse", id: waiting.id, reason };
+}
--- /dev/null
+++ b/packages/decisions/src/lifecycle/robot.ts
@@ -0,0 +1,11 @@
+/**
+ * `robot3` ships an ES module under a CommonJS package description, which
+ * loaders reject; its CommonJS build works everywhere.
+ * @module
+ */
+import { createRequire } from "node:module";
+
+/** The state machine library. */
+export const robot = createRequire(import.meta.url)(
+  "robot3",
+) as typeof import("robot3");
--- a/packages/protocol/src/key_map.ts
+++ b/packages/protocol/src/key_map.ts
@@ -49,6 +49,7 @@
   "incarnation",
   "version",
   "leaving",
+  "runToCompletion",
 ] as const;
 
 /** Field name to wire key, as `cbor-x` takes it. */
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -16,6 +16,14 @@
 const reservationNumber = count;
 const grantNumber = count;
 
+/** HTTP headers by lower-case name; some, as `set-cookie`, come repeatedly. */
+export const headersSchema = v.record(
+  v.string(),
+  v.union([v.string(), v.array(v.string())]),
+);
+/** See {@link headersSchema}. */
+export type Headers = v.InferOutput<typeof headersSchema>;
+
 /** What a caller may conclude about its request having run. */
 export const ranSchema = v.picklist(["no", "unknown", "yes"]);
 /** See {@link ranSchema}. */
@@ -76,9 +84,11 @@
   grant: grantNumber,
   method: text,
   path: v.pipe(v.string(), v.maxLength(8192)),
-  headers: v.record(v.string(), v.string()),
+  headers: headersSchema,
   body: bytes,
   remaining: duration,
+  /** Not idempotent: it finishes although its entry is gone. */
+  runToCompletion: v.optional(v.boolean()),
 });
 
 /** The caller has gone: stop the running request. */
@@ -126,7 +136,7 @@
   type: v.literal("head"),
   reservation: reservationNumber,
   status: count,
-  headers: v.record(v.string(), v.string()),
+  headers: headersSchema,
 });
 
 /** The next bytes of an answer; `sequence` counts from 0 without gaps. */
