--- /dev/null
+++ b/packages/daemon/src/entry/placement_task.ts
@@ -0,0 +1,274 @@
+/**
+ * Finds a backend server for one waiting request: places reservations, takes
+ * the first grant, hands the request over to it and withdraws the others.
+ * @module
+ */
+import { ReservationPlan } from "@sycamorepulley/decisions";
+import type { HandOver, Reserve } from "@sycamorepulley/protocol";
+import { monotonicNow } from "../common/clock.ts";
+import type { Metrics } from "../common/metrics.ts";
+import type { Mailbox } from "./mailbox.ts";
+import { notRun } from "./refusal.ts";
+import type { Refusal } from "./refusal.ts";
+import type { RequestEvent } from "./request_event.ts";
+import type { ResolvedRequest } from "./resolved_request.ts";
+import type { ServiceDesk } from "./service_desk.ts";
+import type { SessionPool } from "./session_pool.ts";
+import type { SidecarSession } from "./sidecar_session.ts";
+
+/** How long a request without budget or candidates waits to look again. */
+const LOOK_AGAIN = 100;
+
+/** How a placement ended. `handedOver` is the request's one dispatch. */
+export type PlacementOutcome =
+  | { kind: "handedOver"; session: SidecarSession }
+  | { kind: "refused"; refusal: Refusal }
+  | { kind: "callerLeft" };
+
+/** Options of {@link PlacementTask}. */
+export type PlacementTaskOptions = {
+  number: number;
+  request: ResolvedRequest;
+  /** Version that new requests go to; any when absent. */
+  version?: string | undefined;
+  desk: ServiceDesk;
+  sessions: SessionPool;
+  mailbox: Mailbox<RequestEvent>;
+  metrics: Metrics;
+  random: () => number;
+};
+
+/** One request's reservations, from the first to the hand-over. */
+export class PlacementTask {
+  readonly #options: PlacementTaskOptions;
+  readonly #plan: ReservationPlan;
+  readonly #held = new Map<string, SidecarSession>();
+  readonly #excluded = new Set<string>();
+  /** Reservations lost to a refusal or a broken link, not yet replaced. */
+  #lost = 0;
+  #refusal: Refusal | undefined;
+
+  constructor(options: PlacementTaskOptions) {
+    this.#options = options;
+    const { tier, prefixKey, arrived } = options.request;
+    this.#plan = new ReservationPlan({
+      tierRank: tier.rank,
+      prefixKey,
+      arrived,
+    });
+  }
+
+  async run(): Promise<PlacementOutcome> {
+    const outcome = await this.#place();
+    this.#withdrawAll();
+    return outcome;
+  }
+
+  async #place(): Promise<PlacementOutcome> {
+    const { request, mailbox } = this.#options;
+    for (;;) {
+      const now = monotonicNow();
+      if (now >= request.deadline) return this.#deadlinePassed();
+      const placing = this.#reserveMore(now);
+      if (placing === "nobody left") {
+        return { kind: "refused", refusal: this.#finalRefusal() };
+      }
+      const event = await mailbox.take(this.#nextLook(now) - now);
+      if (!event) continue;
+      const outcome = this.#react(event);
+      if (outcome) return outcome;
+    }
+  }
+
+  #react(event: RequestEvent): PlacementOutcome | undefined {
+    switch (event.kind) {
+      case "callerLeft":
+        return { kind: "callerLeft" };
+      case "evicted":
+        return { kind: "refused", refusal: this.#evictedHere() };
+      case "grant":
+        return this.#handOver(event.sidecar, event.grant);
+      case "refuse":
+        return this.#refused(event);
+      case "linkLost":
+        return this.#lose(event.sidecar, "link_lost");
+      default:
+        return undefined;
+    }
+  }
+
+  #handOver(sidecar: string, grant: number): PlacementOutcome | undefined {
+    const session = this.#held.get(sidecar);
+    // Nothing was sent when the link is gone: the request may go elsewhere.
+    if (!session?.handOver(this.#handOverMessage(grant))) {
+      return this.#lose(sidecar, "link_lost");
+    }
+    this.#held.delete(sidecar);
+    const { desk } = this.#options;
+    const now = monotonicNow();
+    desk.retryBudget.success(now);
+    desk.ejection.started(sidecar, now);
+    return { kind: "handedOver", session };
+  }
+
+  #refused(event: RequestEvent & { kind: "refuse" }): undefined {
+    const { sidecar, reason, retryAfter } = event;
+    const { desk, request } = this.#options;
+    if (reason === "leaving") desk.servers.leaving(sidecar);
+    const detail = `no backend server of ${request.service.name} takes a ` +
+      `request of tier ${request.tier.name} now`;
+    this.#refusal = soonest(
+      this.#refusal,
+      notRun(reason, detail, retryAfter),
+    );
+    return this.#lose(sidecar, reason);
+  }
+
+  #lose(sidecar: string, reason: string): undefined {
+    if (!this.#held.delete(sidecar)) return;
+    this.#excluded.add(sidecar);
+    this.#lost += 1;
+    const { metrics, request } = this.#options;
+    metrics.retries.inc({ service: request.service.name, reason });
+  }
+
+  #reserveMore(now: number): "placed" | "nobody left" {
+    this.#spendBudget(now);
+    const planned = this.#plan.next(now);
+    if (planned.count > 0) {
+      const names = this.#choose(planned, now);
+      for (const name of names) this.#reserve(name, now);
+      this.#plan.lost(planned.count - names.length);
+    }
+    if (this.#held.size > 0 || this.#lost > 0) return "placed";
+    return this.#plan.nextAt === undefined || this.#outOfServers(now)
+      ? "nobody left"
+      : "placed";
+  }
+
+  /** Replaces lost reservations as far as the service's budget allows. */
+  #spendBudget(now: number): void {
+    const { desk } = this.#options;
+    while (this.#lost > 0 && desk.retryBudget.allow(now)) {
+      this.#lost -= 1;
+      this.#plan.lost();
+    }
+    // Others hold the request's place, so there is nothing to replace for now.
+    if (this.#held.size > 0) return;
+    if (this.#outOfServers(now)) this.#lost = 0;
+  }
+
+  #outOfServers(now: number): boolean {
+    return this.#choose({ count: 1, reach: "everywhere" }, now).length === 0;
+  }
+
+  #choose(
+    planned: { count: number; reach: "dataCentre" | "region" | "everywhere" },
+    now: number,
+  ): string[] {
+    const { desk, request, random, version } = this.#options;
+    return desk.servers.choose({
+      count: planned.count,
+      reach: planned.reach,
+      exclude: new Set([...this.#excluded, ...this.#held.keys()]),
+      prefixKey: request.prefixKey,
+      version,
+      tierRank: request.tier.rank,
+      now,
+      random,
+    });
+  }
+
+  #reserve(name: string, now: number): void {
+    const { sessions, mailbox, metrics, request } = this.#options;
+    const session = sessions.session(name);
+    if (!session) {
+      this.#excluded.add(name);
+      this.#plan.lost();
+      return;
+    }
+    this.#held.set(name, session);
+    metrics.reservations.inc({ service: request.service.name });
+    session.reserve(this.#reserveMessage(now), mailbox);
+  }
+
+  #reserveMessage(now: number): Reserve {
+    const { number, request, desk } = this.#options;
+    const verdict = desk.suspects.verdict(request.fingerprint, now);
+    return {
+      type: "reserve",
+      reservation: number,
+      service: request.service.name,
+      tierRank: request.tier.rank,
+      organisation: request.organisation,
+      route: request.route,
+      cost: request.cost,
+      remaining: request.deadline - now,
+      fingerprint: request.fingerprint,
+      ...(request.prefixKey ? { prefixKey: request.prefixKey } : {}),
+      ...(verdict.kind === "suspect" ? { suspect: true } : {}),
+    };
+  }
+
+  #handOverMessage(grant: number): HandOver {
+    const { number, request } = this.#options;
+    return {
+      type: "handOver",
+      reservation: number,
+      grant,
+      method: request.method,
+      path: request.path,
+      headers: request.headers,
+      body: request.body,
+      remaining: request.deadline - monotonicNow(),
+      ...(request.idempotent ? {} : { runToCompletion: true }),
+    };
+  }
+
+  #nextLook(now: number): number {
+    const { deadline } = this.#options.request;
+    const wave = this.#plan.nextAt ?? deadline;
+    const look = this.#lost > 0 || this.#held.size === 0
+      ? now + LOOK_AGAIN
+      : deadline;
+    return Math.min(wave, look, deadline);
+  }
+
+  #deadlinePassed(): PlacementOutcome {
+    const detail = "the deadline passed before a backend server had room";
+    const { retryAfter } = this.#finalRefusal();
+    return { kind: "refused", refusal: notRun("deadline", detail, retryAfter) };
+  }
+
+  #evictedHere(): Refusal {
+    const { service, tier } = this.#options.request;
+    return notRun(
+      "evicted",
+      `a request of a higher tier than ${tier.name} took its place in ` +
+        `${service.name}'s waiting room`,
+    );
+  }
+
+  #finalRefusal(): Refusal {
+    const { request } = this.#options;
+    return this.#refusal ?? notRun(
+      "no_backend_server",
+      `no backend server of ${request.service.name} can be reached now`,
+    );
+  }
+
+  #withdrawAll(): void {
+    for (const session of this.#held.values()) {
+      session.withdraw(this.#options.number);
+    }
+    this.#held.clear();
+  }
+}
+
+/** The refusal that lets the caller come back first. */
+function soonest(known: Refusal | undefined, next: Refusal): Refusal {
+  if (known?.retryAfter === undefined || next.retryAfter === undefined) {
+    return next;
+  }
+  return next.retryAfter <= known.retryAfter ? next : known;
+}
--- a/packages/daemon/src/entry/request_event.ts
+++ b/packages/daemon/src/entry/request_event.ts
@@ -27,4 +27,6 @@
       reason: Failed["reason"];
     }
     | { kind: "callerLeft" }
+    /** A higher tier's request took its place at the entry. */
+    | { kind: "evicted" }
   );
--- /dev/null
+++ b/packages/daemon/src/entry/request_task.ts
@@ -0,0 +1,217 @@
+/**
+ * One caller's request from admission to its final answer, as one task.
+ * @module
+ */
+import { RequestLifecycle } from "@sycamorepulley/decisions";
+import type { WaitingAllowance } from "@sycamorepulley/decisions";
+import { monotonicNow } from "../common/clock.ts";
+import type { Metrics } from "../common/metrics.ts";
+import type { AnswerSink } from "./answer_sink.ts";
+import { Mailbox } from "./mailbox.ts";
+import { PlacementTask } from "./placement_task.ts";
+import type { PlacementOutcome } from "./placement_task.ts";
+import { notRun } from "./refusal.ts";
+import type { Refusal } from "./refusal.ts";
+import { relayAnswer } from "./relay_answer.ts";
+import type { AnswerOutcome } from "./relay_answer.ts";
+import type { RequestEvent } from "./request_event.ts";
+import type { ResolvedRequest } from "./resolved_request.ts";
+import type { ServiceDesk } from "./service_desk.ts";
+import type { SessionPool } from "./session_pool.ts";
+import type { SidecarSession } from "./sidecar_session.ts";
+
+/** What every request task of an entry shares. */
+export type RequestSurroundings = {
+  desk: (service: string) => ServiceDesk;
+  sessions: SessionPool;
+  allowance: WaitingAllowance;
+  versionOf: (service: string) => string | undefined;
+  metrics: Metrics;
+  random: () => number;
+  /** A whole answer's tokens and time, for the estimates. */
+  onAnswered: (
+    request: ResolvedRequest,
+    bytes: number,
+    now: number,
+  ) => void;
+};
+
+/** How a request ended; the reason says why it was not answered whole. */
+export type RequestOutcome =
+  | { kind: "answered"; status: number }
+  | { kind: "refused"; refusal: Refusal; begun: boolean }
+  | { kind: "callerLeft"; ran: Refusal["ran"] };
+
+/** A request's number, lifecycle and events. */
+export class RequestTask {
+  readonly #number: number;
+  readonly #request: ResolvedRequest;
+  readonly #sink: AnswerSink;
+  readonly #surroundings: RequestSurroundings;
+  readonly #lifecycle = new RequestLifecycle();
+  readonly #mailbox = new Mailbox<RequestEvent>();
+
+  constructor(
+    options: {
+      number: number;
+      request: ResolvedRequest;
+      sink: AnswerSink;
+      surroundings: RequestSurroundings;
+    },
+  ) {
+    this.#number = options.number;
+    this.#request = options.request;
+    this.#sink = options.sink;
+    this.#surroundings = options.surroundings;
+  }
+
+  /** The caller closed its connection. */
+  callerLeft(): void {
+    this.#mailbox.put({ kind: "callerLeft" });
+  }
+
+  /** Waits, dispatches and answers; the sink has its final answer after. */
+  async run(): Promise<RequestOutcome> {
+    const early = this.#earlyRefusal();
+    if (early) return this.#refuse(early);
+    const admitted = this.#admit();
+    if (admitted.isErr) return this.#refuse(admitted.error);
+    const placement = await this.#place();
+    admitted.value();
+    if (placement.kind === "refused") return this.#refuse(placement.refusal);
+    if (placement.kind === "callerLeft") {
+      this.#lifecycle.apply("abandon");
+      return { kind: "callerLeft", ran: "no" };
+    }
+    this.#lifecycle.apply("handOver");
+    return await this.#answer(placement.session);
+  }
+
+  /** Refuses what is known to be shed or quarantined before it waits. */
+  #earlyRefusal(): Refusal | undefined {
+    const { service, tier, fingerprint } = this.#request;
+    const { desk, versionOf } = this.#surroundings;
+    const now = monotonicNow();
+    const own = desk(service.name);
+    const verdict = own.suspects.verdict(fingerprint, now);
+    if (verdict.kind === "quarantined") {
+      return notRun(
+        "quarantined",
+        "backend servers died while they ran this request",
+        verdict.retryAfter,
+      );
+    }
+    const shedding = own.servers.shedsTier(
+      tier.rank,
+      now,
+      versionOf(service.name),
+    );
+    if (!shedding.sheds) return undefined;
+    return notRun(
+      "tier_shed",
+      `every backend server of ${service.name} is full and sheds tier ` +
+        tier.name,
+      shedding.retryAfter,
+    );
+  }
+
+  #admit() {
+    const { service, tier, body } = this.#request;
+    const { allowance } = this.#surroundings;
+    return allowance.admit({
+      service: service.name,
+      bytes: body.byteLength,
+      tierRank: tier.rank,
+      evicted: () => this.#mailbox.put({ kind: "evicted" }),
+    }).mapErr((error) =>
+      notRun(
+        error.reason === "too_many_waiting"
+          ? "service_waiting_full"
+          : "service_memory_full",
+        `${service.name} has as many requests waiting here as it may`,
+      )
+    );
+  }
+
+  #place(): Promise<PlacementOutcome> {
+    const { desk, sessions, versionOf, metrics, random } = this.#surroundings;
+    const service = this.#request.service.name;
+    return new PlacementTask({
+      number: this.#number,
+      request: this.#request,
+      version: versionOf(service),
+      desk: desk(service),
+      sessions,
+      mailbox: this.#mailbox,
+      metrics,
+      random,
+    }).run();
+  }
+
+  async #answer(session: SidecarSession): Promise<RequestOutcome> {
+    const { deadline } = this.#request;
+    const outcome = await relayAnswer({
+      mailbox: this.#mailbox,
+      sidecar: session.name,
+      sink: this.#sink,
+      deadline,
+      onFirstByte: (now) => this.#firstByte(now),
+    });
+    if (outcome.kind === "whole") session.forget(this.#number);
+    else this.#stop(session, outcome);
+    return this.#finish(session, outcome);
+  }
+
+  #firstByte(now: number): void {
+    this.#lifecycle.apply("begin");
+    const { service, tier, arrived } = this.#request;
+    this.#surroundings.metrics.firstByte.observe(
+      { service: service.name, tier: tier.name },
+      (now - arrived) / 1000,
+    );
+  }
+
+  /** What can't be repeated runs on; the rest is stopped for others' sake. */
+  #stop(session: SidecarSession, outcome: AnswerOutcome): void {
+    const over = outcome.kind === "failed" &&
+      !["deadline", "caller_too_slow"].includes(outcome.refusal.reason);
+    if (over || !this.#request.idempotent) session.forget(this.#number);
+    else session.cancel(this.#number);
+  }
+
+  #finish(session: SidecarSession, outcome: AnswerOutcome): RequestOutcome {
+    const now = monotonicNow();
+    const { ejection } = this.#surroundings.desk(this.#request.service.name);
+    if (outcome.kind === "callerLeft") {
+      this.#lifecycle.apply("abandon");
+      return { kind: "callerLeft", ran: "unknown" };
+    }
+    if (outcome.kind === "whole") {
+      this.#lifecycle.apply("begin");
+      this.#lifecycle.apply("finish");
+      if (outcome.status < 500) ejection.succeeded(session.name, now);
+      else ejection.failed(session.name, "error", now);
+      this.#surroundings.onAnswered(this.#request, outcome.bytes, now);
+      this.#sink.end();
+      return { kind: "answered", status: outcome.status };
+    }
+    this.#lifecycle.apply("fail");
+    const { refusal, begun } = outcome;
+    if (refusal.reason !== "caller_too_slow") {
+      ejection.failed(
+        session.name,
+        refusal.reason === "deadline" ? "timeout" : "error",
+        now,
+      );
+    }
+    if (begun) this.#sink.cut(refusal);
+    else this.#sink.refuse(refusal);
+    return { kind: "refused", refusal, begun };
+  }
+
+  #refuse(refusal: Refusal): RequestOutcome {
+    this.#lifecycle.apply("refuse");
+    this.#sink.refuse(refusal);
+    return { kind: "refused", refusal, begun: false };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/service_desk.ts
@@ -0,0 +1,39 @@
+/**
+ * What an entry knows of one service: its backend servers, who is left out,
+ * and what its retries may still cost. Nothing here is shared between
+ * services, so one service's trouble spends nothing of another's.
+ * @module
+ */
+import {
+  BackendServerSet,
+  Ejection,
+  RetryBudget,
+  Suspects,
+} from "@sycamorepulley/decisions";
+
+/** Decisions' state for one service at one entry. */
+export class ServiceDesk {
+  readonly service: string;
+  readonly ejection = new Ejection();
+  readonly retryBudget = new RetryBudget();
+  readonly suspects = new Suspects();
+  readonly servers: BackendServerSet;
+
+  constructor(
+    options: {
+      service: string;
+      entry: string;
+      dataCentre: string;
+      regionOf: (dataCentre: string) => string;
+    },
+  ) {
+    const { service, entry, dataCentre, regionOf } = options;
+    this.service = service;
+    this.servers = new BackendServerSet({
+      entry,
+      dataCentre,
+      regionOf,
+      allowed: (name, now) => this.ejection.allowed(name, now),
+    });
+  }
+}
--- a/packages/daemon/src/sidecar/sidecar.ts
+++ b/packages/daemon/src/sidecar/sidecar.ts
@@ -27,9 +27,15 @@
 
 /** How often lapsed grants and missed deadlines are looked for. */
 const TICK = 25;
+/**
+ * A call that can't be repeated is not stopped at its caller's deadline, since
+ * half a payment is worse than a late one; a hung server must still end it.
+ */
+const LONGEST_RUN = 15 * 60 * 1000;
 
 /** Options of {@link Sidecar}. */
 export type SidecarOptions = {
+  instance: string;
   service: string;
   desk: GrantDesk;
   suspects: Suspects;
@@ -134,7 +140,7 @@
       case "cancel":
         return this.#cancel(connection.reservationId(message.reservation));
       case "crashed":
-        return this.#learnCrash(message.fingerprints, connection.instance);
+        return this.#learnCrash(message.fingerprints, message.backendServer);
       default:
         return this.#options.onOtherMessage(connection, message);
     }
@@ -226,9 +232,9 @@
   ): Promise<void> {
     const startedAt = monotonicNow();
     const { handOver } = request;
-    const deadline = handOver.runToCompletion ? undefined : setTimeout(
+    const deadline = setTimeout(
       () => request.abort.abort("deadline"),
-      handOver.remaining,
+      handOver.runToCompletion ? LONGEST_RUN : handOver.remaining,
     );
     const outcome = await this.#options.client.run(
       handOver,
@@ -276,8 +282,9 @@
     this.#carryOut(this.#desk.close("unhealthy", now));
     const fingerprints = this.#crashes.died(now);
     if (fingerprints.length === 0) return;
-    this.#learnCrash(fingerprints, this.#options.service);
-    this.#broadcast({ type: "crashed", fingerprints });
+    const backendServer = this.#options.instance;
+    this.#learnCrash(fingerprints, backendServer);
+    this.#broadcast({ type: "crashed", fingerprints, backendServer });
   }
 
   #learnCrash(fingerprints: string[], backendServer: string): void {
--- a/packages/protocol/src/key_map.ts
+++ b/packages/protocol/src/key_map.ts
@@ -50,6 +50,7 @@
   "version",
   "leaving",
   "runToCompletion",
+  "backendServer",
 ] as const;
 
 /** Field name to wire key, as `cbor-x` takes it. */
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -192,6 +192,8 @@
 /** Fingerprints of what ran when a backend server died. */
 export const crashedSchema = v.object({
   type: v.literal("crashed"),
+  /** Instance name of its sidecar: one crash, told by many, counts once. */
+  backendServer: text,
   fingerprints: v.array(text),
 });
 
@@ -247,3 +249,5 @@
 export type Load = v.InferOutput<typeof loadSchema>;
 /** See {@link failedSchema}. */
 export type Failed = v.InferOutput<typeof failedSchema>;
+/** See {@link crashedSchema}. */
+export type Crashed = v.InferOutput<typeof crashedSchema>;
