Add the grant desk, request and process lifecycles, and the daemon's parts

The desk binds late: reservations wait at the sidecar, room is granted, and only an answer to an open grant runs. Lapsed grants carry stale numbers and are refused. The daemon's entry and sidecar parts compile but are not yet wired.

--- a/packages/daemon/src/entry/chat_completion.ts
+++ b/packages/daemon/src/entry/chat_completion.ts
@@ -8,7 +8,10 @@
 
 const schema = v.looseObject({
   model: v.string(),
-  messages: v.pipe(v.array(v.looseObject({ role: v.string() })), v.minLength(1)),
+  messages: v.pipe(
+    v.array(v.looseObject({ role: v.string() })),
+    v.minLength(1),
+  ),
   max_tokens: v.optional(v.nullable(v.number())),
   max_completion_tokens: v.optional(v.nullable(v.number())),
 });
--- a/packages/daemon/src/entry/request_event.ts
+++ b/packages/daemon/src/entry/request_event.ts
@@ -1,9 +1,5 @@
 /** What a request's task is told while it waits and while it is answered. @module */
-import type {
-  Failed,
-  Headers,
-  RefusalReason,
-} from "@sycamorepulley/protocol";
+import type { Failed, Headers, RefusalReason } from "@sycamorepulley/protocol";
 
 /** `sidecar` names the instance that the event came from. */
 export type RequestEvent =
--- a/packages/daemon/src/entry/sidecar_session.ts
+++ b/packages/daemon/src/entry/sidecar_session.ts
@@ -182,8 +182,10 @@
       const interval = this.busy ? HEARTBEAT_INTERVAL : IDLE_HEARTBEAT_INTERVAL;
       if (now - sentAt < interval) return;
       const silence = now - this.#heardAt;
-      if (this.busy && sentAt > this.#heardAt &&
-        silence > MISSED_HEARTBEATS * HEARTBEAT_INTERVAL) {
+      if (
+        this.busy && sentAt > this.#heardAt &&
+        silence > MISSED_HEARTBEATS * HEARTBEAT_INTERVAL
+      ) {
         return link.close();
       }
       sentAt = now;
--- a/packages/daemon/src/sidecar/backend_client.ts
+++ b/packages/daemon/src/sidecar/backend_client.ts
@@ -132,5 +132,3 @@
   const { code, syscall } = error as NodeJS.ErrnoException;
   return code === "ECONNREFUSED" || syscall === "connect";
 }
-
-
--- a/packages/daemon/src/sidecar/running_request.ts
+++ b/packages/daemon/src/sidecar/running_request.ts
@@ -1,11 +1,17 @@
 /** One request at the backend server, its answer relayed as it comes. @module */
-import type { HandOver, Headers, Reserve } from "@sycamorepulley/protocol";
+import type {
+  Cost,
+  HandOver,
+  Headers,
+  Reserve,
+} from "@sycamorepulley/protocol";
+import { monotonicNow } from "../common/clock.ts";
 import { AnswerReceiver } from "./backend_client.ts";
 import type { EntryConnection } from "./entry_connection.ts";
 
 /** Told of an answer's progress, for the limit. */
 export type ProgressListener = {
-  onFirstToken(id: string): void;
+  onFirstToken(id: string, now: number): void;
   onProgress(id: string, outputTokens: number): void;
 };
 
@@ -15,6 +21,7 @@
   connection: EntryConnection;
   reserve: Reserve;
   handOver: HandOver;
+  startedAt: number;
   listener: ProgressListener;
 };
 
@@ -29,6 +36,8 @@
   #chunks = 0;
   #length = 0;
   #outputTokens = 0;
+  #firstTokenAt: number | undefined;
+  readonly #startedAt: number;
 
   constructor(options: RunningRequestOptions) {
     super();
@@ -37,10 +46,20 @@
     this.handOver = options.handOver;
     this.#connection = options.connection;
     this.#listener = options.listener;
+    this.#startedAt = options.startedAt;
   }
 
-  get outputTokens(): number {
-    return this.#outputTokens;
+  /** What a whole answer cost; streamed tokens are counted, others guessed. */
+  served(now: number): { cost: Cost; firstToken: number; total: number } {
+    const { promptTokens, outputTokens } = this.reserve.cost;
+    return {
+      cost: {
+        promptTokens,
+        outputTokens: this.#outputTokens || outputTokens,
+      },
+      firstToken: (this.#firstTokenAt ?? now) - this.#startedAt,
+      total: now - this.#startedAt,
+    };
   }
 
   belongsTo(connection: EntryConnection): boolean {
@@ -57,7 +76,7 @@
   }
 
   override async chunk(bytes: Uint8Array, outputTokens: number): Promise<void> {
-    if (this.#chunks === 0) this.#listener.onFirstToken(this.id);
+    if (this.#firstTokenAt === undefined) this.#begin();
     this.#outputTokens += outputTokens;
     if (outputTokens > 0) this.#listener.onProgress(this.id, outputTokens);
     this.#connection.send({
@@ -71,6 +90,11 @@
     await this.#connection.drained();
   }
 
+  #begin(): void {
+    this.#firstTokenAt = monotonicNow();
+    this.#listener.onFirstToken(this.id, this.#firstTokenAt);
+  }
+
   /** Tells the entry that the answer is whole. */
   end(): void {
     this.#connection.send({
--- a/packages/daemon/src/sidecar/sidecar.ts
+++ b/packages/daemon/src/sidecar/sidecar.ts
@@ -6,6 +6,7 @@
 import { GrantDesk } from "@sycamorepulley/decisions";
 import type { GrantDecision, Suspects } from "@sycamorepulley/decisions";
 import type {
+  Cost,
   Failed,
   HandOver,
   Load,
@@ -45,10 +46,11 @@
   weightOf: (organisation: string) => number;
   /** Milliseconds until a refused request may come back. */
   retryAfter: (now: number) => number;
-  /** What one finished request of the service cost. */
-  onFinished: (
-    reserve: Reserve,
-    result: { outputTokens: number; duration: number },
+  /** Milliseconds that a new reservation of the lowest tier would wait. */
+  expectedWait: (now: number) => number;
+  /** A whole answer; times in milliseconds from the hand-over. */
+  onServed: (
+    served: { cost: Cost; firstToken: number; total: number },
     now: number,
   ) => void;
   /** Messages that concern the configuration, not requests. */
@@ -85,9 +87,7 @@
       waiting: this.#desk.waiting,
       limit: this.#options.limit(),
       ...this.#lowestTier(),
-      expectedWait: this.#desk.waiting === 0
-        ? 0
-        : this.#options.retryAfter(now),
+      expectedWait: this.#options.expectedWait(now),
       healthy: this.#healthy && !this.#leaving,
     };
   }
@@ -214,8 +214,9 @@
       connection,
       reserve: record.reserve,
       handOver,
+      startedAt: monotonicNow(),
       listener: {
-        onFirstToken: (id) => this.#desk.firstToken(id, monotonicNow()),
+        onFirstToken: (id, now) => this.#desk.firstToken(id, now),
         onProgress: (id, outputTokens) =>
           this.#carryOut(
             this.#desk.progressed(id, outputTokens, monotonicNow()),
@@ -230,7 +231,6 @@
     connection: EntryConnection,
     request: RunningRequest,
   ): Promise<void> {
-    const startedAt = monotonicNow();
     const { handOver } = request;
     const deadline = setTimeout(
       () => request.abort.abort("deadline"),
@@ -246,20 +246,19 @@
     const now = monotonicNow();
     if (outcome.kind === "whole") request.end();
     else this.#sendFailed(connection, handOver, outcome.ran, outcome.reason);
-    this.#settle(request, outcome, now - startedAt, now);
+    this.#settle(request, outcome, now);
     if (this.#running.size === 0) this.#idle?.();
   }
 
   #settle(
     request: RunningRequest,
     outcome: RunOutcome,
-    duration: number,
     now: number,
   ): void {
-    const { reserve, outputTokens } = request;
+    const { reserve } = request;
     const { suspects } = this.#options;
     if (outcome.kind === "whole") {
-      this.#options.onFinished(reserve, { outputTokens, duration }, now);
+      this.#options.onServed(request.served(now), now);
       if (reserve.fingerprint) suspects.completed(reserve.fingerprint, now);
     } else if (outcome.cut) {
       this.#crashes.cut(reserve.fingerprint, now);
--- /dev/null
+++ b/packages/daemon/src/sidecar/sidecar_estimates.ts
@@ -0,0 +1,52 @@
+/** What a sidecar has learned of its backend server's speed. @module */
+import { DrainRate, ServiceTimeEstimator } from "@sycamorepulley/decisions";
+import type { Cost, WaitingQueue } from "@sycamorepulley/decisions";
+
+/** Tiers beyond any rank: advice counts all that waits. */
+const LOWEST_RANK = Number.MAX_SAFE_INTEGER;
+
+/** Times and rates of one backend server; durations in milliseconds. */
+export class SidecarEstimates {
+  readonly #serviceTime = new ServiceTimeEstimator();
+  readonly #drainRate = new DrainRate();
+  readonly #kind: "model" | "plain";
+  #meanPlainTime: number | undefined;
+
+  constructor(kind: "model" | "plain") {
+    this.#kind = kind;
+  }
+
+  /** Expected time from a grant to the end of the answer. */
+  expectedTime(cost: Cost): number {
+    return this.#kind === "model"
+      ? this.#serviceTime.expected(cost)
+      : this.#meanPlainTime ?? 0;
+  }
+
+  observe(
+    served: { cost: Cost; firstToken: number; total: number },
+    now: number,
+  ): void {
+    this.#drainRate.observe(
+      served.cost.promptTokens + served.cost.outputTokens,
+      now,
+    );
+    if (this.#kind === "model") return this.#serviceTime.observe(served);
+    const known = this.#meanPlainTime ?? served.total;
+    this.#meanPlainTime = known + (served.total - known) / 16;
+  }
+
+  /** When a refused request may come back. */
+  retryAfter(queue: WaitingQueue, now: number, random: number): number {
+    return this.#drainRate.retryAfter(
+      queue.workAhead(LOWEST_RANK),
+      now,
+      random,
+    );
+  }
+
+  /** How long a new reservation of the lowest tier would wait. */
+  expectedWait(queue: WaitingQueue, now: number): number {
+    return this.#drainRate.expectedWait(queue.workAhead(LOWEST_RANK), now);
+  }
+}
--- a/packages/decisions/src/granting/grant_desk.ts
+++ b/packages/decisions/src/granting/grant_desk.ts
@@ -140,9 +140,13 @@
     }
     for (;;) {
       const waiting = this.#queue.take(now, () => true);
-      if (!waiting) return decisions;
+      if (!waiting) break;
       decisions.push(refuse(waiting, cause));
     }
+    for (const expired of this.#queue.expire(now)) {
+      decisions.push(refuse(expired, "deadline"));
+    }
+    return decisions;
   }
 
   /** Takes reservations again after {@link close}. */
--- a/packages/decisions/src/mod.ts
+++ b/packages/decisions/src/mod.ts
@@ -1,7 +1,9 @@
 /** Decisions under load, free of network, clock and randomness. @module */
 export * from "./ejection/mod.ts";
 export * from "./estimates/mod.ts";
+export * from "./granting/mod.ts";
 export * from "./isolation/mod.ts";
+export * from "./lifecycle/mod.ts";
 export * from "./limits/mod.ts";
 export * from "./placement/mod.ts";
 export * from "./queueing/mod.ts";
--- /dev/null
+++ b/packages/decisions/test/grant_desk_test.ts
@@ -0,0 +1,78 @@
+import t from "tap";
+import { CallLimit, GRANT_LAPSE, GrantDesk, WaitingQueue } from "../src/mod.ts";
+import type { Waiting } from "../src/mod.ts";
+
+function desk(initial: number): GrantDesk {
+  return new GrantDesk({
+    queue: new WaitingQueue({ capacity: 10 }),
+    limit: new CallLimit({ initial }),
+  });
+}
+
+function waiting(id: string, changes: Partial<Waiting> = {}): Waiting {
+  return {
+    id,
+    tierRank: 0,
+    organisation: "one",
+    weight: 1,
+    cost: { promptTokens: 0, outputTokens: 1 },
+    deadline: 60_000,
+    arrived: 0,
+    ...changes,
+  };
+}
+
+t.test("room is granted, then the rest waits", (t) => {
+  const desk1 = desk(1);
+  const [grant] = desk1.reserve(waiting("a"), 0);
+  t.match(grant, { kind: "grant", id: "a" });
+  t.same(desk1.reserve(waiting("b"), 0), []);
+  t.equal(desk1.waiting, 1);
+  t.end();
+});
+
+t.test("a lapsed grant answered late is stale", (t) => {
+  // An entry is paused after its reservation was granted. The room goes to
+  // another request; the entry wakes up and hands its request over. It must
+  // not run: it would exceed the limit, and may be placed elsewhere already.
+  const desk1 = desk(1);
+  const [grant] = desk1.reserve(waiting("a"), 0);
+  desk1.reserve(waiting("b"), 0);
+  const late = desk1.tick(GRANT_LAPSE);
+  t.match(late[0], { kind: "refuse", id: "a", reason: "grant_lapsed" });
+  t.match(late[1], { kind: "grant", id: "b" });
+  t.ok(grant?.kind === "grant");
+  if (grant?.kind === "grant") {
+    t.equal(desk1.redeem("a", grant.grant).valid, false);
+  }
+  t.end();
+});
+
+t.test("a grant is redeemed once", (t) => {
+  const desk1 = desk(1);
+  const [grant] = desk1.reserve(waiting("a"), 0);
+  const number = grant?.kind === "grant" ? grant.grant : -1;
+  t.equal(desk1.redeem("a", number).valid, true);
+  t.equal(desk1.redeem("a", number).valid, false);
+  t.end();
+});
+
+t.test("a suspect runs with nothing beside it", (t) => {
+  const desk1 = desk(4);
+  const [first] = desk1.reserve(waiting("a"), 0);
+  desk1.redeem("a", first?.kind === "grant" ? first.grant : -1);
+  t.same(desk1.reserve(waiting("s", { suspect: true }), 0), []);
+  t.match(desk1.finished("a", "ok", 1), [{ kind: "grant", id: "s" }]);
+  t.same(desk1.reserve(waiting("b"), 2), []);
+  t.end();
+});
+
+t.test("closing refuses all that waits or is granted", (t) => {
+  const desk1 = desk(1);
+  desk1.reserve(waiting("a"), 0);
+  desk1.reserve(waiting("b"), 0);
+  const refused = desk1.close("leaving", 1).map((one) => one.id);
+  t.same(refused.sort(), ["a", "b"]);
+  t.match(desk1.reserve(waiting("c"), 2), [{ reason: "leaving" }]);
+  t.end();
+});
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -12,7 +12,7 @@
 const text = v.pipe(v.string(), v.maxLength(512));
 const count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
 const duration = v.pipe(v.number(), v.finite());
-const bytes = v.instance(Uint8Array);
+const bytes = v.custom<Uint8Array>((value) => value instanceof Uint8Array);
 const reservationNumber = count;
 const grantNumber = count;
 
