Read, check, publish and follow the configuration

Change: readObjects and checkObjects name file, line, object, field and mend; publish is one compare-and-swap on configuration/manifest, whose lost answer is settled by sending the same swap again; a conflict names the publications since the base and the difference; ConfigurationFollower adopts only higher revisions, from the service or a peer, and writes a lost set back; ConfigurationIndex looks objects up for requests. The contract of watch now tells unchanged from changed, so that a poll transfers no known value. Ruled out: a revision that counts by one. After the service is restored to an older state it repeats numbers, and processes would refuse an accepted set; the revision is at least the time in milliseconds instead.

--- /dev/null
+++ b/packages/configuration/src/check/check_organisations.ts
@@ -0,0 +1,63 @@
+/** Organisations refer to existing services and tiers. @module */
+import type { Objects } from "../objects.ts";
+import type { ObjectPath } from "../problem.ts";
+import type { Findings } from "./findings.ts";
+
+/** A credential must mean one organisation, or its callers share an account. */
+export function checkOrganisations(objects: Objects, findings: Findings): void {
+  const services = new Set(objects.services.map((service) => service.name));
+  const tiers = new Set(objects.tiers.map((tier) => tier.name));
+  objects.organisations.forEach((organisation, index) => {
+    const path = ["organisations", index];
+    checkNamedList(findings, {
+      path: [...path, "services"],
+      kind: "service",
+      names: organisation.services,
+      known: services,
+    });
+    checkNamedList(findings, {
+      path: [...path, "tiers"],
+      kind: "tier",
+      names: organisation.tiers,
+      known: tiers,
+    });
+  });
+  checkCredentials(objects, findings);
+}
+
+function checkNamedList(
+  findings: Findings,
+  options: {
+    path: ObjectPath;
+    kind: string;
+    names: string[];
+    known: Set<string>;
+  },
+): void {
+  const { path, kind, names, known } = options;
+  names.forEach((name, position) => {
+    findings.addDangling({ path: [...path, position], kind, name, known });
+  });
+  findings.addRepeated({
+    entries: names.map((name, position) => ({
+      path: [...path, position],
+      key: name,
+    })),
+    what: `the ${kind}`,
+    mend: "name it once",
+  });
+}
+
+function checkCredentials(objects: Objects, findings: Findings): void {
+  findings.addRepeated({
+    entries: objects.organisations.flatMap((organisation, index) =>
+      organisation.credentials.map((credential, position) => ({
+        path: ["organisations", index, "credentials", position],
+        key: credential,
+        holder: `organisations/${organisation.name}`,
+      }))
+    ),
+    what: "the credential",
+    mend: "issue a token of its own to each organisation",
+  });
+}
--- /dev/null
+++ b/packages/configuration/src/check/check_services.ts
@@ -0,0 +1,105 @@
+/** Services name existing tiers, and their routes are unambiguous. @module */
+import type { Objects, Route, Service } from "../objects.ts";
+import type { Findings } from "./findings.ts";
+
+/** Methods that clients and balancers repeat without being asked. */
+const SAFE_METHODS = new Set(["GET", "HEAD"]);
+
+/** Checks each service; see the messages for the rules. */
+export function checkServices(objects: Objects, findings: Findings): void {
+  const tiers = new Set(objects.tiers.map((tier) => tier.name));
+  objects.services.forEach((service, index) => {
+    findings.addDangling({
+      path: ["services", index, "defaultTier"],
+      kind: "tier",
+      name: service.defaultTier,
+      known: tiers,
+    });
+    checkKind(service, index, findings);
+    checkRoutes({ service, index, tiers, findings });
+  });
+  checkModels(objects, findings);
+}
+
+function checkKind(service: Service, index: number, findings: Findings): void {
+  if (service.kind === "plain" && service.models.length > 0) {
+    findings.add({
+      path: ["services", index, "models"],
+      detail: "a plain service answers for no model",
+      mend: 'remove models or set kind to "model"',
+    });
+  }
+  if (service.kind === "model" && service.routes.length > 0) {
+    findings.add({
+      path: ["services", index, "routes"],
+      detail: "a model service has the one route of chat completions",
+      mend: 'remove routes or set kind to "plain"',
+    });
+  }
+}
+
+function checkModels(objects: Objects, findings: Findings): void {
+  findings.addRepeated({
+    entries: objects.services.flatMap((service, index) =>
+      service.models.map((model, position) => ({
+        path: ["services", index, "models", position],
+        key: model,
+        holder: `services/${service.name}`,
+      }))
+    ),
+    what: "the model",
+    mend: "let each model mean one service",
+  });
+}
+
+function checkRoutes(
+  options: {
+    service: Service;
+    index: number;
+    tiers: Set<string>;
+    findings: Findings;
+  },
+): void {
+  const { service, index, tiers, findings } = options;
+  service.routes.forEach((route, position) => {
+    const path = ["services", index, "routes", position];
+    checkRoute({ route, path, findings });
+    if (route.tier !== undefined) {
+      findings.addDangling({
+        path: [...path, "tier"],
+        kind: "tier",
+        name: route.tier,
+        known: tiers,
+      });
+    }
+  });
+  findings.addRepeated({
+    entries: service.routes.map((route, position) => ({
+      path: ["services", index, "routes", position, "path"],
+      key: `${route.method} ${route.path}`,
+    })),
+    what: "the method with this path",
+    mend: "keep one route for each method and path",
+  });
+}
+
+function checkRoute(
+  options: { route: Route; path: (string | number)[]; findings: Findings },
+): void {
+  const { route, path, findings } = options;
+  if (route.path.slice(0, -1).includes("*")) {
+    findings.add({
+      path: [...path, "path"],
+      detail: '"*" stands before the end',
+      mend: 'write an exact path, or a prefix that ends in "*"',
+    });
+  }
+  if (!route.idempotent && SAFE_METHODS.has(route.method)) {
+    findings.add({
+      path: [...path, "idempotent"],
+      detail: `clients repeat ${route.method} on their own, so that a call ` +
+        "which may not run twice can't be protected",
+      mend: "serve the call under POST, or set idempotent to true",
+    });
+  }
+}
--- /dev/null
+++ b/packages/configuration/src/check/check_tiers.ts
@@ -0,0 +1,25 @@
+/** Tiers are ranked without ties. @module */
+import type { Objects } from "../objects.ts";
+import type { Findings } from "./findings.ts";
+
+/** Equal ranks would leave open which of two tiers is shed first. */
+export function checkTiers(objects: Objects, findings: Findings): void {
+  findings.addRepeated({
+    entries: objects.tiers.map((tier, index) => ({
+      path: ["tiers", index, "rank"],
+      key: String(tier.rank),
+      holder: `tiers/${tier.name}`,
+    })),
+    what: "the rank",
+    mend: "give each tier a rank of its own, 0 for the most urgent",
+  });
+  objects.tiers.forEach((tier, index) => {
+    if ((tier.firstTokenGoal ?? 0) > tier.defaultDeadline) {
+      findings.add({
+        path: ["tiers", index, "firstTokenGoal"],
+        detail: "the goal lies after the default deadline",
+        mend: "lower firstTokenGoal or raise defaultDeadline (milliseconds)",
+      });
+    }
+  });
+}
--- /dev/null
+++ b/packages/configuration/src/check/findings.ts
@@ -0,0 +1,75 @@
+/** Collects what the checks find. @module */
+import { objectAt } from "../read_objects.ts";
+import type { Objects } from "../objects.ts";
+import { fieldName } from "../problem.ts";
+import type { ObjectPath, Problem } from "../problem.ts";
+import type { Source } from "../source.ts";
+
+/** What a check states; place and object follow from the path. */
+export type Finding = { path: ObjectPath; detail: string; mend: string };
+
+/** Turns findings into problems with file, line, object and field. */
+export class Findings {
+  readonly problems: Problem[] = [];
+  readonly #objects: Objects;
+  readonly #source: Source | undefined;
+
+  constructor(objects: Objects, source: Source | undefined) {
+    this.#objects = objects;
+    this.#source = source;
+  }
+
+  add(finding: Finding): void {
+    const { path, detail, mend } = finding;
+    this.problems.push({
+      file: this.#source?.file ?? "objects",
+      ...(this.#source && { line: this.#source.lineOf(path) }),
+      object: objectAt(this.#objects, path),
+      field: fieldName(path.slice(2)),
+      detail,
+      mend,
+    });
+  }
+
+  /** States a name that refers to nothing. */
+  addDangling(
+    options: {
+      path: ObjectPath;
+      kind: string;
+      name: string;
+      known: Set<string>;
+    },
+  ): void {
+    const { path, kind, name, known } = options;
+    if (known.has(name)) {
+      return;
+    }
+    const names = [...known].slice(0, 8).join(", ") || "none yet";
+    this.add({
+      path,
+      detail: `there is no ${kind} "${name}"`,
+      mend: `add the ${kind} or name one that exists (${names})`,
+    });
+  }
+
+  /** States each value that already stood earlier; `describe` names it. */
+  addRepeated(
+    options: {
+      entries: { path: ObjectPath; key: string; holder?: string }[];
+      what: string;
+      mend: string;
+    },
+  ): void {
+    const first = new Map<string, string>();
+    for (const { path, key, holder } of options.entries) {
+      const earlier = first.get(key);
+      if (earlier === undefined) {
+        first.set(key, holder ?? "");
+        continue;
+      }
+      const place = earlier === "" ? "" : ` by ${earlier}`;
+      const detail = `${options.what} is already used${place}`;
+      this.add({ path, detail, mend: options.mend });
+    }
+  }
+}
--- /dev/null
+++ b/packages/configuration/src/configuration_index.ts
@@ -0,0 +1,155 @@
+/** Looks up the objects that a request needs, at the rate of requests. @module */
+import { createHash } from "node:crypto";
+import { Result } from "true-myth/result";
+import type {
+  Move,
+  Objects,
+  Organisation,
+  Route,
+  Service,
+  Tier,
+  Version,
+} from "./objects.ts";
+
+/** Methods without effect on the server, so that a repeat does no harm. */
+const SAFE_METHODS = new Set(["GET", "HEAD"]);
+
+/** How a call of a service is treated. */
+export type RouteTreatment = {
+  /** The configured path that matched; bounded in number, unlike callers' paths. */
+  route: string;
+  idempotent: boolean;
+  tier: string;
+};
+
+/** Why a request does not get the tier that it asks for. */
+export type TierRefusal = "unknown_tier" | "tier_not_allowed";
+
+/** Built once for each snapshot. */
+export class ConfigurationIndex {
+  readonly objects: Objects;
+  readonly #services: Map<string, Service>;
+  readonly #tiers: Map<string, Tier>;
+  readonly #organisations: Map<string, Organisation>;
+  readonly #models = new Map<string, Service>();
+  readonly #credentials = new Map<string, Organisation>();
+
+  constructor(objects: Objects) {
+    this.objects = objects;
+    this.#services = byName(objects.services);
+    this.#tiers = byName(objects.tiers);
+    this.#organisations = byName(objects.organisations);
+    for (const service of objects.services) {
+      service.models.forEach((model) => this.#models.set(model, service));
+    }
+    for (const organisation of objects.organisations) {
+      organisation.credentials.forEach((hash) =>
+        this.#credentials.set(hash, organisation)
+      );
+    }
+  }
+
+  service(name: string): Service | undefined {
+    return this.#services.get(name);
+  }
+
+  tier(name: string): Tier | undefined {
+    return this.#tiers.get(name);
+  }
+
+  organisation(name: string): Organisation | undefined {
+    return this.#organisations.get(name);
+  }
+
+  /** The service that a chat completion's `model` means. */
+  serviceOfModel(model: string): Service | undefined {
+    return this.#models.get(model);
+  }
+
+  /** The organisation that a bearer token was issued to. */
+  organisationOfCredential(token: string): Organisation | undefined {
+    const hash = createHash("sha256").update(token).digest("hex");
+    return this.#credentials.get(hash);
+  }
+
+  /**
+   * The longest configured route that matches; an exact path goes before a
+   * prefix. A call that no route names is idempotent only if its method is safe.
+   * `path` is without the query.
+   */
+  routeOf(service: Service, method: string, path: string): RouteTreatment {
+    if (service.kind === "model") {
+      const tier = service.defaultTier;
+      return { route: "chat/completions", idempotent: true, tier };
+    }
+    const route = longestMatch(service.routes, method, path);
+    return {
+      route: route?.path ?? "*",
+      idempotent: route?.idempotent ?? SAFE_METHODS.has(method),
+      tier: route?.tier ?? service.defaultTier,
+    };
+  }
+
+  /**
+   * The tier that a request is served in. The one that its route or service
+   * gives is always allowed; another must be among its organisation's.
+   */
+  tierOf(
+    options: { organisation: Organisation; given: string; asked?: string },
+  ): Result<Tier, TierRefusal> {
+    const { organisation, given, asked = given } = options;
+    const tier = this.#tiers.get(asked);
+    if (tier === undefined) {
+      return Result.err("unknown_tier");
+    }
+    return asked === given || organisation.tiers.includes(asked)
+      ? Result.ok(tier)
+      : Result.err("tier_not_allowed");
+  }
+
+  /** The version that gets the service's traffic while no move says otherwise. */
+  liveVersion(service: string): Version | undefined {
+    return this.objects.versions.find((version) =>
+      version.service === service && version.live
+    );
+  }
+
+  /** The service's move whose deadline lies after `now` (milliseconds). */
+  unfinishedMove(service: string, now: number): Move | undefined {
+    return this.objects.moves.find((move) =>
+      move.service === service && Date.parse(move.deadline) > now
+    );
+  }
+}
+
+function byName<Named extends { name: string }>(
+  objects: Named[],
+): Map<string, Named> {
+  return new Map(objects.map((object) => [object.name, object]));
+}
+
+function longestMatch(
+  routes: Route[],
+  method: string,
+  path: string,
+): Route | undefined {
+  let longest: Route | undefined;
+  for (const route of routes) {
+    if (route.method !== method || !matches(route.path, path)) {
+      continue;
+    }
+    if (route.path === path) {
+      return route;
+    }
+    if (longest === undefined || route.path.length > longest.path.length) {
+      longest = route;
+    }
+  }
+  return longest;
+}
+
+function matches(pattern: string, path: string): boolean {
+  return pattern.endsWith("*")
+    ? path.startsWith(pattern.slice(0, -1))
+    : pattern === path;
+}
--- /dev/null
+++ b/packages/configuration/src/manifest.ts
@@ -0,0 +1,112 @@
+/**
+ * The one value in the platform's service that holds the published set. Large
+ * sets are compressed, since a value may have 1 MiB at most.
+ * @module
+ */
+import { gunzipSync, gzipSync } from "node:zlib";
+import { Result } from "true-myth/result";
+import * as v from "valibot";
+import { readObjects } from "./read_objects.ts";
+import type { Publication, Snapshot } from "./snapshot.ts";
+
+/** Key of the manifest in the platform's service. */
+export const MANIFEST_KEY = "configuration/manifest";
+
+const PLAIN_TEXT_BYTES = 64 * 1024;
+const MAXIMUM_SOURCE_BYTES = 16 * 1024 * 1024;
+const HISTORY_LENGTH = 32;
+const CHANGES_LENGTH = 50;
+
+const count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
+const publicationSchema = v.object({
+  revision: count,
+  publishId: v.string(),
+  publishedBy: v.string(),
+  publishedAt: v.number(),
+  changes: v.array(v.string()),
+});
+const manifestSchema = v.object({
+  history: v.pipe(v.array(publicationSchema), v.minLength(1)),
+  encoding: v.picklist(["plain", "gzip"]),
+  /** The operator's file with its comments. */
+  source: v.string(),
+});
+
+/** The value to store: the operator's file and the publications up to it. */
+export function encodeManifest(
+  options: { history: Publication[]; source: string },
+): string {
+  const history = options.history.slice(-HISTORY_LENGTH)
+    .map((publication) => ({
+      ...publication,
+      changes: publication.changes.slice(0, CHANGES_LENGTH),
+    }));
+  const plain = Buffer.byteLength(options.source) <= PLAIN_TEXT_BYTES;
+  const source = plain
+    ? options.source
+    : gzipSync(options.source).toString("base64");
+  return JSON.stringify({
+    history,
+    encoding: plain ? "plain" : "gzip",
+    source,
+  });
+}
+
+/** Reads a stored value; the error says what is wrong with it. */
+export function decodeManifest(text: string): Result<Snapshot, string> {
+  const manifest = parseManifest(text);
+  const latest = manifest?.history.at(-1);
+  if (manifest === undefined || latest === undefined) {
+    return Result.err("the value is no manifest");
+  }
+  const source = sourceOf(manifest);
+  if (source === undefined) {
+    return Result.err("the manifest's text can't be decompressed");
+  }
+  const read = readObjects(source, MANIFEST_KEY);
+  if (read.isErr) {
+    const first = read.error[0];
+    return Result.err(`${first?.object} ${first?.field}: ${first?.detail}`);
+  }
+  const { revision, publishId, publishedBy, publishedAt } = latest;
+  return Result.ok({
+    revision,
+    publishId,
+    publishedBy,
+    publishedAt,
+    history: manifest.history,
+    objects: read.value.objects,
+    text,
+  });
+}
+
+/** The operator's file, comments included, out of a snapshot. */
+export function publishedSource(snapshot: Snapshot): string {
+  const manifest = parseManifest(snapshot.text);
+  return (manifest && sourceOf(manifest)) ?? "";
+}
+
+function parseManifest(
+  text: string,
+): v.InferOutput<typeof manifestSchema> | undefined {
+  try {
+    return v.parse(manifestSchema, JSON.parse(text));
+  } catch {
+    return undefined;
+  }
+}
+
+function sourceOf(
+  manifest: v.InferOutput<typeof manifestSchema>,
+): string | undefined {
+  if (manifest.encoding === "plain") {
+    return manifest.source;
+  }
+  try {
+    const compressed = Buffer.from(manifest.source, "base64");
+    const options = { maxOutputLength: MAXIMUM_SOURCE_BYTES };
+    return gunzipSync(compressed, options).toString("utf8");
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/configuration/src/read_objects.ts
@@ -0,0 +1,148 @@
+/** Reads an operator's file: JSON with comments and trailing commas. @module */
+import { getNodeValue, parseTree, printParseErrorCode } from "jsonc-parser";
+import type { Node, ParseError } from "jsonc-parser";
+import { Result } from "true-myth/result";
+import * as v from "valibot";
+import { KINDS, objectIdentity } from "./kinds.ts";
+import type { Kind, NamedObject } from "./kinds.ts";
+import { objectsSchema } from "./objects.ts";
+import type { Objects } from "./objects.ts";
+import { fieldName } from "./problem.ts";
+import type { ObjectPath, Problem } from "./problem.ts";
+import { Source } from "./source.ts";
+
+/** A file whose every object has the right shape; references are not checked. */
+export type ReadObjects = { objects: Objects; source: Source };
+
+/** Parses `text`; `file` only names it in problems. */
+export function readObjects(
+  text: string,
+  file: string,
+): Result<ReadObjects, Problem[]> {
+  const errors: ParseError[] = [];
+  const root = parseTree(text, errors, { allowTrailingComma: true });
+  const source = new Source({ file, text, ...(root && { root }) });
+  if (root === undefined || errors.length > 0) {
+    return Result.err(syntaxProblems(source, errors));
+  }
+  const value: unknown = getNodeValue(root);
+  const repeated = repeatedFields(source, root, value);
+  const parsed = v.safeParse(objectsSchema, value);
+  if (!parsed.success) {
+    const shape = parsed.issues.map((issue) =>
+      shapeProblem({ source, value, issue })
+    );
+    return Result.err([...repeated, ...shape]);
+  }
+  return repeated.length > 0
+    ? Result.err(repeated)
+    : Result.ok({ objects: parsed.output, source });
+}
+
+/** Name of the object that a path leads into, from unchecked values. */
+export function objectAt(value: unknown, path: ObjectPath): string {
+  const [kind, index] = path;
+  if (!KINDS.includes(kind as Kind) || typeof index !== "number") {
+    return "";
+  }
+  const object = (value as Record<string, unknown[] | undefined>)[String(kind)]
+    ?.[index] as { name?: unknown } | undefined;
+  return typeof object?.name === "string"
+    ? objectIdentity(kind as Kind, object as NamedObject)
+    : `${kind}[${index}]`;
+}
+
+function syntaxProblems(source: Source, errors: ParseError[]): Problem[] {
+  if (errors.length === 0) {
+    return [{
+      file: source.file,
+      line: 1,
+      object: "",
+      field: "",
+      detail: "the file is empty",
+      mend: "write an object with services, tiers and organisations",
+    }];
+  }
+  return errors.map((error) => ({
+    file: source.file,
+    line: source.lineAt(error.offset),
+    object: "",
+    field: "",
+    detail: `not JSON with comments (${printParseErrorCode(error.error)})`,
+    mend: "correct the syntax at this line or just before it",
+  }));
+}
+
+function shapeProblem(
+  options: {
+    source: Source;
+    value: unknown;
+    issue: v.InferIssue<typeof objectsSchema>;
+  },
+): Problem {
+  const { source, value, issue } = options;
+  const path = (issue.path ?? []).map((item) => item.key as string | number);
+  const place = {
+    file: source.file,
+    line: source.lineOf(path),
+    object: objectAt(value, path),
+    field: fieldName(path.slice(2)),
+  };
+  const field = path.at(-1);
+  if (issue.type === "strict_object" && issue.expected === "never") {
+    const detail = `there is no field "${field}"`;
+    return { ...place, detail, mend: "remove it or correct its spelling" };
+  }
+  if (issue.type === "strict_object" && issue.received === "undefined") {
+    return { ...place, detail: "missing", mend: `add "${field}"` };
+  }
+  return { ...place, detail: issue.message, mend: mendOf(issue.expected) };
+}
+
+function mendOf(expected: string | null): string {
+  return expected === null
+    ? "write a value as the message says"
+    : `expected is ${expected}`;
+}
+
+/**
+ * JSON lets the last of two equal fields win. A second `services` list would
+ * silently remove every service of the first.
+ */
+function repeatedFields(source: Source, root: Node, value: unknown): Problem[] {
+  const problems: Problem[] = [];
+  visit(root, [], (path, node) => {
+    problems.push({
+      file: source.file,
+      line: source.lineAt(node.offset),
+      object: objectAt(value, path),
+      field: fieldName(path.length > 2 ? path.slice(2) : path),
+      detail: "the field stands here a second time",
+      mend: "keep one of the two, or put their contents together",
+    });
+  });
+  return problems;
+}
+
+function visit(
+  node: Node,
+  path: ObjectPath,
+  repeated: (path: ObjectPath, node: Node) => void,
+): void {
+  const seen = new Set<string>();
+  node.children?.forEach((child, index) => {
+    if (node.type !== "object") {
+      visit(child, [...path, index], repeated);
+      return;
+    }
+    const [key, value] = child.children ?? [];
+    const name = String(key?.value);
+    if (seen.has(name)) {
+      repeated([...path, name], child);
+    }
+    seen.add(name);
+    if (value !== undefined) {
+      visit(value, [...path, name], repeated);
+    }
+  });
+}
--- /dev/null
+++ b/packages/configuration/test/configuration_follower_test.ts
@@ -0,0 +1,148 @@
+import {
+  FaultyKeyValueStore,
+  MemoryKeyValueStore,
+} from "@sycamorepulley/platform";
+import t from "tap";
+import {
+  ConfigurationFollower,
+  encodeManifest,
+  MANIFEST_KEY,
+  pollDelay,
+  publish,
+} from "../src/mod.ts";
+import { EXAMPLE, NOW, read } from "./example.ts";
+
+/** Spaces calls instead of watching, so that a poll returns at once. */
+const LARGE_FLEET = 51;
+
+function started() {
+  const memory = new MemoryKeyValueStore();
+  const store = new FaultyKeyValueStore(memory);
+  const follow = () => {
+    const adopted: number[] = [];
+    const follower = new ConfigurationFollower({
+      store,
+      fleetSize: () => LARGE_FLEET,
+      random: () => 0,
+      onChange: (snapshot) => adopted.push(snapshot.revision),
+    });
+    return { follower, adopted };
+  };
+  return { memory, store, follow };
+}
+
+function manifest(revision: number): string {
+  return encodeManifest({
+    history: [{
+      revision,
+      publishId: `p${revision}`,
+      publishedBy: "ana",
+      publishedAt: NOW,
+      changes: [],
+    }],
+    source: EXAMPLE,
+  });
+}
+
+async function put(store: MemoryKeyValueStore, value: string) {
+  const entry = (await store.get(MANIFEST_KEY)).unwrapOr(undefined);
+  const expected = entry?.revision ?? 0;
+  await store.compareAndSwap({ key: MANIFEST_KEY, expected, value });
+}
+
+t.test("adopts each newer set once", async (t) => {
+  const { memory, follow } = started();
+  const { follower, adopted } = follow();
+  await follower.poll();
+  t.equal(follower.revision, 0);
+  await put(memory, manifest(5));
+  await follower.poll();
+  await follower.poll();
+  await put(memory, manifest(6));
+  await follower.poll();
+  t.same(adopted, [5, 6]);
+});
+
+// A new instance starts while the platform's service is down. Its peer has a
+// set in force; without the peer it would refuse every caller for hours.
+t.test("starts from a peer during an outage", async (t) => {
+  const { store, follow } = started();
+  store.outage = true;
+  const { follower } = follow();
+  await follower.poll();
+  t.match(follower.lastError, { reason: "unreachable" });
+  t.ok(follower.offer(manifest(5)));
+  t.notOk(follower.offer(manifest(4)));
+  t.notOk(follower.offer("noise"));
+  await follower.poll();
+  t.equal(follower.revision, 5);
+  t.match(follower.counts, { adopted: 1, malformed: 1, failed: 2 });
+});
+
+// The service is restored from a backup of an hour ago. Operators saw revision
+// 9 accepted; processes that follow the service go back to 5, and processes
+// that start now never hear of 9.
+t.test("a restored older state is neither adopted nor kept", async (t) => {
+  const { memory, follow } = started();
+  const { follower, adopted } = follow();
+  await put(memory, manifest(5));
+  await follower.poll();
+  const backup = memory.backup();
+  await put(memory, manifest(9));
+  await follower.poll();
+  memory.restore(backup);
+  await follower.poll();
+  t.same(adopted, [5, 9]);
+  t.equal(follower.counts.restored, 1);
+  const newcomer = follow();
+  await newcomer.follower.poll();
+  t.same(newcomer.adopted, [9]);
+});
+
+// As above, but an operator publishes on the restored state before any process
+// has written the newer set back. The publish was accepted, so it must come
+// into force although processes hold a set that the service has lost.
+t.test("a publish after a restore comes into force", async (t) => {
+  const { memory, store, follow } = started();
+  const { follower, adopted } = follow();
+  await put(memory, manifest(NOW - 2000));
+  const backup = memory.backup();
+  await put(memory, manifest(NOW - 1000));
+  await follower.poll();
+  memory.restore(backup);
+  const published = await publish({
+    store,
+    ...read(EXAMPLE.replace("60000", "90000")),
+    baseRevision: NOW - 2000,
+    publishId: "after",
+    now: NOW,
+  });
+  t.ok(published.isOk);
+  await follower.poll();
+  t.same(adopted, [NOW - 1000, NOW]);
+  t.equal(follower.counts.restored, 0);
+});
+
+t.test("never overwrites a set that it can't read", async (t) => {
+  const { memory, follow } = started();
+  const { follower } = follow();
+  await put(memory, manifest(5));
+  await follower.poll();
+  await put(memory, '{"of": "a later release"}');
+  await follower.poll();
+  await follower.poll();
+  t.match(follower.counts, { malformed: 1, restored: 0 });
+  t.equal(follower.revision, 5);
+});
+
+t.test("polls of a large fleet fit the service and the time in force", (t) => {
+  const delays = [0, 1].map((random) =>
+    pollDelay({ fleetSize: 930, failures: 0, random })
+  );
+  const [shortest = 0, longest = 0] = delays;
+  t.ok(longest < 12_000);
+  t.ok(930 / ((shortest + longest) / 2000) <= 160);
+  const backoff = pollDelay({ fleetSize: 930, failures: 40, random: 1 });
+  t.ok(backoff <= 15_000);
+  t.end();
+});
--- /dev/null
+++ b/packages/configuration/test/configuration_index_test.ts
@@ -0,0 +1,54 @@
+import t from "tap";
+import { ConfigurationIndex } from "../src/mod.ts";
+import { EXAMPLE, NOW, read } from "./example.ts";
+
+const index = new ConfigurationIndex(read(EXAMPLE).objects);
+const orders = index.service("orders")!;
+const cafe = index.organisation("cafe")!;
+
+t.test("finds who calls and what is meant", (t) => {
+  t.equal(index.organisationOfCredential("token"), cafe);
+  t.equal(index.organisationOfCredential("other"), undefined);
+  t.equal(index.serviceOfModel("tea-1")?.name, "assistant");
+  t.equal(index.liveVersion("assistant")?.name, "v1");
+  t.equal(index.unfinishedMove("assistant", NOW)?.name, "to-v2");
+  t.equal(index.unfinishedMove("assistant", NOW + 3_600_000), undefined);
+  t.end();
+});
+
+t.test("an exact route goes before a prefix", (t) => {
+  t.match(index.routeOf(orders, "POST", "/orders/search"), {
+    idempotent: true,
+    tier: "batch",
+  });
+  t.match(index.routeOf(orders, "POST", "/orders/7"), {
+    route: "/orders/*",
+    idempotent: false,
+    tier: "urgent",
+  });
+  t.end();
+});
+
+t.test("an unlisted call is idempotent only if its method is safe", (t) => {
+  t.ok(index.routeOf(orders, "GET", "/x").idempotent);
+  for (const method of ["POST", "PUT", "DELETE", "PATCH"]) {
+    t.notOk(index.routeOf(orders, method, "/x").idempotent);
+  }
+  t.end();
+});
+
+t.test("an organisation gets the tiers it may ask for", (t) => {
+  const given = "urgent";
+  const tierOf = (asked?: string) =>
+    index.tierOf({ organisation: cafe, given, ...(asked && { asked }) });
+  t.match(tierOf(), { value: { name: "urgent" } });
+  t.match(tierOf("batch"), { value: { name: "batch" } });
+  t.match(tierOf("x"), { error: "unknown_tier" });
+  const refused = index.tierOf({
+    organisation: cafe,
+    given: "batch",
+    asked: "urgent",
+  });
+  t.match(refused, { error: "tier_not_allowed" });
+  t.end();
+});
--- /dev/null
+++ b/packages/configuration/test/publish_test.ts
@@ -0,0 +1,124 @@
+import {
+  FaultyKeyValueStore,
+  MemoryKeyValueStore,
+} from "@sycamorepulley/platform";
+import t from "tap";
+import { publish } from "../src/mod.ts";
+import type { PublishOptions } from "../src/mod.ts";
+import { EXAMPLE, NOW, read } from "./example.ts";
+
+function faultyStore(): FaultyKeyValueStore {
+  return new FaultyKeyValueStore(new MemoryKeyValueStore());
+}
+
+function optionsFor(
+  store: FaultyKeyValueStore,
+  changed: Partial<PublishOptions> & { text?: string } = {},
+): PublishOptions {
+  const { text = EXAMPLE, ...options } = changed;
+  return {
+    store,
+    ...read(text),
+    baseRevision: 0,
+    publishId: "first",
+    publishedBy: "ana",
+    now: NOW,
+    pause: () => Promise.resolve(),
+    ...options,
+  };
+}
+
+t.test("publishes, then finds nothing to change", async (t) => {
+  const store = faultyStore();
+  const first = await publish(optionsFor(store));
+  t.match(first, { value: { unchanged: false, snapshot: { revision: NOW } } });
+  const again = { baseRevision: NOW, publishId: "second", now: NOW + 5 };
+  t.match(await publish(optionsFor(store, again)), {
+    value: { unchanged: true, snapshot: { revision: NOW } },
+  });
+});
+
+t.test("an inconsistent set is not published", async (t) => {
+  const store = faultyStore();
+  const text = EXAMPLE.replace('"rank": 1', '"rank": 0');
+  const outcome = await publish(optionsFor(store, { text }));
+  t.match(outcome, { error: { kind: "problems", problems: [{ line: 5 }] } });
+  t.equal(store.writes, 0);
+});
+
+// Two operators edit the same file. Ana publishes; Bor, who read the file
+// before, publishes his copy. Without the base his copy would undo Ana's edit.
+t.test("the later of two racing operators learns who changed what", async (t) => {
+  const store = faultyStore();
+  await publish(optionsFor(store));
+  const raised = EXAMPLE.replace("60000", "90000");
+  await publish(optionsFor(store, {
+    text: raised,
+    baseRevision: NOW,
+    publishId: "ana-2",
+    now: NOW + 10,
+  }));
+  const late = await publish(optionsFor(store, {
+    text: EXAMPLE.replace('"cafe"', '"bar"'),
+    baseRevision: NOW,
+    publishId: "bor",
+    publishedBy: "bor",
+    now: NOW + 20,
+  }));
+  t.match(late, {
+    error: {
+      kind: "conflict",
+      baseRevision: NOW,
+      currentRevision: NOW + 10,
+      publications: [{ publishedBy: "ana", changes: ["tiers/batch"] }],
+      difference: [
+        { object: "tiers/batch", fields: [{ before: 90000, after: 60000 }] },
+        { object: "organisations/bar", change: "added" },
+        { object: "organisations/cafe", change: "removed" },
+      ],
+    },
+  });
+});
+
+// The operator's connection breaks after the service took the write. Told
+// "failed", the operator would edit and publish again over an accepted set.
+t.test("a publish whose answers are lost is found published", async (t) => {
+  for (
+    const fault of ["lost_answer", "lost_request", "late_request"] as const
+  ) {
+    const store = faultyStore();
+    store.writeFaults.push(fault, fault);
+    const outcome = await publish(optionsFor(store));
+    t.match(outcome, { value: { unchanged: false } }, fault);
+    await store.deliver();
+    t.match(await publish(optionsFor(store)), {
+      value: { unchanged: true, snapshot: { publishId: "first" } },
+    }, "the same publish again changes nothing");
+  }
+});
+
+t.test("a lost answer behind another operator's publish is told", async (t) => {
+  const store = faultyStore();
+  store.writeFaults.push("lost_answer");
+  const bor = optionsFor(store, { publishId: "bor", publishedBy: "bor" });
+  const won = await publish(optionsFor(store, {
+    pause: async () => {
+      const text = EXAMPLE.replace("60000", "90000");
+      await publish({ ...bor, ...read(text), baseRevision: NOW, now: NOW + 1 });
+    },
+  }));
+  t.match(won, { value: { snapshot: { publishId: "bor" } } });
+});
+
+t.test("an outage says not published, endless loss says unknown", async (t) => {
+  const store = faultyStore();
+  store.outage = true;
+  t.match(await publish(optionsFor(store)), {
+    error: { kind: "not_published", error: { applied: "no" } },
+  });
+  store.outage = false;
+  store.writeFaults.push(...Array(9).fill("lost_request"));
+  t.match(await publish(optionsFor(store)), {
+    error: { kind: "unknown", publishId: "first" },
+  });
+});
--- a/packages/emulator/src/platform/key_value_service.ts
+++ b/packages/emulator/src/platform/key_value_service.ts
@@ -9,6 +9,7 @@
   Entry,
   KeyValueBackup,
   PlatformError,
+  WatchOutcome,
 } from "@sycamorepulley/platform";
 import { faultsSchema } from "./faults.ts";
 import type { Faults } from "./faults.ts";
@@ -18,6 +19,7 @@
 import type { StartedServer, StartOptions } from "./faulty_server.ts";
 
 const MAXIMUM_WAIT = 60_000;
+const UNCHANGED: WatchOutcome = { changed: false };
 
 /** Starts the service; `close` cuts the connections that are open. */
 export function startKeyValueStore(
@@ -35,23 +37,22 @@
   server: FaultyServer<Faults>,
   store: MemoryKeyValueStore,
 ): void {
-  server.serve("get", "/keys/:name", async (call) => {
-    const after = call.query.get("after");
-    const entry = after === null
-      ? await store.get(call.name)
-      : await store.watch({
-        key: call.name,
-        after: Number(after),
-        wait: Math.min(MAXIMUM_WAIT, Number(call.query.get("wait") ?? 0)),
-      });
-    return entry.match({
-      Ok: (entry) => entryAnswer(200, entry),
-      Err: refusedAnswer,
-    });
-  });
+  server.serve("get", "/keys/:name", (call) => read(store, call));
   server.serve("put", "/keys/:name", (call) => swap(store, call));
 }
 
+async function read(store: MemoryKeyValueStore, call: Call): Promise<Answer> {
+  const after = call.query.get("after");
+  if (after === null) {
+    const entry = await store.get(call.name);
+    return entryAnswer(200, entry.unwrapOr(undefined));
+  }
+  const wait = Math.min(MAXIMUM_WAIT, Number(call.query.get("wait") ?? 0));
+  const options = { key: call.name, after: Number(after), wait };
+  const outcome = (await store.watch(options)).unwrapOr(UNCHANGED);
+  return outcome.changed ? entryAnswer(200, outcome.entry) : { status: 304 };
+}
+
 async function swap(store: MemoryKeyValueStore, call: Call): Promise<Answer> {
   const expected = /^"(\d+)"$/.exec(call.headers["if-match"] ?? "")?.[1];
   if (expected === undefined) {
--- a/packages/platform/src/http_key_value_store.ts
+++ b/packages/platform/src/http_key_value_store.ts
@@ -13,6 +13,7 @@
   SwapOptions,
   SwapOutcome,
   WatchOptions,
+  WatchOutcome,
 } from "./key_value_store.ts";
 import type { PlatformError } from "./platform_error.ts";
 
@@ -27,20 +28,30 @@
     this.#caller = new HttpCaller(options);
   }
 
-  override get(key: string): Promise<Result<Entry | undefined, PlatformError>> {
-    return this.#read({ step: "get", method: "GET", path: keyPath(key) });
+  override async get(
+    key: string,
+  ): Promise<Result<Entry | undefined, PlatformError>> {
+    const call: HttpCall = { step: "get", method: "GET", path: keyPath(key) };
+    const answer = await this.#caller.call(call);
+    return answer.andThen((answer) => this.#found(call, answer));
   }
 
-  override watch(
+  override async watch(
     options: WatchOptions,
-  ): Promise<Result<Entry | undefined, PlatformError>> {
+  ): Promise<Result<WatchOutcome, PlatformError>> {
     const query = `?after=${options.after}&wait=${Math.round(options.wait)}`;
-    return this.#read({
+    const call: HttpCall = {
       step: "watch",
       method: "GET",
       path: keyPath(options.key) + query,
       wait: options.wait,
-    });
+    };
+    const answer = await this.#caller.call(call);
+    return answer.andThen((answer): Result<WatchOutcome, PlatformError> =>
+      answer.status === 304
+        ? Result.ok({ changed: false })
+        : this.#found(call, answer).map((entry) => ({ changed: true, entry }))
+    );
   }
 
   override async compareAndSwap(
@@ -111,20 +122,16 @@
     return this.#caller.close();
   }
 
-  async #read(
+  #found(
     call: HttpCall,
-  ): Promise<Result<Entry | undefined, PlatformError>> {
-    const answer = await this.#caller.call(call);
-    return answer.andThen(
-      (answer): Result<Entry | undefined, PlatformError> => {
-        if (answer.status === 404) {
-          return Result.ok(undefined);
-        }
-        return answer.status === 200
-          ? this.#entry(call, answer)
-          : Result.err(this.#caller.unexpectedStatus(call, answer));
-      },
-    );
+    answer: HttpAnswer,
+  ): Result<Entry | undefined, PlatformError> {
+    if (answer.status === 404) {
+      return Result.ok(undefined);
+    }
+    return answer.status === 200
+      ? this.#entry(call, answer)
+      : Result.err(this.#caller.unexpectedStatus(call, answer));
   }
 
   #swapOutcome(
--- a/packages/platform/src/key_value_store.ts
+++ b/packages/platform/src/key_value_store.ts
@@ -30,6 +30,11 @@
 /** Waits for a key to change; `wait` in milliseconds. */
 export type WatchOptions = { key: string; after: number; wait: number };
 
+/** What a watch saw: the key as it is now, or that nothing happened. */
+export type WatchOutcome =
+  | { changed: true; entry: Entry | undefined }
+  | { changed: false };
+
 /**
  * A failed write is ambiguous unless the error says `applied: "no"`: the
  * service may have taken it and lost the answer. Callers read back.
@@ -51,11 +56,12 @@
   abstract revokeLease(lease: string): Promise<Result<void, PlatformError>>;
 
   /**
-   * Resolves to the entry as soon as its revision is not `after`, or unchanged
-   * after `wait` milliseconds. "Not", rather than "above": a service restored to
-   * an older state answers at once instead of letting the watcher wait.
+   * Resolves as soon as the key's revision is not `after`, or unchanged after
+   * `wait` milliseconds; `wait: 0` is a read that costs no transfer of a value
+   * that the caller has already. "Not `after`", rather than "above it": when the
+   * service is restored to an older state, the watcher learns it at once.
    */
   abstract watch(
     options: WatchOptions,
-  ): Promise<Result<Entry | undefined, PlatformError>>;
+  ): Promise<Result<WatchOutcome, PlatformError>>;
 }
--- a/packages/platform/src/memory_key_value_store.ts
+++ b/packages/platform/src/memory_key_value_store.ts
@@ -10,6 +10,7 @@
   SwapOptions,
   SwapOutcome,
   WatchOptions,
+  WatchOutcome,
 } from "./key_value_store.ts";
 import type { PlatformError } from "./platform_error.ts";
 
@@ -90,16 +91,17 @@
 
   override async watch(
     options: WatchOptions,
-  ): Promise<Result<Entry | undefined, PlatformError>> {
+  ): Promise<Result<WatchOutcome, PlatformError>> {
     const until = performance.now() + options.wait;
-    let current = this.#current(options.key);
+    let entry = this.#current(options.key);
     while (
-      (current?.revision ?? 0) === options.after && performance.now() < until
+      (entry?.revision ?? 0) === options.after && performance.now() < until
     ) {
       await this.#change(until - performance.now());
-      current = this.#current(options.key);
+      entry = this.#current(options.key);
     }
-    return Result.ok(current);
+    const changed = (entry?.revision ?? 0) !== options.after;
+    return Result.ok(changed ? { changed, entry } : { changed });
   }
 
   backup(): KeyValueBackup {
--- a/packages/platform/src/mod.ts
+++ b/packages/platform/src/mod.ts
@@ -5,6 +5,7 @@
   SwapOptions,
   SwapOutcome,
   WatchOptions,
+  WatchOutcome,
 } from "./key_value_store.ts";
 export { InstanceList, instanceSchema } from "./instance_list.ts";
 export type { Instance } from "./instance_list.ts";
@@ -17,6 +18,8 @@
 export { HttpInstanceList } from "./http_instance_list.ts";
 export { MemoryKeyValueStore } from "./memory_key_value_store.ts";
 export type { KeyValueBackup } from "./memory_key_value_store.ts";
+export { FaultyKeyValueStore } from "./faulty_key_value_store.ts";
+export type { WriteFault } from "./faulty_key_value_store.ts";
 export { MemoryInstanceList } from "./memory_instance_list.ts";
 export {
   moveStatusSchema,
