--- a/packages/decisions/src/estimates/cost_estimator.ts
+++ b/packages/decisions/src/estimates/cost_estimator.ts
@@ -39,6 +39,11 @@
 export class CostEstimator {
   readonly #means = new BoundedMap<string, RunningMean>(CAPACITY);
 
+  /** Means held; bounded. */
+  get size(): number {
+    return this.#means.size;
+  }
+
   estimate(request: RequestShape): Cost {
     let outputTokens = COLD_OUTPUT_TOKENS;
     for (const key of groupsOf(request)) {
--- a/packages/decisions/src/estimates/drain_rate.ts
+++ b/packages/decisions/src/estimates/drain_rate.ts
@@ -45,8 +45,7 @@
    */
   retryAfter(queuedWorkAhead: number, now: number, random: number): number {
     const wait = this.expectedWait(queuedWorkAhead, now);
-    const jittered = wait * (1 + JITTER * random);
-    return Math.round(clamp(jittered));
+    return Math.round(clamp(wait) * (1 + JITTER * random));
   }
 
   /** Milliseconds until `queuedWorkAhead` has drained, without jitter. */
--- a/packages/decisions/src/limits/adaptive_bound.ts
+++ b/packages/decisions/src/limits/adaptive_bound.ts
@@ -1,7 +1,7 @@
 /**
  * A number of things in use that is raised while they are served well and cut
- * when they are not: multiplicative decrease from what was in use, so that a cut
- * bites at once even if the bound stood far above it.
+ * when they are not. A cut starts from what was in use, so that it bites at once
+ * even if the bound stood far above it.
  *
  * After a cut the things above the bound still have to finish. Until they have,
  * bad times are the old bound's and not the new one's, so no second cut is made;
@@ -10,11 +10,7 @@
  * @module
  */
 
-/** Growth per good window until the first cut: finds the size in few windows. */
-const SEARCH_GROWTH = 1.5;
-/** Growth per good window afterwards: a tenth, so noise costs at most that. */
-const STEADY_GROWTH = 1.1;
-/** Deepest cut of one window: a fifth of the speed is followed in five. */
+/** Deepest cut of one window: a fifth of the speed is followed in four. */
 const DEEPEST_CUT = 0.6;
 const SHALLOWEST_CUT = 0.95;
 
@@ -24,7 +20,7 @@
   readonly #most: number;
   #value: number;
   #highestUse = 0;
-  #searching = true;
+  #reached = false;
 
   constructor(
     options: { initial: number; least: number; most: number },
@@ -38,37 +34,50 @@
     return this.#value;
   }
 
-  /** Notes how much is in use, so that a bound nobody needs does not grow. */
+  /** Notes how much is in use: a cut starts from there. */
   used(amount: number): void {
     this.#highestUse = Math.max(this.#highestUse, amount);
   }
 
-  /** Ends a window in which all was well. `step` is the smallest growth. */
-  raise(step: number): void {
-    const binding = this.#highestUse + step > this.#value;
-    this.#highestUse = 0;
-    if (!binding) {
-      return;
+  /** Notes that the bound refused work: one that refuses none does not grow. */
+  refused(): void {
+    this.#reached = true;
+  }
+
+  /**
+   * Ends a window that left `headroom` of the goal, from 0 to 1. Grows by the
+   * headroom and at least by `step`, and only if the bound was reached: a bound
+   * ten times too small is found in half a dozen windows, without overshooting
+   * where the time grows no faster than what is in use.
+   */
+  raise(headroom: number, step: number, inUse: number): void {
+    const reached = this.#reached;
+    this.#endWindow(inUse);
+    if (reached) {
+      const growth = Math.max(step, this.#value * headroom);
+      const raised = this.#value + growth;
+      this.#value = Math.min(this.#most, raised);
     }
-    const growth = this.#searching ? SEARCH_GROWTH : STEADY_GROWTH;
-    const raised = Math.max(this.#value + step, this.#value * growth);
-    this.#value = Math.min(this.#most, raised);
   }
 
   /** Ends a window that was too slow by `excess` (2: twice the goal). */
   cut(excess: number, inUse: number): void {
-    this.#highestUse = 0;
-    this.#searching = false;
-    if (inUse > this.#value) {
-      return;
+    const used = Math.min(this.#value, Math.max(this.#highestUse, inUse));
+    this.#endWindow(inUse);
+    if (inUse <= this.#value) {
+      const factor = clamp(1 / excess, DEEPEST_CUT, SHALLOWEST_CUT);
+      this.#value = Math.max(this.#least, used * factor);
     }
-    const factor = clamp(1 / excess, DEEPEST_CUT, SHALLOWEST_CUT);
-    this.#value = Math.max(this.#least, inUse * factor);
   }
 
-  /** Ends a window that says nothing. */
-  hold(): void {
-    this.#highestUse = 0;
+  /** Ends a window that calls for no change. */
+  hold(inUse: number): void {
+    this.#endWindow(inUse);
+  }
+
+  #endWindow(inUse: number): void {
+    this.#highestUse = inUse;
+    this.#reached = false;
   }
 }
 
--- a/packages/decisions/src/limits/call_limit.ts
+++ b/packages/decisions/src/limits/call_limit.ts
@@ -16,14 +16,19 @@
 import { AdaptiveBound } from "./adaptive_bound.ts";
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
 import type { Outcome } from "./concurrency_limit.ts";
+import { LoneRun } from "./lone_run.ts";
+import { PassedOver } from "./passed_over.ts";
 import { RecentMinimum } from "./recent_minimum.ts";
 import { TimesWindow } from "./times_window.ts";
+import { WindowJudge } from "./window_judge.ts";
 
 const WINDOW = 250;
 const LEAST_WINDOW_CALLS = 8;
 const TOLERANCE = 2;
-const ROOM_TO_GROW = 0.75;
+const UNLOADED_CALLS = 2;
+const UNLOADED_SHARE = 0.5;
 const FAILED_SHARE = 0.5;
+/** Failures may come from load: each bad window halves, never to none. */
 const FAILURE_EXCESS = 2;
 /** Silence of the oldest call, in tolerated latencies, that counts as slow. */
 const SILENT_LATENCIES = 5;
@@ -35,12 +40,16 @@
 /** See the module. */
 export class CallLimit extends ConcurrencyLimit {
   readonly #bound: AdaptiveBound;
+  readonly #judge = new WindowJudge();
+  /** Oldest first. */
   readonly #started = new Map<string, number>();
   readonly #latencies = new TimesWindow();
   readonly #unloaded = new RecentMinimum();
+  readonly #loneRun = new LoneRun();
+  readonly #passedOver = new PassedOver();
+  #now = 0;
   #failed = 0;
   #windowStarted: number | undefined;
-  #badWindows = 0;
 
   constructor(options: { initial?: number } = {}) {
     super();
@@ -61,12 +70,29 @@
 
   override admits(waiting: Waiting): boolean {
     if (this.empty) {
+      this.#loneRun.admitted(waiting);
       return true;
     }
-    return !waiting.suspect && this.running < this.limit;
+    if (this.#loneRun.active) {
+      return false;
+    }
+    if (waiting.suspect) {
+      this.#passedOver.refused(waiting, undefined, this.#now);
+      return false;
+    }
+    if (this.#passedOver.bars(waiting, false, this.#now)) {
+      return false;
+    }
+    if (this.running >= this.limit) {
+      this.#bound.refused();
+      return false;
+    }
+    return true;
   }
 
   override started(id: string, _cost: Cost, now: number): void {
+    this.#passedOver.started(id);
+    this.#loneRun.started(id);
     this.#started.set(id, now);
     this.#bound.used(this.running);
     this.#advance(now);
@@ -82,6 +108,7 @@
       return;
     }
     this.#started.delete(id);
+    this.#loneRun.finished(id);
     if (outcome === "failed") {
       this.#failed += 1;
     }
@@ -92,6 +119,7 @@
   }
 
   #advance(now: number): void {
+    this.#now = now;
     this.#windowStarted ??= now;
     if (now - this.#windowStarted < WINDOW) {
       return;
@@ -108,42 +136,40 @@
 
   /** A stalled server ends no call to measure: its oldest call is the measure. */
   #countSilence(now: number): void {
-    for (const started of this.#started.values()) {
-      const age = now - started;
-      if (age > this.#goal() * SILENT_LATENCIES) {
-        this.#latencies.add(age, LEAST_WINDOW_CALLS);
-      }
+    const [oldest] = this.#started.values();
+    if (oldest === undefined || this.#latencies.weight > 0) {
       return;
     }
+    const age = now - oldest;
+    if (age > this.#goal() * SILENT_LATENCIES) {
+      this.#latencies.add(age, LEAST_WINDOW_CALLS);
+    }
   }
 
   #judgeWindow(now: number): void {
-    const inUse = Math.max(1, this.running);
+    const inUse = this.running;
     if (this.#failed > FAILED_SHARE * (this.#failed + this.#latencies.weight)) {
       this.#bound.cut(FAILURE_EXCESS, inUse);
       return;
     }
     const median = this.#latencies.quantile(0.5);
-    this.#unloaded.observe(median, now);
-    const goal = this.#goal();
-    if (median > goal) {
-      this.#judgeBad(median / goal, inUse);
-    } else if (median < goal * ROOM_TO_GROW) {
-      this.#badWindows = 0;
-      this.#bound.raise(1);
-    } else {
-      this.#badWindows = 0;
-      this.#bound.hold();
-    }
+    this.#observeUnloaded(median, now);
+    const bound = { bound: this.#bound, step: 1, inUse };
+    this.#judge.judge(median, this.#goal(), [bound]);
   }
 
-  #judgeBad(excess: number, inUse: number): void {
-    this.#badWindows += 1;
-    if (this.#badWindows >= 2) {
-      this.#bound.cut(excess, inUse);
+  /**
+   * Under load that lasts, each window's median holds waiting. Taken for the
+   * unloaded latency it would let the bound grow again and again.
+   */
+  #observeUnloaded(median: number, now: number): void {
+    const few = Math.max(UNLOADED_CALLS, this.limit * UNLOADED_SHARE);
+    if (this.#unloaded.value === undefined || this.running <= few) {
+      this.#unloaded.observe(median, now);
     }
   }
 
+  /** Infinite until the first window. */
   #goal(): number {
     const unloaded = this.#unloaded.value ?? Infinity;
     return TOLERANCE * Math.max(SHORTEST_LATENCY, unloaded);
--- a/packages/decisions/src/limits/concurrency_limit.ts
+++ b/packages/decisions/src/limits/concurrency_limit.ts
@@ -9,7 +9,7 @@
  * running from `started` to `finished`; unknown ids are ignored.
  */
 export abstract class ConcurrencyLimit {
-  /** Whether there is room for a reservation now; changes nothing. */
+  /** Whether there is room for a reservation now; takes none. */
   abstract admits(waiting: Waiting): boolean;
 
   /** The request was granted, and holds room from now on. */
--- /dev/null
+++ b/packages/decisions/src/limits/passed_over.ts
@@ -0,0 +1,62 @@
+/**
+ * The one reservation that has been passed over for too long.
+ *
+ * Load pattern: a quote of 20,000 tokens among a stream of quotes of 5,000, or
+ * a suspect that must run alone on an engine that is never empty. Whatever room
+ * comes free is taken by work that fits it, and the large one waits for ever.
+ * After a time the engine therefore takes nothing more of its kind until it
+ * fits. Higher tiers are not held up, nor is short work for the sake of long.
+ * @module
+ */
+import type { Waiting } from "../queueing/waiting.ts";
+
+/** As long as a first token may take: nobody notices a shorter one. */
+const PATIENCE = 1300;
+/** A reservation that is not asked about for so long has been withdrawn. */
+const LAPSE = 500;
+
+type Claim = {
+  id: string;
+  tierRank: number;
+  /** `undefined` for a suspect, which needs the room of all. */
+  long: boolean | undefined;
+  since: number;
+  asked: number;
+};
+
+/** Times are milliseconds. */
+export class PassedOver {
+  #claim: Claim | undefined;
+
+  /** Whether room is being kept that this reservation must not take. */
+  bars(waiting: Waiting, long: boolean, now: number): boolean {
+    const claim = this.#claim;
+    if (claim === undefined || claim.id === waiting.id) {
+      return false;
+    }
+    const kept = now - claim.since > PATIENCE && now - claim.asked <= LAPSE;
+    return kept && waiting.tierRank >= claim.tierRank &&
+      (claim.long === undefined || claim.long === long);
+  }
+
+  /** Notes that a reservation found no room although smaller ones may. */
+  refused(waiting: Waiting, long: boolean | undefined, now: number): void {
+    const { id, tierRank } = waiting;
+    const claim = this.#claim;
+    if (claim?.id === id) {
+      claim.asked = now;
+      return;
+    }
+    const free = claim === undefined || now - claim.asked > LAPSE;
+    if (free || tierRank < claim.tierRank) {
+      this.#claim = { id, tierRank, long, since: now, asked: now };
+    }
+  }
+
+  /** The reservation found its room. */
+  started(id: string): void {
+    if (this.#claim?.id === id) {
+      this.#claim = undefined;
+    }
+  }
+}
--- a/packages/decisions/src/limits/recent_minimum.ts
+++ b/packages/decisions/src/limits/recent_minimum.ts
@@ -1,13 +1,16 @@
 /**
- * The smallest value of the last half to whole minute: what an unloaded server
+ * The smallest value of the last ten to twenty seconds: what an unloaded server
  * shows. A minimum of all time would call a server slow for ever once it has
  * been replaced by an older generation or given a larger model.
  * @module
  */
 
-const SPAN = 30_000;
+const SPAN = 10_000;
 
-/** Kept in two halves, so that forgetting needs no list of values. */
+/**
+ * Without a new value the last one stays. Kept in two halves, so that
+ * forgetting needs no list of values.
+ */
 export class RecentMinimum {
   #current = Infinity;
   #previous = Infinity;
@@ -28,8 +31,10 @@
     if (now - this.#turned < SPAN) {
       return;
     }
-    this.#previous = this.#current;
-    this.#current = Infinity;
+    if (Number.isFinite(this.#current)) {
+      this.#previous = this.#current;
+      this.#current = Infinity;
+    }
     this.#turned = now;
   }
 }
--- a/packages/decisions/src/limits/running_sequence.ts
+++ b/packages/decisions/src/limits/running_sequence.ts
@@ -4,7 +4,7 @@
 /** `lastToken` is undefined until the first token. */
 export type RunningSequence = {
   cost: Cost;
+  /** Which budget it holds, as decided when it started. */
   long: boolean;
-  started: number;
   lastToken: number | undefined;
 };
--- a/packages/decisions/src/limits/token_limit.ts
+++ b/packages/decisions/src/limits/token_limit.ts
@@ -7,31 +7,34 @@
  * one set by hand the older generation is overrun and the newer one idles, and
  * an engine that slows down keeps its full share.
  *
- * - Sequences and tokens follow the time between tokens: the 95th percentile of
- *   a half-second window against the goal of 38 ms. Two bad windows cut, or one
- *   that is twice the goal, so a single stall costs nothing.
- * - Outstanding prompt tokens follow the measured prefill rate: half of the 1.3 s
- *   for a first token is what may stand before a new prompt.
- * - An engine that misses 38 ms with hardly anything to do is held to one and a
- *   half times its own unloaded time instead: a smaller batch would only waste
- *   the engine, not meet the goal.
+ * - Sequences and tokens follow the mean time between tokens against the goal.
+ * - Outstanding prompt tokens follow the measured prefill rate: a quarter of the
+ *   goal for the first token is what may stand before a new prompt inside the
+ *   engine, where no tier is known. This also bounds what waits in an engine
+ *   that runs fewer sequences at once than it takes.
+ * - An engine that cannot keep the goal with hardly anything to do is held to a
+ *   multiple of its own unloaded time instead: a smaller batch would waste the
+ *   engine and still miss the goal.
  *
- * Long and short requests hold separate budgets. A request is long when it holds
- * its place so long that an engine full of its like would free one less often
- * than a short request may wait. Long ones get at most three quarters of the
- * sequences and tokens and half of the prefill, so a place for a short one comes
- * free soon; short ones get no part of the long ones' tokens, and a long one is
- * always admitted when it is the only one, so neither waits for ever.
+ * Long and short requests hold separate budgets. A request is long when an
+ * engine full of its like would free a place less often than a short request may
+ * wait. Long ones get three quarters of the sequences and tokens and half of the
+ * prefill, so a place for a short one comes free soon; short ones get no part of
+ * the long ones' tokens, and a long one is always admitted when it is the only
+ * one, so neither waits for ever.
  * @module
  */
 import type { Cost, Waiting } from "../queueing/waiting.ts";
 import { AdaptiveBound } from "./adaptive_bound.ts";
+import { BetweenTokens } from "./between_tokens.ts";
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
 import type { Outcome } from "./concurrency_limit.ts";
+import { LoneRun } from "./lone_run.ts";
+import { PassedOver } from "./passed_over.ts";
 import { PrefillRate } from "./prefill_rate.ts";
 import { RecentMinimum } from "./recent_minimum.ts";
 import type { RunningSequence } from "./running_sequence.ts";
-import { TimesWindow } from "./times_window.ts";
+import { WindowJudge } from "./window_judge.ts";
 import { tokensOf, WorkBudget } from "./work_budget.ts";
 
 /** Time between tokens that 95 in 100 must keep, in milliseconds. */
@@ -39,24 +42,22 @@
 /** Time to first token that 95 in 100 must keep, in milliseconds. */
 export const FIRST_TOKEN_GOAL = 1300;
 
-const GOAL_QUANTILE = 0.95;
-const WINDOW = 500;
-/** Fewer tokens than this say nothing about the 95th percentile. */
-const LEAST_WINDOW_TOKENS = 40;
-/** Growth stops this far below the goal, so the bound does not swing about it. */
-const ROOM_TO_GROW = 0.9;
-const ONE_WINDOW_EXCESS = 2;
-const UNLOADED_SEQUENCES = 2;
-const UNLOADED_TOLERANCE = 1.5;
-/** A stream silent for this many goals counts as slow before its next token. */
-const SILENT_GOALS = 10;
+const UNLOADED_SEQUENCES = 4;
+const UNLOADED_TOLERANCE = 2;
 
 const LONG_SHARE = 0.75;
 const SHORT_TOKEN_SHARE = 0.5;
-const PREFILL_SHARE = 0.5;
+const PREFILL_SHARE = 0.25;
 const LONG_PREFILL_SHARE = 0.5;
+/** Share of the goal for the first token that a short request may wait. */
+const PLACE_WAIT_SHARE = 0.5;
+/** An engine that is cut to a few places makes no request longer. */
+const LEAST_PLACES = 16;
+/** Milliseconds after a short request in which places are kept for the next. */
+const SHORT_MEMORY = 30_000;
 
-const INITIAL_SEQUENCES = 8;
+/** Few enough to show the engine's unloaded time in the first window. */
+const INITIAL_SEQUENCES = UNLOADED_SEQUENCES;
 const MOST_SEQUENCES = 4096;
 const INITIAL_TOKENS = 32_768;
 const LEAST_TOKENS = 256;
@@ -83,16 +84,17 @@
     least: LEAST_TOKENS,
     most: MOST_TOKENS,
   });
+  readonly #judge = new WindowJudge();
+  readonly #betweenTokens = new BetweenTokens();
+  readonly #unloaded = new RecentMinimum();
   readonly #prefillRate = new PrefillRate();
   readonly #long = new WorkBudget();
   readonly #short = new WorkBudget();
-  readonly #prefilling = new Map<string, RunningSequence>();
-  /** In order of the last token, the most silent first. */
-  readonly #decoding = new Map<string, RunningSequence>();
-  readonly #betweenTokens = new TimesWindow();
-  readonly #unloaded = new RecentMinimum();
-  #windowStarted: number | undefined;
-  #badWindows = 0;
+  readonly #running = new Map<string, RunningSequence>();
+  readonly #loneRun = new LoneRun();
+  readonly #passedOver = new PassedOver();
+  #lastShort = -Infinity;
+  #now = 0;
 
   constructor(options: TokenLimitOptions = {}) {
     super();
@@ -101,7 +103,7 @@
   }
 
   override get running(): number {
-    return this.#prefilling.size + this.#decoding.size;
+    return this.#running.size;
   }
 
   override get limit(): number {
@@ -118,175 +120,169 @@
     return this.#prefillRate.value * this.#firstTokenGoal * PREFILL_SHARE;
   }
 
+  /** Takes no room, but notes what was refused and why. */
   override admits(waiting: Waiting): boolean {
     if (this.empty) {
+      this.#loneRun.admitted(waiting);
       return true;
     }
-    if (waiting.suspect || this.running >= this.limit) {
+    if (this.#loneRun.active) {
+      return false;
+    }
+    const long = this.#isLong(waiting.cost);
+    if (waiting.suspect) {
+      this.#passedOver.refused(waiting, undefined, this.#now);
+      return false;
+    }
+    if (this.#passedOver.bars(waiting, long, this.#now)) {
+      return false;
+    }
+    if (!this.#hasSequence(long)) {
+      this.#sequences.refused();
       return false;
     }
-    return this.#isLong(waiting.cost)
-      ? this.#admitsLong(waiting.cost)
-      : this.#admitsShort(waiting.cost);
+    if (this.#fits(long, waiting.cost)) {
+      return true;
+    }
+    this.#passedOver.refused(waiting, long, this.#now);
+    return false;
   }
 
   override started(id: string, cost: Cost, now: number): void {
-    this.#advance(now);
     const long = this.#isLong(cost);
-    const sequence = { cost, long, started: now, lastToken: undefined };
-    this.#prefilling.set(id, sequence);
+    this.#passedOver.started(id);
+    this.#loneRun.started(id);
+    this.#running.set(id, { cost, long, lastToken: undefined });
     this.#prefillRate.started(now);
-    this.#budgetOf(sequence).start(cost);
-    this.#sequences.used(this.running);
+    this.#budget(long).start(cost);
+    this.#sequences.used(this.#sequencesInUse());
     this.#tokens.used(this.#tokensInUse());
+    if (!long) {
+      this.#lastShort = now;
+    }
+    this.#advance(now);
   }
 
   override firstToken(id: string, now: number): void {
-    const sequence = this.#prefilling.get(id);
-    if (sequence === undefined) {
+    const sequence = this.#running.get(id);
+    if (sequence === undefined || sequence.lastToken !== undefined) {
       return;
     }
-    this.#endPrefill(id, sequence, sequence.cost.promptTokens, now);
     sequence.lastToken = now;
-    this.#decoding.set(id, sequence);
+    this.#betweenTokens.first(now);
+    this.#endPrefill(sequence, sequence.cost.promptTokens, now);
     this.#advance(now);
   }
 
   override progressed(id: string, outputTokens: number, now: number): void {
-    if (outputTokens <= 0) {
+    const sequence = this.#running.get(id);
+    if (sequence === undefined || outputTokens <= 0) {
       return;
     }
-    this.firstToken(id, now);
-    const sequence = this.#decoding.get(id);
-    if (sequence?.lastToken === undefined) {
+    if (sequence.lastToken === undefined) {
+      this.firstToken(id, now);
       return;
     }
     const elapsed = now - sequence.lastToken;
-    if (elapsed > 0) {
-      this.#betweenTokens.add(elapsed / outputTokens, outputTokens);
-      sequence.lastToken = now;
-      this.#decoding.delete(id);
-      this.#decoding.set(id, sequence);
-    }
+    sequence.lastToken = now;
+    this.#betweenTokens.add(elapsed, outputTokens, now);
     this.#advance(now);
   }
 
   override finished(id: string, _outcome: Outcome, now: number): void {
-    const prefilling = this.#prefilling.get(id);
-    if (prefilling !== undefined) {
-      this.#endPrefill(id, prefilling, 0, now);
-      this.#budgetOf(prefilling).end(prefilling.cost);
+    const sequence = this.#running.get(id);
+    if (sequence === undefined) {
+      return;
     }
-    const decoding = this.#decoding.get(id);
-    if (decoding !== undefined) {
-      this.#decoding.delete(id);
-      this.#budgetOf(decoding).end(decoding.cost);
+    if (sequence.lastToken === undefined) {
+      this.#endPrefill(sequence, 0, now);
     }
+    this.#running.delete(id);
+    this.#loneRun.finished(id);
+    this.#budget(sequence.long).end(sequence.cost);
     this.#advance(now);
   }
 
-  #admitsLong(cost: Cost): boolean {
-    const held = this.#long;
-    if (held.sequences === 0) {
-      return true;
+  #hasSequence(long: boolean): boolean {
+    if (this.running >= this.limit) {
+      return false;
     }
-    const prefillLimit = this.prefillLimit * LONG_PREFILL_SHARE;
-    return held.sequences < Math.max(1, this.limit * LONG_SHARE) &&
-      held.tokens + tokensOf(cost) <= this.tokenLimit * LONG_SHARE &&
-      (held.prefills === 0 ||
-        held.prefillTokens + cost.promptTokens <= prefillLimit);
+    const most = Math.max(1, this.limit * this.#longShare);
+    return !long || this.#long.sequences < most;
   }
 
-  #admitsShort(cost: Cost): boolean {
-    const held = this.#short;
+  #fits(long: boolean, cost: Cost): boolean {
+    const held = this.#budget(long);
     if (held.sequences === 0) {
       return true;
     }
-    return held.tokens + tokensOf(cost) <=
-        this.tokenLimit * SHORT_TOKEN_SHARE &&
-      (held.prefills === 0 ||
-        held.prefillTokens + cost.promptTokens <= this.prefillLimit);
+    const share = long ? this.#longShare : SHORT_TOKEN_SHARE;
+    if (held.tokens + tokensOf(cost) > this.tokenLimit * share) {
+      this.#tokens.refused();
+      return false;
+    }
+    const prefillShare = long ? LONG_PREFILL_SHARE : 1;
+    return held.fitsPrefill(cost, this.prefillLimit * prefillShare);
   }
 
   #isLong(cost: Cost): boolean {
     const prefill = cost.promptTokens / this.#prefillRate.value;
     const decode = cost.outputTokens * this.#betweenTokensGoal;
-    return prefill + decode > this.limit * this.#firstTokenGoal * PREFILL_SHARE;
+    const wait = this.#firstTokenGoal * PLACE_WAIT_SHARE;
+    return prefill + decode > Math.max(LEAST_PLACES, this.limit) * wait;
   }
 
-  #budgetOf(sequence: RunningSequence): WorkBudget {
-    return sequence.long ? this.#long : this.#short;
+  #budget(long: boolean): WorkBudget {
+    return long ? this.#long : this.#short;
+  }
+
+  /** A place kept for work that does not come would be wasted. */
+  get #longShare(): number {
+    const seen = this.#now - this.#lastShort < SHORT_MEMORY;
+    return seen ? LONG_SHARE : 1;
+  }
+
+  /** As a share of the bound that is nearest to refusing. */
+  #sequencesInUse(): number {
+    return Math.max(this.running, this.#long.sequences / this.#longShare);
   }
 
   #tokensInUse(): number {
     return Math.max(
-      this.#long.tokens / LONG_SHARE,
+      this.#long.tokens / this.#longShare,
       this.#short.tokens / SHORT_TOKEN_SHARE,
     );
   }
 
-  #endPrefill(
-    id: string,
-    sequence: RunningSequence,
-    promptTokens: number,
-    now: number,
-  ): void {
-    this.#prefilling.delete(id);
-    this.#prefillRate.ended(promptTokens, now);
-    this.#budgetOf(sequence).endPrefill(sequence.cost);
+  #endPrefill(sequence: RunningSequence, tokens: number, now: number): void {
+    this.#prefillRate.ended(tokens, now);
+    this.#budget(sequence.long).endPrefill(sequence.cost);
   }
 
   #advance(now: number): void {
-    this.#windowStarted ??= now;
-    if (now - this.#windowStarted < WINDOW) {
-      return;
-    }
-    this.#countSilence(now);
-    if (this.#betweenTokens.weight < LEAST_WINDOW_TOKENS) {
+    this.#now = now;
+    const decoding = this.running - this.#long.prefills - this.#short.prefills;
+    const shown = this.#betweenTokens.endWindow(now, decoding);
+    if (shown === undefined) {
       return;
     }
-    this.#windowStarted = now;
-    this.#judgeWindow(now);
-    this.#betweenTokens.reset();
-  }
-
-  /** A stalled engine sends no tokens to measure: its silence is the measure. */
-  #countSilence(now: number): void {
-    for (const sequence of this.#decoding.values()) {
-      const silence = now - (sequence.lastToken ?? now);
-      if (silence > SILENT_GOALS * this.#betweenTokensGoal) {
-        this.#betweenTokens.add(silence, LEAST_WINDOW_TOKENS);
-      }
-      return;
+    if (!shown.stalled) {
+      this.#observeUnloaded(shown.time, now);
     }
+    const sequences = this.#sequencesInUse();
+    const tokens = this.#tokensInUse();
+    this.#judge.judge(shown.time, this.#attainableGoal(), [
+      { bound: this.#sequences, step: 1, inUse: sequences },
+      { bound: this.#tokens, step: TOKEN_STEP, inUse: tokens },
+    ]);
   }
 
-  #judgeWindow(now: number): void {
-    const time = this.#betweenTokens.quantile(GOAL_QUANTILE);
-    if (this.running <= UNLOADED_SEQUENCES) {
-      this.#unloaded.observe(this.#betweenTokens.quantile(0.5), now);
-    }
-    const goal = this.#attainableGoal();
-    if (time > goal) {
-      this.#judgeBad(time / goal);
-    } else if (time < goal * ROOM_TO_GROW) {
-      this.#badWindows = 0;
-      this.#sequences.raise(1);
-      this.#tokens.raise(TOKEN_STEP);
-    } else {
-      this.#badWindows = 0;
-      this.#sequences.hold();
-      this.#tokens.hold();
-    }
-  }
-
-  #judgeBad(excess: number): void {
-    this.#badWindows += 1;
-    if (this.#badWindows < 2 && excess < ONE_WINDOW_EXCESS) {
-      return;
+  /** A loaded engine's time says only that the unloaded one is no longer. */
+  #observeUnloaded(time: number, now: number): void {
+    const known = this.#unloaded.value ?? 0;
+    if (this.running <= UNLOADED_SEQUENCES || time < known) {
+      this.#unloaded.observe(time, now);
     }
-    this.#sequences.cut(excess, this.running);
-    this.#tokens.cut(excess, this.#tokensInUse());
   }
 
   #attainableGoal(): number {
--- a/packages/decisions/src/queueing/tier_queue.ts
+++ b/packages/decisions/src/queueing/tier_queue.ts
@@ -90,17 +90,20 @@
     this.#changeBacklog(account, -place.work / account.weight);
   }
 
-  /** The lanes' heads, the next to be served first. */
+  /**
+   * The lanes' heads, the next to be served first. One organisation's heads have
+   * the same tag; the older goes first, or its short work would always pass its
+   * long.
+   */
   heads(): Place[] {
-    const flows: OrganisationFlow[] = [];
+    const heads: Place[] = [];
     for (const lane of this.#lanes) {
-      const flow = lane.peek();
-      if (flow !== undefined) {
-        flows.push(flow);
+      const head = lane.peek()?.places.oldest;
+      if (head !== undefined) {
+        heads.push(head);
       }
     }
-    flows.sort((left, right) => left.key - right.key);
-    return flows.flatMap((flow) => flow.places.oldest ?? []);
+    return heads.length > 1 ? heads.sort(compareHeads) : heads;
   }
 
   /** Removes a head and charges its organisation for it. */
@@ -180,3 +183,8 @@
     }
   }
 }
+
+function compareHeads(left: Place, right: Place): number {
+  const byTag = (left.flow?.key ?? 0) - (right.flow?.key ?? 0);
+  return byTag === 0 ? left.waiting.arrived - right.waiting.arrived : byTag;
+}
