--- a/packages/daemon/src/common/settings.ts
+++ b/packages/daemon/src/common/settings.ts
@@ -27,9 +27,7 @@
 const platformSchema = v.strictObject({
   keyValueStore: v.pipe(v.string(), v.url()),
   instanceList: v.pipe(v.string(), v.url()),
-  /** Calls that this process may make to the key-value service each second. */
-  callsPerSecond: v.optional(v.pipe(v.number(), v.minValue(0.01)), 5),
-  /** Processes in the whole fleet; spaces this process's polls. */
+  /** Processes in the whole fleet; spaces and bounds this one's calls. */
   fleetSize: v.optional(positive, 32),
 });
 
--- /dev/null
+++ b/packages/daemon/src/entry/entry.ts
@@ -0,0 +1,232 @@
+/** The entry role: callers' requests in, backend servers' answers out. @module */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { CostEstimator, WaitingAllowance } from "@sycamorepulley/decisions";
+import type { Instance, Status } from "@sycamorepulley/platform";
+import { monotonicNow } from "../common/clock.ts";
+import { sumByLabel } from "../common/metrics.ts";
+import type { ProcessParts } from "../common/process_parts.ts";
+import type { EntrySettings } from "../common/settings.ts";
+import { HttpAnswerSink } from "./http_answer_sink.ts";
+import { readBody } from "./raw_request.ts";
+import { notRun } from "./refusal.ts";
+import type { Refusal } from "./refusal.ts";
+import { RequestTask } from "./request_task.ts";
+import type { RequestOutcome, RequestSurroundings } from "./request_task.ts";
+import { bodyBound, resolveRequest } from "./resolve_request.ts";
+import type { ResolvedRequest } from "./resolved_request.ts";
+import { ServiceDesk } from "./service_desk.ts";
+import { SidecarDirectory } from "./sidecar_directory.ts";
+
+/** Label of requests whose service or tier is not known. */
+const UNKNOWN = "unknown";
+
+/** Bounds of a service that the configuration has dropped meanwhile. */
+const NO_ROOM = { requests: 0, bytes: 0 };
+
+/** Serves callers with one task for each request. */
+export class Entry {
+  readonly #settings: EntrySettings;
+  readonly #parts: ProcessParts;
+  readonly #desks = new Map<string, ServiceDesk>();
+  readonly #regions = new Map<string, string>();
+  readonly #estimator = new CostEstimator();
+  readonly #directory: SidecarDirectory;
+  readonly #surroundings: RequestSurroundings;
+  #nextNumber = 1;
+  #running = 0;
+  #idle: (() => void) | undefined;
+
+  constructor(options: { settings: EntrySettings; parts: ProcessParts }) {
+    const { settings, parts } = options;
+    this.#settings = settings;
+    this.#parts = parts;
+    this.#regions.set(settings.dataCentre, settings.region);
+    const desk = (service: string) => this.#desk(service);
+    this.#directory = new SidecarDirectory({
+      hello: parts.hello,
+      desk,
+      links: settings.bounds.links,
+      random: parts.random,
+      metrics: parts.metrics,
+      log: parts.log,
+      onPeerRevision: (session, revision) =>
+        parts.configuration.peerHas(session, revision),
+      onOtherMessage: (session, message) =>
+        parts.configuration.onMessage(session, message),
+    });
+    this.#surroundings = {
+      desk,
+      sessions: this.#directory,
+      allowance: new WaitingAllowance((service) => this.#bounds(service)),
+      versionOf: (service) =>
+        parts.configuration.index?.liveVersion(service)?.name,
+      metrics: parts.metrics,
+      random: parts.random,
+      onAnswered: (request, bytes) => this.#learn(request, bytes),
+    };
+  }
+
+  /** Whether requests can be understood at all. */
+  get ready(): boolean {
+    return this.#parts.configuration.index !== undefined;
+  }
+
+  updateInstances(instances: Instance[]): void {
+    for (const { dataCentre, region } of instances) {
+      if (region !== undefined) this.#regions.set(dataCentre, region);
+    }
+    this.#directory.update(instances);
+  }
+
+  /** Serves one caller's request to its end. */
+  async handle(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    this.#running += 1;
+    try {
+      await this.#serve(message, response);
+    } finally {
+      this.#running -= 1;
+      if (this.#running === 0) this.#idle?.();
+    }
+  }
+
+  /** Resolves once no request is being served. */
+  async idle(): Promise<void> {
+    if (this.#running === 0) return;
+    await new Promise<void>((resolve) => this.#idle = resolve);
+  }
+
+  async close(): Promise<void> {
+    await this.#directory.close();
+  }
+
+  async status(): Promise<Status> {
+    const { metrics, lifecycle, configuration, startedAt } = this.#parts;
+    const { instance, dataCentre } = this.#settings;
+    return {
+      instance,
+      role: "entry",
+      dataCentre,
+      configurationRevision: configuration.revision,
+      ready: lifecycle.state === "ready" && this.ready,
+      leaving: lifecycle.state === "leaving",
+      uptime: monotonicNow() - startedAt,
+      refusals: await sumByLabel(metrics.refusals, "reason"),
+      retries: await sumByLabel(metrics.retries, "reason"),
+      waiting: this.#waiting(),
+      running: this.#running,
+    };
+  }
+
+  async #serve(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const sink = new HttpAnswerSink(response);
+    const { configuration, metrics } = this.#parts;
+    const { index } = configuration;
+    if (!index) {
+      return this.#refuse(
+        sink,
+        notRun("no_configuration", "this instance has no configuration yet"),
+      );
+    }
+    const path = message.url ?? "/";
+    const body = await readBody(message, bodyBound(path, index));
+    if (!body) return;
+    const resolved = body.andThen((body) =>
+      resolveRequest({
+        raw: {
+          method: message.method ?? "GET",
+          path,
+          headers: message.headers,
+          body,
+        },
+        index,
+        estimator: this.#estimator,
+        now: monotonicNow(),
+      })
+    );
+    if (resolved.isErr) return this.#refuse(sink, resolved.error);
+    const request = resolved.value;
+    const labels = { service: request.service.name, tier: request.tier.name };
+    metrics.requests.inc(labels);
+    const task = this.#task(request, sink);
+    response.once("close", () => {
+      if (!response.writableFinished) task.callerLeft();
+    });
+    this.#count(labels, await task.run());
+  }
+
+  #task(request: ResolvedRequest, sink: HttpAnswerSink): RequestTask {
+    const number = this.#nextNumber;
+    this.#nextNumber += 1;
+    const surroundings = this.#surroundings;
+    return new RequestTask({ number, request, sink, surroundings });
+  }
+
+  #count(
+    labels: { service: string; tier: string },
+    outcome: RequestOutcome,
+  ): void {
+    const { answers, refusals } = this.#parts.metrics;
+    if (outcome.kind === "answered") answers.inc(labels);
+    else if (outcome.kind === "callerLeft") {
+      refusals.inc({ ...labels, reason: "caller_left", ran: outcome.ran });
+    } else {
+      const { reason, ran } = outcome.refusal;
+      refusals.inc({ ...labels, reason, ran });
+    }
+  }
+
+  /** Refuses a request that named no service and tier that are known. */
+  #refuse(sink: HttpAnswerSink, refusal: Refusal): void {
+    const { reason, ran } = refusal;
+    const labels = { service: UNKNOWN, tier: UNKNOWN, reason, ran };
+    this.#parts.metrics.refusals.inc(labels);
+    sink.refuse(refusal);
+  }
+
+  #learn(request: ResolvedRequest, bytes: number): void {
+    if (request.service.kind !== "model") return;
+    this.#estimator.observe({
+      service: request.service.name,
+      organisation: request.organisation,
+      route: request.route,
+      promptBytes: request.body.byteLength,
+      outputTokens: Math.max(1, Math.round(bytes / BYTES_PER_TOKEN)),
+    });
+  }
+
+  #desk(service: string): ServiceDesk {
+    const known = this.#desks.get(service);
+    if (known) return known;
+    const desk = new ServiceDesk({
+      service,
+      entry: this.#settings.instance,
+      dataCentre: this.#settings.dataCentre,
+      regionOf: (dataCentre) => this.#regions.get(dataCentre) ?? dataCentre,
+    });
+    this.#desks.set(service, desk);
+    return desk;
+  }
+
+  #bounds(service: string) {
+    const bounds = this.#parts.configuration.index?.service(service)?.bounds;
+    if (!bounds) return NO_ROOM;
+    const { waitingAtEntry, waitingBytesAtEntry } = bounds;
+    return { requests: waitingAtEntry, bytes: waitingBytesAtEntry };
+  }
+
+  #waiting(): number {
+    const services = this.#parts.configuration.index?.objects.services ?? [];
+    return services
+      .map(({ name }) => this.#surroundings.allowance.held(name).requests)
+      .reduce((sum, one) => sum + one, 0);
+  }
+}
+
+/** Bytes of an answer that carry one token, roughly. */
+const BYTES_PER_TOKEN = 4;
--- /dev/null
+++ b/packages/daemon/src/sidecar/start_sidecar.ts
@@ -0,0 +1,212 @@
+/** Builds and starts the sidecar role. @module */
+import {
+  CallLimit,
+  GrantDesk,
+  Suspects,
+  TokenLimit,
+  WaitingQueue,
+} from "@sycamorepulley/decisions";
+import type { ConcurrencyLimit } from "@sycamorepulley/decisions";
+import type { Instance, Status } from "@sycamorepulley/platform";
+import type { LinkError, OpenLink } from "@sycamorepulley/protocol";
+import { monotonicNow } from "../common/clock.ts";
+import { Membership } from "../common/membership.ts";
+import { sumByLabel } from "../common/metrics.ts";
+import { createParts } from "../common/process_parts.ts";
+import type { ProcessParts } from "../common/process_parts.ts";
+import { startProtocolServer } from "../common/protocol_server.ts";
+import type { RunningDaemon } from "../common/running_daemon.ts";
+import type { SidecarSettings } from "../common/settings.ts";
+import { within } from "../common/shutdown_wait.ts";
+import { startStatusServer } from "../common/status_server.ts";
+import { BackendClient } from "./backend_client.ts";
+import { EntryConnection } from "./entry_connection.ts";
+import { HealthProbe } from "./health_probe.ts";
+import { Sidecar } from "./sidecar.ts";
+import { SidecarEstimates } from "./sidecar_estimates.ts";
+
+/** Starts a sidecar; it takes reservations once its server is healthy. */
+export async function startSidecar(
+  settings: SidecarSettings,
+): Promise<RunningDaemon> {
+  const parts = createParts(settings);
+  const { metrics, log, lifecycle, configuration, random } = parts;
+  const following = new AbortController();
+  const limit = createLimit(settings);
+  const client = createClient(settings);
+  const sidecar: Sidecar = createSidecar(settings, parts, {
+    limit,
+    client,
+    probe: () => probe,
+  });
+  const probe = new HealthProbe({
+    client,
+    path: settings.backendServer.healthPath,
+    interval: settings.backendServer.healthInterval,
+    onChange: (healthy) => sidecar.healthChanged(healthy),
+  });
+  let sequence = 0;
+  const serve = (open: OpenLink): Promise<LinkError | undefined> => {
+    sequence += 1;
+    const connection = new EntryConnection({ open, sequence });
+    sidecar.connected(connection);
+    configuration.peerHas(connection, connection.peerRevision);
+    return connection.run(sidecar);
+  };
+  const protocol = await startProtocolServer({
+    address: settings.protocol,
+    hello: parts.hello,
+    links: settings.bounds.links,
+    serve,
+    metrics,
+  });
+  const status = await startStatusServer({
+    address: settings.status,
+    metrics,
+    ready: () => lifecycle.state === "ready" && sidecar.load.healthy,
+    status: () => statusOf(settings, parts, sidecar),
+  });
+  const membership = new Membership({
+    list: parts.instanceList,
+    self: instanceOf(settings, protocol.port, status.port),
+    fleetSize: settings.platform.fleetSize,
+    onInstances: () => {},
+    random,
+    metrics,
+    log,
+  });
+  void configuration.run(following.signal);
+  void probe.run();
+  void membership.run();
+  lifecycle.apply("started");
+  const stop = async () => {
+    if (!lifecycle.apply("stop")) return;
+    log.info("leaving");
+    const left = sidecar.leave();
+    await membership.leaving();
+    const whole = await within(left, settings.shutdownWait);
+    if (!whole) log.warn("requests still running at the end of the wait");
+    await membership.leave();
+    probe.stop();
+    following.abort();
+    protocol.close();
+    status.close();
+    await client.close();
+    lifecycle.apply("drained");
+    log.info("stopped");
+  };
+  return { ports: { status: status.port, protocol: protocol.port }, stop };
+}
+
+function createLimit(settings: SidecarSettings): ConcurrencyLimit {
+  return settings.backendServer.kind === "model"
+    ? new TokenLimit()
+    : new CallLimit();
+}
+
+function createClient(settings: SidecarSettings): BackendClient {
+  const { url, kind } = settings.backendServer;
+  const { answerBytes } = settings.bounds;
+  return new BackendClient({ url, kind, answerBytes });
+}
+
+function createSidecar(
+  settings: SidecarSettings,
+  parts: ProcessParts,
+  own: {
+    limit: ConcurrencyLimit;
+    client: BackendClient;
+    probe: () => HealthProbe;
+  },
+): Sidecar {
+  const { metrics, log, configuration, random } = parts;
+  const { service, kind } = settings.backendServer;
+  const estimates = new SidecarEstimates(kind);
+  const queue = new WaitingQueue({
+    capacity: settings.bounds.waiting,
+    serviceTimeOf: (cost) => estimates.expectedTime(cost),
+  });
+  return new Sidecar({
+    instance: settings.instance,
+    service,
+    desk: new GrantDesk({ queue, limit: own.limit }),
+    suspects: new Suspects(),
+    client: own.client,
+    probe: own.probe,
+    weightOf: (name) => configuration.index?.organisation(name)?.weight ?? 1,
+    retryAfter: (now) => estimates.retryAfter(queue, now, random()),
+    expectedWait: (now) => estimates.expectedWait(queue, now),
+    onServed: (served, now) => estimates.observe(served, now),
+    onOtherMessage: (connection, message) => {
+      if (message.type === "heartbeat") {
+        configuration.peerHas(connection, message.configurationRevision);
+        connection.send({
+          type: "heartbeat",
+          configurationRevision: configuration.revision,
+        });
+        return;
+      }
+      configuration.onMessage(connection, message);
+    },
+    limit: () => own.limit.limit,
+    metrics,
+    log,
+  });
+}
+
+function instanceOf(
+  settings: SidecarSettings,
+  port: number,
+  statusPort: number,
+): Instance {
+  const { instance, dataCentre, region, protocol, advertisedHost } = settings;
+  const { service, version } = settings.backendServer;
+  return {
+    name: instance,
+    role: "sidecar",
+    host: advertisedHost ?? protocol.host,
+    port,
+    statusPort,
+    dataCentre,
+    region,
+    service,
+    ...(version === undefined ? {} : { version }),
+    leaving: false,
+  };
+}
+
+async function statusOf(
+  settings: SidecarSettings,
+  parts: ProcessParts,
+  sidecar: Sidecar,
+): Promise<Status> {
+  const { metrics, lifecycle, configuration, startedAt } = parts;
+  const { load } = sidecar;
+  const { service, version } = settings.backendServer;
+  metrics.waiting.set({ service }, load.waiting);
+  metrics.running.set({ service }, load.running);
+  metrics.limit.set({ service }, load.limit);
+  return {
+    instance: settings.instance,
+    role: "sidecar",
+    dataCentre: settings.dataCentre,
+    service,
+    ...(version === undefined ? {} : { version }),
+    configurationRevision: configuration.revision,
+    ready: lifecycle.state === "ready" && load.healthy,
+    leaving: lifecycle.state === "leaving",
+    uptime: monotonicNow() - startedAt,
+    refusals: await sumByLabel(metrics.reservationRefusals, "reason"),
+    retries: {},
+    waiting: load.waiting,
+    running: load.running,
+    servers: [{
+      name: settings.instance,
+      healthy: load.healthy,
+      ejected: false,
+      running: load.running,
+      waiting: load.waiting,
+      limit: load.limit,
+    }],
+  };
+}
