--- a/packages/daemon/src/entry/peer_connection.ts
+++ b/packages/daemon/src/entry/peer_connection.ts
@@ -20,7 +20,9 @@
   }
 
   /** Runs until the link ends; the error that ended it, if any. */
-  async run(configuration: ConfigurationKeeper): Promise<LinkError | undefined> {
+  async run(
+    configuration: ConfigurationKeeper,
+  ): Promise<LinkError | undefined> {
     configuration.peerHas(this, this.#open.peerHello.configurationRevision);
     try {
       for await (const message of this.#open.messages) {
--- a/packages/platform/src/instance_list.ts
+++ b/packages/platform/src/instance_list.ts
@@ -11,6 +11,8 @@
   host: v.string(),
   port: v.number(),
   dataCentre: v.string(),
+  /** Data centres of one region are a millisecond or two apart. */
+  region: v.optional(v.string()),
   service: v.optional(v.string()),
   version: v.optional(v.string()),
   leaving: v.boolean(),
