Add the fleet of real processes, the demo and the measuring of the path

Tests and the demo start the same fleet: platform stand-ins, published objects, backend servers with their sidecars, entries. Children run in a group of their own, so that Ctrl-C reaches only the launcher, which stops them in order.

--- a/packages/testing/src/fleet/daemon_settings.ts
+++ b/packages/testing/src/fleet/daemon_settings.ts
@@ -13,6 +13,8 @@
   status: ListenSettings;
   protocol: ListenSettings;
   platform: PlatformSettings;
+  /** Milliseconds that a stopping daemon keeps listening. */
+  shutdownLag: number;
 };
 
 /** Settings of a daemon in the entry role. */
@@ -39,6 +41,8 @@
 /** Settings of a daemon in either role. */
 export type DaemonSettings = EntrySettings | SidecarSettings;
 
+/** Short, for nothing balances load in front of a test's entries. */
+const SHUTDOWN_LAG = 100;
 const LOOPBACK: ListenSettings = { host: "127.0.0.1", port: 0 };
 
 function commonSettings(
@@ -52,6 +56,7 @@
     status: LOOPBACK,
     protocol: LOOPBACK,
     platform,
+    shutdownLag: SHUTDOWN_LAG,
   };
 }
 
--- /dev/null
+++ b/packages/testing/src/fleet/fleet.ts
@@ -0,0 +1,168 @@
+/** A small fleet of real processes on loopback. @module */
+import type { Objects } from "@sycamorepulley/configuration";
+import { Caller } from "../caller/caller.ts";
+import type { RunRecord } from "../history/run_record.ts";
+import { TemporaryDirectory } from "../process/temporary_directory.ts";
+import { DaemonProcess } from "./daemon_process.ts";
+import { entrySettings, sidecarSettings } from "./daemon_settings.ts";
+import type { PlatformSettings } from "./daemon_settings.ts";
+import { EmulatedProcess } from "./emulated_process.ts";
+import type { EmulatorOptions } from "./emulated_process.ts";
+import { EXAMPLE_TOKEN, exampleObjects } from "./example_objects.ts";
+import { publishObjects } from "./publish_objects.ts";
+
+/** A backend server to launch, with the sidecar beside it. */
+export type BackendOptions = {
+  kind: "model" | "plain";
+  service: string;
+  version: string;
+  /** Options of the emulator. */
+  options?: EmulatorOptions;
+};
+
+/** A launched backend server and its sidecar. */
+export type Pair = {
+  /** Name of the server in its answers and history. */
+  name: string;
+  backend: BackendOptions;
+  server: EmulatedProcess;
+  sidecar: DaemonProcess;
+};
+
+/** What a fleet is made of. */
+export type FleetOptions = {
+  entries?: number;
+  backends: BackendOptions[];
+  objects?: Objects;
+};
+
+/** Launched processes; `stop` ends them all. */
+export class Fleet {
+  readonly keyValueStore: EmulatedProcess;
+  readonly instanceList: EmulatedProcess;
+  readonly entries: DaemonProcess[] = [];
+  readonly pairs: Pair[] = [];
+  readonly #directory: TemporaryDirectory;
+  readonly #callers: Caller[] = [];
+
+  private constructor(
+    directory: TemporaryDirectory,
+    keyValueStore: EmulatedProcess,
+    instanceList: EmulatedProcess,
+  ) {
+    this.#directory = directory;
+    this.keyValueStore = keyValueStore;
+    this.instanceList = instanceList;
+  }
+
+  /** Starts the platform, publishes the objects, then starts the daemons. */
+  static async start(options: FleetOptions): Promise<Fleet> {
+    const [directory, keyValueStore, instanceList] = await Promise.all([
+      TemporaryDirectory.create(),
+      EmulatedProcess.launch("key-value-store"),
+      EmulatedProcess.launch("instance-list"),
+    ]);
+    const fleet = new Fleet(directory, keyValueStore, instanceList);
+    try {
+      await fleet.#startDaemons(options);
+    } catch (error) {
+      await fleet.stop();
+      throw error;
+    }
+    return fleet;
+  }
+
+  get platform(): PlatformSettings {
+    return {
+      keyValueStore: this.keyValueStore.url,
+      instanceList: this.instanceList.url,
+    };
+  }
+
+  /** Launches a backend server and, once it listens, its sidecar. */
+  async addPair(backend: BackendOptions): Promise<Pair> {
+    const number = this.pairs.length + 1;
+    const name = `${backend.service}-server-${number}`;
+    const emulator = backend.kind === "model" ? "engine" : "plain";
+    const server = await EmulatedProcess.launch(emulator, {
+      name,
+      ...backend.options,
+    });
+    const settings = sidecarSettings(`sidecar-${number}`, this.platform, {
+      url: server.url,
+      service: backend.service,
+      version: backend.version,
+      kind: backend.kind,
+      healthPath: "/health",
+    });
+    const sidecar = await DaemonProcess.launch(settings, this.#directory);
+    const pair = { name, backend, server, sidecar };
+    this.pairs.push(pair);
+    return pair;
+  }
+
+  /** Launches one more entry. */
+  async addEntry(): Promise<DaemonProcess> {
+    const name = `entry-${this.entries.length + 1}`;
+    const settings = entrySettings(name, this.platform);
+    const entry = await DaemonProcess.launch(settings, this.#directory);
+    this.entries.push(entry);
+    return entry;
+  }
+
+  /** A caller of one entry with the example organisation's token. */
+  caller(entry: DaemonProcess | undefined = this.entries[0]): Caller {
+    if (entry === undefined) {
+      throw new Error("the fleet has no entry to call");
+    }
+    const caller = new Caller({ url: entry.url, token: EXAMPLE_TOKEN });
+    this.#callers.push(caller);
+    return caller;
+  }
+
+  /** What all live backend servers have seen. */
+  async runs(): Promise<RunRecord[]> {
+    const histories = await Promise.all(
+      this.pairs
+        .filter(({ server }) => !server.process.hasEnded)
+        .map(({ server }) => server.records()),
+    );
+    return histories.flat();
+  }
+
+  /** Stops gracefully, entries first, so that nothing is cut. */
+  async shutDown(): Promise<void> {
+    await Promise.all(this.entries.map(({ process }) => process.stop()));
+    await Promise.all(this.pairs.map(({ sidecar }) => sidecar.process.stop()));
+    await this.stop();
+  }
+
+  /** Ends every process at once. */
+  async stop(): Promise<void> {
+    await Promise.all(this.#callers.map((caller) => caller.close()));
+    const processes = [
+      ...this.entries,
+      ...this.pairs.flatMap(({ sidecar, server }) => [sidecar, server]),
+      this.keyValueStore,
+      this.instanceList,
+    ];
+    await Promise.all(processes.map(({ process }) => process.kill()));
+    await this.#directory.remove();
+  }
+
+  async #startDaemons(options: FleetOptions): Promise<void> {
+    const objects = options.objects ?? exampleObjects();
+    await publishObjects(this.keyValueStore.url, objects);
+    for (const backend of options.backends) {
+      await this.addPair(backend);
+    }
+    for (let entry = 0; entry < (options.entries ?? 1); entry++) {
+      await this.addEntry();
+    }
+    const daemons = [
+      ...this.pairs.map(({ sidecar }) => sidecar),
+      ...this.entries,
+    ];
+    await Promise.all(daemons.map((daemon) => daemon.waitUntilReady()));
+  }
+}
--- /dev/null
+++ b/packages/testing/src/fleet/publish_objects.ts
@@ -0,0 +1,27 @@
+/** Publishing configuration into an emulated key-value service. @module */
+import { publish } from "@sycamorepulley/configuration";
+import type { Objects } from "@sycamorepulley/configuration";
+import { HttpKeyValueStore } from "@sycamorepulley/platform";
+import { randomUUID } from "node:crypto";
+
+/** Publishes a checked set; resolves to its revision. */
+export async function publishObjects(
+  keyValueStoreUrl: string,
+  objects: Objects,
+  baseRevision = 0,
+): Promise<number> {
+  const store = new HttpKeyValueStore({ url: keyValueStoreUrl });
+  const published = await publish({
+    store,
+    objects,
+    baseRevision,
+    publishId: randomUUID(),
+    publishedBy: "testing",
+    now: Date.now(),
+  });
+  await store.close();
+  if (published.isErr) {
+    throw new Error(`not published: ${JSON.stringify(published.error)}`);
+  }
+  return published.value.snapshot.revision;
+}
--- /dev/null
+++ b/packages/testing/src/measure/report.ts
@@ -0,0 +1,128 @@
+/** The page of measurements. @module */
+import { execFileSync } from "node:child_process";
+import { cpus } from "node:os";
+import process from "node:process";
+import type { LatencyResult, Pair } from "./measure_latency.ts";
+import type { DaemonUsage, WaitingResult } from "./measure_waiting.ts";
+
+/** Markdown; durations are milliseconds, memory is MB. */
+export function report(
+  latencies: LatencyResult[],
+  waiting: WaitingResult,
+): string {
+  return `# Measurements
+
+Written by \`npm run measure:latency\` on ${today()}, at commit ${commit()},
+with Node.js ${process.version} on ${cpus().length} processors.
+
+One entry, one sidecar and one emulated engine (1 ms a token, 16 tokens,
+streamed) as processes on 127.0.0.1; arrivals are open-loop and seeded. Each
+figure is the median of three rounds of 8 s that alternate between calling the
+engine directly and through entry and sidecar, after 4 s of warming up.
+
+## Added latency
+
+${latencyTable(latencies)}
+
+## Processor time a request
+
+${processorTable(latencies)}
+
+## Resident memory and idle processor time
+
+${memoryTable(waiting)}
+
+The requests wait for an engine that stands almost still, with bodies of about
+900 bytes; their callers' connections are open. Memory at idle is read after the
+loads above, so that it holds what a warm process keeps. A bare Node.js process
+of this kind holds about ${bareMemory().toFixed(0)} MB.
+`;
+}
+
+function latencyTable(latencies: LatencyResult[]): string {
+  const rows = latencies.flatMap((result) => [
+    latencyRow(result, "first byte", result.firstByte),
+    latencyRow(result, "whole answer", result.total),
+  ]);
+  return [
+    "| requests/s | what | direct p50 / p99 | through p50 / p99 | " +
+    "added p50 / p99 | answered | not answered |",
+    "| --- | --- | --- | --- | --- | --- | --- |",
+    ...rows,
+  ].join("\n");
+}
+
+function latencyRow(
+  { rate, answered, notAnswered }: LatencyResult,
+  what: string,
+  { direct, through }: Pair,
+): string {
+  const cells = [
+    rate,
+    what,
+    percentiles(direct),
+    percentiles(through),
+    percentiles({
+      p50: through.p50 - direct.p50,
+      p99: through.p99 - direct.p99,
+    }),
+    answered,
+    notAnswered,
+  ];
+  return `| ${cells.join(" | ")} |`;
+}
+
+function percentiles({ p50, p99 }: { p50: number; p99: number }): string {
+  return `${p50.toFixed(2)} / ${p99.toFixed(2)} ms`;
+}
+
+function processorTable(latencies: LatencyResult[]): string {
+  const rows = latencies.map(({ rate, entryTime, sidecarTime }) =>
+    `| ${rate} | ${entryTime.toFixed(2)} ms | ${sidecarTime.toFixed(2)} ms |`
+  );
+  return [
+    "| requests/s | entry | sidecar |",
+    "| --- | --- | --- |",
+    ...rows,
+  ].join("\n");
+}
+
+function memoryTable({ waiting, entry, sidecar }: WaitingResult): string {
+  return [
+    `| role | idle | with ${waiting} waiting | per 1,000 waiting | ` +
+    "idle processor time |",
+    "| --- | --- | --- | --- | --- |",
+    memoryRow("entry", entry, waiting),
+    memoryRow("sidecar", sidecar, waiting),
+  ].join("\n");
+}
+
+function memoryRow(role: string, usage: DaemonUsage, waiting: number): string {
+  const grown = (usage.waitingMemory - usage.idleMemory) * 1000 / waiting;
+  const cells = [
+    role,
+    `${usage.idleMemory.toFixed(1)} MB`,
+    `${usage.waitingMemory.toFixed(1)} MB`,
+    `${grown.toFixed(1)} MB`,
+    `${(usage.idleShare * 100).toFixed(2)}% of a core`,
+  ];
+  return `| ${cells.join(" | ")} |`;
+}
+
+function today(): string {
+  return new Date().toISOString().slice(0, 10);
+}
+
+function commit(): string {
+  return execFileSync("git", ["rev-parse", "--short", "HEAD"], {
+    encoding: "utf8",
+  }).trim();
+}
+
+function bareMemory(): number {
+  const bare = execFileSync(process.execPath, [
+    "-e",
+    "console.log(process.memoryUsage().rss)",
+  ], { encoding: "utf8" });
+  return Number(bare) / 2 ** 20;
+}
--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -6,6 +6,12 @@
 export { checkShedOrder, SHEDDING_REASONS } from "./checks/shed_order.ts";
 export type { Violation } from "./checks/violation.ts";
 export { checkWholeAnswers } from "./checks/whole_answers.ts";
+export { DaemonProcess, launchDaemon } from "./fleet/daemon_process.ts";
+export { EmulatedProcess } from "./fleet/emulated_process.ts";
+export { EXAMPLE_TOKEN, exampleObjects } from "./fleet/example_objects.ts";
+export { Fleet } from "./fleet/fleet.ts";
+export type { BackendOptions, FleetOptions, Pair } from "./fleet/fleet.ts";
+export { publishObjects } from "./fleet/publish_objects.ts";
 export { entrySettings, sidecarSettings } from "./fleet/daemon_settings.ts";
 export type {
   BackendServerSettings,
--- a/packages/testing/src/process/launched_process.ts
+++ b/packages/testing/src/process/launched_process.ts
@@ -16,6 +16,10 @@
 /** A log line or ready line, parsed. */
 export type OutputLine = Record<string, unknown>;
 
+const running = new Set<ChildProcess>();
+// A test that throws at its top level would leave its processes behind.
+process.once("exit", () => running.forEach((child) => child.kill("SIGKILL")));
+
 /** One running process with its output. */
 export class LaunchedProcess {
   readonly ended: Promise<ProcessEnd>;
@@ -29,8 +33,12 @@
     this.#name = name;
     this.#child = spawn(process.execPath, nodeArguments, {
       stdio: ["ignore", "pipe", "pipe"],
+      // In a group of its own: Ctrl-C at a terminal reaches the launcher only,
+      // which stops its processes in order.
+      detached: true,
       env: { ...process.env, ROARR_LOG: "true", NODE_OPTIONS: "" },
     });
+    running.add(this.#child);
     this.#collect(this.#child.stdout);
     this.#collect(this.#child.stderr);
     this.ended = this.#waitForEnd();
@@ -88,6 +96,7 @@
       number | null,
       NodeJS.Signals | null,
     ];
+    running.delete(this.#child);
     this.#end = { code, signal };
     return this.#end;
   }
--- /dev/null
+++ b/packages/testing/test/caller_test.ts
@@ -0,0 +1,36 @@
+import { startEngine } from "@sycamorepulley/emulator";
+import type { FaultsInput } from "@sycamorepulley/emulator";
+import t from "tap";
+import type { Test } from "tap";
+import { Caller, checkWholeAnswers } from "../src/mod.ts";
+
+async function callEngine(t: Test, faults: FaultsInput = {}) {
+  const engine = await startEngine({ settings: { speed: 100 } });
+  const caller = new Caller({ url: engine.url, token: "unread" });
+  t.teardown(async () => {
+    await caller.close();
+    await engine.close();
+  });
+  engine.setFaults(faults);
+  const chat = { service: "assistant", outputTokens: 5 };
+  await caller.chat({ ...chat, marker: "whole" });
+  await caller.chat({ ...chat, marker: "streamed", stream: true });
+  return caller.calls;
+}
+
+t.test("records whole answers", async (t) => {
+  const calls = await callEngine(t);
+  t.match(calls, [
+    { marker: "whole", outcome: { type: "answered", status: 200 } },
+    { marker: "streamed", outcome: { type: "answered", ended: true } },
+  ]);
+  t.same(checkWholeAnswers(calls), []);
+});
+
+t.test("records cut answers as broken", async (t) => {
+  const calls = await callEngine(t, { cutAfterTokens: 2 });
+  t.match(calls, [
+    { outcome: { type: "broken" } },
+    { outcome: { type: "broken", text: /streamed:2/ } },
+  ]);
+});
