Add sycamorepulley, the operators' command line

Ruled out: taking the current revision as the base when none is given, which would undo whatever others published since the file was read.

--- /dev/null
+++ b/packages/command_line/src/commands/check.ts
@@ -0,0 +1,60 @@
+/** `check`: whether a file could be published. @module */
+import {
+  checkObjects,
+  readObjects,
+  readPublished,
+} from "@sycamorepulley/configuration";
+import type {
+  Objects,
+  Problem,
+  ReadObjects,
+} from "@sycamorepulley/configuration";
+import { Result } from "true-myth/result";
+import { readText } from "../addresses.ts";
+import type { Context } from "../context.ts";
+import { EXIT_CODE } from "../exit_code.ts";
+import type { CommandResult } from "../output/command_result.ts";
+import { problemsResult } from "../output/problems_result.ts";
+
+/** Checks a file by itself; a reachable service adds the set in force. */
+export async function check(
+  context: Context,
+  file: string,
+): Promise<CommandResult> {
+  const read = readFile(file);
+  if (read.isErr) {
+    return problemsResult(read.error);
+  }
+  const { objects, source } = read.value;
+  const before = await publishedObjects(context);
+  const problems = checkObjects(objects, {
+    now: context.now(),
+    source,
+    ...(before && { before }),
+  });
+  if (problems.length > 0) {
+    return problemsResult(problems);
+  }
+  const counted = Object.entries(objects)
+    .map(([kind, list]) => `${list.length} ${kind}`).join(", ");
+  return {
+    exitCode: EXIT_CODE.ok,
+    text: [`${file}: no problems (${counted})`],
+    json: { problems: [] },
+  };
+}
+
+/** Reads an operator's file. */
+export function readFile(file: string): Result<ReadObjects, Problem[]> {
+  return readObjects(readText(file), file);
+}
+
+async function publishedObjects(
+  context: Context,
+): Promise<Objects | undefined> {
+  if (context.store === undefined) {
+    return undefined;
+  }
+  const published = await readPublished(context.store);
+  return published.isOk ? published.value.snapshot?.objects : undefined;
+}
--- /dev/null
+++ b/packages/command_line/src/output/platform_failure.ts
@@ -0,0 +1,18 @@
+/** How a failed call to the platform is told to the operator. @module */
+import { describePlatformError } from "@sycamorepulley/platform";
+import type { PlatformError } from "@sycamorepulley/platform";
+import { EXIT_CODE } from "../exit_code.ts";
+import type { CommandResult } from "./command_result.ts";
+
+/** Names the call, what is known of its effect, and what to try. */
+export function platformFailure(error: PlatformError): CommandResult {
+  return {
+    exitCode: EXIT_CODE.unreachable,
+    text: [],
+    warnings: [
+      `${describePlatformError(error)}.`,
+      "Check that the address is right (--store, --instances) and try again.",
+    ],
+    json: { error },
+  };
+}
--- /dev/null
+++ b/packages/command_line/src/program.ts
@@ -0,0 +1,134 @@
+/** The commands, their options and their help. @module */
+import { cac } from "cac";
+import type { CAC } from "cac";
+import { apply } from "./commands/apply.ts";
+import { check } from "./commands/check.ts";
+import { diff } from "./commands/diff.ts";
+import { get } from "./commands/get.ts";
+import { instances } from "./commands/instances.ts";
+import { moves } from "./commands/moves.ts";
+import { refusals } from "./commands/refusals.ts";
+import { status } from "./commands/status.ts";
+import type { Context } from "./context.ts";
+import { UsageError } from "./output/command_result.ts";
+import type { CommandResult } from "./output/command_result.ts";
+
+const EXIT_CODES = `  0  done
+  1  problems were found, or what was asked for does not hold
+  2  the command line was wrong; nothing was tried
+  3  conflict: somebody published since the base; nothing was changed
+  4  a service was unreachable, or an outcome is unknown (the message says which)`;
+
+/** Options as the parser gives them. */
+export type ParsedOptions = Record<string, unknown>;
+
+type Run = (context: Context) => Promise<CommandResult>;
+
+/** The parser; a matched command leaves its run in `chosen`. */
+export function createProgram(chosen: { run?: Run }): CAC {
+  const program = cac("sycamorepulley");
+  program
+    .option("--store <url>", "Key-value service (or SYCAMOREPULLEY_STORE)")
+    .option("--instances <url>", "Instance list (or SYCAMOREPULLEY_INSTANCES)")
+    .option(
+      "--settings <file>",
+      "JSON with comments: store, instances (or SYCAMOREPULLEY_SETTINGS)",
+    )
+    .option("--json", "Print JSON for scripts");
+  addConfigurationCommands(program, chosen);
+  addFleetCommands(program, chosen);
+  program.help((sections) => {
+    sections.push({ title: "Exit codes", body: EXIT_CODES });
+  });
+  return program;
+}
+
+function addConfigurationCommands(program: CAC, chosen: { run?: Run }): void {
+  program.command("check <file>", "Check a file of objects as a whole")
+    .example("  $ sycamorepulley check fleet.jsonc")
+    .action((file: string) => {
+      chosen.run = (context) => check(context, file);
+    });
+  program.command("diff <file>", "Show what publishing a file would change")
+    .example("  $ sycamorepulley diff fleet.jsonc")
+    .action((file: string) => {
+      chosen.run = (context) => diff(context, file);
+    });
+  program.command("apply <file>", "Check a file and publish it")
+    .option("--base <revision>", "Revision that the file was made from")
+    .option("--by <name>", "Who publishes; shown to others in a conflict")
+    .option("--publish-id <id>", "Settle an unknown outcome: its publish id")
+    .option("--wait <seconds>", "Wait until it is in force in every process")
+    .example("  $ sycamorepulley apply fleet.jsonc --wait 10")
+    .example(
+      "  $ sycamorepulley get > fleet.jsonc; edit it; sycamorepulley apply fleet.jsonc",
+    )
+    .action((file: string, options: ParsedOptions) => {
+      const parsed = applyOptions(options);
+      chosen.run = (context) => apply(context, file, parsed);
+    });
+  program.command(
+    "get [kind] [name]",
+    "Print the published set, a kind or an object",
+  )
+    .example("  $ sycamorepulley get > fleet.jsonc")
+    .example("  $ sycamorepulley get services")
+    .example("  $ sycamorepulley get versions assistant/v2")
+    .action((kind?: string, name?: string) => {
+      chosen.run = (context) => get(context, kind, name);
+    });
+}
+
+function addFleetCommands(program: CAC, chosen: { run?: Run }): void {
+  program.command(
+    "status",
+    "Show what every process has in force, and its health",
+  )
+    .example("  $ sycamorepulley status --json")
+    .action(() => {
+      chosen.run = status;
+    });
+  program.command("instances", "Show the platform's list of instances")
+    .example("  $ sycamorepulley instances")
+    .action(() => {
+      chosen.run = instances;
+    });
+  program.command("moves", "Show how far each move has come")
+    .example("  $ sycamorepulley moves")
+    .action(() => {
+      chosen.run = moves;
+    });
+  program.command("refusals", "Sum refusals and retries by reason")
+    .example("  $ sycamorepulley refusals")
+    .action(() => {
+      chosen.run = refusals;
+    });
+}
+
+function applyOptions(options: ParsedOptions) {
+  const base = optionalNumber(options, "base", "a revision such as 0");
+  const wait = optionalNumber(options, "wait", "seconds such as 10");
+  const { publishId, by } = options;
+  return {
+    ...(base !== undefined && { base }),
+    ...(wait !== undefined && { wait }),
+    ...(publishId !== undefined && { publishId: String(publishId) }),
+    ...(by !== undefined && { by: String(by) }),
+  };
+}
+
+function optionalNumber(
+  options: ParsedOptions,
+  name: string,
+  expected: string,
+): number | undefined {
+  const value = options[name];
+  if (value === undefined) {
+    return undefined;
+  }
+  const number = Number(value);
+  if (!Number.isSafeInteger(number) || number < 0) {
+    throw new UsageError(`--${name}: write ${expected}, not "${value}"`);
+  }
+  return number;
+}
--- a/packages/configuration/src/publish.ts
+++ b/packages/configuration/src/publish.ts
@@ -26,8 +26,10 @@
 export type PublishOptions = {
   store: KeyValueStore;
   objects: Objects;
-  /** The operator's file, published with its comments and used for lines. */
+  /** The operator's file; gives problems their lines. */
   source?: Source;
+  /** What to publish word for word; by default the operator's file. */
+  text?: string;
   /** Revision that the operator edited; 0 for the first set. */
   baseRevision: number;
   /** Unique to this publish; keep it when trying again. */
@@ -146,7 +148,8 @@
 };
 
 function sourceText(options: PublishOptions): string {
-  return options.source?.text ?? JSON.stringify(options.objects, null, 2);
+  return options.text ?? options.source?.text ??
+    JSON.stringify(options.objects, null, 2);
 }
 
 function nextManifest(
