--- a/packages/decisions/src/queueing/organisation_account.ts
+++ b/packages/decisions/src/queueing/organisation_account.ts
@@ -4,7 +4,10 @@
 import type { OrganisationFlow } from "./organisation_flow.ts";
 import type { Place } from "./place.ts";
 
-/** Held by the tier's heap of backlogs, where the largest backlog is first. */
+/**
+ * While it waits, held by the tier's heap of backlogs, the largest first; else by
+ * the heap of idle accounts, the one that is paid for soonest first.
+ */
 export class OrganisationAccount {
   readonly organisation: string;
   weight: number;
@@ -22,7 +25,12 @@
     this.weight = weight;
   }
 
+  /** Its order in the heap that holds it. */
   get key(): number {
-    return -this.backlog;
+    return this.isIdle ? this.finishTag : -this.backlog;
+  }
+
+  get isIdle(): boolean {
+    return this.places.size === 0;
   }
 }
--- a/packages/decisions/src/queueing/tier_queue.ts
+++ b/packages/decisions/src/queueing/tier_queue.ts
@@ -19,6 +19,7 @@
 import { OrganisationFlow } from "./organisation_flow.ts";
 import type { Place } from "./place.ts";
 import { SIZE_CLASSES, sizeClassOf, SUSPECT_CLASS } from "./size_class.ts";
+import type { Waiting } from "./waiting.ts";
 
 /** One tier's waiting reservations. */
 export class TierQueue {
@@ -26,6 +27,7 @@
   readonly #places = new LinkedList<Place>();
   readonly #accounts = new Map<string, OrganisationAccount>();
   readonly #backlogs = new IndexedHeap<OrganisationAccount>();
+  readonly #idle = new IndexedHeap<OrganisationAccount>();
   readonly #lanes: IndexedHeap<OrganisationFlow>[] = [];
   #virtualTime = 0;
   #work = 0;
@@ -61,15 +63,17 @@
   }
 
   add(place: Place): void {
-    const account = this.#accountOf(place);
+    const account = this.#accountOf(place.waiting);
     const flow = this.#flowOf(account, place);
     place.account = account;
     place.flow = flow;
     flow.places.append(place.inFlow);
-    account.places.append(place.inAccount);
     this.#places.append(place.inTier);
     this.#work += place.work;
-    this.#changeBacklog(account, place.work / account.weight);
+    this.#heapOf(account).remove(account);
+    account.places.append(place.inAccount);
+    account.backlog += place.work / account.weight;
+    this.#heapOf(account).push(account);
   }
 
   remove(place: Place): void {
@@ -80,14 +84,17 @@
     place.account = undefined;
     place.flow = undefined;
     flow.places.remove(place.inFlow);
-    account.places.remove(place.inAccount);
     this.#places.remove(place.inTier);
     this.#work -= place.work;
     if (flow.places.size === 0) {
       this.#lane(flow.sizeClass).remove(flow);
       account.flows.delete(flow.sizeClass);
     }
-    this.#changeBacklog(account, -place.work / account.weight);
+    this.#heapOf(account).remove(account);
+    account.places.remove(place.inAccount);
+    const backlog = account.backlog - place.work / account.weight;
+    account.backlog = account.isIdle ? 0 : backlog;
+    this.#heapOf(account).push(account);
   }
 
   /**
@@ -117,29 +124,50 @@
     account.finishTag = startTag + place.work / account.weight;
     this.remove(place);
     this.#retag(account);
+    this.#forgetPaid();
   }
 
-  /** Adds work to, or with a negative amount returns it to, an organisation. */
-  correct(organisation: string, work: number): void {
-    const account = this.#accounts.get(organisation);
-    if (account === undefined) {
+  /** Charges more for served work or, with a negative amount, gives back. */
+  correct(waiting: Waiting, work: number): void {
+    if (work < 0 && !this.#accounts.has(waiting.organisation)) {
       return;
     }
+    const account = this.#accountOf(waiting);
     account.finishTag += work / account.weight;
     this.#retag(account);
+    this.#heapOf(account).update(account);
+    this.#forgetPaid();
   }
 
-  #accountOf(place: Place): OrganisationAccount {
-    const { organisation, weight } = place.waiting;
+  #accountOf(waiting: Waiting): OrganisationAccount {
+    const { organisation, weight } = waiting;
     const known = this.#accounts.get(organisation);
     if (known !== undefined) {
       return known;
     }
     const account = new OrganisationAccount(organisation, weight);
+    account.finishTag = this.#virtualTime;
     this.#accounts.set(organisation, account);
+    this.#idle.push(account);
     return account;
   }
 
+  #heapOf(account: OrganisationAccount): IndexedHeap<OrganisationAccount> {
+    return account.isIdle ? this.#idle : this.#backlogs;
+  }
+
+  /** An idle account whose tag lies in the past would be made anew alike. */
+  #forgetPaid(): void {
+    for (;;) {
+      const account = this.#idle.peek();
+      if (account === undefined || account.finishTag > this.#virtualTime) {
+        return;
+      }
+      this.#idle.remove(account);
+      this.#accounts.delete(account.organisation);
+    }
+  }
+
   #flowOf(account: OrganisationAccount, place: Place): OrganisationFlow {
     const sizeClass = place.waiting.suspect
       ? SUSPECT_CLASS
@@ -168,20 +196,6 @@
       this.#lane(flow.sizeClass).update(flow);
     }
   }
-
-  #changeBacklog(account: OrganisationAccount, change: number): void {
-    if (account.places.size === 0) {
-      account.backlog = 0;
-      this.#backlogs.remove(account);
-      return;
-    }
-    account.backlog += change;
-    if (account.places.size === 1 && change > 0) {
-      this.#backlogs.push(account);
-    } else {
-      this.#backlogs.update(account);
-    }
-  }
 }
 
 function compareHeads(left: Place, right: Place): number {
--- a/packages/decisions/src/queueing/waiting_queue.ts
+++ b/packages/decisions/src/queueing/waiting_queue.ts
@@ -33,6 +33,14 @@
   serviceTimeOf?: (cost: Cost) => number;
 };
 
+/**
+ * Estimates refuse work only while grants confirm them. An engine that was slow
+ * teaches a long service time, all work is refused for it, and nothing runs that
+ * could teach a shorter one. After so many milliseconds without a grant one
+ * reservation is queued whatever the estimate says.
+ */
+const UNCONFIRMED_AFTER = 10_000;
+
 /** See the module. Every offered reservation leaves in exactly one way. */
 export class WaitingQueue {
   readonly #capacity: number;
@@ -43,6 +51,7 @@
   /** Highest tier first. */
   readonly #tiers: TierQueue[] = [];
   #expired: Waiting[] = [];
+  #estimatesConfirmed: number | undefined;
 
   constructor(options: WaitingQueueOptions) {
     this.#capacity = options.capacity;
@@ -82,7 +91,7 @@
 
   /** Queues a reservation, evicts for it, or refuses it. */
   offer(waiting: Waiting, now: number): Offer {
-    const latestStart = waiting.deadline - this.#serviceTimeOf(waiting.cost);
+    const latestStart = this.#latestStart(waiting, now);
     if (latestStart < now) {
       return { queued: false, reason: "deadline" };
     }
@@ -111,10 +120,11 @@
   ): Waiting | undefined {
     this.#collectExpired(now);
     for (const tier of this.#tiers) {
-      const place = this.#firstAdmitted(tier, admits);
+      const place = this.#firstAdmitted(tier, now, admits);
       if (place !== undefined) {
         tier.serve(place);
         this.#forget(place);
+        this.#estimatesConfirmed = now;
         return place.waiting;
       }
     }
@@ -145,7 +155,7 @@
    */
   settle(waiting: Waiting, actual: Cost): void {
     const difference = this.#workOf(actual) - this.#workOf(waiting.cost);
-    this.#tierOf(waiting.tierRank).correct(waiting.organisation, difference);
+    this.#tierOf(waiting.tierRank).correct(waiting, difference);
   }
 
   #add(waiting: Waiting, latestStart: number): void {
@@ -182,12 +192,38 @@
 
   #firstAdmitted(
     tier: TierQueue,
+    now: number,
     admits: (waiting: Waiting) => boolean,
   ): Place | undefined {
-    if (tier.size === 0) {
-      return undefined;
+    while (tier.size > 0) {
+      const heads = tier.heads();
+      const late = heads.find((head) => this.#isTooLate(head, now));
+      if (late === undefined) {
+        return heads.find((head) => admits(head.waiting));
+      }
+      this.#remove(late);
+      this.#expired.push(late.waiting);
+    }
+    return undefined;
+  }
+
+  /** The engine may have become slower since the reservation was queued. */
+  #isTooLate(place: Place, now: number): boolean {
+    const { waiting } = place;
+    const unchecked = place.key === waiting.deadline;
+    return !unchecked &&
+      waiting.deadline - this.#serviceTimeOf(waiting.cost) < now;
+  }
+
+  #latestStart(waiting: Waiting, now: number): number {
+    const latestStart = waiting.deadline - this.#serviceTimeOf(waiting.cost);
+    this.#estimatesConfirmed ??= now;
+    const unconfirmed = now - this.#estimatesConfirmed > UNCONFIRMED_AFTER;
+    if (latestStart < now && unconfirmed) {
+      this.#estimatesConfirmed = now;
+      return waiting.deadline;
     }
-    return tier.heads().find((place) => admits(place.waiting));
+    return latestStart;
   }
 
   #collectExpired(now: number): void {
--- a/packages/decisions/test/waiting_queue_test.ts
+++ b/packages/decisions/test/waiting_queue_test.ts
@@ -71,6 +71,29 @@
   t.end();
 });
 
+// An engine was slow for a minute and is well again. Its callers would be refused
+// for ever: the learned time refuses all work, so no work teaches a better one.
+t.test("a bad estimate does not refuse for ever", (t) => {
+  let serviceTime = 100_000;
+  const queue = new WaitingQueue({
+    capacity: 10,
+    serviceTimeOf: () => serviceTime,
+  });
+  const offerAt = (now: number) => {
+    return queue.offer(waiting(`${now}`, { deadline: now + 5000 }), now).queued;
+  };
+  t.equal(offerAt(0), false);
+  t.equal(offerAt(10_001), true);
+  t.equal(offerAt(10_002), false);
+  t.equal(queue.take(10_003, always)?.id, "10001");
+  serviceTime = 10;
+  t.equal(offerAt(10_004), true);
+  serviceTime = 6000;
+  t.equal(queue.take(10_005, always), undefined);
+  t.match(queue.expire(10_005), [{ id: "10004" }]);
+  t.end();
+});
+
 t.test("a lapsed grant costs its organisation nothing", (t) => {
   const queue = new WaitingQueue({ capacity: 10 });
   queue.offer(waiting("a1", { organisation: "a", cost: cost(7) }), 0);
