Let a non-idempotent request run at most once: the claim ledger

CallBudget tells how long to wait. Ruled out: taking a dead claimant's claim over (needs clocks or fencing at the backend server); one value for each key (two writes for each request, no grouping); deleting by comparing wall clocks.

--- a/packages/platform/src/call_budget.ts
+++ b/packages/platform/src/call_budget.ts
@@ -58,6 +58,13 @@
     return true;
   }
 
+  /** Milliseconds until a call fits the budget again. */
+  waitFor(now: number): number {
+    this.#fill(now);
+    const missing = Math.max(0, 1 - this.#tokens);
+    return Math.ceil((missing / this.#options.perSecond) * 1000);
+  }
+
   /** Calls refused since the start. */
   get refused(): number {
     return this.#refused;
--- a/packages/platform/src/mod.ts
+++ b/packages/platform/src/mod.ts
@@ -27,3 +27,12 @@
   statusSchema,
 } from "./status.ts";
 export type { MoveStatus, ServerStatus, Status } from "./status.ts";
+export { ClaimLedger } from "./claims/claim_ledger.ts";
+export type {
+  ClaimCounts,
+  ClaimLedgerOptions,
+  ClaimRequest,
+} from "./claims/claim_ledger.ts";
+export type { ClaimAnswer, HeldClaim } from "./claims/claim_answer.ts";
+export type { ClaimKey } from "./claims/claim_identity.ts";
+export type { Outcome } from "./claims/outcome.ts";
--- /dev/null
+++ b/packages/platform/test/claims/claim_races_test.ts
@@ -0,0 +1,293 @@
+// Three entries, two keys, and a service that loses, delays and drops writes.
+// Whatever the order of events: no request runs twice, a released one did not
+// run, and a resend that is told "done" gets the outcome of the one run.
+// CLAIM_RACES_RUNS and CLAIM_RACES_SEED lengthen the search.
+import fc from "fast-check";
+import process from "node:process";
+import { Result } from "true-myth/result";
+import t from "tap";
+import {
+  ClaimLedger,
+  KeyValueStore,
+  MemoryKeyValueStore,
+} from "../../src/mod.ts";
+import type {
+  Entry,
+  PlatformError,
+  SwapOptions,
+  SwapOutcome,
+  WatchOptions,
+  WatchOutcome,
+} from "../../src/mod.ts";
+import { NOW, requestWith } from "./example.ts";
+
+const RUNS = Number(process.env["CLAIM_RACES_RUNS"] ?? 150);
+const CLAIM_TIMEOUT = 1e9;
+const SEED = Number(process.env["CLAIM_RACES_SEED"] ?? 20300101);
+
+type Fault =
+  | "none"
+  | "lost_answer"
+  | "lost_request"
+  | "late_request"
+  | "refused";
+type Attempt = {
+  ledger: number;
+  key: string;
+  end: "record" | "release" | "die";
+};
+type Event = {
+  key: string;
+  run: string;
+  type: "claimed" | "ran" | "released" | "done";
+};
+
+/** Every call, and every answer, waits for its turn. */
+class ScheduledStore extends KeyValueStore {
+  readonly #inner = new MemoryKeyValueStore();
+  readonly #scheduler: fc.Scheduler;
+  readonly #faults: Fault[];
+  readonly #blind: boolean;
+
+  constructor(scheduler: fc.Scheduler, faults: Fault[], blind: boolean) {
+    super();
+    this.#scheduler = scheduler;
+    this.#faults = [...faults];
+    this.#blind = blind;
+  }
+
+  turn(): Promise<void> {
+    return this.#scheduler.schedule(Promise.resolve());
+  }
+
+  override async get(
+    key: string,
+  ): Promise<Result<Entry | undefined, PlatformError>> {
+    await this.turn();
+    const entry = await this.#inner.get(key);
+    await this.turn();
+    return entry;
+  }
+
+  override async compareAndSwap(
+    options: SwapOptions,
+  ): Promise<Result<SwapOutcome, PlatformError>> {
+    const fault = this.#faults.shift() ?? "none";
+    if (fault === "late_request") {
+      void this.#swapLate(options);
+    }
+    if (fault !== "none" && fault !== "lost_answer") {
+      await this.turn();
+      return Result.err(failed(fault === "refused" ? "no" : "unknown"));
+    }
+    await this.turn();
+    const outcome = await this.#swap(options);
+    await this.turn();
+    return fault === "none" ? outcome : Result.err(failed("unknown"));
+  }
+
+  async #swapLate(options: SwapOptions): Promise<void> {
+    await this.turn();
+    await this.turn();
+    await this.turn();
+    await this.#swap(options);
+  }
+
+  /** With the guard out, a write goes through whatever it expects. */
+  async #swap(
+    options: SwapOptions,
+  ): Promise<Result<SwapOutcome, PlatformError>> {
+    const entry = (await this.#inner.get(options.key)).unwrapOr(undefined);
+    const expected = this.#blind ? entry?.revision ?? 0 : options.expected;
+    return this.#inner.compareAndSwap({ ...options, expected });
+  }
+
+  override grantLease(): Promise<Result<string, PlatformError>> {
+    return Promise.resolve(Result.err(failed("no")));
+  }
+  override renewLease(): Promise<Result<boolean, PlatformError>> {
+    return Promise.resolve(Result.ok(false));
+  }
+  override revokeLease(): Promise<Result<void, PlatformError>> {
+    return Promise.resolve(Result.ok(undefined));
+  }
+  override watch(
+    _options: WatchOptions,
+  ): Promise<Result<WatchOutcome, PlatformError>> {
+    return Promise.resolve(Result.ok({ changed: false }));
+  }
+}
+
+function failed(applied: "no" | "unknown"): PlatformError {
+  return {
+    step: "swap",
+    peer: "scheduled",
+    reason: "timeout",
+    applied,
+    detail: "",
+  };
+}
+
+/** One attempt of a caller at one entry. */
+async function attempt(
+  options: {
+    ledgers: ClaimLedger[];
+    store: ScheduledStore;
+    history: Event[];
+    attempt: Attempt;
+    run: string;
+  },
+): Promise<void> {
+  const { ledgers, store, history, attempt: { ledger, key, end }, run } =
+    options;
+  const answer = await ledgers[ledger]!.claim(requestWith({ key }));
+  if (answer.isErr) {
+    return;
+  }
+  if (answer.value.kind === "done") {
+    const told = answer.value.outcome.headers["run"] ?? "";
+    history.push({ key, run: told, type: "done" });
+  }
+  if (answer.value.kind !== "claimed") {
+    return;
+  }
+  const { claim } = answer.value;
+  history.push({ key, run, type: "claimed" });
+  await store.turn();
+  if (end === "release") {
+    history.push({ key, run, type: "released" });
+    await ledgers[ledger]!.release(claim);
+    return;
+  }
+  history.push({ key, run, type: "ran" });
+  if (end === "record") {
+    const outcome = { status: 200, headers: { run } };
+    await ledgers[ledger]!.record({ claim, outcome });
+  }
+}
+
+/** Reads the history only. */
+function violations(history: Event[]): string[] {
+  const found: string[] = [];
+  for (const key of new Set(history.map((event) => event.key))) {
+    const events = history.filter((event) => event.key === key);
+    const runs = events.filter(({ type }) => type === "ran");
+    if (runs.length > 1) {
+      found.push(`${key} ran ${runs.length} times`);
+    }
+    if (
+      events.some(({ type, run }) => type === "done" && run !== runs[0]?.run)
+    ) {
+      found.push(`${key} was answered with another run's outcome`);
+    }
+    let holder: string | undefined;
+    for (const { type, run } of events) {
+      if (type === "claimed" && holder !== undefined) {
+        found.push(`${key} was claimed by ${run} while ${holder} held it`);
+      }
+      holder = type === "claimed"
+        ? run
+        : type === "released"
+        ? undefined
+        : holder;
+    }
+  }
+  return found;
+}
+
+async function turns(store: ScheduledStore, count: number): Promise<void> {
+  for (let turn = 0; turn < count; turn += 1) {
+    await store.turn();
+  }
+}
+
+async function search(
+  options: {
+    scheduler: fc.Scheduler;
+    faults: Fault[];
+    attempts: Attempt[];
+    timeoutTurns: number;
+    blind: boolean;
+  },
+): Promise<Event[]> {
+  const { scheduler, faults, attempts, timeoutTurns, blind } = options;
+  const store = new ScheduledStore(scheduler, faults, blind);
+  const history: Event[] = [];
+  const ledgers = ["a", "b", "c"].map((incarnation) =>
+    new ClaimLedger({
+      store,
+      incarnation,
+      commits: { perSecond: 1e9, burst: 1e9 },
+      claimTimeout: CLAIM_TIMEOUT,
+      pause: (duration) =>
+        turns(store, duration === CLAIM_TIMEOUT ? timeoutTurns : 1),
+      random: () => 0.5,
+      wallClock: () => NOW,
+    })
+  );
+  const done = Promise.all(
+    attempts.map((planned, index) =>
+      attempt({
+        ledgers,
+        store,
+        history,
+        attempt: planned,
+        run: `run-${index}`,
+      })
+    ),
+  ).then(() => Promise.all(ledgers.map((ledger) => ledger.drained())));
+  await scheduler.waitFor(done);
+  return history;
+}
+
+const plans = {
+  scheduler: fc.scheduler(),
+  /** Events that a claim outlasts: a short time or a long one. */
+  timeoutTurns: fc.constantFrom(8, 40),
+  faults: fc.array(
+    fc.constantFrom<Fault>(
+      "none",
+      "lost_answer",
+      "lost_request",
+      "late_request",
+      "refused",
+    ),
+    { maxLength: 12 },
+  ),
+  attempts: fc.array(
+    fc.record({
+      ledger: fc.nat({ max: 2 }),
+      key: fc.constantFrom("key-1", "key-2"),
+      end: fc.constantFrom<Attempt["end"]>("record", "release", "die"),
+    }),
+    { minLength: 2, maxLength: 8 },
+  ),
+};
+
+t.test("no interleaving lets a request run twice", async (t) => {
+  let operations = 0;
+  await fc.assert(
+    fc.asyncProperty(fc.record(plans), async (plan) => {
+      const history = await search({ ...plan, blind: false });
+      operations += history.length;
+      const found = violations(history);
+      if (found.length > 0) {
+        throw new Error(found.join("; "));
+      }
+    }),
+    { numRuns: RUNS, seed: SEED },
+  );
+  t.comment(`seed ${SEED}: ${RUNS} histories, ${operations} events`);
+  t.pass();
+});
+
+t.test("the checker catches a service that swaps blindly", async (t) => {
+  const outcome = await fc.check(
+    fc.asyncProperty(fc.record(plans), async (plan) => {
+      const history = await search({ ...plan, blind: true });
+      return violations(history).length === 0;
+    }),
+    { numRuns: RUNS, seed: SEED, endOnFailure: true },
+  );
+  t.ok(outcome.failed);
+});
