Keep refused room from lower tiers; bound what stands before a prompt

Cause: a plan reply of 1,400 prompt tokens found no room, a look-up of 700 two tiers below did, again and again: whatever room came free went to the smaller. Change: room refused to a reservation is kept from lower tiers at once, from its own after 1.3 s; the prefill bound no longer depends on the prompt's own size.

--- a/packages/decisions/src/limits/passed_over.ts
+++ b/packages/decisions/src/limits/passed_over.ts
@@ -1,16 +1,21 @@
 /**
- * The one reservation that has been passed over for too long.
+ * The one reservation that has been passed over.
  *
- * Load pattern: a quote of 20,000 tokens among a stream of quotes of 5,000, or
- * a suspect that must run alone on an engine that is never empty. Whatever room
- * comes free is taken by work that fits it, and the large one waits for ever.
- * After a time the engine therefore takes nothing more of its kind until it
- * fits. Higher tiers are not held up, nor is short work for the sake of long.
+ * Load pattern: a plan reply that needs more room than has come free, before
+ * review tags that need less; a quote of 20,000 tokens in a stream of quotes of
+ * 5,000; a suspect that must run alone on an engine that is never empty. Whatever
+ * room comes free is taken by work that fits it, and the large one waits for
+ * ever. In a trial at twice the capacity order look-ups kept all their goodput
+ * and plan replies, two tiers above them, half of theirs.
+ *
+ * So room that is refused to a reservation is kept for it: at once against lower
+ * tiers, and after a time against its own. Higher tiers are not held up, nor is
+ * short work for the sake of long.
  * @module
  */
 import type { Waiting } from "../queueing/waiting.ts";
 
-/** As long as a first token may take: nobody notices a shorter one. */
+/** As long as a first token may take: nobody notices a shorter wait. */
 const PATIENCE = 1300;
 /** A reservation that is not asked about for so long has been withdrawn. */
 const LAPSE = 500;
@@ -34,9 +39,13 @@
     if (claim === undefined || claim.id === waiting.id) {
       return false;
     }
-    const kept = now - claim.since > PATIENCE && now - claim.asked <= LAPSE;
-    return kept && waiting.tierRank >= claim.tierRank &&
-      (claim.long === undefined || claim.long === long);
+    const sameKind = claim.long === undefined || claim.long === long;
+    const lapsed = now - claim.asked > LAPSE;
+    if (!sameKind || lapsed || waiting.tierRank < claim.tierRank) {
+      return false;
+    }
+    const lower = claim.long !== undefined && waiting.tierRank > claim.tierRank;
+    return lower || now - claim.since > PATIENCE;
   }
 
   /** Notes that a reservation found no room although smaller ones may. */
--- a/packages/decisions/src/limits/token_limit.ts
+++ b/packages/decisions/src/limits/token_limit.ts
@@ -115,7 +115,7 @@
     return this.#tokens.value;
   }
 
-  /** Prompt tokens that may wait for their first token together. */
+  /** Prompt tokens without a first token that may stand before a new prompt. */
   get prefillLimit(): number {
     return this.#prefillRate.value * this.#firstTokenGoal * PREFILL_SHARE;
   }
@@ -222,7 +222,7 @@
       return false;
     }
     const prefillShare = long ? LONG_PREFILL_SHARE : 1;
-    return held.fitsPrefill(cost, this.prefillLimit * prefillShare);
+    return held.prefillTokens < this.prefillLimit * prefillShare;
   }
 
   #isLong(cost: Cost): boolean {
--- a/packages/decisions/src/limits/work_budget.ts
+++ b/packages/decisions/src/limits/work_budget.ts
@@ -15,12 +15,6 @@
     this.prefillTokens += cost.promptTokens;
   }
 
-  /** One prompt fits always: a bound below it would refuse it for ever. */
-  fitsPrefill(cost: Cost, limit: number): boolean {
-    return this.prefills === 0 ||
-      this.prefillTokens + cost.promptTokens <= limit;
-  }
-
   endPrefill(cost: Cost): void {
     this.prefills -= 1;
     this.prefillTokens -= cost.promptTokens;
