--- a/benchmarks/src/model/engine.ts
+++ b/benchmarks/src/model/engine.ts
@@ -23,6 +23,8 @@
 /** What the process beside the engine hears of one request. */
 export type SequenceListener = {
   onFirstToken(): void;
+  /** One more token. */
+  onProgress(): void;
   onFinished(): void;
   /** The engine died with the request in it. */
   onCrashed(): void;
@@ -37,14 +39,10 @@
   cancelled: boolean;
 };
 
-/** Cache events, load and death as seen from beside the engine. */
+/** The engine's life as seen from beside it. */
 export type EngineObserver = {
-  /** A step ended: `duration` is the time between tokens of its sequences. */
-  onStep(duration: number, sequences: number): void;
   onCrashed(): void;
   onRestarted(): void;
-  onPrefixCached(key: string): void;
-  onPrefixEvicted(key: string): void;
 };
 
 /** See the module. */
@@ -192,16 +190,17 @@
     const duration = work * this.#slowdown / this.settings.speed;
     const incarnation = this.#incarnation;
     this.#loop.after(duration, () => {
-      if (incarnation === this.#incarnation) this.#endStep(duration, decoding);
+      if (incarnation === this.#incarnation) this.#endStep();
     });
   }
 
-  #endStep(duration: number, decoding: number): void {
+  #endStep(): void {
     const sequences = this.#running;
     this.#running = [];
     const kept: Sequence[] = [];
     const finished: Sequence[] = [];
     const first: Sequence[] = [];
+    const further: Sequence[] = [];
     for (const sequence of sequences) {
       if (sequence.cancelled) {
         this.#countPrefill(sequence);
@@ -217,14 +216,15 @@
       if (wasPrefilling) this.#keepPrefix(sequence);
       sequence.generated += 1;
       if (sequence.generated === 1) first.push(sequence);
+      else further.push(sequence);
       if (sequence.generated >= sequence.outcome.request.outputTokens) {
         finished.push(sequence);
         this.#reservedTokens -= sequenceTokens(sequence);
       } else kept.push(sequence);
     }
     this.#running = kept;
-    this.observer?.onStep(duration, decoding);
     for (const sequence of first) sequence.listener.onFirstToken();
+    for (const sequence of further) sequence.listener.onProgress();
     for (const sequence of finished) sequence.listener.onFinished();
     if (kept.some(isCrashing)) {
       this.crash(ENGINE_RESTART);
@@ -242,9 +242,7 @@
   #keepPrefix(sequence: Sequence): void {
     const { prefixKey, prefixTokens } = sequence.outcome.request;
     if (prefixTokens === 0 || this.cache.has(prefixKey)) return;
-    const evicted = this.cache.add(prefixKey, prefixTokens);
-    this.observer?.onPrefixCached(prefixKey);
-    for (const key of evicted) this.observer?.onPrefixEvicted(key);
+    this.cache.add(prefixKey, prefixTokens);
   }
 }
 
--- a/benchmarks/src/model/prefix_cache.ts
+++ b/benchmarks/src/model/prefix_cache.ts
@@ -25,19 +25,16 @@
     return tokens;
   }
 
-  /** Holds the prefix and returns the keys that had to go. */
-  add(key: string, tokens: number): string[] {
-    if (tokens > this.#capacity) return [];
+  /** Holds the prefix; others go to make room. */
+  add(key: string, tokens: number): void {
+    if (tokens > this.#capacity) return;
     this.#remove(key);
     this.#tokens.set(key, tokens);
     this.#held += tokens;
-    const evicted: string[] = [];
     for (const oldest of this.#tokens.keys()) {
       if (this.#held <= this.#capacity) break;
       this.#remove(oldest);
-      evicted.push(oldest);
     }
-    return evicted;
   }
 
   clear(): void {
--- /dev/null
+++ b/benchmarks/src/policies/fixed_limit.ts
@@ -0,0 +1,42 @@
+/** Ablation: a number of sequences set by hand. @module */
+import {
+  ConcurrencyLimit,
+  type Cost,
+  type Waiting,
+} from "@sycamorepulley/decisions";
+
+/** See the module. */
+export class FixedLimit extends ConcurrencyLimit {
+  readonly #limit: number;
+  readonly #running = new Set<string>();
+
+  constructor(limit: number) {
+    super();
+    this.#limit = limit;
+  }
+
+  override get running(): number {
+    return this.#running.size;
+  }
+
+  override get limit(): number {
+    return this.#limit;
+  }
+
+  override admits(waiting: Waiting): boolean {
+    if (waiting.suspect) return this.empty;
+    return this.running < this.#limit;
+  }
+
+  override started(id: string, _cost: Cost): void {
+    this.#running.add(id);
+  }
+
+  override firstToken(): void {}
+
+  override progressed(): void {}
+
+  override finished(id: string): void {
+    this.#running.delete(id);
+  }
+}
--- a/benchmarks/src/policies/fleet.ts
+++ b/benchmarks/src/policies/fleet.ts
@@ -23,6 +23,8 @@
   readonly deployment: Deployment;
   readonly random: Random;
   readonly #reports: LoadReport[];
+  /** One-way delay by entry and engine. */
+  readonly #delays: number[][];
 
   constructor(options: {
     loop: EventLoop;
@@ -39,6 +41,11 @@
       outstanding: 0,
       takenAt: 0,
     }));
+    const { entries, shortestDelay, longestDelay } = options.deployment;
+    this.#delays = Array.from({ length: entries }, () =>
+      this.engines.map(() =>
+        options.random.between(shortestDelay, longestDelay)
+      ));
     this.#takeReports();
   }
 
@@ -47,11 +54,9 @@
     return this.#reports[index]!;
   }
 
-  /** Runs `action` after the one-way delay between two processes. */
-  send(action: () => void): void {
-    const { shortestDelay, longestDelay } = this.deployment;
-    const delay = this.random.between(shortestDelay, longestDelay);
-    this.loop.after(delay, action);
+  /** Runs `action` after the one-way delay of the link; links keep order. */
+  send(entry: number, engine: number, action: () => void): void {
+    this.loop.after(this.#delays[entry]![engine]!, action);
   }
 
   #takeReports(): void {
--- /dev/null
+++ b/benchmarks/src/policies/late_binding.ts
@@ -0,0 +1,37 @@
+/** The project's policy: its decisions, wired as entries and sidecars wire them. @module */
+import type { Outcome } from "../model/outcome.ts";
+import { Entry } from "./entry.ts";
+import type { Fleet } from "./fleet.ts";
+import type { LateBindingSettings } from "./late_binding_settings.ts";
+import { type Caller, Policy } from "./policy.ts";
+import { Sidecar } from "./sidecar.ts";
+
+/** See the module. */
+export class LateBinding extends Policy {
+  readonly #entries: Entry[];
+
+  constructor(options: {
+    fleet: Fleet;
+    caller: Caller;
+    settings: LateBindingSettings;
+  }) {
+    super();
+    const { fleet, settings } = options;
+    this.#entries = Array.from(
+      { length: fleet.deployment.entries },
+      (_, index) => new Entry({ ...options, index }),
+    );
+    const sidecars = fleet.engines.map((_, index) =>
+      new Sidecar({ index, fleet, settings, entries: this.#entries })
+    );
+    for (const entry of this.#entries) entry.sidecars = sidecars;
+  }
+
+  override arrive(outcome: Outcome): void {
+    this.#entries[outcome.request.entry]!.arrive(outcome);
+  }
+
+  override abandon(outcome: Outcome): void {
+    this.#entries[outcome.request.entry]!.abandon(outcome);
+  }
+}
--- /dev/null
+++ b/benchmarks/src/policies/late_binding_settings.ts
@@ -0,0 +1,33 @@
+/** What the ablations turn off, one at a time. @module */
+
+/** The whole set of decisions is {@link allDecisions}. */
+export type LateBindingSettings = {
+  /** Reservations placed at once; planned in waves when absent. */
+  reservations: number | undefined;
+  tiers: boolean;
+  fairQueueing: boolean;
+  longBudgets: boolean;
+  prefixAffinity: boolean;
+  /** Sequences at once on each engine; adapted when absent. */
+  fixedLimit: number | undefined;
+  /** Waiting ends when the first token can't come within its goal. */
+  firstTokenBound: boolean;
+  ejection: boolean;
+  suspects: boolean;
+  /** Most reservations that wait at one sidecar. */
+  queueCapacity: number;
+};
+
+/** See the module. */
+export const allDecisions: LateBindingSettings = {
+  reservations: undefined,
+  tiers: true,
+  fairQueueing: true,
+  longBudgets: true,
+  prefixAffinity: true,
+  fixedLimit: undefined,
+  firstTokenBound: true,
+  ejection: true,
+  suspects: true,
+  queueCapacity: 2000,
+};
--- a/benchmarks/src/policies/push.ts
+++ b/benchmarks/src/policies/push.ts
@@ -26,16 +26,16 @@
     const index = this.choose(this.#candidates(), outcome);
     this.#engineOf.set(outcome, index);
     const engine = this.fleet.engines[index]!;
-    this.fleet.send(() => {
+    const caller = this.#caller;
+    const send = (action: () => void) =>
+      this.fleet.send(outcome.request.entry, index, action);
+    send(() => {
       if (!this.#engineOf.has(outcome)) return;
       engine.submit(outcome, {
-        onFirstToken: () => this.#tell(() => this.#caller.firstToken(outcome)),
-        onFinished: () => this.#end(outcome, () => this.#caller.finished(outcome)),
-        onCrashed: () =>
-          this.#end(
-            outcome,
-            () => this.#caller.refused(outcome, "server_crashed"),
-          ),
+        onFirstToken: () => send(() => caller.firstToken(outcome)),
+        onProgress: () => {},
+        onFinished: () => send(() => this.#finished(outcome)),
+        onCrashed: () => send(() => this.#crashed(outcome)),
       });
     });
   }
@@ -45,21 +45,23 @@
     if (index === undefined) return;
     this.#engineOf.delete(outcome);
     const engine = this.fleet.engines[index]!;
-    this.fleet.send(() => engine.cancel(outcome));
+    const { entry } = outcome.request;
+    this.fleet.send(entry, index, () => engine.cancel(outcome));
   }
 
-  #candidates(): number[] {
-    const all = this.fleet.engines.map((_, index) => index);
-    const alive = all.filter((index) => this.fleet.report(index).alive);
-    return alive.length > 0 ? alive : all;
+  #finished(outcome: Outcome): void {
+    this.#engineOf.delete(outcome);
+    this.#caller.finished(outcome);
   }
 
-  #end(outcome: Outcome, tell: () => void): void {
+  #crashed(outcome: Outcome): void {
     this.#engineOf.delete(outcome);
-    this.#tell(tell);
+    this.#caller.refused(outcome, "server_crashed");
   }
 
-  #tell(tell: () => void): void {
-    this.fleet.send(tell);
+  #candidates(): number[] {
+    const all = this.fleet.engines.map((_, index) => index);
+    const alive = all.filter((index) => this.fleet.report(index).alive);
+    return alive.length > 0 ? alive : all;
   }
 }
