--- a/benchmarks/src/policies/entry.ts
+++ b/benchmarks/src/policies/entry.ts
@@ -127,28 +127,29 @@
     if (pending.suspect) {
       this.#suspects.stopped(outcome.request.fingerprint);
     }
-    this.#send(server, (sidecar) => sidecar.cancel(id, outcome));
+    this.#send(server, (sidecar) => sidecar.cancel(id));
   }
 
-  override granted(id: string, server: number): void {
+  override granted(id: string, server: number, grant: number): void {
     const { now } = this.#fleet.loop;
     const pending = this.#pending.get(id);
     const name = this.#nameOf(server);
-    const declined = pending === undefined || pending.server !== undefined ||
-      (pending.suspect && !this.#suspects.started(
-        pending.outcome.request.fingerprint,
-        name,
-        now,
-      ));
-    if (declined) {
+    if (pending === undefined || pending.server !== undefined) {
       this.#send(server, (sidecar) => sidecar.withdraw(id));
-      if (pending?.server === undefined) this.refused(id, server, "suspect_busy");
+      return;
+    }
+    const { fingerprint } = pending.outcome.request;
+    if (
+      pending.suspect && !this.#suspects.started(fingerprint, name, now)
+    ) {
+      this.#send(server, (sidecar) => sidecar.withdraw(id));
+      this.refused(id, server, "suspect_busy");
       return;
     }
     pending.server = server;
     pending.handedOverAt = now;
     pending.holders.delete(name);
-    this.#send(server, (sidecar) => sidecar.handOver(id));
+    this.#send(server, (sidecar) => sidecar.handOver(id, this.#index, grant));
     this.#withdrawFrom(pending);
     this.#retries.success(now);
     this.#ejection.started(name, now);
@@ -157,14 +158,14 @@
   override refused(id: string, server: number, reason: string): void {
     const { now } = this.#fleet.loop;
     const pending = this.#pending.get(id);
-    if (pending === undefined) return;
-    if (reason === "grant_lapsed") pending.server = undefined;
-    if (pending.server !== undefined) return;
-    pending.holders.delete(this.#nameOf(server));
-    pending.plan.lost();
+    if (pending === undefined || pending.server !== undefined) return;
+    if (!pending.holders.delete(this.#nameOf(server))) return;
     pending.lastReason = reason;
-    if (this.#retries.allow(now)) this.#place(pending);
-    if (pending.holders.size === 0) this.#refuse(pending);
+    if (this.#retries.allow(now)) {
+      pending.plan.lost();
+      this.#place(pending);
+    }
+    this.#refuseIfNobodyLeft(pending);
   }
 
   override firstToken(id: string, _server: number): void {
@@ -201,11 +202,11 @@
     this.#ejection.failed(name, "crash", now);
   }
 
-  override failed(id: string, _server: number): void {
+  override failed(id: string, _server: number, reason: string): void {
     const pending = this.#pending.get(id);
     if (pending === undefined) return;
     this.#forget(pending);
-    this.#caller.refused(pending.outcome, "server_crashed");
+    this.#caller.refused(pending.outcome, reason);
   }
 
   override observeLoad(server: number, load: ObservedLoad): void {
@@ -254,6 +255,7 @@
     if (this.#pending.get(pending.id) !== pending) return;
     if (pending.server !== undefined || pending.plan.nextAt !== due) return;
     this.#place(pending);
+    this.#refuseIfNobodyLeft(pending);
   }
 
   #reserve(pending: Pending, server: number): void {
@@ -274,8 +276,9 @@
     this.#send(server, (sidecar) => sidecar.reserve(reservation));
   }
 
-  #refuse(pending: Pending): void {
-    if (!this.#pending.has(pending.id)) return;
+  /** Told at once: no sidecar holds a place and no wave is to come. */
+  #refuseIfNobodyLeft(pending: Pending): void {
+    if (pending.holders.size > 0 || pending.plan.nextAt !== undefined) return;
     this.#forget(pending);
     this.#caller.refused(pending.outcome, pending.lastReason);
   }
--- a/benchmarks/src/policies/fixed_plan.ts
+++ b/benchmarks/src/policies/fixed_plan.ts
@@ -17,7 +17,10 @@
 
   next(): PlannedReservations {
     const missing = this.#wanted - this.#held;
-    const count = Math.max(0, Math.min(missing, MOST_PLACEMENTS - this.#placed));
+    const count = Math.max(
+      0,
+      Math.min(missing, MOST_PLACEMENTS - this.#placed),
+    );
     this.#held += count;
     this.#placed += count;
     return { count, reach: "region" };
--- a/benchmarks/src/policies/fleet.ts
+++ b/benchmarks/src/policies/fleet.ts
@@ -42,10 +42,13 @@
       takenAt: 0,
     }));
     const { entries, shortestDelay, longestDelay } = options.deployment;
-    this.#delays = Array.from({ length: entries }, () =>
-      this.engines.map(() =>
-        options.random.between(shortestDelay, longestDelay)
-      ));
+    this.#delays = Array.from(
+      { length: entries },
+      () =>
+        this.engines.map(() =>
+          options.random.between(shortestDelay, longestDelay)
+        ),
+    );
     this.#takeReports();
   }
 
--- a/benchmarks/src/policies/reservation.ts
+++ b/benchmarks/src/policies/reservation.ts
@@ -19,13 +19,14 @@
 
 /** The sidecar's messages to an entry. */
 export abstract class SidecarPeer {
-  abstract granted(id: string, server: number): void;
+  abstract granted(id: string, server: number, grant: number): void;
   abstract refused(id: string, server: number, reason: string): void;
   abstract firstToken(id: string, server: number): void;
   abstract finished(id: string, server: number): void;
   /** The engine died while it ran these; the entry's own are among them. */
   abstract crashed(fingerprints: readonly string[], server: number): void;
-  abstract failed(id: string, server: number): void;
+  /** The request was handed over and will not be answered. */
+  abstract failed(id: string, server: number, reason: string): void;
   /** Rides beside each of the others. */
   abstract observeLoad(server: number, load: ObservedLoad): void;
 }
--- a/benchmarks/src/policies/sidecar.ts
+++ b/benchmarks/src/policies/sidecar.ts
@@ -1,11 +1,13 @@
 /**
- * The process beside an engine, without its network: queue, limit and
+ * The process beside an engine, without its network: grants, queue, limit and
  * estimates are the product's own.
  * @module
  */
 import {
   type ConcurrencyLimit,
   DrainRate,
+  type GrantDecision,
+  GrantDesk,
   type ObservedLoad,
   ServiceTimeEstimator,
   TokenLimit,
@@ -13,21 +15,18 @@
   WaitingQueue,
 } from "@sycamorepulley/decisions";
 import type { Engine } from "../model/engine.ts";
-import type { Outcome } from "../model/outcome.ts";
 import { FixedLimit } from "./fixed_limit.ts";
 import type { Fleet } from "./fleet.ts";
 import type { LateBindingSettings } from "./late_binding_settings.ts";
 import type { Reservation, SidecarPeer } from "./reservation.ts";
 
-/** An unanswered grant gives its room back after so many milliseconds. */
-const GRANT_LAPSE = 50;
-/** How often those that can no longer be served in time are told. */
-const EXPIRY_INTERVAL = 25;
+/** How often lapsed grants and expired reservations are looked for. */
+const TICK = 25;
 
 type Held = {
   reservation: Reservation;
   waiting: Waiting;
-  state: "waiting" | "granted" | "running";
+  running: boolean;
   startedAt: number;
   firstTokenAt: number;
   tokens: number;
@@ -45,7 +44,7 @@
   readonly #serviceTimes = new ServiceTimeEstimator();
   readonly #drain = new DrainRate();
   readonly #queue: WaitingQueue;
-  #runningSuspect: string | undefined;
+  readonly #desk: GrantDesk;
 
   constructor(options: {
     index: number;
@@ -66,60 +65,49 @@
       capacity: queueCapacity,
       serviceTimeOf: (cost) => this.#serviceTimes.expected(cost),
     });
+    this.#desk = new GrantDesk({ queue: this.#queue, limit: this.#limit });
     this.#engine.observer = {
       onCrashed: () => this.#crashed(),
       onRestarted: () => this.#restarted(),
     };
-    this.#expireRegularly();
+    this.#tick();
   }
 
   reserve(reservation: Reservation): void {
-    if (!this.#engine.alive) {
-      this.#refuse(reservation, "unhealthy");
-      return;
-    }
     const { now } = this.#fleet.loop;
     const waiting = this.#waiting(reservation);
-    const offer = this.#queue.offer(waiting, now);
-    if (!offer.queued) {
-      this.#refuse(reservation, offer.reason);
-      return;
-    }
     this.#held.set(reservation.id, {
       reservation,
       waiting,
-      state: "waiting",
+      running: false,
       startedAt: now,
       firstTokenAt: now,
       tokens: 0,
     });
-    for (const { id } of offer.evicted) this.#drop(id, "evicted");
-    this.#grant();
+    this.#carryOut(this.#desk.reserve(waiting, now));
   }
 
   withdraw(id: string): void {
     const held = this.#held.get(id);
-    if (held === undefined || held.state === "running") return;
+    if (held === undefined || held.running) return;
     this.#held.delete(id);
-    if (held.state === "waiting") this.#queue.withdraw(id);
-    else this.#returnRoom(held);
-    this.#grant();
+    this.#carryOut(this.#desk.withdraw(id, this.#fleet.loop.now));
   }
 
-  handOver(id: string): void {
+  handOver(id: string, entry: number, grant: number): void {
     const { loop } = this.#fleet;
     const held = this.#held.get(id);
-    if (held === undefined || held.state !== "granted") {
-      this.#tell(entryOf(id), (entry) => entry.refused(id, this.#index, "grant_lapsed"));
+    if (held === undefined || !this.#desk.redeem(id, grant).valid) {
+      this.#tell(entry, (peer) => peer.failed(id, this.#index, "grant_lapsed"));
       return;
     }
-    held.state = "running";
+    held.running = true;
     held.startedAt = loop.now;
     this.#engine.submit(held.reservation.outcome, {
       onFirstToken: () => this.#firstToken(held),
       onProgress: () => {
         held.tokens += 1;
-        this.#limit.progressed(id, 1, loop.now);
+        this.#carryOut(this.#desk.progressed(id, 1, loop.now));
       },
       onFinished: () => this.#finished(held),
       onCrashed: () => this.#failed(held),
@@ -127,22 +115,21 @@
   }
 
   /** The caller left. */
-  cancel(id: string, outcome: Outcome): void {
+  cancel(id: string): void {
     const held = this.#held.get(id);
-    if (held === undefined || held.state !== "running") return;
-    this.#engine.cancel(outcome);
+    if (held === undefined || !held.running) return;
+    this.#engine.cancel(held.reservation.outcome);
     this.#end(held, "cancelled");
-    this.#grant();
   }
 
   get load(): ObservedLoad {
     const { now } = this.#fleet.loop;
     const work = this.#queue.workAhead(Infinity);
     return {
-      running: this.#limit.running,
-      waiting: this.#queue.size,
+      running: this.#desk.occupied,
+      waiting: this.#desk.waiting,
       limit: this.#limit.limit,
-      lowestTierRank: this.#queue.lowestTierRank(),
+      lowestTierRank: this.#desk.lowestTierRank,
       expectedWait: this.#drain.expectedWait(work, now),
       healthy: this.#engine.alive,
     };
@@ -168,58 +155,38 @@
     };
   }
 
-  #grant(): void {
-    const { loop } = this.#fleet;
-    while (this.#engine.alive && this.#runningSuspect === undefined) {
-      const waiting = this.#queue.take(
-        loop.now,
-        (one) => this.#limit.admits(one),
-      );
-      if (waiting === undefined) return;
-      const held = this.#held.get(waiting.id)!;
-      held.state = "granted";
-      if (waiting.suspect) this.#runningSuspect = waiting.id;
-      this.#limit.started(waiting.id, waiting.cost, loop.now);
-      this.#tell(
-        held.reservation.entry,
-        (entry) => entry.granted(waiting.id, this.#index),
-      );
-      loop.after(GRANT_LAPSE, () => this.#lapse(held));
+  #carryOut(decisions: readonly GrantDecision[]): void {
+    for (const decision of decisions) {
+      const { id } = decision;
+      const held = this.#held.get(id);
+      if (held === undefined) continue;
+      const { entry } = held.reservation;
+      if (decision.kind === "grant") {
+        const { grant } = decision;
+        this.#tell(entry, (peer) => peer.granted(id, this.#index, grant));
+      } else {
+        this.#held.delete(id);
+        const { reason } = decision;
+        this.#tell(entry, (peer) => peer.refused(id, this.#index, reason));
+      }
     }
   }
 
-  #lapse(held: Held): void {
-    if (held.state !== "granted") return;
-    if (this.#held.get(held.waiting.id) !== held) return;
-    this.#held.delete(held.waiting.id);
-    this.#returnRoom(held);
-    this.#grant();
-  }
-
-  #returnRoom(held: Held): void {
-    const { id } = held.waiting;
-    this.#limit.finished(id, "cancelled", this.#fleet.loop.now);
-    this.#queue.settle(held.waiting, { promptTokens: 0, outputTokens: 0 });
-    if (this.#runningSuspect === id) this.#runningSuspect = undefined;
-  }
-
   #firstToken(held: Held): void {
-    const { loop } = this.#fleet;
+    const { now } = this.#fleet.loop;
     const { id } = held.waiting;
-    held.firstTokenAt = loop.now;
+    held.firstTokenAt = now;
     held.tokens = 1;
-    this.#limit.firstToken(id, loop.now);
+    this.#desk.firstToken(id, now);
     this.#tell(
       held.reservation.entry,
-      (entry) => entry.firstToken(id, this.#index),
+      (peer) => peer.firstToken(id, this.#index),
     );
-    this.#grant();
   }
 
   #finished(held: Held): void {
     const { now } = this.#fleet.loop;
     const { id, cost } = held.waiting;
-    this.#end(held, "ok");
     const actual = {
       promptTokens: cost.promptTokens,
       outputTokens: held.tokens,
@@ -233,63 +200,47 @@
     this.#drain.observe(actual.promptTokens + actual.outputTokens, now);
     this.#tell(
       held.reservation.entry,
-      (entry) => entry.finished(id, this.#index),
+      (peer) => peer.finished(id, this.#index),
     );
-    this.#grant();
+    this.#end(held, "ok");
   }
 
   #failed(held: Held): void {
-    this.#end(held, "failed");
     const { id } = held.waiting;
     this.#tell(
       held.reservation.entry,
-      (entry) => entry.failed(id, this.#index),
+      (peer) => peer.failed(id, this.#index, "server_crashed"),
     );
+    this.#end(held, "failed");
   }
 
   #end(held: Held, outcome: "ok" | "failed" | "cancelled"): void {
     const { id } = held.waiting;
+    const { now } = this.#fleet.loop;
     this.#held.delete(id);
-    this.#limit.finished(id, outcome, this.#fleet.loop.now);
-    if (this.#runningSuspect === id) this.#runningSuspect = undefined;
+    this.#carryOut(this.#desk.finished(id, outcome, now));
   }
 
   #crashed(): void {
-    const held = [...this.#held.values()];
-    const fingerprints = held.filter((one) => one.state === "running")
-      .map((one) => one.reservation.outcome.request.fingerprint);
+    const running = [...this.#held.values()].filter((one) => one.running);
+    const fingerprints = running.map((one) =>
+      one.reservation.outcome.request.fingerprint
+    );
     for (const index of this.#entries.keys()) {
-      this.#tell(index, (entry) => entry.crashed(fingerprints, this.#index));
-    }
-    for (const one of held) {
-      if (one.state === "running") continue;
-      if (one.state === "waiting") this.#queue.withdraw(one.waiting.id);
-      else this.#returnRoom(one);
-      this.#drop(one.waiting.id, "unhealthy");
+      this.#tell(index, (peer) => peer.crashed(fingerprints, this.#index));
     }
+    this.#carryOut(this.#desk.close("unhealthy", this.#fleet.loop.now));
   }
 
   #restarted(): void {
+    this.#desk.open();
     for (const index of this.#entries.keys()) this.#tell(index, () => {});
   }
 
-  #drop(id: string, reason: string): void {
-    const held = this.#held.get(id);
-    if (held === undefined) return;
-    this.#held.delete(id);
-    this.#refuse(held.reservation, reason);
-  }
-
-  #refuse({ id, entry }: Reservation, reason: string): void {
-    this.#tell(entry, (peer) => peer.refused(id, this.#index, reason));
-  }
-
-  #expireRegularly(): void {
+  #tick(): void {
     const { loop } = this.#fleet;
-    for (const { id } of this.#queue.expire(loop.now)) {
-      this.#drop(id, "deadline");
-    }
-    loop.after(EXPIRY_INTERVAL, () => this.#expireRegularly());
+    this.#carryOut(this.#desk.tick(loop.now));
+    loop.after(TICK, () => this.#tick());
   }
 
   #tell(entry: number, message: (entry: SidecarPeer) => void): void {
@@ -301,8 +252,3 @@
     });
   }
 }
-
-/** Reservations carry their entry's number before the first "/". */
-function entryOf(id: string): number {
-  return Number(id.slice(0, id.indexOf("/")));
-}
--- a/benchmarks/src/report/measures.ts
+++ b/benchmarks/src/report/measures.ts
@@ -30,13 +30,9 @@
   fairness: Fairness | undefined;
 };
 
-/**
- * Measures the judged outcomes of one run or of several with unlike seeds.
- * Crashing requests are never judged.
- */
-export function measure(runs: readonly (readonly Outcome[])[]): Measures {
-  const judged = runs.map((run) => run.filter((one) => one.request.judged));
-  const outcomes = judged.flat();
+/** Measures the judged outcomes; crashing requests are never judged. */
+export function measure(all: readonly Outcome[]): Measures {
+  const outcomes = all.filter((one) => one.request.judged);
   const tiers = measureTiers(outcomes);
   const measures: Measures = {
     tiers,
@@ -45,7 +41,7 @@
     prefilledTokens: 0,
     lateTokens: 0,
     repeatedTokens: 0,
-    violations: judged.reduce((sum, run) => sum + sheddingViolations(run), 0),
+    violations: sheddingViolations(outcomes),
     fairness: fairness(outcomes),
   };
   for (const outcome of outcomes) {
@@ -56,6 +52,12 @@
   return measures;
 }
 
+/** Prefilled in vain or again, as a share of all that was prefilled. */
+export function wasteShare(measures: Measures): number {
+  const { lateTokens, repeatedTokens, prefilledTokens } = measures;
+  return (lateTokens + repeatedTokens) / prefilledTokens;
+}
+
 function measureTiers(outcomes: readonly Outcome[]): TierMeasures[] {
   const byTier = new Map<string, Outcome[]>();
   for (const outcome of outcomes) {
--- a/benchmarks/src/report/pattern_report.ts
+++ b/benchmarks/src/report/pattern_report.ts
@@ -2,7 +2,7 @@
 import type { Measures } from "./measures.ts";
 import { percent, type Row, table } from "./table.ts";
 
-/** A policy's name and its figures, summed over the seeds. */
+/** A policy's name and its figures. */
 export type Line = { name: string; measures: Measures };
 
 /** Good requests that the bounds allow. */
@@ -13,7 +13,8 @@
   return `${goodputTable(lines, bounds)}\n\n${delayTable(lines)}`;
 }
 
-function goodputTable(lines: readonly Line[], bounds: Bounds): string {
+/** Goodput by tier, waste, order of shedding and fairness. */
+export function goodputTable(lines: readonly Line[], bounds: Bounds): string {
   const tiers = lines[0]!.measures.tiers;
   const heading = [
     "goodput %",
