Serve HTTP through polka's handler, not through a server handed to it

Symptom: every request to a daemon's status port and to an entry's HTTP port hung without an answer; the demo waited for /readyz in vain. Cause: polka attaches its handler in its own listen() only; a server passed as an option and started elsewhere has no listener. Change: the servers call the application's handler.

--- a/packages/daemon/src/common/status_server.ts
+++ b/packages/daemon/src/common/status_server.ts
@@ -2,6 +2,7 @@
 import { createServer } from "node:http";
 import type { Server } from "node:http";
 import polka from "polka";
+import type { Request } from "polka";
 import type { Status } from "@sycamorepulley/platform";
 import { listen } from "./listen.ts";
 import type { Metrics } from "./metrics.ts";
@@ -24,8 +25,7 @@
   options: StatusServerOptions,
 ): Promise<StatusServer> {
   const { address, metrics, ready, status } = options;
-  const server: Server = createServer();
-  polka({ server })
+  const application = polka()
     .get("/healthz", (_request, response) => {
       response.end("ok\n");
     })
@@ -41,6 +41,10 @@
       response.setHeader("content-type", "application/json");
       response.end(`${JSON.stringify(await status(), undefined, 2)}\n`);
     });
+  // polka takes requests only of servers that it starts itself.
+  const server: Server = createServer((request, response) =>
+    application.handler(request as Request, response)
+  );
   const port = await listen(server, address);
   return { port, close: () => server.close() };
 }
--- a/packages/daemon/src/entry/http_front.ts
+++ b/packages/daemon/src/entry/http_front.ts
@@ -6,6 +6,7 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import polka from "polka";
+import type { Request } from "polka";
 import { listen } from "../common/listen.ts";
 import type { Address } from "../common/settings.ts";
 
@@ -42,21 +43,28 @@
   options: HttpFrontOptions,
 ): Promise<HttpFront> {
   const { address, headerBytes, connections, handle, leaving } = options;
-  const server: Server = createServer({
-    maxHeaderSize: headerBytes,
-    // Answers may take minutes; a request's own deadline bounds them.
-    requestTimeout: 0,
-  });
-  server.maxConnections = connections;
   const serve = (request: IncomingMessage, response: ServerResponse) => {
     // The balancer's list lags a stop: its connections must be answered and
     // told to end, or the requests that it still sends would be cut.
     if (leaving()) response.setHeader("connection", "close");
     void handle(request, response);
   };
-  polka({ server, onNoMatch: serve, onError: (_error, _q, r) => r.end() })
+  const application = polka({
+    onNoMatch: serve,
+    onError: (_error, _q, r) => r.end(),
+  })
     .post(CHAT_PATH, serve)
     .all(`${SERVICE_PREFIX}*`, serve);
+  // polka takes requests only of servers that it starts itself.
+  const server: Server = createServer(
+    {
+      maxHeaderSize: headerBytes,
+      // Answers may take minutes; a request's own deadline bounds them.
+      requestTimeout: 0,
+    },
+    (request, response) => application.handler(request as Request, response),
+  );
+  server.maxConnections = connections;
   const port = await listen(server, address);
   return { port, close: () => closed(server) };
 }
