--- a/packages/testing/src/fleet/daemon_process.ts
+++ b/packages/testing/src/fleet/daemon_process.ts
@@ -1,11 +1,15 @@
 /** A daemon as a process. @module */
 import { request } from "undici";
+import type { Dispatcher } from "undici";
 import { LaunchedProcess } from "../process/launched_process.ts";
 import { DAEMON_PROGRAM } from "../process/programs.ts";
 import type { TemporaryDirectory } from "../process/temporary_directory.ts";
 import { waitFor } from "../process/wait_for.ts";
 import type { DaemonSettings } from "./daemon_settings.ts";
 
+/** Milliseconds until a daemon that does not answer fails the test. */
+const STATUS_TIMEOUT = 10_000;
+
 /** A launched daemon that listens. */
 export class DaemonProcess {
   readonly process: LaunchedProcess;
@@ -54,7 +58,7 @@
   /** Waits until the daemon says that it can serve. */
   async waitUntilReady(): Promise<void> {
     await waitFor(`${this.settings.instance} to be ready`, async () => {
-      const answer = await request(`${this.statusUrl}/readyz`);
+      const answer = await this.#get("readyz");
       await answer.body.dump();
       return answer.statusCode === 200;
     });
@@ -62,16 +66,23 @@
 
   /** What `/status` says. */
   async status(): Promise<Record<string, unknown>> {
-    const answer = await request(`${this.statusUrl}/status`);
+    const answer = await this.#get("status");
     return await answer.body.json() as Record<string, unknown>;
   }
 
   /** The metrics whose values are not 0, by name and labels. */
   async metrics(): Promise<Map<string, number>> {
-    const answer = await request(`${this.statusUrl}/metrics`);
+    const answer = await this.#get("metrics");
     return parseMetrics(await answer.body.text());
   }
 
+  #get(path: string): Promise<Dispatcher.ResponseData> {
+    return request(`${this.statusUrl}/${path}`, {
+      headersTimeout: STATUS_TIMEOUT,
+      bodyTimeout: STATUS_TIMEOUT,
+    });
+  }
+
   #urlOf(port: string): string {
     return `http://127.0.0.1:${this.#ports[port]}`;
   }
--- /dev/null
+++ b/packages/testing/test/bad_frame_test.ts
@@ -0,0 +1,62 @@
+// A stray client, a port scanner or a peer of another release reaches the port
+// of the processes' own protocol and sends what is no frame of it. Unguarded,
+// the daemon dies of an exception or waits for gigabytes that never come, and
+// every caller's request on its good links goes with it.
+import { Buffer } from "node:buffer";
+import { once } from "node:events";
+import { connect } from "node:net";
+import t from "tap";
+import { Fleet, waitFor } from "../src/mod.ts";
+import type { DaemonProcess } from "../src/mod.ts";
+
+const BAD_BYTES = {
+  "text of another protocol": Buffer.from("GET / HTTP/1.1\r\n\r\n"),
+  "a frame of 4 GB": Buffer.from("ffffffff00", "hex"),
+  "a frame that is no message": Buffer.from("00000003" + "a1616101", "hex"),
+  "a frame of broken cbor": Buffer.from("00000004" + "ffffffff", "hex"),
+};
+
+const fleet = await Fleet.start({
+  entries: 1,
+  backends: [{
+    kind: "model",
+    service: "assistant",
+    version: "assistant-1",
+    options: { speed: 8 },
+  }],
+});
+t.teardown(() => fleet.stop());
+const caller = fleet.caller();
+
+async function linkErrors(daemon: DaemonProcess) {
+  const metrics = await daemon.metrics();
+  return [...metrics]
+    .filter(([name]) => name.startsWith("sycamorepulley_link_errors_total"))
+    .reduce((sum, [, value]) => sum + value, 0);
+}
+
+async function sendBadBytes(daemon: DaemonProcess, bytes: Uint8Array) {
+  const socket = connect(daemon.protocolPort, "127.0.0.1");
+  socket.on("error", () => {});
+  await once(socket, "connect");
+  socket.write(bytes);
+  socket.resume();
+  await once(socket, "close");
+}
+
+for (const [name, bytes] of Object.entries(BAD_BYTES)) {
+  t.test(`${name} closes the link and is counted`, async (t) => {
+    for (const daemon of [fleet.pairs[0]!.sidecar, fleet.entries[0]!]) {
+      const before = await linkErrors(daemon);
+      await sendBadBytes(daemon, bytes);
+      await waitFor(
+        "the error to be counted",
+        async () => await linkErrors(daemon) > before,
+      );
+      t.notOk(daemon.process.hasEnded);
+    }
+    const marker = name.replaceAll(" ", "-");
+    const outcome = await caller.chat({ marker, service: "assistant" });
+    t.equal(outcome.type, "answered");
+  });
+}
--- /dev/null
+++ b/packages/testing/test/requests_test.ts
@@ -0,0 +1,144 @@
+import t from "tap";
+import {
+  checkDispatchedOnce,
+  checkNotRunTruth,
+  checkWholeAnswers,
+  exampleObjects,
+  Fleet,
+} from "../src/mod.ts";
+import type { FleetOptions } from "../src/mod.ts";
+
+const FLEET: FleetOptions = {
+  entries: 2,
+  backends: [
+    ...[4, 8, 16].map((speed) => ({
+      kind: "model" as const,
+      service: "assistant",
+      version: "assistant-1",
+      options: { speed },
+    })),
+    ...[1, 2].map((callTime) => ({
+      kind: "plain" as const,
+      service: "bookings",
+      version: "bookings-1",
+      options: { callTime },
+    })),
+  ],
+  objects: objectsWithNarrowOrganisation(),
+};
+
+/** As the example, but its caller may not ask for the urgent tier. */
+function objectsWithNarrowOrganisation() {
+  const objects = exampleObjects();
+  objects.organisations[0]!.tiers = ["standard", "batch"];
+  return objects;
+}
+
+const fleet = await Fleet.start(FLEET);
+t.teardown(() => fleet.stop());
+const caller = fleet.caller(fleet.entries[0]);
+const other = fleet.caller(fleet.entries[1]);
+
+t.test("plain chat", async (t) => {
+  const outcome = await caller.chat({ marker: "plain", service: "assistant" });
+  t.match(outcome, { type: "answered", status: 200, text: /^plain:1\/8 / });
+});
+
+t.test("streamed chat", async (t) => {
+  const outcome = await other.chat({
+    marker: "streamed",
+    service: "assistant",
+    stream: true,
+    outputTokens: 40,
+  });
+  t.match(outcome, { type: "answered", ended: true, text: /streamed:40\/40/ });
+});
+
+t.test("idempotent call of a plain service", async (t) => {
+  const outcome = await caller.plain({
+    marker: "lookup",
+    service: "bookings",
+    method: "GET",
+    path: "/bookings/77",
+  });
+  t.match(outcome, { type: "answered", status: 404, text: /not found/ });
+});
+
+t.test("refusals say why and that nothing ran", async (t) => {
+  const chat = { marker: "refused", service: "assistant" };
+  const refused = { type: "refused", ran: "no" };
+  t.match(await caller.chat({ ...chat, token: "wrong" }), {
+    ...refused,
+    status: 401,
+    reason: "unauthorized",
+  });
+  t.match(await caller.chat({ ...chat, tier: "urgent" }), {
+    ...refused,
+    status: 403,
+    reason: "tier_not_allowed",
+  });
+  t.match(await caller.chat({ ...chat, tier: "no-such-tier" }), {
+    ...refused,
+    status: 400,
+    reason: "unknown_tier",
+  });
+  t.match(await caller.chat({ ...chat, service: "no-such-model" }), {
+    ...refused,
+    status: 404,
+    reason: "unknown_model",
+  });
+  const booking = {
+    marker: "refused",
+    method: "POST",
+    path: "/bookings",
+  } as const;
+  t.match(await caller.plain({ ...booking, service: "bookings" }), {
+    ...refused,
+    reason: "idempotency_key_required",
+  });
+  t.match(await caller.plain({ ...booking, service: "no-such-service" }), {
+    ...refused,
+    status: 404,
+    reason: "unknown_service",
+  });
+  t.match(await caller.chat({ ...chat, deadline: 1 }), {
+    ...refused,
+    reason: "deadline",
+  });
+});
+
+t.test("each refusal reason has a counter", async (t) => {
+  const metrics = await fleet.entries[0]!.metrics();
+  const names = [...metrics.keys()].filter((name) =>
+    name.startsWith("sycamorepulley_refusals_total")
+  );
+  for (const reason of ["unauthorized", "unknown_model", "tier_not_allowed"]) {
+    t.ok(names.some((name) => name.includes(`reason="${reason}"`)), reason);
+  }
+});
+
+t.test("crossing chats each get their own whole answer", async (t) => {
+  const outcomes = await Promise.all(
+    Array.from(
+      { length: 60 },
+      (_, index) =>
+        (index % 2 === 0 ? caller : other).chat({
+          marker: `crossing-${index}`,
+          service: "assistant",
+          stream: index % 3 === 0,
+          outputTokens: 1 + index % 20,
+        }),
+    ),
+  );
+  t.same(outcomes.filter(({ type }) => type !== "answered"), []);
+});
+
+t.test("the histories keep the promises", async (t) => {
+  const calls = [...caller.calls, ...other.calls];
+  const chats = calls.filter(({ service }) => service === "assistant");
+  const runs = await fleet.runs();
+  t.ok(runs.length > 60);
+  t.same(checkWholeAnswers(chats), []);
+  t.same(checkDispatchedOnce(runs), []);
+  t.same(checkNotRunTruth(calls, runs), []);
+});
