Claim idempotency keys before dispatch and keep outcomes for resends

Cause: a resent booking could run twice over two entries. Change: the entry claims the key by compare-and-swap before it places the request, records the answer after, releases the claim when the request certainly did not run and marks it unknown otherwise. A call that may not be repeated is heard to its end although its caller left or its deadline passed; the caller's final answer goes out at once.

--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -1,12 +1,15 @@
 /** The entry role: callers' requests in, backend servers' answers out. @module */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { CostEstimator, WaitingAllowance } from "@sycamorepulley/decisions";
+import { ClaimLedger } from "@sycamorepulley/platform";
 import type { Instance, Status } from "@sycamorepulley/platform";
-import { monotonicNow } from "../common/clock.ts";
+import { monotonicNow, wallNow } from "../common/clock.ts";
+import { incarnation } from "../common/identity.ts";
 import { sumByLabel } from "../common/metrics.ts";
 import type { ProcessParts } from "../common/process_parts.ts";
 import type { EntrySettings } from "../common/settings.ts";
 import { HttpAnswerSink } from "./http_answer_sink.ts";
+import { serveKeyed } from "./keyed_request.ts";
 import { readBody } from "./raw_request.ts";
 import { notRun } from "./refusal.ts";
 import type { Refusal } from "./refusal.ts";
@@ -31,6 +34,7 @@
   readonly #regions = new Map<string, string>();
   readonly #estimator = new CostEstimator();
   readonly #directory: SidecarDirectory;
+  readonly #ledger: ClaimLedger;
   readonly #surroundings: RequestSurroundings;
   #nextNumber = 1;
   #running = 0;
@@ -41,6 +45,14 @@
     this.#settings = settings;
     this.#parts = parts;
     this.#regions.set(settings.dataCentre, settings.region);
+    this.#ledger = new ClaimLedger({
+      store: parts.keyValueStore,
+      incarnation,
+      retention: (service) => this.#retention(service),
+      random: parts.random,
+      clock: monotonicNow,
+      wallClock: wallNow,
+    });
     const desk = (service: string) => this.#desk(service);
     this.#directory = new SidecarDirectory({
       hello: parts.hello,
@@ -99,6 +111,7 @@
   }
 
   async close(): Promise<void> {
+    await this.#ledger.drained();
     await this.#directory.close();
   }
 
@@ -153,18 +166,33 @@
     const request = resolved.value;
     const labels = { service: request.service.name, tier: request.tier.name };
     metrics.requests.inc(labels);
-    const task = this.#task(request, sink);
+    const task = this.#task(request);
     response.once("close", () => {
       if (!response.writableFinished) task.callerLeft();
     });
-    this.#count(labels, await task.run());
+    this.#count(labels, await this.#run(task, request, sink));
   }
 
-  #task(request: ResolvedRequest, sink: HttpAnswerSink): RequestTask {
+  #task(request: ResolvedRequest): RequestTask {
     const number = this.#nextNumber;
     this.#nextNumber += 1;
     const surroundings = this.#surroundings;
-    return new RequestTask({ number, request, sink, surroundings });
+    return new RequestTask({ number, request, surroundings });
+  }
+
+  #run(
+    task: RequestTask,
+    request: ResolvedRequest,
+    sink: HttpAnswerSink,
+  ): Promise<RequestOutcome> {
+    const { idempotencyKey } = request;
+    if (idempotencyKey === undefined) return task.run(sink);
+    return serveKeyed({
+      ledger: this.#ledger,
+      request: { ...request, idempotencyKey },
+      sink,
+      run: (recording) => task.run(recording),
+    });
   }
 
   #count(
@@ -213,6 +241,11 @@
     return desk;
   }
 
+  #retention(service: string): number {
+    const found = this.#parts.configuration.index?.service(service);
+    return found?.idempotencyRetention ?? DEFAULT_RETENTION;
+  }
+
   #bounds(service: string) {
     const bounds = this.#parts.configuration.index?.service(service)?.bounds;
     if (!bounds) return NO_ROOM;
@@ -228,5 +261,8 @@
   }
 }
 
+/** Milliseconds that outcomes of a service no longer configured are kept. */
+const DEFAULT_RETENTION = 24 * 60 * 60 * 1000;
+
 /** Bytes of an answer that carry one token, roughly. */
 const BYTES_PER_TOKEN = 4;
--- a/packages/daemon/src/entry/refusal.ts
+++ b/packages/daemon/src/entry/refusal.ts
@@ -16,6 +16,7 @@
   unknown_model: 404,
   idempotency_in_progress: 409,
   idempotency_outcome_unknown: 409,
+  idempotency_outcome_not_kept: 409,
   body_too_large: 413,
   idempotency_key_reused: 422,
   link_lost: 502,
--- a/packages/daemon/src/entry/relay_answer.ts
+++ b/packages/daemon/src/entry/relay_answer.ts
@@ -15,70 +15,105 @@
 export type AnswerOutcome =
   | { kind: "whole"; status: number; bytes: number }
   | { kind: "failed"; refusal: Refusal; begun: boolean }
-  | { kind: "callerLeft" };
+  | { kind: "callerLeft"; begun: boolean };
 
-/** Options of {@link relayAnswer}. */
+/** Options of {@link AnswerRelay}. */
 export type RelayOptions = {
   mailbox: Mailbox<RequestEvent>;
   /** The sidecar that the request was handed to; others' events are late. */
   sidecar: string;
   sink: AnswerSink;
-  /** On the monotonic clock. */
-  deadline: number;
   onFirstByte: (now: number) => void;
 };
 
-/** Relays until the answer is whole, cut, overdue or its caller has left. */
-export async function relayAnswer(
-  options: RelayOptions,
-): Promise<AnswerOutcome> {
-  const { mailbox, sidecar, sink, deadline } = options;
-  const progress = { status: 0, chunks: 0, length: 0 };
-  for (;;) {
-    const event = await mailbox.take(deadline - monotonicNow());
-    if (!event) {
-      if (monotonicNow() < deadline) continue;
-      return failed(progress, "deadline", "unknown");
+/** One answer on its way; may be run on after its caller was given up. */
+export class AnswerRelay {
+  readonly #options: RelayOptions;
+  #status = 0;
+  #chunks = 0;
+  #length = 0;
+
+  constructor(options: RelayOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Relays until the answer is whole, cut or overdue, or its caller has left.
+   * `deadline` is on the monotonic clock.
+   */
+  async run(deadline: number): Promise<AnswerOutcome> {
+    const { mailbox, sidecar } = this.#options;
+    for (;;) {
+      const event = await mailbox.take(deadline - monotonicNow());
+      if (!event) {
+        if (monotonicNow() < deadline) continue;
+        return this.#failed("deadline", "unknown");
+      }
+      if (event.kind === "callerLeft") {
+        return { kind: "callerLeft", begun: this.#status !== 0 };
+      }
+      if (event.kind === "evicted" || event.sidecar !== sidecar) continue;
+      const outcome = await this.#react(event);
+      if (outcome) return outcome;
     }
-    if (event.kind === "callerLeft") return { kind: "callerLeft" };
-    if (event.kind === "evicted" || event.sidecar !== sidecar) continue;
+  }
+
+  async #react(event: RequestEvent): Promise<AnswerOutcome | undefined> {
     switch (event.kind) {
       case "head":
-        progress.status = event.status;
-        sink.head(event.status, event.headers);
-        break;
+        this.#status = event.status;
+        this.#options.sink.head(event.status, event.headers);
+        return undefined;
       case "chunk":
-        // A gap means that bytes were lost or crossed: what follows can't be
-        // part of a whole answer any more.
-        if (event.sequence !== progress.chunks) {
-          return failed(progress, "malformed_answer", "yes");
-        }
-        if (progress.chunks === 0) options.onFirstByte(monotonicNow());
-        progress.chunks += 1;
-        progress.length += event.bytes.byteLength;
-        if (mailbox.heldBytes > HELD_BYTES) {
-          return failed(progress, "caller_too_slow", "yes");
-        }
-        await sink.write(event.bytes);
-        break;
+        return await this.#chunk(event.sequence, event.bytes);
       case "end":
-        if (
-          progress.status === 0 || event.chunks !== progress.chunks ||
-          event.length !== progress.length
-        ) return failed(progress, "malformed_answer", "yes");
-        return {
-          kind: "whole",
-          status: progress.status,
-          bytes: progress.length,
-        };
+        return this.#end(event.chunks, event.length);
       case "failed":
-        return failed(progress, event.reason, event.ran);
+        return this.#failed(event.reason, event.ran);
       case "linkLost":
-        return failed(progress, "link_lost", "unknown");
+        return this.#failed("link_lost", "unknown");
+      default:
+        return undefined;
     }
   }
+
+  async #chunk(
+    sequence: number,
+    bytes: Uint8Array,
+  ): Promise<AnswerOutcome | undefined> {
+    const { mailbox, sink, onFirstByte } = this.#options;
+    // A gap means that bytes were lost or crossed: what follows can't be part
+    // of a whole answer any more.
+    if (sequence !== this.#chunks || this.#status === 0) {
+      return this.#failed("malformed_answer", "yes");
+    }
+    if (this.#chunks === 0) onFirstByte(monotonicNow());
+    this.#chunks += 1;
+    this.#length += bytes.byteLength;
+    if (mailbox.heldBytes > HELD_BYTES) {
+      return this.#failed("caller_too_slow", "yes");
+    }
+    await sink.write(bytes);
+    return undefined;
+  }
+
+  #end(chunks: number, length: number): AnswerOutcome {
+    const whole = this.#status !== 0 && chunks === this.#chunks &&
+      length === this.#length;
+    if (!whole) return this.#failed("malformed_answer", "yes");
+    return { kind: "whole", status: this.#status, bytes: this.#length };
+  }
+
+  #failed(reason: RefusalReason, ran: Refusal["ran"]): AnswerOutcome {
+    const detail = DETAILS[reason] ?? reason.replaceAll("_", " ");
+    const refusal = { reason, ran, detail, retryAfter: TROUBLE_RETRY_AFTER };
+    return { kind: "failed", refusal, begun: this.#status !== 0 };
+  }
 }
 
+/** Advice, in milliseconds, to a caller that ran into a server's trouble. */
+const TROUBLE_RETRY_AFTER = 1000;
+
 const DETAILS: Partial<Record<RefusalReason, string>> = {
   deadline: "the deadline passed while the backend server worked on it",
   link_lost: "the connection to the backend server's sidecar broke",
@@ -90,16 +125,3 @@
   connect_failed: "the backend server could not be reached",
   grant_lapsed: "the offer of the backend server had lapsed",
 };
-
-/** Advice to a caller whose request ran into a server's trouble. */
-const TROUBLE_RETRY_AFTER = 1000;
-
-function failed(
-  progress: { status: number },
-  reason: RefusalReason,
-  ran: Refusal["ran"],
-): AnswerOutcome {
-  const detail = DETAILS[reason] ?? reason.replaceAll("_", " ");
-  const refusal = { reason, ran, detail, retryAfter: TROUBLE_RETRY_AFTER };
-  return { kind: "failed", refusal, begun: progress.status !== 0 };
-}
--- a/packages/daemon/src/entry/request_task.ts
+++ b/packages/daemon/src/entry/request_task.ts
@@ -12,7 +12,7 @@
 import type { PlacementOutcome } from "./placement_task.ts";
 import { notRun } from "./refusal.ts";
 import type { Refusal } from "./refusal.ts";
-import { relayAnswer } from "./relay_answer.ts";
+import { AnswerRelay } from "./relay_answer.ts";
 import type { AnswerOutcome } from "./relay_answer.ts";
 import type { RequestEvent } from "./request_event.ts";
 import type { ResolvedRequest } from "./resolved_request.ts";
@@ -20,6 +20,12 @@
 import type { SessionPool } from "./session_pool.ts";
 import type { SidecarSession } from "./sidecar_session.ts";
 
+/**
+ * Longest that a call which may not be repeated is heard after its caller was
+ * given up, in milliseconds; its sidecar ends it at the same age.
+ */
+export const LONGEST_RUN = 15 * 60 * 1000;
+
 /** What every request task of an entry shares. */
 export type RequestSurroundings = {
   desk: (service: string) => ServiceDesk;
@@ -46,7 +52,7 @@
 export class RequestTask {
   readonly #number: number;
   readonly #request: ResolvedRequest;
-  readonly #sink: AnswerSink;
+  #sink!: AnswerSink;
   readonly #surroundings: RequestSurroundings;
   readonly #lifecycle = new RequestLifecycle();
   readonly #mailbox = new Mailbox<RequestEvent>();
@@ -55,13 +61,11 @@
     options: {
       number: number;
       request: ResolvedRequest;
-      sink: AnswerSink;
       surroundings: RequestSurroundings;
     },
   ) {
     this.#number = options.number;
     this.#request = options.request;
-    this.#sink = options.sink;
     this.#surroundings = options.surroundings;
   }
 
@@ -71,7 +75,8 @@
   }
 
   /** Waits, dispatches and answers; the sink has its final answer after. */
-  async run(): Promise<RequestOutcome> {
+  async run(sink: AnswerSink): Promise<RequestOutcome> {
+    this.#sink = sink;
     const early = this.#earlyRefusal();
     if (early) return this.#refuse(early);
     const admitted = this.#admit();
@@ -149,19 +154,47 @@
   }
 
   async #answer(session: SidecarSession): Promise<RequestOutcome> {
-    const { deadline } = this.#request;
-    const outcome = await relayAnswer({
+    const relay = new AnswerRelay({
       mailbox: this.#mailbox,
       sidecar: session.name,
       sink: this.#sink,
-      deadline,
       onFirstByte: (now) => this.#firstByte(now),
     });
+    const outcome = await relay.run(this.#request.deadline);
+    if (this.#runsOn(outcome)) {
+      return await this.#runOn(session, relay, outcome);
+    }
     if (outcome.kind === "whole") session.forget(this.#number);
     else this.#stop(session, outcome);
     return this.#finish(session, outcome);
   }
 
+  /** A call that can't be repeated is heard to its end, caller or not. */
+  #runsOn(outcome: AnswerOutcome): boolean {
+    if (this.#request.idempotent) return false;
+    return outcome.kind === "callerLeft" || givenUp(outcome);
+  }
+
+  /**
+   * The caller gets its final answer at once; what becomes of the call is
+   * still heard, so that a resend learns the outcome and not "unknown".
+   */
+  async #runOn(
+    session: SidecarSession,
+    relay: AnswerRelay,
+    outcome: AnswerOutcome,
+  ): Promise<RequestOutcome> {
+    if (outcome.kind === "failed") this.#giveUp(outcome);
+    const limit = monotonicNow() + LONGEST_RUN;
+    let later = outcome;
+    while (monotonicNow() < limit && later.kind !== "whole") {
+      later = await relay.run(limit);
+      if (later.kind === "failed") break;
+    }
+    session.forget(this.#number);
+    return this.#finish(session, later);
+  }
+
   #firstByte(now: number): void {
     this.#lifecycle.apply("begin");
     const { service, tier, arrived } = this.#request;
@@ -171,11 +204,10 @@
     );
   }
 
-  /** What can't be repeated runs on; the rest is stopped for others' sake. */
+  /** Stops what its caller gave up, for the sake of others. */
   #stop(session: SidecarSession, outcome: AnswerOutcome): void {
-    const over = outcome.kind === "failed" &&
-      !["deadline", "caller_too_slow"].includes(outcome.refusal.reason);
-    if (over || !this.#request.idempotent) session.forget(this.#number);
+    const over = outcome.kind === "failed" && !givenUp(outcome);
+    if (over) session.forget(this.#number);
     else session.cancel(this.#number);
   }
 
@@ -204,9 +236,13 @@
         now,
       );
     }
+    this.#giveUp(outcome);
+    return { kind: "refused", refusal, begun };
+  }
+
+  #giveUp({ begun, refusal }: { begun: boolean; refusal: Refusal }): void {
     if (begun) this.#sink.cut(refusal);
     else this.#sink.refuse(refusal);
-    return { kind: "refused", refusal, begun };
   }
 
   #refuse(refusal: Refusal): RequestOutcome {
@@ -215,3 +251,9 @@
     return { kind: "refused", refusal, begun: false };
   }
 }
+
+/** The answer was given up here; the backend server still works on it. */
+function givenUp(outcome: AnswerOutcome): boolean {
+  return outcome.kind === "failed" &&
+    ["deadline", "caller_too_slow"].includes(outcome.refusal.reason);
+}
--- a/packages/daemon/test/relay_answer_test.ts
+++ b/packages/daemon/test/relay_answer_test.ts
@@ -1,7 +1,7 @@
 import t from "tap";
 import { AnswerSink } from "../src/entry/answer_sink.ts";
 import { Mailbox } from "../src/entry/mailbox.ts";
-import { relayAnswer } from "../src/entry/relay_answer.ts";
+import { AnswerRelay } from "../src/entry/relay_answer.ts";
 import type { RequestEvent } from "../src/entry/request_event.ts";
 
 class RecordingSink extends AnswerSink {
@@ -33,13 +33,13 @@
   const mailbox = new Mailbox<RequestEvent>();
   for (const event of events) mailbox.put(event);
   const sink = new RecordingSink();
-  const outcome = relayAnswer({
+  const relay = new AnswerRelay({
     mailbox,
     sidecar,
     sink,
-    deadline: Number.MAX_SAFE_INTEGER,
     onFirstByte: () => {},
   });
+  const outcome = relay.run(Number.MAX_SAFE_INTEGER);
   return { outcome, sink };
 }
 
--- a/packages/platform/src/mod.ts
+++ b/packages/platform/src/mod.ts
@@ -35,5 +35,6 @@
 } from "./claims/claim_ledger.ts";
 export type { ClaimAnswer, HeldClaim } from "./claims/claim_answer.ts";
 export type { ClaimKey } from "./claims/claim_identity.ts";
+export { MAXIMUM_BODY_BYTES } from "./claims/outcome.ts";
 export type { Outcome } from "./claims/outcome.ts";
 export { claimCommitOptions } from "./claims/commit_pace.ts";
