--- a/packages/daemon/src/sidecar/sidecar.ts
+++ b/packages/daemon/src/sidecar/sidecar.ts
@@ -7,7 +7,6 @@
 import type { GrantDecision, Suspects } from "@sycamorepulley/decisions";
 import type {
   Cost,
-  Failed,
   HandOver,
   Load,
   Message,
@@ -24,15 +23,11 @@
 import type { HealthProbe } from "./health_probe.ts";
 import { objection } from "./reservation_check.ts";
 import { ReservationTable } from "./reservation_table.ts";
-import { RunningRequest } from "./running_request.ts";
+import { RequestRuns } from "./request_runs.ts";
+import type { RunningRequest } from "./running_request.ts";
 
 /** How often lapsed grants and missed deadlines are looked for. */
 const TICK = 25;
-/**
- * A call that can't be repeated is not stopped at its caller's deadline, since
- * half a payment is worse than a late one; a hung server must still end it.
- */
-const LONGEST_RUN = 15 * 60 * 1000;
 
 /** Options of {@link Sidecar}. */
 export type SidecarOptions = {
@@ -65,18 +60,28 @@
   readonly #options: SidecarOptions;
   readonly #desk: GrantDesk;
   readonly #reservations = new ReservationTable();
-  readonly #running = new Map<string, RunningRequest>();
+  readonly #runs: RequestRuns;
   readonly #connections = new Set<EntryConnection>();
   readonly #crashes = new CrashWatch();
   #leaving = false;
   #healthy = false;
   #timer: NodeJS.Timeout | undefined;
-  #idle: (() => void) | undefined;
 
   constructor(options: SidecarOptions) {
     super();
     this.#options = options;
     this.#desk = options.desk;
+    this.#runs = new RequestRuns({
+      client: options.client,
+      listener: {
+        onFirstToken: (id, now) => this.#desk.firstToken(id, now),
+        onProgress: (id, outputTokens) =>
+          this.#carryOut(
+            this.#desk.progressed(id, outputTokens, monotonicNow()),
+          ),
+      },
+      onSettled: (request, outcome, now) => this.#settle(request, outcome, now),
+    });
   }
 
   get load(): Load {
@@ -96,10 +101,6 @@
     return this.#leaving;
   }
 
-  get running(): number {
-    return this.#running.size;
-  }
-
   connected(connection: EntryConnection): void {
     this.#connections.add(connection);
     connection.send(this.load);
@@ -122,9 +123,7 @@
     this.#leaving = true;
     this.#broadcast({ type: "leaving" });
     this.#carryOut(this.#desk.close("leaving", monotonicNow()));
-    if (this.#running.size > 0) {
-      await new Promise<void>((resolve) => this.#idle = resolve);
-    }
+    await this.#runs.idle();
     for (const connection of this.#connections) connection.end();
     clearTimeout(this.#timer);
   }
@@ -138,7 +137,9 @@
       case "handOver":
         return this.#handOver(connection, message);
       case "cancel":
-        return this.#cancel(connection.reservationId(message.reservation));
+        return this.#runs.cancel(
+          connection.reservationId(message.reservation),
+        );
       case "crashed":
         return this.#learnCrash(message.fingerprints, message.backendServer);
       default:
@@ -153,11 +154,7 @@
     for (const id of this.#reservations.removeConnection(connection)) {
       this.#carryOut(this.#desk.withdraw(id, now));
     }
-    for (const request of this.#running.values()) {
-      if (!request.belongsTo(connection)) continue;
-      if (request.handOver.runToCompletion) continue;
-      request.abort.abort("cancelled");
-    }
+    this.#runs.entryGone(connection);
   }
 
   #reserve(connection: EntryConnection, reserve: Reserve): void {
@@ -175,7 +172,7 @@
     if (verdict.kind === "quarantined") {
       return this.#refuse(connection, reserve.reservation, "quarantined");
     }
-    if (this.#reservations.has(id) || this.#running.has(id)) {
+    if (this.#reservations.has(id) || this.#runs.has(id)) {
       metrics.ignored.inc({ type: "reserve" });
       return;
     }
@@ -207,47 +204,15 @@
     if (!record || !redeemed.valid) {
       // The grant lapsed while the entry was paused: nothing ran, and saying
       // so is true because the body goes no further than here.
-      return this.#sendFailed(connection, handOver, "no", "grant_lapsed");
+      return connection.send({
+        type: "failed",
+        reservation: handOver.reservation,
+        ran: "no",
+        reason: "grant_lapsed",
+      });
     }
-    const request = new RunningRequest({
-      id,
-      connection,
-      reserve: record.reserve,
-      handOver,
-      startedAt: monotonicNow(),
-      listener: {
-        onFirstToken: (id, now) => this.#desk.firstToken(id, now),
-        onProgress: (id, outputTokens) =>
-          this.#carryOut(
-            this.#desk.progressed(id, outputTokens, monotonicNow()),
-          ),
-      },
-    });
-    this.#running.set(id, request);
-    void this.#run(connection, request);
-  }
-
-  async #run(
-    connection: EntryConnection,
-    request: RunningRequest,
-  ): Promise<void> {
-    const { handOver } = request;
-    const deadline = setTimeout(
-      () => request.abort.abort("deadline"),
-      handOver.runToCompletion ? LONGEST_RUN : handOver.remaining,
-    );
-    const outcome = await this.#options.client.run(
-      handOver,
-      request,
-      request.abort.signal,
-    );
-    clearTimeout(deadline);
-    this.#running.delete(request.id);
-    const now = monotonicNow();
-    if (outcome.kind === "whole") request.end();
-    else this.#sendFailed(connection, handOver, outcome.ran, outcome.reason);
-    this.#settle(request, outcome, now);
-    if (this.#running.size === 0) this.#idle?.();
+    const { reserve } = record;
+    this.#runs.start({ id, connection, reserve, handOver });
   }
 
   #settle(
@@ -294,12 +259,6 @@
     );
   }
 
-  #cancel(id: string): void {
-    const request = this.#running.get(id);
-    if (!request) return;
-    request.abort.abort("cancelled");
-  }
-
   #carryOut(decisions: GrantDecision[]): void {
     for (const decision of decisions) this.#carryOutOne(decision);
   }
@@ -340,16 +299,6 @@
     connection.sendLoad(() => this.load, monotonicNow());
   }
 
-  #sendFailed(
-    connection: EntryConnection,
-    handOver: HandOver,
-    ran: Failed["ran"],
-    reason: Failed["reason"],
-  ): void {
-    const { reservation } = handOver;
-    connection.send({ type: "failed", reservation, ran, reason });
-  }
-
   #broadcast(message: Message): void {
     for (const connection of this.#connections) connection.send(message);
   }
