--- a/packages/daemon/src/sidecar/sidecar.ts
+++ b/packages/daemon/src/sidecar/sidecar.ts
@@ -3,10 +3,8 @@
  * here; a grant offers room; the request comes in answer and runs once.
  * @module
  */
-import { GrantDesk } from "@sycamorepulley/decisions";
-import type { GrantDecision, Suspects } from "@sycamorepulley/decisions";
+import type { GrantDecision, GrantDesk } from "@sycamorepulley/decisions";
 import type {
-  Cost,
   HandOver,
   Load,
   Message,
@@ -14,47 +12,19 @@
   Reserve,
 } from "@sycamorepulley/protocol";
 import { monotonicNow } from "../common/clock.ts";
-import type { Log } from "../common/log.ts";
-import type { Metrics } from "../common/metrics.ts";
-import type { BackendClient, RunOutcome } from "./backend_client.ts";
+import type { RunOutcome } from "./backend_client.ts";
 import { CrashWatch } from "./crash_watch.ts";
 import { EntryMessageHandler } from "./entry_connection.ts";
 import type { EntryConnection } from "./entry_connection.ts";
-import type { HealthProbe } from "./health_probe.ts";
 import { objection } from "./reservation_check.ts";
 import { ReservationTable } from "./reservation_table.ts";
+import type { SidecarOptions } from "./sidecar_options.ts";
 import { RequestRuns } from "./request_runs.ts";
 import type { RunningRequest } from "./running_request.ts";
 
 /** How often lapsed grants and missed deadlines are looked for. */
 const TICK = 25;
 
-/** Options of {@link Sidecar}. */
-export type SidecarOptions = {
-  instance: string;
-  service: string;
-  desk: GrantDesk;
-  suspects: Suspects;
-  client: BackendClient;
-  probe: () => HealthProbe;
-  /** Share of an organisation beside others, from the configuration. */
-  weightOf: (organisation: string) => number;
-  /** Milliseconds until a refused request may come back. */
-  retryAfter: (now: number) => number;
-  /** Milliseconds that a new reservation of the lowest tier would wait. */
-  expectedWait: (now: number) => number;
-  /** A whole answer; times in milliseconds from the hand-over. */
-  onServed: (
-    served: { cost: Cost; firstToken: number; total: number },
-    now: number,
-  ) => void;
-  /** Messages that concern the configuration, not requests. */
-  onOtherMessage: (connection: EntryConnection, message: Message) => void;
-  limit: () => number;
-  metrics: Metrics;
-  log: Log;
-};
-
 /** One backend server's queue, limit, health and running requests. */
 export class Sidecar extends EntryMessageHandler {
   readonly #options: SidecarOptions;
