Set the gauges whenever /metrics is read

The gauges waiting, running and limit were set only when /status was drawn up, so that a scraper of /metrics alone never saw them. Found by the end-to-end test of a dying sidecar.

--- a/packages/daemon/src/common/status_server.ts
+++ b/packages/daemon/src/common/status_server.ts
@@ -34,6 +34,8 @@
       response.end(ready() ? "ready\n" : "not ready\n");
     })
     .get("/metrics", async (_request, response) => {
+      // Gauges are set where the status is drawn up.
+      await status();
       response.setHeader("content-type", metrics.registry.contentType);
       response.end(await metrics.registry.metrics());
     })
