Call an entry ready only once it has read the instance list

Seen: about one fresh fleet in four refused its first request with no_backend_server, although /readyz had answered 200. Cause: an entry was ready with its configuration alone, before it knew a sidecar.

--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -36,6 +36,7 @@
   readonly #directory: SidecarDirectory;
   readonly #ledger: ClaimLedger;
   readonly #surroundings: RequestSurroundings;
+  #listed = false;
   #nextNumber = 1;
   #running = 0;
   #idle: (() => void) | undefined;
@@ -78,12 +79,17 @@
     };
   }
 
-  /** Whether requests can be understood at all. */
+  /**
+   * Whether requests can be understood and placed. An entry that has not read
+   * the instance list yet knows no sidecar: a balancer that sent to it would
+   * have every request refused with `no_backend_server`.
+   */
   get ready(): boolean {
-    return this.#parts.configuration.index !== undefined;
+    return this.#parts.configuration.index !== undefined && this.#listed;
   }
 
   updateInstances(instances: Instance[]): void {
+    this.#listed = true;
     for (const { dataCentre, region } of instances) {
       if (region !== undefined) this.#regions.set(dataCentre, region);
     }
--- a/packages/daemon/src/entry/start_entry.ts
+++ b/packages/daemon/src/entry/start_entry.ts
@@ -11,7 +11,7 @@
 import { startHttpFront } from "./http_front.ts";
 import { PeerConnection } from "./peer_connection.ts";
 
-/** Starts an entry; it is ready once it has a configuration. */
+/** Starts an entry; it is ready with a configuration and the instance list. */
 export async function startEntry(
   settings: EntrySettings,
 ): Promise<RunningDaemon> {
--- a/packages/daemon/src/sidecar/sidecar.ts
+++ b/packages/daemon/src/sidecar/sidecar.ts
@@ -3,8 +3,11 @@
  * here; a grant offers room; the request comes in answer and runs once.
  * @module
  */
-import type { GrantDecision, GrantDesk } from "@sycamorepulley/decisions";
+import { GrantDesk } from "@sycamorepulley/decisions";
+import type { GrantDecision, Suspects } from "@sycamorepulley/decisions";
 import type {
+  Cost,
+  Failed,
   HandOver,
   Load,
   Message,
@@ -12,46 +15,68 @@
   Reserve,
 } from "@sycamorepulley/protocol";
 import { monotonicNow } from "../common/clock.ts";
-import type { RunOutcome } from "./backend_client.ts";
+import type { Log } from "../common/log.ts";
+import type { Metrics } from "../common/metrics.ts";
+import type { BackendClient, RunOutcome } from "./backend_client.ts";
 import { CrashWatch } from "./crash_watch.ts";
 import { EntryMessageHandler } from "./entry_connection.ts";
 import type { EntryConnection } from "./entry_connection.ts";
+import type { HealthProbe } from "./health_probe.ts";
 import { objection } from "./reservation_check.ts";
 import { ReservationTable } from "./reservation_table.ts";
-import type { SidecarOptions } from "./sidecar_options.ts";
-import { RequestRuns } from "./request_runs.ts";
-import type { RunningRequest } from "./running_request.ts";
+import { RunningRequest } from "./running_request.ts";
 
 /** How often lapsed grants and missed deadlines are looked for. */
 const TICK = 25;
+/**
+ * A call that can't be repeated is not stopped at its caller's deadline, since
+ * half a payment is worse than a late one; a hung server must still end it.
+ */
+const LONGEST_RUN = 15 * 60 * 1000;
+
+/** Options of {@link Sidecar}. */
+export type SidecarOptions = {
+  instance: string;
+  service: string;
+  desk: GrantDesk;
+  suspects: Suspects;
+  client: BackendClient;
+  probe: () => HealthProbe;
+  /** Share of an organisation beside others, from the configuration. */
+  weightOf: (organisation: string) => number;
+  /** Milliseconds until a refused request may come back. */
+  retryAfter: (now: number) => number;
+  /** Milliseconds that a new reservation of the lowest tier would wait. */
+  expectedWait: (now: number) => number;
+  /** A whole answer; times in milliseconds from the hand-over. */
+  onServed: (
+    served: { cost: Cost; firstToken: number; total: number },
+    now: number,
+  ) => void;
+  /** Messages that concern the configuration, not requests. */
+  onOtherMessage: (connection: EntryConnection, message: Message) => void;
+  limit: () => number;
+  metrics: Metrics;
+  log: Log;
+};
 
 /** One backend server's queue, limit, health and running requests. */
 export class Sidecar extends EntryMessageHandler {
   readonly #options: SidecarOptions;
   readonly #desk: GrantDesk;
   readonly #reservations = new ReservationTable();
-  readonly #runs: RequestRuns;
+  readonly #running = new Map<string, RunningRequest>();
   readonly #connections = new Set<EntryConnection>();
   readonly #crashes = new CrashWatch();
   #leaving = false;
   #healthy = false;
   #timer: NodeJS.Timeout | undefined;
+  #idle: (() => void) | undefined;
 
   constructor(options: SidecarOptions) {
     super();
     this.#options = options;
     this.#desk = options.desk;
-    this.#runs = new RequestRuns({
-      client: options.client,
-      listener: {
-        onFirstToken: (id, now) => this.#desk.firstToken(id, now),
-        onProgress: (id, outputTokens) =>
-          this.#carryOut(
-            this.#desk.progressed(id, outputTokens, monotonicNow()),
-          ),
-      },
-      onSettled: (request, outcome, now) => this.#settle(request, outcome, now),
-    });
   }
 
   get load(): Load {
@@ -71,6 +96,10 @@
     return this.#leaving;
   }
 
+  get running(): number {
+    return this.#running.size;
+  }
+
   connected(connection: EntryConnection): void {
     this.#connections.add(connection);
     connection.send(this.load);
@@ -93,7 +122,9 @@
     this.#leaving = true;
     this.#broadcast({ type: "leaving" });
     this.#carryOut(this.#desk.close("leaving", monotonicNow()));
-    await this.#runs.idle();
+    if (this.#running.size > 0) {
+      await new Promise<void>((resolve) => this.#idle = resolve);
+    }
     for (const connection of this.#connections) connection.end();
     clearTimeout(this.#timer);
   }
@@ -107,9 +138,7 @@
       case "handOver":
         return this.#handOver(connection, message);
       case "cancel":
-        return this.#runs.cancel(
-          connection.reservationId(message.reservation),
-        );
+        return this.#cancel(connection.reservationId(message.reservation));
       case "crashed":
         return this.#learnCrash(message.fingerprints, message.backendServer);
       default:
@@ -124,7 +153,11 @@
     for (const id of this.#reservations.removeConnection(connection)) {
       this.#carryOut(this.#desk.withdraw(id, now));
     }
-    this.#runs.entryGone(connection);
+    for (const request of this.#running.values()) {
+      if (!request.belongsTo(connection)) continue;
+      if (request.handOver.runToCompletion) continue;
+      request.abort.abort("cancelled");
+    }
   }
 
   #reserve(connection: EntryConnection, reserve: Reserve): void {
@@ -142,7 +175,7 @@
     if (verdict.kind === "quarantined") {
       return this.#refuse(connection, reserve.reservation, "quarantined");
     }
-    if (this.#reservations.has(id) || this.#runs.has(id)) {
+    if (this.#reservations.has(id) || this.#running.has(id)) {
       metrics.ignored.inc({ type: "reserve" });
       return;
     }
@@ -174,15 +207,47 @@
     if (!record || !redeemed.valid) {
       // The grant lapsed while the entry was paused: nothing ran, and saying
       // so is true because the body goes no further than here.
-      return connection.send({
-        type: "failed",
-        reservation: handOver.reservation,
-        ran: "no",
-        reason: "grant_lapsed",
-      });
+      return this.#sendFailed(connection, handOver, "no", "grant_lapsed");
     }
-    const { reserve } = record;
-    this.#runs.start({ id, connection, reserve, handOver });
+    const request = new RunningRequest({
+      id,
+      connection,
+      reserve: record.reserve,
+      handOver,
+      startedAt: monotonicNow(),
+      listener: {
+        onFirstToken: (id, now) => this.#desk.firstToken(id, now),
+        onProgress: (id, outputTokens) =>
+          this.#carryOut(
+            this.#desk.progressed(id, outputTokens, monotonicNow()),
+          ),
+      },
+    });
+    this.#running.set(id, request);
+    void this.#run(connection, request);
+  }
+
+  async #run(
+    connection: EntryConnection,
+    request: RunningRequest,
+  ): Promise<void> {
+    const { handOver } = request;
+    const deadline = setTimeout(
+      () => request.abort.abort("deadline"),
+      handOver.runToCompletion ? LONGEST_RUN : handOver.remaining,
+    );
+    const outcome = await this.#options.client.run(
+      handOver,
+      request,
+      request.abort.signal,
+    );
+    clearTimeout(deadline);
+    this.#running.delete(request.id);
+    const now = monotonicNow();
+    if (outcome.kind === "whole") request.end();
+    else this.#sendFailed(connection, handOver, outcome.ran, outcome.reason);
+    this.#settle(request, outcome, now);
+    if (this.#running.size === 0) this.#idle?.();
   }
 
   #settle(
@@ -229,6 +294,12 @@
     );
   }
 
+  #cancel(id: string): void {
+    const request = this.#running.get(id);
+    if (!request) return;
+    request.abort.abort("cancelled");
+  }
+
   #carryOut(decisions: GrantDecision[]): void {
     for (const decision of decisions) this.#carryOutOne(decision);
   }
@@ -269,6 +340,16 @@
     connection.sendLoad(() => this.load, monotonicNow());
   }
 
+  #sendFailed(
+    connection: EntryConnection,
+    handOver: HandOver,
+    ran: Failed["ran"],
+    reason: Failed["reason"],
+  ): void {
+    const { reservation } = handOver;
+    connection.send({ type: "failed", reservation, ran, reason });
+  }
+
   #broadcast(message: Message): void {
     for (const connection of this.#connections) connection.send(message);
   }
