--- a/packages/testing/src/caller/answer_reader.ts
+++ b/packages/testing/src/caller/answer_reader.ts
@@ -8,11 +8,15 @@
 /** Reads the answer to its end; a cut answer becomes `broken`. */
 export async function readOutcome(
   response: Dispatcher.ResponseData,
+  onFirstBytes: () => void = () => {},
 ): Promise<CallOutcome> {
   let raw = "";
   try {
     response.body.setEncoding("utf8");
     for await (const chunk of response.body) {
+      if (raw === "") {
+        onFirstBytes();
+      }
       raw += chunk;
     }
   } catch (error) {
--- a/packages/testing/src/caller/caller.ts
+++ b/packages/testing/src/caller/caller.ts
@@ -14,6 +14,8 @@
   deadline?: number;
   idempotencyKey?: string;
   token?: string;
+  /** Called once, when the answer's first bytes have come. */
+  onFirstBytes?: () => void;
   /** Ends the call from the caller's side. */
   signal?: AbortSignal;
 };
@@ -114,7 +116,7 @@
         signal: call.signal,
         dispatcher: this.#agent,
       });
-      return await readOutcome(response);
+      return await readOutcome(response, call.onFirstBytes);
     } catch (error) {
       return { type: "broken", detail: String(error), text: "" };
     }
