Run version moves: split, evidence, driver under a lease, sidecar's hold

Each entry splits its requests by the move's record, stops the new version on its own evidence and reports to the driver, which is whichever entry holds the move's lease. Steps are compare-and-swaps of a record whose fencing number each new driver raises first. Sidecars keep the records for entries that come during an outage, and hold their own version back for ten seconds on first-hand failures. A request that the new version can't take goes to the old one. Not yet run end to end; a test over processes follows.

--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -3,6 +3,10 @@
 import { CostEstimator, WaitingAllowance } from "@sycamorepulley/decisions";
 import { ClaimLedger } from "@sycamorepulley/platform";
 import type { Instance, Status } from "@sycamorepulley/platform";
+import type { Message } from "@sycamorepulley/protocol";
+import type { ConfigurationPeer } from "../common/configuration_keeper.ts";
+import { EntryMoves } from "../moves/entry_moves.ts";
+import type { DriverAddress } from "../moves/move_driver.ts";
 import { monotonicNow, wallNow } from "../common/clock.ts";
 import { incarnation } from "../common/identity.ts";
 import { sumByLabel } from "../common/metrics.ts";
@@ -12,22 +16,23 @@
 import { serveKeyed } from "./keyed_request.ts";
 import { readBody } from "./raw_request.ts";
 import { notRun } from "./refusal.ts";
-import type { Refusal } from "./refusal.ts";
+import { countOutcome, refuseUnknown } from "./request_counts.ts";
 import { RequestTask } from "./request_task.ts";
-import type { RequestOutcome, RequestSurroundings } from "./request_task.ts";
+import type {
+  RequestOutcome,
+  RequestSurroundings,
+} from "./request_surroundings.ts";
 import { bodyBound, resolveRequest } from "./resolve_request.ts";
 import type { ResolvedRequest } from "./resolved_request.ts";
 import { ServiceDesk } from "./service_desk.ts";
 import { SidecarDirectory } from "./sidecar_directory.ts";
 
-/** Label of requests whose service or tier is not known. */
-const UNKNOWN = "unknown";
-
 /** Bounds of a service that the configuration has dropped meanwhile. */
 const NO_ROOM = { requests: 0, bytes: 0 };
 
 /** Serves callers with one task for each request. */
 export class Entry {
+  readonly moves: EntryMoves;
   readonly #settings: EntrySettings;
   readonly #parts: ProcessParts;
   readonly #desks = new Map<string, ServiceDesk>();
@@ -39,6 +44,8 @@
   #listed = false;
   #nextNumber = 1;
   #running = 0;
+  #entries = 1;
+  #protocolPort = 0;
   #idle: (() => void) | undefined;
 
   constructor(options: { settings: EntrySettings; parts: ProcessParts }) {
@@ -64,15 +71,24 @@
       log: parts.log,
       onPeerRevision: (session, revision) =>
         parts.configuration.peerHas(session, revision),
-      onOtherMessage: (session, message) =>
-        parts.configuration.onMessage(session, message),
+      onOtherMessage: (session, message) => this.hear(session, message),
+    });
+    this.moves = new EntryMoves({
+      store: parts.keyValueStore,
+      index: () => parts.configuration.index,
+      self: () => this.#address(),
+      hello: parts.hello,
+      entries: () => this.#entries,
+      room: (service, version) => this.#desk(service).room.room(version),
+      spread: (service, text) => this.#spread(service, text),
+      random: parts.random,
+      log: parts.log,
     });
     this.#surroundings = {
       desk,
       sessions: this.#directory,
       allowance: new WaitingAllowance((service) => this.#bounds(service)),
-      versionOf: (service) =>
-        parts.configuration.index?.liveVersion(service)?.name,
+      moves: this.moves,
       metrics: parts.metrics,
       random: parts.random,
       onAnswered: (request, bytes) => this.#learn(request, bytes),
@@ -93,9 +109,23 @@
     for (const { dataCentre, region } of instances) {
       if (region !== undefined) this.#regions.set(dataCentre, region);
     }
+    this.#entries = instances.filter((one) => one.role === "entry").length;
     this.#directory.update(instances);
   }
 
+  /** Messages about the configuration and moves, from any peer. */
+  hear(peer: ConfigurationPeer, message: Message): void {
+    if (message.type === "moveRecord") this.moves.offerRecord(message.text);
+    else if (message.type === "evidence") {
+      this.moves.offerEvidence(message.move, message.evidence);
+    } else this.#parts.configuration.onMessage(peer, message);
+  }
+
+  /** The port that the entry's own protocol got. */
+  set protocolPort(port: number) {
+    this.#protocolPort = port;
+  }
+
   /** Serves one caller's request to its end. */
   async handle(
     message: IncomingMessage,
@@ -136,6 +166,7 @@
       retries: await sumByLabel(metrics.retries, "reason"),
       waiting: this.#waiting(),
       running: this.#running,
+      moves: this.moves.status(),
     };
   }
 
@@ -147,7 +178,8 @@
     const { configuration, metrics } = this.#parts;
     const { index } = configuration;
     if (!index) {
-      return this.#refuse(
+      return refuseUnknown(
+        metrics,
         sink,
         notRun("no_configuration", "this instance has no configuration yet"),
       );
@@ -168,7 +200,7 @@
         now: monotonicNow(),
       })
     );
-    if (resolved.isErr) return this.#refuse(sink, resolved.error);
+    if (resolved.isErr) return refuseUnknown(metrics, sink, resolved.error);
     const request = resolved.value;
     const labels = { service: request.service.name, tier: request.tier.name };
     metrics.requests.inc(labels);
@@ -176,7 +208,7 @@
     response.once("close", () => {
       if (!response.writableFinished) task.callerLeft();
     });
-    this.#count(labels, await this.#run(task, request, sink));
+    countOutcome(metrics, labels, await this.#run(task, request, sink));
   }
 
   #task(request: ResolvedRequest): RequestTask {
@@ -201,28 +233,6 @@
     });
   }
 
-  #count(
-    labels: { service: string; tier: string },
-    outcome: RequestOutcome,
-  ): void {
-    const { answers, refusals } = this.#parts.metrics;
-    if (outcome.kind === "answered") answers.inc(labels);
-    else if (outcome.kind === "callerLeft") {
-      refusals.inc({ ...labels, reason: "caller_left", ran: outcome.ran });
-    } else {
-      const { reason, ran } = outcome.refusal;
-      refusals.inc({ ...labels, reason, ran });
-    }
-  }
-
-  /** Refuses a request that named no service and tier that are known. */
-  #refuse(sink: HttpAnswerSink, refusal: Refusal): void {
-    const { reason, ran } = refusal;
-    const labels = { service: UNKNOWN, tier: UNKNOWN, reason, ran };
-    this.#parts.metrics.refusals.inc(labels);
-    sink.refuse(refusal);
-  }
-
   #learn(request: ResolvedRequest, bytes: number): void {
     if (request.service.kind !== "model") return;
     this.#estimator.observe({
@@ -247,6 +257,19 @@
     return desk;
   }
 
+  #address(): DriverAddress {
+    const { instance, advertisedHost, protocol } = this.#settings;
+    const host = advertisedHost ?? protocol.host;
+    return { instance, host, port: this.#protocolPort };
+  }
+
+  /** Sidecars keep a move's record for entries that come while it is out of reach. */
+  #spread(service: string, text: string): void {
+    for (const session of this.#directory.sessionsOf(service)) {
+      session.send({ type: "moveRecord", text });
+    }
+  }
+
   #retention(service: string): number {
     const found = this.#parts.configuration.index?.service(service);
     return found?.idempotencyRetention ?? DEFAULT_RETENTION;
--- a/packages/daemon/src/entry/keyed_request.ts
+++ b/packages/daemon/src/entry/keyed_request.ts
@@ -16,7 +16,7 @@
 import { RecordingSink } from "./recording_sink.ts";
 import { notRun, rejected } from "./refusal.ts";
 import type { Refusal } from "./refusal.ts";
-import type { RequestOutcome } from "./request_task.ts";
+import type { RequestOutcome } from "./request_surroundings.ts";
 import { LONGEST_RUN } from "./request_task.ts";
 import type { ResolvedRequest } from "./resolved_request.ts";
 
--- a/packages/daemon/src/entry/peer_connection.ts
+++ b/packages/daemon/src/entry/peer_connection.ts
@@ -1,13 +1,13 @@
 /**
- * A link that another process opened to an entry, to learn the configuration
- * while the platform's service is down.
+ * A link that another process opened to an entry: to learn the configuration
+ * while the platform's service is down, or to report on a move it drives.
  * @module
  */
 import { LinkError } from "@sycamorepulley/protocol";
 import type { Message, OpenLink } from "@sycamorepulley/protocol";
 import type { ConfigurationKeeper } from "../common/configuration_keeper.ts";
 
-/** Serves configuration messages over one link. */
+/** Hears one peer for as long as its link lasts. */
 export class PeerConnection {
   readonly #open: OpenLink;
 
@@ -22,11 +22,12 @@
   /** Runs until the link ends; the error that ended it, if any. */
   async run(
     configuration: ConfigurationKeeper,
+    hear: (peer: PeerConnection, message: Message) => void,
   ): Promise<LinkError | undefined> {
     configuration.peerHas(this, this.#open.peerHello.configurationRevision);
     try {
       for await (const message of this.#open.messages) {
-        configuration.onMessage(this, message);
+        hear(this, message);
       }
       return undefined;
     } catch (error) {
--- a/packages/daemon/src/entry/request_task.ts
+++ b/packages/daemon/src/entry/request_task.ts
@@ -3,9 +3,7 @@
  * @module
  */
 import { RequestLifecycle } from "@sycamorepulley/decisions";
-import type { WaitingAllowance } from "@sycamorepulley/decisions";
 import { monotonicNow } from "../common/clock.ts";
-import type { Metrics } from "../common/metrics.ts";
 import type { AnswerSink } from "./answer_sink.ts";
 import { Mailbox } from "./mailbox.ts";
 import { PlacementTask } from "./placement_task.ts";
@@ -15,9 +13,12 @@
 import { AnswerRelay } from "./relay_answer.ts";
 import type { AnswerOutcome } from "./relay_answer.ts";
 import type { RequestEvent } from "./request_event.ts";
+import type { MoveChoice } from "../moves/service_move.ts";
+import type {
+  RequestOutcome,
+  RequestSurroundings,
+} from "./request_surroundings.ts";
 import type { ResolvedRequest } from "./resolved_request.ts";
-import type { ServiceDesk } from "./service_desk.ts";
-import type { SessionPool } from "./session_pool.ts";
 import type { SidecarSession } from "./sidecar_session.ts";
 
 /**
@@ -26,27 +27,12 @@
  */
 export const LONGEST_RUN = 15 * 60 * 1000;
 
-/** What every request task of an entry shares. */
-export type RequestSurroundings = {
-  desk: (service: string) => ServiceDesk;
-  sessions: SessionPool;
-  allowance: WaitingAllowance;
-  versionOf: (service: string) => string | undefined;
-  metrics: Metrics;
-  random: () => number;
-  /** A whole answer's tokens and time, for the estimates. */
-  onAnswered: (
-    request: ResolvedRequest,
-    bytes: number,
-    now: number,
-  ) => void;
-};
-
-/** How a request ended; the reason says why it was not answered whole. */
-export type RequestOutcome =
-  | { kind: "answered"; status: number }
-  | { kind: "refused"; refusal: Refusal; begun: boolean }
-  | { kind: "callerLeft"; ran: Refusal["ran"] };
+/**
+ * Milliseconds to a first byte, and for each prompt token. Only ratios between
+ * two versions are judged, so that the scale does not matter.
+ */
+const EXPECTED_BASE = 100;
+const EXPECTED_PER_PROMPT_TOKEN = 0.5;
 
 /** A request's number, lifecycle and events. */
 export class RequestTask {
@@ -56,6 +42,11 @@
   readonly #surroundings: RequestSurroundings;
   readonly #lifecycle = new RequestLifecycle();
   readonly #mailbox = new Mailbox<RequestEvent>();
+  #choice: MoveChoice | { version: string | undefined } = {
+    version: undefined,
+  };
+  #handedOverAt: number | undefined;
+  #firstByteAt: number | undefined;
 
   constructor(
     options: {
@@ -77,6 +68,14 @@
   /** Waits, dispatches and answers; the sink has its final answer after. */
   async run(sink: AnswerSink): Promise<RequestOutcome> {
     this.#sink = sink;
+    const { moves } = this.#surroundings;
+    this.#choice = moves.choose(this.#request.service.name);
+    const outcome = await this.#serve();
+    this.#reportToMove(outcome);
+    return outcome;
+  }
+
+  async #serve(): Promise<RequestOutcome> {
     const early = this.#earlyRefusal();
     if (early) return this.#refuse(early);
     const admitted = this.#admit();
@@ -89,13 +88,14 @@
       return { kind: "callerLeft", ran: "no" };
     }
     this.#lifecycle.apply("handOver");
+    this.#handedOverAt = monotonicNow();
     return await this.#answer(placement.session);
   }
 
   /** Refuses what is known to be shed or quarantined before it waits. */
   #earlyRefusal(): Refusal | undefined {
     const { service, tier, fingerprint } = this.#request;
-    const { desk, versionOf } = this.#surroundings;
+    const { desk } = this.#surroundings;
     const now = monotonicNow();
     const own = desk(service.name);
     const verdict = own.suspects.verdict(fingerprint, now);
@@ -109,7 +109,7 @@
     const shedding = own.servers.shedsTier(
       tier.rank,
       now,
-      versionOf(service.name),
+      this.#choice.version,
     );
     if (!shedding.sheds) return undefined;
     return notRun(
@@ -138,14 +138,26 @@
     );
   }
 
-  #place(): Promise<PlacementOutcome> {
-    const { desk, sessions, versionOf, metrics, random } = this.#surroundings;
-    const service = this.#request.service.name;
+  async #place(): Promise<PlacementOutcome> {
+    const choice = this.#choice;
+    const outcome = await this.#placeOn(choice.version);
+    const fallback = "fallback" in choice ? choice.fallback : undefined;
+    if (outcome.kind !== "refused" || fallback === undefined) return outcome;
+    if (monotonicNow() >= this.#request.deadline) return outcome;
+    // The new version's servers are full, stopped or not there yet; the caller
+    // must not be the one to find that out.
+    this.#surroundings.moves.notRun(choice as MoveChoice);
+    this.#choice = { version: fallback };
+    return await this.#placeOn(fallback);
+  }
+
+  #placeOn(version: string | undefined): Promise<PlacementOutcome> {
+    const { desk, sessions, metrics, random } = this.#surroundings;
     return new PlacementTask({
       number: this.#number,
       request: this.#request,
-      version: versionOf(service),
-      desk: desk(service),
+      version,
+      desk: desk(this.#request.service.name),
       sessions,
       mailbox: this.#mailbox,
       metrics,
@@ -197,6 +209,7 @@
 
   #firstByte(now: number): void {
     this.#lifecycle.apply("begin");
+    this.#firstByteAt = now;
     const { service, tier, arrived } = this.#request;
     this.#surroundings.metrics.firstByte.observe(
       { service: service.name, tier: tier.name },
@@ -245,6 +258,30 @@
     else this.#sink.refuse(refusal);
   }
 
+  /** Tells the move, if one runs, how its version served the request. */
+  #reportToMove(outcome: RequestOutcome): void {
+    const choice = this.#choice;
+    if (!("move" in choice)) return;
+    const { moves } = this.#surroundings;
+    const judged = outcome.kind === "answered" ||
+      (outcome.kind === "refused" && outcome.refusal.ran !== "no" &&
+        outcome.refusal.reason !== "caller_too_slow");
+    if (!judged) return moves.notRun(choice);
+    moves.ended(choice, {
+      route: this.#request.route,
+      failed: outcome.kind !== "answered" || outcome.status >= 500,
+      slowness: this.#slowness(),
+    });
+  }
+
+  /** Time to the first byte over what the prompt's size lets expect. */
+  #slowness(): number | undefined {
+    if (!this.#firstByteAt || !this.#handedOverAt) return undefined;
+    const { promptTokens } = this.#request.cost;
+    const expected = EXPECTED_BASE + EXPECTED_PER_PROMPT_TOKEN * promptTokens;
+    return (this.#firstByteAt - this.#handedOverAt) / expected;
+  }
+
   #refuse(refusal: Refusal): RequestOutcome {
     this.#lifecycle.apply("refuse");
     this.#sink.refuse(refusal);
--- a/packages/daemon/src/entry/service_desk.ts
+++ b/packages/daemon/src/entry/service_desk.ts
@@ -10,6 +10,7 @@
   RetryBudget,
   Suspects,
 } from "@sycamorepulley/decisions";
+import { VersionRoom } from "../moves/version_room.ts";
 
 /** Decisions' state for one service at one entry. */
 export class ServiceDesk {
@@ -17,6 +18,7 @@
   readonly ejection = new Ejection();
   readonly retryBudget = new RetryBudget();
   readonly suspects = new Suspects();
+  readonly room = new VersionRoom();
   readonly servers: BackendServerSet;
 
   constructor(
--- a/packages/daemon/src/entry/sidecar_directory.ts
+++ b/packages/daemon/src/entry/sidecar_directory.ts
@@ -8,18 +8,15 @@
  * @module
  */
 import type { Instance } from "@sycamorepulley/platform";
-import type {
-  Crashed,
-  Hello,
-  LinkError,
-  Message,
-} from "@sycamorepulley/protocol";
+import type { Hello, Message } from "@sycamorepulley/protocol";
 import { monotonicNow } from "../common/clock.ts";
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
 import type { ServiceDesk } from "./service_desk.ts";
 import { SessionPool } from "./session_pool.ts";
-import { SessionListener, SidecarSession } from "./sidecar_session.ts";
+import { DirectoryListener } from "./directory_listener.ts";
+import { SidecarSession } from "./sidecar_session.ts";
+import type { SessionListener } from "./sidecar_session.ts";
 
 /** Options of {@link SidecarDirectory}. */
 export type SidecarDirectoryOptions = {
@@ -82,8 +79,8 @@
     return this.#known.get(name)?.instance.service;
   }
 
-  get openLinks(): number {
-    return this.#open;
+  versionOf(name: string): string | undefined {
+    return this.#known.get(name)?.instance.version;
   }
 
   /** The open sessions of one service. */
@@ -164,6 +161,7 @@
   #removeFromDesk(name: string, known: Known): void {
     const desk = this.#options.desk(known.instance.service ?? "");
     desk.servers.remove(name);
+    desk.room.remove(name);
     desk.ejection.remove(name);
   }
 
@@ -193,92 +191,3 @@
     return session;
   }
 }
-
-/** Feeds what sidecars say into the decisions of their service. */
-class DirectoryListener extends SessionListener {
-  readonly #directory: SidecarDirectory;
-  readonly #options: SidecarDirectoryOptions;
-
-  constructor(directory: SidecarDirectory, options: SidecarDirectoryOptions) {
-    super();
-    this.#directory = directory;
-    this.#options = options;
-  }
-
-  override onOpen(session: SidecarSession, hello: Hello): void {
-    this.#directory.linkOpened();
-    this.#options.log.info("link opened", { sidecar: session.name });
-    this.#options.onPeerRevision(session, hello.configurationRevision);
-    if (hello.leaving) this.#desk(session)?.servers.leaving(session.name);
-  }
-
-  override onMessage(session: SidecarSession, message: Message): void {
-    const now = monotonicNow();
-    const desk = this.#desk(session);
-    switch (message.type) {
-      case "load":
-        desk?.servers.observeLoad(session.name, message, now);
-        return;
-      case "leaving":
-        desk?.servers.leaving(session.name);
-        this.#options.log.info("sidecar leaving", { sidecar: session.name });
-        return;
-      case "crashed":
-        this.#learnCrash(session, message, now);
-        return;
-      case "heartbeat":
-        this.#options.onPeerRevision(session, message.configurationRevision);
-        return;
-      default:
-        this.#options.onOtherMessage(session, message);
-    }
-  }
-
-  override onClosed(
-    session: SidecarSession,
-    error: LinkError | undefined,
-  ): void {
-    // A link that never opened was not counted as open.
-    const never = error?.step === "connect" || error?.step === "hello";
-    if (!never) {
-      this.#directory.linkClosed();
-      this.#options.log.info("link closed", {
-        sidecar: session.name,
-        ...(error ? { step: error.step, reason: error.reason } : {}),
-      });
-    }
-    if (!error) return;
-    const { step, reason } = error;
-    this.#options.metrics.linkErrors.inc({ step, reason });
-    this.#desk(session)?.ejection.failed(
-      session.name,
-      "error",
-      monotonicNow(),
-    );
-  }
-
-  override onIgnored(type: Message["type"]): void {
-    this.#options.metrics.ignored.inc({ type });
-  }
-
-  /** What ran as a server died is told to the service's other sidecars. */
-  #learnCrash(
-    session: SidecarSession,
-    crash: Crashed,
-    now: number,
-  ): void {
-    const service = this.#directory.serviceOf(session.name);
-    if (service === undefined) return;
-    const desk = this.#options.desk(service);
-    desk.suspects.crashed(crash.fingerprints, crash.backendServer, now);
-    desk.ejection.failed(session.name, "crash", now);
-    for (const peer of this.#directory.sessionsOf(service)) {
-      if (peer !== session) peer.send(crash);
-    }
-  }
-
-  #desk(session: SidecarSession): ServiceDesk | undefined {
-    const service = this.#directory.serviceOf(session.name);
-    return service === undefined ? undefined : this.#options.desk(service);
-  }
-}
--- a/packages/daemon/src/entry/start_entry.ts
+++ b/packages/daemon/src/entry/start_entry.ts
@@ -23,7 +23,11 @@
     address: settings.protocol,
     hello: parts.hello,
     links: settings.bounds.links,
-    serve: (open) => new PeerConnection(open).run(configuration),
+    serve: (open) =>
+      new PeerConnection(open).run(
+        configuration,
+        (peer, message) => entry.hear(peer, message),
+      ),
     metrics,
   });
   const status = await startStatusServer({
@@ -57,7 +61,9 @@
     metrics,
     log,
   });
+  entry.protocolPort = protocol.port;
   void configuration.run(following.signal);
+  const moving = entry.moves.run(following.signal);
   void membership.run();
   lifecycle.apply("started");
   const stop = async () => {
@@ -73,6 +79,7 @@
     if (!whole) log.warn("requests still running at the end of the wait");
     await membership.leave();
     following.abort();
+    await moving;
     await entry.close();
     protocol.close();
     status.close();
--- /dev/null
+++ b/packages/daemon/src/moves/service_move.ts
@@ -0,0 +1,136 @@
+/**
+ * One move as an entry sees it: the record in force, the split of its own
+ * requests and its own evidence.
+ * @module
+ */
+import {
+  endInForce,
+  EvidenceTally,
+  MoveJudge,
+  shareInForce,
+  trialRequestsOfEntry,
+  VersionSplit,
+} from "@sycamorepulley/decisions";
+import type { MoveEnd, RouteEvidence, Side } from "@sycamorepulley/decisions";
+import type { Move } from "@sycamorepulley/configuration";
+import type { MoveStatus } from "@sycamorepulley/platform";
+import { firstRecord } from "./stored_move.ts";
+import type { StoredMove } from "./stored_move.ts";
+
+/** What one request on a move is charged to. */
+export type MoveChoice = {
+  move: string;
+  side: Side;
+  version: string;
+  /** Version that takes the request if the new one has no room for it. */
+  fallback?: string | undefined;
+};
+
+/** Splits, counts and stops at once on own evidence. */
+export class ServiceMove {
+  readonly move: Move;
+  readonly #tally = new EvidenceTally();
+  readonly #judge = new MoveJudge();
+  readonly #split: VersionSplit;
+  #stored: StoredMove;
+
+  constructor(options: { move: Move; now: number; firstRemainder: number }) {
+    const { move, now, firstRemainder } = options;
+    this.move = move;
+    this.#split = new VersionSplit(firstRemainder);
+    this.#stored = { revision: 0, record: firstRecord(move, now) };
+  }
+
+  get stored(): StoredMove {
+    return this.#stored;
+  }
+
+  /** Takes over a record unless it is older; true when it is newer. */
+  adopt(stored: StoredMove): boolean {
+    if (stored.revision <= this.#stored.revision) return false;
+    this.#stored = stored;
+    return true;
+  }
+
+  /** How the move stands; by rule also when no record can be had. */
+  endInForce(now: number): MoveEnd {
+    const { phase } = this.#stored.record;
+    const deadline = Date.parse(this.move.deadline);
+    return endInForce({ phase, deadline }, now);
+  }
+
+  /** The version of the next request; `now` is the wall clock. */
+  choose(now: number, entries: number): MoveChoice {
+    const { record } = this.#stored;
+    this.#split.update({
+      share: shareInForce(record, now),
+      ...(record.phase === "trial"
+        ? { trialRequests: trialRequestsOfEntry(record.trialRequests, entries) }
+        : {}),
+    });
+    const complete = this.endInForce(now) === "complete";
+    const side = complete ? "to" : this.#split.choose();
+    if (side === "from") {
+      return { move: this.move.name, side, version: this.move.from };
+    }
+    const fallback = complete ? undefined : this.move.from;
+    return { move: this.move.name, side, version: this.move.to, fallback };
+  }
+
+  /** A request that was chosen for a side ended. */
+  ended(
+    side: Side,
+    call: { route: string; failed: boolean; slowness?: number | undefined },
+  ): void {
+    if (side === "to") this.#split.ended();
+    this.#tally.ended({ ...call, side });
+  }
+
+  /** A chosen request ended without having run. */
+  notRun(side: Side): void {
+    if (side === "to") this.#split.ended();
+  }
+
+  /** Evidence since the last time; stops the new version on it at once. */
+  takeEvidence(now: number): RouteEvidence[] {
+    const evidence = this.#tally.take();
+    if (this.#judge.observe(evidence, now).kind === "bad") this.#split.stop();
+    return evidence;
+  }
+
+  status(now: number): MoveStatus {
+    const { record } = this.#stored;
+    const end = this.endInForce(now);
+    const { name, service, from, to, deadline } = this.move;
+    return {
+      name,
+      service,
+      from,
+      to,
+      share: end === "complete" ? 1 : shareInForce(record, now),
+      state: statusOf(end, record.phase),
+      deadline,
+      detail: this.#detail(),
+    };
+  }
+
+  #detail(): string {
+    const { phase, reason, evidence, fencing } = this.#stored.record;
+    const routes = evidence.map(({ route, from, to }) =>
+      `${route}: old ${from.failed}/${from.ended} failed, ` +
+      `new ${to.failed}/${to.ended} failed, ${to.slow} slow`
+    );
+    const stopped = this.#split.stopped ? ["stopped here on own evidence"] : [];
+    const head = [
+      `${phase}${reason ? ` (${reason})` : ""}`,
+      `driver ${fencing}`,
+    ];
+    return [...head, ...stopped, ...routes].join("; ");
+  }
+}
+
+function statusOf(end: MoveEnd, phase: string): MoveStatus["state"] {
+  if (end === "complete") return "complete";
+  if (end === "takenBack") return "taken_back";
+  return phase === "pending" ? "waiting" : "moving";
+}
--- a/packages/daemon/src/sidecar/reservation_check.ts
+++ b/packages/daemon/src/sidecar/reservation_check.ts
@@ -6,6 +6,7 @@
   service: string;
   leaving: boolean;
   healthy: boolean;
+  versionStopped: boolean;
 };
 
 /** The reason that speaks against `reserve`, if any. */
@@ -18,5 +19,6 @@
   if (condition.leaving) return "leaving";
   if (reserve.service !== condition.service) return "wrong_service";
   if (!condition.healthy) return "unhealthy";
+  if (condition.versionStopped) return "version_stopped";
   return undefined;
 }
--- a/packages/daemon/src/sidecar/running_request.ts
+++ b/packages/daemon/src/sidecar/running_request.ts
@@ -1,6 +1,7 @@
 /** One request at the backend server, its answer relayed as it comes. @module */
 import type {
   Cost,
+  Failed,
   HandOver,
   Headers,
   Reserve,
@@ -95,6 +96,12 @@
     this.#listener.onFirstToken(this.id, this.#firstTokenAt);
   }
 
+  /** Tells the entry that the answer broke off, or never began. */
+  fail(ran: Failed["ran"], reason: Failed["reason"]): void {
+    const { reservation } = this.handOver;
+    this.#connection.send({ type: "failed", reservation, ran, reason });
+  }
+
   /** Tells the entry that the answer is whole. */
   end(): void {
     this.#connection.send({
--- a/packages/daemon/src/sidecar/sidecar.ts
+++ b/packages/daemon/src/sidecar/sidecar.ts
@@ -3,80 +3,56 @@
  * here; a grant offers room; the request comes in answer and runs once.
  * @module
  */
-import { GrantDesk } from "@sycamorepulley/decisions";
-import type { GrantDecision, Suspects } from "@sycamorepulley/decisions";
+import type { GrantDecision, GrantDesk } from "@sycamorepulley/decisions";
 import type {
-  Cost,
-  Failed,
   HandOver,
   Load,
   Message,
   RefusalReason,
   Reserve,
 } from "@sycamorepulley/protocol";
-import { monotonicNow } from "../common/clock.ts";
-import type { Log } from "../common/log.ts";
-import type { Metrics } from "../common/metrics.ts";
-import type { BackendClient, RunOutcome } from "./backend_client.ts";
+import { monotonicNow, wallNow } from "../common/clock.ts";
+import type { RunOutcome } from "./backend_client.ts";
+import { limitOutcome, serverFailed } from "./run_outcome.ts";
 import { CrashWatch } from "./crash_watch.ts";
 import { EntryMessageHandler } from "./entry_connection.ts";
 import type { EntryConnection } from "./entry_connection.ts";
-import type { HealthProbe } from "./health_probe.ts";
 import { objection } from "./reservation_check.ts";
 import { ReservationTable } from "./reservation_table.ts";
-import { RunningRequest } from "./running_request.ts";
+import type { SidecarOptions } from "./sidecar_options.ts";
+import { RequestRuns } from "./request_runs.ts";
+import type { RunningRequest } from "./running_request.ts";
 
 /** How often lapsed grants and missed deadlines are looked for. */
 const TICK = 25;
-/**
- * A call that can't be repeated is not stopped at its caller's deadline, since
- * half a payment is worse than a late one; a hung server must still end it.
- */
-const LONGEST_RUN = 15 * 60 * 1000;
-
-/** Options of {@link Sidecar}. */
-export type SidecarOptions = {
-  instance: string;
-  service: string;
-  desk: GrantDesk;
-  suspects: Suspects;
-  client: BackendClient;
-  probe: () => HealthProbe;
-  /** Share of an organisation beside others, from the configuration. */
-  weightOf: (organisation: string) => number;
-  /** Milliseconds until a refused request may come back. */
-  retryAfter: (now: number) => number;
-  /** Milliseconds that a new reservation of the lowest tier would wait. */
-  expectedWait: (now: number) => number;
-  /** A whole answer; times in milliseconds from the hand-over. */
-  onServed: (
-    served: { cost: Cost; firstToken: number; total: number },
-    now: number,
-  ) => void;
-  /** Messages that concern the configuration, not requests. */
-  onOtherMessage: (connection: EntryConnection, message: Message) => void;
-  limit: () => number;
-  metrics: Metrics;
-  log: Log;
-};
 
 /** One backend server's queue, limit, health and running requests. */
 export class Sidecar extends EntryMessageHandler {
   readonly #options: SidecarOptions;
   readonly #desk: GrantDesk;
   readonly #reservations = new ReservationTable();
-  readonly #running = new Map<string, RunningRequest>();
+  readonly #runs: RequestRuns;
   readonly #connections = new Set<EntryConnection>();
   readonly #crashes = new CrashWatch();
   #leaving = false;
   #healthy = false;
   #timer: NodeJS.Timeout | undefined;
-  #idle: (() => void) | undefined;
 
   constructor(options: SidecarOptions) {
     super();
     this.#options = options;
     this.#desk = options.desk;
+    this.#runs = new RequestRuns({
+      client: options.client,
+      listener: {
+        onFirstToken: (id, now) => this.#desk.firstToken(id, now),
+        onProgress: (id, outputTokens) =>
+          this.#carryOut(
+            this.#desk.progressed(id, outputTokens, monotonicNow()),
+          ),
+      },
+      onSettled: (request, outcome, now) => this.#settle(request, outcome, now),
+    });
   }
 
   get load(): Load {
@@ -96,13 +72,12 @@
     return this.#leaving;
   }
 
-  get running(): number {
-    return this.#running.size;
-  }
-
   connected(connection: EntryConnection): void {
     this.#connections.add(connection);
     connection.send(this.load);
+    for (const text of this.#options.guard.records) {
+      connection.send({ type: "moveRecord", text });
+    }
   }
 
   /** The backend server's health changed. */
@@ -122,9 +97,7 @@
     this.#leaving = true;
     this.#broadcast({ type: "leaving" });
     this.#carryOut(this.#desk.close("leaving", monotonicNow()));
-    if (this.#running.size > 0) {
-      await new Promise<void>((resolve) => this.#idle = resolve);
-    }
+    await this.#runs.idle();
     for (const connection of this.#connections) connection.end();
     clearTimeout(this.#timer);
   }
@@ -138,9 +111,13 @@
       case "handOver":
         return this.#handOver(connection, message);
       case "cancel":
-        return this.#cancel(connection.reservationId(message.reservation));
+        return this.#runs.cancel(
+          connection.reservationId(message.reservation),
+        );
       case "crashed":
         return this.#learnCrash(message.fingerprints, message.backendServer);
+      case "moveRecord":
+        return this.#options.guard.offerRecord(message.text);
       default:
         return this.#options.onOtherMessage(connection, message);
     }
@@ -153,11 +130,7 @@
     for (const id of this.#reservations.removeConnection(connection)) {
       this.#carryOut(this.#desk.withdraw(id, now));
     }
-    for (const request of this.#running.values()) {
-      if (!request.belongsTo(connection)) continue;
-      if (request.handOver.runToCompletion) continue;
-      request.abort.abort("cancelled");
-    }
+    this.#runs.entryGone(connection);
   }
 
   #reserve(connection: EntryConnection, reserve: Reserve): void {
@@ -169,13 +142,14 @@
       service,
       leaving: this.#leaving,
       healthy: this.#healthy,
+      versionStopped: this.#options.guard.stopped(now),
     });
     if (reason) return this.#refuse(connection, reserve.reservation, reason);
     const verdict = suspects.verdict(reserve.fingerprint ?? "", now);
     if (verdict.kind === "quarantined") {
       return this.#refuse(connection, reserve.reservation, "quarantined");
     }
-    if (this.#reservations.has(id) || this.#running.has(id)) {
+    if (this.#reservations.has(id) || this.#runs.has(id)) {
       metrics.ignored.inc({ type: "reserve" });
       return;
     }
@@ -207,47 +181,15 @@
     if (!record || !redeemed.valid) {
       // The grant lapsed while the entry was paused: nothing ran, and saying
       // so is true because the body goes no further than here.
-      return this.#sendFailed(connection, handOver, "no", "grant_lapsed");
+      return connection.send({
+        type: "failed",
+        reservation: handOver.reservation,
+        ran: "no",
+        reason: "grant_lapsed",
+      });
     }
-    const request = new RunningRequest({
-      id,
-      connection,
-      reserve: record.reserve,
-      handOver,
-      startedAt: monotonicNow(),
-      listener: {
-        onFirstToken: (id, now) => this.#desk.firstToken(id, now),
-        onProgress: (id, outputTokens) =>
-          this.#carryOut(
-            this.#desk.progressed(id, outputTokens, monotonicNow()),
-          ),
-      },
-    });
-    this.#running.set(id, request);
-    void this.#run(connection, request);
-  }
-
-  async #run(
-    connection: EntryConnection,
-    request: RunningRequest,
-  ): Promise<void> {
-    const { handOver } = request;
-    const deadline = setTimeout(
-      () => request.abort.abort("deadline"),
-      handOver.runToCompletion ? LONGEST_RUN : handOver.remaining,
-    );
-    const outcome = await this.#options.client.run(
-      handOver,
-      request,
-      request.abort.signal,
-    );
-    clearTimeout(deadline);
-    this.#running.delete(request.id);
-    const now = monotonicNow();
-    if (outcome.kind === "whole") request.end();
-    else this.#sendFailed(connection, handOver, outcome.ran, outcome.reason);
-    this.#settle(request, outcome, now);
-    if (this.#running.size === 0) this.#idle?.();
+    const { reserve } = record;
+    this.#runs.start({ id, connection, reserve, handOver });
   }
 
   #settle(
@@ -266,6 +208,9 @@
     } else if (outcome.reason === "connect_failed") {
       this.#options.probe().down();
     }
+    const { route } = reserve;
+    const failed = serverFailed(outcome);
+    this.#options.guard.ended({ route, failed }, now, wallNow());
     this.#carryOut(
       this.#desk.finished(request.id, limitOutcome(outcome), now),
     );
@@ -294,12 +239,6 @@
     );
   }
 
-  #cancel(id: string): void {
-    const request = this.#running.get(id);
-    if (!request) return;
-    request.abort.abort("cancelled");
-  }
-
   #carryOut(decisions: GrantDecision[]): void {
     for (const decision of decisions) this.#carryOutOne(decision);
   }
@@ -340,16 +279,6 @@
     connection.sendLoad(() => this.load, monotonicNow());
   }
 
-  #sendFailed(
-    connection: EntryConnection,
-    handOver: HandOver,
-    ran: Failed["ran"],
-    reason: Failed["reason"],
-  ): void {
-    const { reservation } = handOver;
-    connection.send({ type: "failed", reservation, ran, reason });
-  }
-
   #broadcast(message: Message): void {
     for (const connection of this.#connections) connection.send(message);
   }
@@ -369,8 +298,3 @@
     }, TICK);
   }
 }
-
-function limitOutcome(outcome: RunOutcome): "ok" | "failed" | "cancelled" {
-  if (outcome.kind === "whole") return outcome.status < 500 ? "ok" : "failed";
-  return outcome.reason === "cancelled" ? "cancelled" : "failed";
-}
--- /dev/null
+++ b/packages/daemon/src/sidecar/sidecar_options.ts
@@ -0,0 +1,36 @@
+/** What a sidecar is built from. @module */
+import type { GrantDesk, Suspects } from "@sycamorepulley/decisions";
+import type { Cost, Message } from "@sycamorepulley/protocol";
+import type { Log } from "../common/log.ts";
+import type { Metrics } from "../common/metrics.ts";
+import type { BackendClient } from "./backend_client.ts";
+import type { EntryConnection } from "./entry_connection.ts";
+import type { HealthProbe } from "./health_probe.ts";
+import type { VersionGuard } from "./version_guard.ts";
+
+/** Options of the sidecar role. */
+export type SidecarOptions = {
+  instance: string;
+  service: string;
+  desk: GrantDesk;
+  guard: VersionGuard;
+  suspects: Suspects;
+  client: BackendClient;
+  probe: () => HealthProbe;
+  /** Share of an organisation beside others, from the configuration. */
+  weightOf: (organisation: string) => number;
+  /** Milliseconds until a refused request may come back. */
+  retryAfter: (now: number) => number;
+  /** Milliseconds that a new reservation of the lowest tier would wait. */
+  expectedWait: (now: number) => number;
+  /** A whole answer; times in milliseconds from the hand-over. */
+  onServed: (
+    served: { cost: Cost; firstToken: number; total: number },
+    now: number,
+  ) => void;
+  /** Messages that concern the configuration, not requests. */
+  onOtherMessage: (connection: EntryConnection, message: Message) => void;
+  limit: () => number;
+  metrics: Metrics;
+  log: Log;
+};
--- a/packages/daemon/src/sidecar/start_sidecar.ts
+++ b/packages/daemon/src/sidecar/start_sidecar.ts
@@ -23,6 +23,7 @@
 import { EntryConnection } from "./entry_connection.ts";
 import { HealthProbe } from "./health_probe.ts";
 import { Sidecar } from "./sidecar.ts";
+import { VersionGuard } from "./version_guard.ts";
 import { SidecarEstimates } from "./sidecar_estimates.ts";
 
 /** Starts a sidecar; it takes reservations once its server is healthy. */
@@ -129,6 +130,7 @@
   return new Sidecar({
     instance: settings.instance,
     service,
+    guard: new VersionGuard(settings.backendServer.version),
     desk: new GrantDesk({ queue, limit: own.limit }),
     suspects: new Suspects(),
     client: own.client,
--- a/packages/protocol/src/key_map.ts
+++ b/packages/protocol/src/key_map.ts
@@ -51,6 +51,13 @@
   "leaving",
   "runToCompletion",
   "backendServer",
+  "move",
+  "evidence",
+  "from",
+  "to",
+  "ended",
+  "failed",
+  "slow",
 ] as const;
 
 /** Field name to wire key, as `cbor-x` takes it. */
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -216,6 +216,24 @@
   text: v.string(),
 });
 
+const callCounts = v.object({ ended: count, failed: count, slow: count });
+
+/** Ended calls of a move's two versions, from an entry to the move's driver. */
+export const evidenceSchema = v.object({
+  type: v.literal("evidence"),
+  move: text,
+  evidence: v.pipe(
+    v.array(v.object({ route: text, from: callCounts, to: callCounts })),
+    v.maxLength(128),
+  ),
+});
+
+/** A move's record as the platform's service holds it. */
+export const moveRecordSchema = v.object({
+  type: v.literal("moveRecord"),
+  text: v.string(),
+});
+
 /** Every message. */
 export const messageSchema = v.variant("type", [
   helloSchema,
@@ -235,6 +253,8 @@
   heartbeatSchema,
   pullConfigurationSchema,
   configurationSchema,
+  evidenceSchema,
+  moveRecordSchema,
 ]);
 
 /** Any message of the protocol. */
