Notice work that waits inside an engine; share its room by tier

Cause: an engine whose memory was full let quotes wait inside it. The wait was taken for slow prefilling, so it was given one prompt at a time; smaller work of lower tiers took the room that a quote needed. Change: a prompt without its first token for longer than its length explains, while others decode, caps sequences and tokens at what decodes; probes go on slowly. Long and short work split the tokens only against the same or a higher tier, and refused room is kept from lower tiers of any kind.

--- a/packages/decisions/src/limits/adaptive_bound.ts
+++ b/packages/decisions/src/limits/adaptive_bound.ts
@@ -7,6 +7,10 @@
  * bad times are the old bound's and not the new one's, so no second cut is made;
  * without this, a bound that sits before answers of a minute falls to its floor
  * at every overload.
+ *
+ * An engine has bounds of its own, on sequences and on the memory for tokens, and
+ * lets work wait inside beyond them although its streams run well. Once it has
+ * been seen to do so, the bound stays below that point and probes it slowly.
  * @module
  */
 
@@ -14,17 +18,34 @@
 const DEEPEST_CUT = 0.6;
 const SHALLOWEST_CUT = 0.95;
 
+/**
+ * Growth per window beyond the point at which work waited inside the engine: a
+ * tenth in half a minute. Each probe that finds the same point holds up what is
+ * behind it until an answer has finished.
+ */
+const PROBING_GROWTH = 0.002;
+
+/** Settings of an {@link AdaptiveBound}. */
+export type AdaptiveBoundOptions = {
+  initial: number;
+  least: number;
+  most: number;
+  /** Growth of a probe at least; 0 by default. */
+  probingStep?: number;
+};
+
 /** See the module. */
 export class AdaptiveBound {
   readonly #least: number;
   readonly #most: number;
+  readonly #probingStep: number;
   #value: number;
+  #ceiling = Infinity;
   #highestUse = 0;
   #reached = false;
 
-  constructor(
-    options: { initial: number; least: number; most: number },
-  ) {
+  constructor(options: AdaptiveBoundOptions) {
+    this.#probingStep = options.probingStep ?? 0;
     this.#value = options.initial;
     this.#least = options.least;
     this.#most = options.most;
@@ -54,9 +75,11 @@
     const reached = this.#reached;
     this.#endWindow(inUse);
     if (reached) {
+      const probe = this.#ceiling * PROBING_GROWTH;
+      this.#ceiling += Math.max(this.#probingStep, probe);
       const growth = Math.max(step, this.#value * headroom);
       const raised = this.#value + growth;
-      this.#value = Math.min(this.#most, raised);
+      this.#value = Math.min(this.#most, this.#ceiling, raised);
     }
   }
 
@@ -70,6 +93,12 @@
     }
   }
 
+  /** The engine lets work wait inside it with `inUse` served. */
+  blocked(inUse: number): void {
+    this.#value = Math.max(this.#least, inUse);
+    this.#ceiling = this.#value;
+  }
+
   /** Ends a window that calls for no change. */
   hold(inUse: number): void {
     this.#endWindow(inUse);
--- a/packages/decisions/src/limits/call_limit.ts
+++ b/packages/decisions/src/limits/call_limit.ts
@@ -77,7 +77,8 @@
       return false;
     }
     if (waiting.suspect) {
-      this.#passedOver.refused(waiting, undefined, this.#now);
+      const now = this.#now;
+      this.#passedOver.refused({ waiting, long: false, room: "alone", now });
       return false;
     }
     if (this.#passedOver.bars(waiting, false, this.#now)) {
--- a/packages/decisions/src/limits/passed_over.ts
+++ b/packages/decisions/src/limits/passed_over.ts
@@ -20,11 +20,17 @@
 /** A reservation that is not asked about for so long has been withdrawn. */
 const LAPSE = 500;
 
+/**
+ * Whose work may take what was refused: work of the same length, work of any
+ * length, or none, since the reservation must run alone.
+ */
+export type RefusedRoom = "own kind" | "any kind" | "alone";
+
 type Claim = {
   id: string;
   tierRank: number;
-  /** `undefined` for a suspect, which needs the room of all. */
-  long: boolean | undefined;
+  long: boolean;
+  room: RefusedRoom;
   since: number;
   asked: number;
 };
@@ -39,26 +45,39 @@
     if (claim === undefined || claim.id === waiting.id) {
       return false;
     }
-    const sameKind = claim.long === undefined || claim.long === long;
     const lapsed = now - claim.asked > LAPSE;
-    if (!sameKind || lapsed || waiting.tierRank < claim.tierRank) {
+    if (lapsed || waiting.tierRank < claim.tierRank) {
       return false;
     }
-    const lower = claim.long !== undefined && waiting.tierRank > claim.tierRank;
-    return lower || now - claim.since > PATIENCE;
+    const patient = now - claim.since <= PATIENCE;
+    const sameKind = claim.long === long;
+    if (claim.room === "alone") {
+      return !patient;
+    }
+    return waiting.tierRank > claim.tierRank
+      ? sameKind || claim.room === "any kind"
+      : sameKind && !patient;
   }
 
   /** Notes that a reservation found no room although smaller ones may. */
-  refused(waiting: Waiting, long: boolean | undefined, now: number): void {
+  refused(
+    { waiting, long, room, now }: {
+      waiting: Waiting;
+      long: boolean;
+      room: RefusedRoom;
+      now: number;
+    },
+  ): void {
     const { id, tierRank } = waiting;
     const claim = this.#claim;
     if (claim?.id === id) {
       claim.asked = now;
+      claim.room = room;
       return;
     }
     const free = claim === undefined || now - claim.asked > LAPSE;
     if (free || tierRank < claim.tierRank) {
-      this.#claim = { id, tierRank, long, since: now, asked: now };
+      this.#claim = { id, tierRank, long, room, since: now, asked: now };
     }
   }
 
--- a/packages/decisions/src/limits/token_limit.ts
+++ b/packages/decisions/src/limits/token_limit.ts
@@ -29,9 +29,12 @@
 import { BetweenTokens } from "./between_tokens.ts";
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
 import type { Outcome } from "./concurrency_limit.ts";
+import { LastAsked } from "./last_asked.ts";
 import { LoneRun } from "./lone_run.ts";
 import { PassedOver } from "./passed_over.ts";
+import type { RefusedRoom } from "./passed_over.ts";
 import { PrefillRate } from "./prefill_rate.ts";
+import { Prefills } from "./prefills.ts";
 import { RecentMinimum } from "./recent_minimum.ts";
 import type { RunningSequence } from "./running_sequence.ts";
 import { WindowJudge } from "./window_judge.ts";
@@ -46,15 +49,16 @@
 const UNLOADED_TOLERANCE = 2;
 
 const LONG_SHARE = 0.75;
-const SHORT_TOKEN_SHARE = 0.5;
 const PREFILL_SHARE = 0.25;
 const LONG_PREFILL_SHARE = 0.5;
 /** Share of the goal for the first token that a short request may wait. */
 const PLACE_WAIT_SHARE = 0.5;
 /** An engine that is cut to a few places makes no request longer. */
 const LEAST_PLACES = 16;
-/** Milliseconds after a short request in which places are kept for the next. */
+/** Milliseconds after short work in which room is kept for the next. */
 const SHORT_MEMORY = 30_000;
+/** The same after long work: short work makes room soon, so only while it waits. */
+const LONG_MEMORY = 1000;
 
 /** Few enough to show the engine's unloaded time in the first window. */
 const INITIAL_SEQUENCES = UNLOADED_SEQUENCES;
@@ -78,6 +82,7 @@
     initial: INITIAL_SEQUENCES,
     least: 1,
     most: MOST_SEQUENCES,
+    probingStep: 1,
   });
   readonly #tokens = new AdaptiveBound({
     initial: INITIAL_TOKENS,
@@ -87,13 +92,15 @@
   readonly #judge = new WindowJudge();
   readonly #betweenTokens = new BetweenTokens();
   readonly #unloaded = new RecentMinimum();
+  readonly #prefills = new Prefills();
   readonly #prefillRate = new PrefillRate();
   readonly #long = new WorkBudget();
   readonly #short = new WorkBudget();
   readonly #running = new Map<string, RunningSequence>();
   readonly #loneRun = new LoneRun();
   readonly #passedOver = new PassedOver();
-  #lastShort = -Infinity;
+  readonly #shortAsked = new LastAsked();
+  readonly #longAsked = new LastAsked();
   #now = 0;
 
   constructor(options: TokenLimitOptions = {}) {
@@ -130,22 +137,18 @@
       return false;
     }
     const long = this.#isLong(waiting.cost);
-    if (waiting.suspect) {
-      this.#passedOver.refused(waiting, undefined, this.#now);
-      return false;
-    }
-    if (this.#passedOver.bars(waiting, long, this.#now)) {
+    const asked = long ? this.#longAsked : this.#shortAsked;
+    asked.note(waiting.tierRank, this.#now);
+    const refused = this.#refusedRoom(waiting, long);
+    if (refused === "barred") {
       return false;
     }
-    if (!this.#hasSequence(long)) {
-      this.#sequences.refused();
+    if (refused !== undefined) {
+      const now = this.#now;
+      this.#passedOver.refused({ waiting, long, room: refused, now });
       return false;
     }
-    if (this.#fits(long, waiting.cost)) {
-      return true;
-    }
-    this.#passedOver.refused(waiting, long, this.#now);
-    return false;
+    return true;
   }
 
   override started(id: string, cost: Cost, now: number): void {
@@ -153,13 +156,10 @@
     this.#passedOver.started(id);
     this.#loneRun.started(id);
     this.#running.set(id, { cost, long, lastToken: undefined });
-    this.#prefillRate.started(now);
+    this.#prefills.started(id, cost.promptTokens, now);
     this.#budget(long).start(cost);
-    this.#sequences.used(this.#sequencesInUse());
-    this.#tokens.used(this.#tokensInUse());
-    if (!long) {
-      this.#lastShort = now;
-    }
+    this.#sequences.used(this.running);
+    this.#tokens.used(this.#heldTokens);
     this.#advance(now);
   }
 
@@ -170,7 +170,7 @@
     }
     sequence.lastToken = now;
     this.#betweenTokens.first(now);
-    this.#endPrefill(sequence, sequence.cost.promptTokens, now);
+    this.#endPrefill(id, sequence, now);
     this.#advance(now);
   }
 
@@ -195,7 +195,7 @@
       return;
     }
     if (sequence.lastToken === undefined) {
-      this.#endPrefill(sequence, 0, now);
+      this.#endPrefill(id, sequence, now);
     }
     this.#running.delete(id);
     this.#loneRun.finished(id);
@@ -203,26 +203,46 @@
     this.#advance(now);
   }
 
-  #hasSequence(long: boolean): boolean {
-    if (this.running >= this.limit) {
-      return false;
+  /** `barred` where another is to have the room, or a place will come free. */
+  #refusedRoom(
+    waiting: Waiting,
+    long: boolean,
+  ): RefusedRoom | "barred" | undefined {
+    if (waiting.suspect) {
+      return "alone";
+    }
+    if (this.#passedOver.bars(waiting, long, this.#now)) {
+      return "barred";
+    }
+    const share = this.#shareOf(waiting, long);
+    const held = this.#budget(long);
+    const most = long ? Math.max(1, this.limit * share) : Infinity;
+    if (this.running >= this.limit || held.sequences >= most) {
+      this.#sequences.refused();
+      return "barred";
     }
-    const most = Math.max(1, this.limit * this.#longShare);
-    return !long || this.#long.sequences < most;
+    return held.sequences === 0
+      ? undefined
+      : this.#refusedTokens(waiting, held, share);
   }
 
-  #fits(long: boolean, cost: Cost): boolean {
-    const held = this.#budget(long);
-    if (held.sequences === 0) {
-      return true;
+  #refusedTokens(
+    waiting: Waiting,
+    held: WorkBudget,
+    share: number,
+  ): RefusedRoom | undefined {
+    const tokens = tokensOf(waiting.cost);
+    if (held.tokens + tokens > this.tokenLimit * share) {
+      this.#tokens.refused();
+      return "own kind";
     }
-    const share = long ? this.#longShare : SHORT_TOKEN_SHARE;
-    if (held.tokens + tokensOf(cost) > this.tokenLimit * share) {
+    if (this.#heldTokens + tokens > this.tokenLimit) {
       this.#tokens.refused();
-      return false;
+      return "any kind";
     }
-    const prefillShare = long ? LONG_PREFILL_SHARE : 1;
-    return held.prefillTokens < this.prefillLimit * prefillShare;
+    const prefillShare = held === this.#long ? LONG_PREFILL_SHARE : 1;
+    const prefillLimit = this.prefillLimit * prefillShare;
+    return held.prefillTokens < prefillLimit ? undefined : "own kind";
   }
 
   #isLong(cost: Cost): boolean {
@@ -236,32 +256,37 @@
     return long ? this.#long : this.#short;
   }
 
-  /** A place kept for work that does not come would be wasted. */
-  get #longShare(): number {
-    const seen = this.#now - this.#lastShort < SHORT_MEMORY;
-    return seen ? LONG_SHARE : 1;
-  }
-
-  /** As a share of the bound that is nearest to refusing. */
-  #sequencesInUse(): number {
-    return Math.max(this.running, this.#long.sequences / this.#longShare);
+  /**
+   * Room is kept for the other kind while work of it, of the same or a higher
+   * tier, has come lately. Kept for lower tiers too, it would shed quotes before
+   * look-ups.
+   */
+  #shareOf({ tierRank }: Waiting, long: boolean): number {
+    if (long) {
+      const lately = this.#now - SHORT_MEMORY;
+      return this.#shortAsked.since(lately, tierRank) ? LONG_SHARE : 1;
+    }
+    const lately = this.#now - LONG_MEMORY;
+    return this.#longAsked.since(lately, tierRank) ? 1 - LONG_SHARE : 1;
   }
 
-  #tokensInUse(): number {
-    return Math.max(
-      this.#long.tokens / this.#longShare,
-      this.#short.tokens / SHORT_TOKEN_SHARE,
-    );
+  get #heldTokens(): number {
+    return this.#long.tokens + this.#short.tokens;
   }
 
-  #endPrefill(sequence: RunningSequence, tokens: number, now: number): void {
-    this.#prefillRate.ended(tokens, now);
+  #endPrefill(id: string, sequence: RunningSequence, now: number): void {
+    const time = this.#prefills.ended(id, now);
+    if (time !== undefined && sequence.lastToken !== undefined) {
+      this.#prefillRate.observe(time);
+    }
     this.#budget(sequence.long).endPrefill(sequence.cost);
   }
 
   #advance(now: number): void {
     this.#now = now;
-    const decoding = this.running - this.#long.prefills - this.#short.prefills;
+    const prefills = this.#long.prefills + this.#short.prefills;
+    const decoding = this.running - prefills;
+    this.#noticeBlocked(decoding, now);
     const shown = this.#betweenTokens.endWindow(now, decoding);
     if (shown === undefined) {
       return;
@@ -269,14 +294,24 @@
     if (!shown.stalled) {
       this.#observeUnloaded(shown.time, now);
     }
-    const sequences = this.#sequencesInUse();
-    const tokens = this.#tokensInUse();
     this.#judge.judge(shown.time, this.#attainableGoal(), [
-      { bound: this.#sequences, step: 1, inUse: sequences },
-      { bound: this.#tokens, step: TOKEN_STEP, inUse: tokens },
+      { bound: this.#sequences, step: 1, inUse: this.running },
+      { bound: this.#tokens, step: TOKEN_STEP, inUse: this.#heldTokens },
     ]);
   }
 
+  #noticeBlocked(decoding: number, now: number): void {
+    const rate = this.#prefillRate.value;
+    if (decoding === 0 || !this.#prefills.noticeBlocked(rate, now)) {
+      return;
+    }
+
+    this.#sequences.blocked(decoding);
+    this.#tokens.blocked(
+      this.#long.decodingTokens + this.#short.decodingTokens,
+    );
+  }
+
   /** A loaded engine's time says only that the unloaded one is no longer. */
   #observeUnloaded(time: number, now: number): void {
     const known = this.#unloaded.value ?? 0;
--- a/packages/decisions/src/limits/work_budget.ts
+++ b/packages/decisions/src/limits/work_budget.ts
@@ -7,6 +7,8 @@
   tokens = 0;
   prefills = 0;
   prefillTokens = 0;
+  /** Tokens of those that have their first token. */
+  decodingTokens = 0;
 
   start(cost: Cost): void {
     this.sequences += 1;
@@ -18,11 +20,13 @@
   endPrefill(cost: Cost): void {
     this.prefills -= 1;
     this.prefillTokens -= cost.promptTokens;
+    this.decodingTokens += tokensOf(cost);
   }
 
   end(cost: Cost): void {
     this.sequences -= 1;
     this.tokens -= tokensOf(cost);
+    this.decodingTokens -= tokensOf(cost);
   }
 }
 
--- a/packages/decisions/test/token_limit_test.ts
+++ b/packages/decisions/test/token_limit_test.ts
@@ -1,6 +1,7 @@
 import t from "tap";
 import { TokenLimit, WaitingQueue } from "../src/mod.ts";
 import type { Cost } from "../src/mod.ts";
+import type { EngineBounds } from "./virtual_engine.ts";
 import { tokens, VirtualEngine } from "./virtual_engine.ts";
 import { waiting } from "./waiting.ts";
 
@@ -9,10 +10,10 @@
 const QUOTE = tokens(5000, 2000);
 const IDENTIFICATION = tokens(400, 12);
 
-function engineOf(speed: number, mostSequences?: number) {
+function engineOf(speed: number, bounds: EngineBounds = {}) {
   const queue = new WaitingQueue({ capacity: 100 });
   const limit = new TokenLimit();
-  const engine = new VirtualEngine(queue, limit, mostSequences);
+  const engine = new VirtualEngine(queue, limit, bounds);
   engine.speed = speed;
   let count = 0;
   const offer = (cost: Cost, fields = {}) => {
@@ -110,7 +111,7 @@
 // The engine itself runs 16 at once and takes any number. What it holds beyond
 // them waits where no tier is known, so a plan reply stands behind review tags.
 t.test("hardly anything waits inside the engine", (t) => {
-  const { engine, offer, keepWaiting } = engineOf(2.5, 16);
+  const { engine, offer, keepWaiting } = engineOf(2.5, { sequences: 16 });
   engine.run(10_000, () => keepWaiting(REPLY, { tierRank: 2 }));
   const urgent: string[] = [];
   engine.run(20_000, () => {
@@ -127,6 +128,25 @@
   t.end();
 });
 
+// The engine's memory holds nine quotes and it takes any number. The tenth waits
+// inside it until one has finished, a minute or so, with all short work behind it.
+t.test("quotes are kept out of a full memory", (t) => {
+  const { engine, limit, offer, keepWaiting } = engineOf(1, { tokens: 64_000 });
+  const short: string[] = [];
+  engine.run(300_000, () => {
+    keepWaiting(QUOTE);
+    if (engine.steps % 100 === 0) {
+      short.push(offer(IDENTIFICATION));
+    }
+  });
+  t.ok(limit.tokenLimit < 90_000, `${limit.tokenLimit} tokens`);
+  const late = short.filter((id) => {
+    return (engine.answers.get(id)?.firstToken ?? Infinity) > 5000;
+  });
+  t.ok(late.length < 0.1 * short.length, `${late.length}/${short.length}`);
+  t.end();
+});
+
 // Quotes wait without end, and a polisher asks for an identification. It would
 // come after some minutes of quotes: each holds its place a hundred times longer.
 t.test("quotes leave places for identifications", (t) => {
--- a/packages/decisions/test/virtual_engine.ts
+++ b/packages/decisions/test/virtual_engine.ts
@@ -7,7 +7,16 @@
 const STEP_PER_PROMPT_TOKEN = 0.05;
 const PROMPT_TOKENS_PER_STEP = 512;
 
-type Sequence = { id: string; prompt: number; output: number; asked: number };
+type Sequence = {
+  id: string;
+  cost: Cost;
+  prompt: number;
+  output: number;
+  asked: number;
+};
+
+/** What the engine runs at once; what is beyond waits inside it, in order. */
+export type EngineBounds = { sequences?: number; tokens?: number };
 
 /** What a caller received. */
 export type Answer = { id: string; firstToken: number; finished?: number };
@@ -22,17 +31,17 @@
   steps = 0;
   readonly #queue: WaitingQueue;
   readonly #limit: ConcurrencyLimit;
-  readonly #mostSequences: number;
+  readonly #bounds: EngineBounds;
   readonly #running = new Set<Sequence>();
 
   constructor(
     queue: WaitingQueue,
     limit: ConcurrencyLimit,
-    mostSequences = Infinity,
+    bounds: EngineBounds = {},
   ) {
     this.#queue = queue;
     this.#limit = limit;
-    this.#mostSequences = mostSequences;
+    this.#bounds = bounds;
   }
 
   /** Runs until `end`; `arrive` is called before each step. */
@@ -58,12 +67,27 @@
       this.#limit.started(id, cost, this.now);
       const { promptTokens, outputTokens } = cost;
       const sequence = { id, prompt: promptTokens, output: outputTokens };
-      this.#running.add({ ...sequence, asked: arrived });
+      this.#running.add({ ...sequence, cost, asked: arrived });
+    }
+  }
+
+  #batch(): Sequence[] {
+    const { sequences = Infinity, tokens = Infinity } = this.#bounds;
+    const batch: Sequence[] = [];
+    let held = 0;
+    for (const sequence of this.#running) {
+      const { promptTokens, outputTokens } = sequence.cost;
+      held += promptTokens + outputTokens;
+      if (held > tokens || batch.length >= sequences) {
+        break;
+      }
+      batch.push(sequence);
     }
+    return batch;
   }
 
   #step(): void {
-    const batch = [...this.#running].slice(0, this.#mostSequences);
+    const batch = this.#batch();
     let prompt = PROMPT_TOKENS_PER_STEP;
     const decoding = batch.filter((sequence) => {
       const prefilled = Math.min(prompt, sequence.prompt);
