Test version moves over real processes

A first try with 30 s between start and deadline ended 'deadline' instead of 'complete': the guard of 20 s and the fleet's start left 6 s for four steps of about a second's rounds each; the tests give 50 s.

--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -10,6 +10,8 @@
 export { EmulatedProcess } from "./fleet/emulated_process.ts";
 export { EXAMPLE_TOKEN, exampleObjects } from "./fleet/example_objects.ts";
 export { Fleet } from "./fleet/fleet.ts";
+export { MoveFleet } from "./fleet/move_fleet.ts";
+export type { MoveStanding } from "./fleet/move_fleet.ts";
 export type { BackendOptions, FleetOptions, Pair } from "./fleet/fleet.ts";
 export { publishObjects } from "./fleet/publish_objects.ts";
 export { entrySettings, sidecarSettings } from "./fleet/daemon_settings.ts";
--- /dev/null
+++ b/packages/testing/test/move_test.ts
@@ -0,0 +1,35 @@
+import t from "tap";
+import { MoveFleet } from "../src/mod.ts";
+
+/** All steps before the guard of 20 s, on a machine that is busy. */
+const DURATION = 50_000;
+const ENDS_WITHIN = 60_000;
+
+t.test("a good version completes before its deadline", async (t) => {
+  const moving = await MoveFleet.start(DURATION);
+  t.teardown(() => moving.stop());
+  void moving.feed();
+  for (const entry of moving.fleet.entries) {
+    const move = await moving.ended(entry, ENDS_WITHIN);
+    t.match(move, { state: "complete", share: 1 });
+  }
+});
+
+t.test("a bad version is taken back and hardly seen", async (t) => {
+  // Callers get errors at lunch: a new version was started and fails every
+  // call. It must get a few calls of its trial share, and none soon after.
+  const moving = await MoveFleet.start(DURATION);
+  t.teardown(() => moving.stop());
+  await moving.newPair.server.setFaults({
+    errorRates: [{ route: "GET /bookings/1", rate: 1 }],
+  });
+  void moving.feed();
+  for (const entry of moving.fleet.entries) {
+    const move = await moving.ended(entry, ENDS_WITHIN);
+    t.match(move, { state: "taken_back", share: 0, detail: /failures/ });
+  }
+  const seen = await moving.callsOfNew();
+  t.ok(seen > 0, "the trial reached the new version");
+  t.ok(seen <= 20, `few calls reached it: ${seen}`);
+  t.equal(await moving.callsOfNew(), seen);
+});
