Run suspects alone and one at a time, and diagnose a crash before a caller knows

Cause: a resend could overtake the news of a crash and reach another server as an ordinary request; a suspect on a busy server waited for ever; two suspects of one service could run at once. Ruled out: marking every cut answer suspect at the entry (a cut is not a crash, and its report would hide the real one).

--- a/packages/daemon/src/entry/placement_task.ts
+++ b/packages/daemon/src/entry/placement_task.ts
@@ -47,10 +47,14 @@
   /** Reservations lost to a refusal or a broken link, not yet replaced. */
   #lost = 0;
   #refusal: Refusal | undefined;
+  readonly #suspect: boolean;
 
   constructor(options: PlacementTaskOptions) {
     this.#options = options;
-    const { tier, prefixKey, arrived } = options.request;
+    const { tier, prefixKey, arrived, fingerprint } = options.request;
+    const { suspects } = options.desk;
+    const verdict = suspects.verdict(fingerprint, monotonicNow());
+    this.#suspect = verdict.kind === "suspect";
     this.#plan = new ReservationPlan({
       tierRank: tier.rank,
       prefixKey,
@@ -98,6 +102,7 @@
   }
 
   #handOver(sidecar: string, grant: number): PlacementOutcome | undefined {
+    if (this.#suspect && !this.#takeTurn(sidecar)) return undefined;
     const session = this.#held.get(sidecar);
     // Nothing was sent when the link is gone: the request may go elsewhere.
     if (!session?.handOver(this.#handOverMessage(grant))) {
@@ -111,6 +116,22 @@
     return { kind: "handedOver", session };
   }
 
+  /**
+   * One suspect of a service runs at a time, so that a second crash takes one
+   * server and tells who did it.
+   */
+  #takeTurn(sidecar: string): boolean {
+    const { desk, request, number } = this.#options;
+    const { fingerprint } = request;
+    if (desk.suspects.started(fingerprint, sidecar, monotonicNow())) {
+      return true;
+    }
+    this.#held.get(sidecar)?.withdraw(number);
+    this.#held.delete(sidecar);
+    this.#plan.lost();
+    return false;
+  }
+
   #refused(event: RequestEvent & { kind: "refuse" }): undefined {
     const { sidecar, reason, retryAfter } = event;
     const { desk, request } = this.#options;
@@ -134,7 +155,13 @@
 
   #reserveMore(now: number): "placed" | "nobody left" {
     this.#spendBudget(now);
+    // Each server that holds a suspect's place empties itself for it.
+    if (this.#suspect && this.#held.size > 0) return "placed";
     const planned = this.#plan.next(now);
+    if (this.#suspect) {
+      this.#plan.lost(Math.max(0, planned.count - 1));
+      planned.count = Math.min(planned.count, 1);
+    }
     if (planned.count > 0) {
       const names = this.#choose(planned, now);
       for (const name of names) this.#reserve(name, now);
@@ -193,8 +220,7 @@
   }
 
   #reserveMessage(now: number): Reserve {
-    const { number, request, desk } = this.#options;
-    const verdict = desk.suspects.verdict(request.fingerprint, now);
+    const { number, request } = this.#options;
     return {
       type: "reserve",
       reservation: number,
@@ -206,7 +232,7 @@
       remaining: request.deadline - now,
       fingerprint: request.fingerprint,
       ...(request.prefixKey ? { prefixKey: request.prefixKey } : {}),
-      ...(verdict.kind === "suspect" ? { suspect: true } : {}),
+      ...(this.#suspect ? { suspect: true } : {}),
     };
   }
 
--- a/packages/daemon/src/entry/request_task.ts
+++ b/packages/daemon/src/entry/request_task.ts
@@ -226,7 +226,10 @@
 
   #finish(session: SidecarSession, outcome: AnswerOutcome): RequestOutcome {
     const now = monotonicNow();
-    const { ejection } = this.#surroundings.desk(this.#request.service.name);
+    const { service, fingerprint } = this.#request;
+    const { ejection, suspects } = this.#surroundings.desk(service.name);
+    if (outcome.kind === "whole") suspects.completed(fingerprint, now);
+    else suspects.stopped(fingerprint);
     if (outcome.kind === "callerLeft") {
       this.#lifecycle.apply("abandon");
       return { kind: "callerLeft", ran: "unknown" };
--- a/packages/daemon/src/sidecar/request_runs.ts
+++ b/packages/daemon/src/sidecar/request_runs.ts
@@ -16,6 +16,11 @@
 export type RequestRunsOptions = {
   client: BackendClient;
   listener: ProgressListener;
+  /**
+   * Looks at a server whose connection broke, before the entry is told: a
+   * resend that overtook the news of a crash would take down another server.
+   */
+  diagnose: (request: RunningRequest) => Promise<void>;
   /** Told once for each run, after its last message has been sent. */
   onSettled: (
     request: RunningRequest,
@@ -75,7 +80,7 @@
   }
 
   async #run(request: RunningRequest): Promise<void> {
-    const { client, onSettled } = this.#options;
+    const { client, diagnose, onSettled } = this.#options;
     const { handOver, abort } = request;
     const deadline = setTimeout(
       () => abort.abort("deadline"),
@@ -83,6 +88,7 @@
     );
     const outcome = await client.run(handOver, request, abort.signal);
     clearTimeout(deadline);
+    if (outcome.kind === "failed" && outcome.cut) await diagnose(request);
     this.#running.delete(request.id);
     if (outcome.kind === "whole") request.end();
     else request.fail(outcome.ran, outcome.reason);
--- a/packages/daemon/src/sidecar/sidecar.ts
+++ b/packages/daemon/src/sidecar/sidecar.ts
@@ -14,7 +14,7 @@
 import { monotonicNow, wallNow } from "../common/clock.ts";
 import type { RunOutcome } from "./backend_client.ts";
 import { limitOutcome, serverFailed } from "./run_outcome.ts";
-import { CrashWatch } from "./crash_watch.ts";
+import { CrashReporter } from "./crash_reporter.ts";
 import { EntryMessageHandler } from "./entry_connection.ts";
 import type { EntryConnection } from "./entry_connection.ts";
 import { objection } from "./reservation_check.ts";
@@ -33,7 +33,7 @@
   readonly #reservations = new ReservationTable();
   readonly #runs: RequestRuns;
   readonly #connections = new Set<EntryConnection>();
-  readonly #crashes = new CrashWatch();
+  readonly #crashes: CrashReporter;
   #leaving = false;
   #healthy = false;
   #timer: NodeJS.Timeout | undefined;
@@ -42,6 +42,13 @@
     super();
     this.#options = options;
     this.#desk = options.desk;
+    const { instance, suspects, probe } = options;
+    this.#crashes = new CrashReporter({
+      instance,
+      suspects,
+      probe,
+      broadcast: (message) => this.#broadcast(message),
+    });
     this.#runs = new RequestRuns({
       client: options.client,
       listener: {
@@ -51,6 +58,8 @@
             this.#desk.progressed(id, outputTokens, monotonicNow()),
           ),
       },
+      diagnose: (request) =>
+        this.#crashes.diagnose(request.reserve.fingerprint),
       onSettled: (request, outcome, now) => this.#settle(request, outcome, now),
     });
   }
@@ -88,7 +97,10 @@
       healthy ? "backend server healthy" : "backend server unhealthy",
     );
     if (healthy) this.#desk.open();
-    else this.#serverDown(now);
+    else {
+      this.#carryOut(this.#desk.close("unhealthy", now));
+      this.#crashes.tell(now);
+    }
     this.#broadcast(this.load);
   }
 
@@ -115,7 +127,7 @@
           connection.reservationId(message.reservation),
         );
       case "crashed":
-        return this.#learnCrash(message.fingerprints, message.backendServer);
+        return this.#crashes.learn(message);
       case "moveRecord":
         return this.#options.guard.offerRecord(message.text);
       default:
@@ -202,9 +214,6 @@
     if (outcome.kind === "whole") {
       this.#options.onServed(request.served(now), now);
       if (reserve.fingerprint) suspects.completed(reserve.fingerprint, now);
-    } else if (outcome.cut) {
-      this.#crashes.cut(reserve.fingerprint, now);
-      void this.#checkServer();
     } else if (outcome.reason === "connect_failed") {
       this.#options.probe().down();
     }
@@ -216,29 +225,6 @@
     );
   }
 
-  /** After a cut: a server that no longer answers has crashed. */
-  async #checkServer(): Promise<void> {
-    const probe = this.#options.probe();
-    if (!await probe.check()) probe.down();
-  }
-
-  #serverDown(now: number): void {
-    this.#carryOut(this.#desk.close("unhealthy", now));
-    const fingerprints = this.#crashes.died(now);
-    if (fingerprints.length === 0) return;
-    const backendServer = this.#options.instance;
-    this.#learnCrash(fingerprints, backendServer);
-    this.#broadcast({ type: "crashed", fingerprints, backendServer });
-  }
-
-  #learnCrash(fingerprints: string[], backendServer: string): void {
-    this.#options.suspects.crashed(
-      fingerprints,
-      backendServer,
-      monotonicNow(),
-    );
-  }
-
   #carryOut(decisions: GrantDecision[]): void {
     for (const decision of decisions) this.#carryOutOne(decision);
   }
--- a/packages/decisions/src/granting/grant_desk.ts
+++ b/packages/decisions/src/granting/grant_desk.ts
@@ -20,6 +20,14 @@
  */
 export const GRANT_LAPSE = 250;
 
+/** Milliseconds that a suspect waits for the server to empty by itself. */
+const SUSPECT_PATIENCE = 1000;
+/**
+ * Milliseconds that a server is kept from others for a suspect's sake; longer
+ * than most answers.
+ */
+const LONGEST_EMPTYING = 30_000;
+
 type OpenGrant = { waiting: Waiting; grant: number; lapsesAt: number };
 
 /** What a grant's redemption found. */
@@ -33,6 +41,9 @@
   readonly #running = new Map<string, Waiting>();
   #nextGrant = 1;
   #suspectAtWork: string | undefined;
+  readonly #suspectsWaiting = new Set<string>();
+  /** When a suspect was first passed over for want of an empty server. */
+  #suspectSince: number | undefined;
   #closed: RefusalCause | undefined;
 
   constructor(options: { queue: WaitingQueue; limit: ConcurrencyLimit }) {
@@ -68,15 +79,19 @@
     if (this.#closed) return [refuse(waiting, this.#closed)];
     const offer = this.#queue.offer(waiting, now);
     if (!offer.queued) return [refuse(waiting, offer.reason)];
+    if (waiting.suspect) this.#suspectsWaiting.add(waiting.id);
     return [
-      ...offer.evicted.map((evicted) => refuse(evicted, "evicted")),
+      ...offer.evicted.map((evicted) => this.#drop(evicted, "evicted")),
       ...this.#grantAll(now),
     ];
   }
 
   /** Forgets a reservation or an open grant; running requests stay. */
   withdraw(id: string, now: number): GrantDecision[] {
-    if (this.#queue.withdraw(id)) return [];
+    if (this.#queue.withdraw(id)) {
+      this.#forgetSuspect(id);
+      return this.#grantAll(now);
+    }
     if (!this.#granted.has(id)) return [];
     this.#returnGrant(id, now);
     return this.#grantAll(now);
@@ -124,7 +139,7 @@
       decisions.push(refuse(open.waiting, "grant_lapsed"));
     }
     for (const expired of this.#queue.expire(now)) {
-      decisions.push(refuse(expired, "deadline"));
+      decisions.push(this.#drop(expired, "deadline"));
     }
     decisions.push(...this.#grantAll(now));
     return decisions;
@@ -141,10 +156,10 @@
     for (;;) {
       const waiting = this.#queue.take(now, () => true);
       if (!waiting) break;
-      decisions.push(refuse(waiting, cause));
+      decisions.push(this.#drop(waiting, cause));
     }
     for (const expired of this.#queue.expire(now)) {
-      decisions.push(refuse(expired, "deadline"));
+      decisions.push(this.#drop(expired, "deadline"));
     }
     return decisions;
   }
@@ -158,7 +173,10 @@
     const decisions: GrantDecision[] = [];
     if (this.#closed) return decisions;
     for (;;) {
-      const waiting = this.#queue.take(now, (next) => this.#admits(next));
+      const waiting = this.#queue.take(
+        now,
+        (next) => this.#admits(next, now),
+      );
       if (!waiting) return decisions;
       decisions.push(this.#grant(waiting, now));
     }
@@ -166,12 +184,33 @@
 
   /**
    * A request that may have crashed a server runs with nothing beside it:
-   * what it takes down is then only itself.
+   * what it takes down is then only itself. A busy server never empties by
+   * itself, so after a while nothing else is let in before the suspect.
    */
-  #admits(waiting: Waiting): boolean {
+  #admits(waiting: Waiting, now: number): boolean {
     if (this.#suspectAtWork !== undefined) return false;
-    if (waiting.suspect) return this.occupied === 0;
-    return this.#limit.admits(waiting);
+    if (waiting.suspect) return this.#admitsSuspect(now);
+    const held = this.#suspectSince ?? now;
+    const emptying = now - held >= SUSPECT_PATIENCE &&
+      now - held < SUSPECT_PATIENCE + LONGEST_EMPTYING;
+    return !emptying && this.#limit.admits(waiting);
+  }
+
+  #admitsSuspect(now: number): boolean {
+    if (this.occupied === 0) return true;
+    this.#suspectSince ??= now;
+    return false;
+  }
+
+  /** No longer waits; a server that emptied for nobody else serves again. */
+  #forgetSuspect(id: string): void {
+    this.#suspectsWaiting.delete(id);
+    if (this.#suspectsWaiting.size === 0) this.#suspectSince = undefined;
+  }
+
+  #drop(waiting: Waiting, reason: RefusalCause): GrantDecision {
+    this.#forgetSuspect(waiting.id);
+    return refuse(waiting, reason);
   }
 
   #grant(waiting: Waiting, now: number): GrantDecision {
@@ -183,7 +222,10 @@
       grant,
       lapsesAt: now + GRANT_LAPSE,
     });
-    if (waiting.suspect) this.#suspectAtWork = waiting.id;
+    if (waiting.suspect) {
+      this.#forgetSuspect(waiting.id);
+      this.#suspectAtWork = waiting.id;
+    }
     return { kind: "grant", id: waiting.id, grant, lapse: GRANT_LAPSE };
   }
 
--- a/packages/decisions/test/grant_desk_test.ts
+++ b/packages/decisions/test/grant_desk_test.ts
@@ -76,3 +76,17 @@
   t.match(desk1.reserve(waiting("c"), 2), [{ reason: "leaving" }]);
   t.end();
 });
+
+t.test("a busy server empties for a suspect, and for no one else", (t) => {
+  // A request was beside another that crashed a server. Sent again, it must
+  // run alone, but a busy server never empties by itself and it would wait for
+  // ever; once it has gone, the server must not go on holding others back.
+  const desk1 = desk(4);
+  const [first] = desk1.reserve(waiting("a"), 0);
+  desk1.redeem("a", first?.kind === "grant" ? first.grant : -1);
+  desk1.reserve(waiting("s", { suspect: true }), 0);
+  t.match(desk1.reserve(waiting("b"), 500), [{ kind: "grant", id: "b" }]);
+  t.same(desk1.reserve(waiting("c"), 1500), []);
+  t.match(desk1.withdraw("s", 1600), [{ kind: "grant", id: "c" }]);
+  t.end();
+});
