--- a/packages/decisions/src/limits/token_limit.ts
+++ b/packages/decisions/src/limits/token_limit.ts
@@ -8,9 +8,9 @@
  * an engine that slows down keeps its full share.
  *
  * - Sequences and tokens follow the mean time between tokens against the goal.
- * - Outstanding prompt tokens follow the measured prefill rate: a quarter of the
- *   goal for the first token is what may stand before a new prompt inside the
- *   engine, where no tier is known. This also bounds what waits in an engine
+ * - Outstanding prompt tokens follow the measured prefill rate: an eighth of
+ *   the goal for the first token may stand before a new prompt inside the engine,
+ *   where no tier is known; less leaves the engine waiting for prompts. This also bounds what waits in an engine
  *   that runs fewer sequences at once than it takes.
  * - An engine that cannot keep the goal with hardly anything to do is held to a
  *   multiple of its own unloaded time instead: a smaller batch would waste the
@@ -19,23 +19,23 @@
  * Long and short requests hold separate budgets. A request is long when an
  * engine full of its like would free a place less often than a short request may
  * wait. Long ones get three quarters of the sequences and tokens and half of the
- * prefill, so a place for a short one comes free soon; short ones get no part of
- * the long ones' tokens, and a long one is always admitted when it is the only
- * one, so neither waits for ever.
+ * prefill while short work of their tier or a higher one comes, so a place for
+ * it comes free soon; short ones leave them that room while they wait. A long one
+ * is always admitted when it is the only one, so neither waits for ever.
  * @module
  */
 import type { Cost, Waiting } from "../queueing/waiting.ts";
 import { AdaptiveBound } from "./adaptive_bound.ts";
+import { AttainableGoal, UNLOADED_SEQUENCES } from "./attainable_goal.ts";
 import { BetweenTokens } from "./between_tokens.ts";
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
 import type { Outcome } from "./concurrency_limit.ts";
-import { LastAsked } from "./last_asked.ts";
 import { LoneRun } from "./lone_run.ts";
 import { PassedOver } from "./passed_over.ts";
 import type { RefusedRoom } from "./passed_over.ts";
 import { PrefillRate } from "./prefill_rate.ts";
 import { Prefills } from "./prefills.ts";
-import { RecentMinimum } from "./recent_minimum.ts";
+import { RoomShares } from "./room_shares.ts";
 import type { RunningSequence } from "./running_sequence.ts";
 import { WindowJudge } from "./window_judge.ts";
 import { tokensOf, WorkBudget } from "./work_budget.ts";
@@ -45,21 +45,12 @@
 /** Time to first token that 95 in 100 must keep, in milliseconds. */
 export const FIRST_TOKEN_GOAL = 1300;
 
-const UNLOADED_SEQUENCES = 4;
-const UNLOADED_TOLERANCE = 2;
-
-const LONG_SHARE = 0.75;
-const PREFILL_SHARE = 0.25;
+const PREFILL_SHARE = 0.125;
 const LONG_PREFILL_SHARE = 0.5;
 /** Share of the goal for the first token that a short request may wait. */
 const PLACE_WAIT_SHARE = 0.5;
 /** An engine that is cut to a few places makes no request longer. */
 const LEAST_PLACES = 16;
-/** Milliseconds after short work in which room is kept for the next. */
-const SHORT_MEMORY = 30_000;
-/** The same after long work: short work makes room soon, so only while it waits. */
-const LONG_MEMORY = 1000;
-
 /** Few enough to show the engine's unloaded time in the first window. */
 const INITIAL_SEQUENCES = UNLOADED_SEQUENCES;
 const MOST_SEQUENCES = 4096;
@@ -91,7 +82,7 @@
   });
   readonly #judge = new WindowJudge();
   readonly #betweenTokens = new BetweenTokens();
-  readonly #unloaded = new RecentMinimum();
+  readonly #goal: AttainableGoal;
   readonly #prefills = new Prefills();
   readonly #prefillRate = new PrefillRate();
   readonly #long = new WorkBudget();
@@ -99,13 +90,13 @@
   readonly #running = new Map<string, RunningSequence>();
   readonly #loneRun = new LoneRun();
   readonly #passedOver = new PassedOver();
-  readonly #shortAsked = new LastAsked();
-  readonly #longAsked = new LastAsked();
+  readonly #shares = new RoomShares();
   #now = 0;
 
   constructor(options: TokenLimitOptions = {}) {
     super();
     this.#betweenTokensGoal = options.betweenTokensGoal ?? BETWEEN_TOKENS_GOAL;
+    this.#goal = new AttainableGoal(this.#betweenTokensGoal);
     this.#firstTokenGoal = options.firstTokenGoal ?? FIRST_TOKEN_GOAL;
   }
 
@@ -137,8 +128,7 @@
       return false;
     }
     const long = this.#isLong(waiting.cost);
-    const asked = long ? this.#longAsked : this.#shortAsked;
-    asked.note(waiting.tierRank, this.#now);
+    this.#shares.note(waiting.tierRank, long, this.#now);
     const refused = this.#refusedRoom(waiting, long);
     if (refused === "barred") {
       return false;
@@ -214,7 +204,7 @@
     if (this.#passedOver.bars(waiting, long, this.#now)) {
       return "barred";
     }
-    const share = this.#shareOf(waiting, long);
+    const share = this.#shares.of(waiting.tierRank, long, this.#now);
     const held = this.#budget(long);
     const most = long ? Math.max(1, this.limit * share) : Infinity;
     if (this.running >= this.limit || held.sequences >= most) {
@@ -256,20 +246,6 @@
     return long ? this.#long : this.#short;
   }
 
-  /**
-   * Room is kept for the other kind while work of it, of the same or a higher
-   * tier, has come lately. Kept for lower tiers too, it would shed quotes before
-   * look-ups.
-   */
-  #shareOf({ tierRank }: Waiting, long: boolean): number {
-    if (long) {
-      const lately = this.#now - SHORT_MEMORY;
-      return this.#shortAsked.since(lately, tierRank) ? LONG_SHARE : 1;
-    }
-    const lately = this.#now - LONG_MEMORY;
-    return this.#longAsked.since(lately, tierRank) ? 1 - LONG_SHARE : 1;
-  }
-
   get #heldTokens(): number {
     return this.#long.tokens + this.#short.tokens;
   }
@@ -292,9 +268,9 @@
       return;
     }
     if (!shown.stalled) {
-      this.#observeUnloaded(shown.time, now);
+      this.#goal.observe(shown.time, this.running, now);
     }
-    this.#judge.judge(shown.time, this.#attainableGoal(), [
+    this.#judge.judge(shown.time, this.#goal.value, [
       { bound: this.#sequences, step: 1, inUse: this.running },
       { bound: this.#tokens, step: TOKEN_STEP, inUse: this.#heldTokens },
     ]);
@@ -311,17 +287,4 @@
       this.#long.decodingTokens + this.#short.decodingTokens,
     );
   }
-
-  /** A loaded engine's time says only that the unloaded one is no longer. */
-  #observeUnloaded(time: number, now: number): void {
-    const known = this.#unloaded.value ?? 0;
-    if (this.running <= UNLOADED_SEQUENCES || time < known) {
-      this.#unloaded.observe(time, now);
-    }
-  }
-
-  #attainableGoal(): number {
-    const unloaded = this.#unloaded.value ?? 0;
-    return Math.max(this.#betweenTokensGoal, unloaded * UNLOADED_TOLERANCE);
-  }
 }
