--- a/packages/testing/src/measure/measure_waiting.ts
+++ b/packages/testing/src/measure/measure_waiting.ts
@@ -1,9 +1,11 @@
 /** Memory and processor time of waiting requests and of idleness. @module */
+import { setMaxListeners } from "node:events";
 import { setTimeout } from "node:timers/promises";
 import type { CallOutcome } from "../history/call_record.ts";
 import { waitFor } from "../process/wait_for.ts";
 import type { MeasuredPath } from "./measure_fleet.ts";
-import { processorTime, residentMemory } from "./process_usage.ts";
+import { processorTimes } from "./processor_times.ts";
+import { residentMemory } from "./process_usage.ts";
 
 const WAITING = 1000;
 const IDLE_SECONDS = 10;
@@ -14,6 +16,8 @@
 
 /** Of one daemon. Memory in MB, the idle share in parts of one core. */
 export type DaemonUsage = {
+  /** Before any load. */
+  freshMemory: number;
   idleMemory: number;
   idleShare: number;
   waitingMemory: number;
@@ -26,49 +30,58 @@
   sidecar: DaemonUsage;
 };
 
+/** Resident memory of both daemons in MB. */
+export type Memory = { entry: number; sidecar: number };
+
+/** Memory as it is now, once the daemons have had time to settle. */
+export async function measureMemory(path: MeasuredPath): Promise<Memory> {
+  await setTimeout(SETTLE);
+  return {
+    entry: await residentMemory(path.entry.process.processId),
+    sidecar: await residentMemory(path.sidecar.process.processId),
+  };
+}
+
 /** Idles, then lets requests wait for an engine that stands almost still. */
 export async function measureWaiting(
   path: MeasuredPath,
+  fresh: Memory,
 ): Promise<WaitingResult> {
   const idle = await measureIdle(path);
   await path.engine.setFaults({ slowFactor: SLOW_FACTOR });
   const stop = new AbortController();
+  setMaxListeners(0, stop.signal);
   const calls = sendWaiting(path, stop.signal);
-  const waiting = await waitFor("the requests to wait", async () => {
-    const counted = await waitingAtEntry(path);
-    return counted >= WAITING * 0.9 && counted;
-  });
-  await setTimeout(SETTLE);
-  const entryMemory = await residentMemory(path.entry.process.processId);
-  const sidecarMemory = await residentMemory(path.sidecar.process.processId);
+  await waitFor(
+    "the requests to wait",
+    async () => await waitingAtEntry(path) >= WAITING * 0.9,
+  );
+  const memory = await measureMemory(path);
+  const waiting = await waitingAtEntry(path);
   stop.abort();
   await Promise.all(calls);
-  return {
-    waiting,
-    entry: { ...idle.entry, waitingMemory: entryMemory },
-    sidecar: { ...idle.sidecar, waitingMemory: sidecarMemory },
-  };
+  const usage = (role: "entry" | "sidecar") => ({
+    ...idle[role],
+    freshMemory: fresh[role],
+    waitingMemory: memory[role],
+  });
+  return { waiting, entry: usage("entry"), sidecar: usage("sidecar") };
 }
 
-type Idle = Omit<DaemonUsage, "waitingMemory">;
+type Idle = Pick<DaemonUsage, "idleMemory" | "idleShare">;
 
 async function measureIdle(
-  { entry, sidecar }: MeasuredPath,
+  path: MeasuredPath,
 ): Promise<{ entry: Idle; sidecar: Idle }> {
-  const ids = [entry.process.processId, sidecar.process.processId] as const;
-  await setTimeout(SETTLE);
-  const before = await Promise.all(ids.map(processorTime));
+  const memory = await measureMemory(path);
+  const before = await processorTimes(path);
   await setTimeout(IDLE_SECONDS * 1000);
-  const after = await Promise.all(ids.map(processorTime));
-  const [entryMemory = 0, sidecarMemory = 0] = await Promise.all(
-    ids.map(residentMemory),
-  );
-  const share = (index: 0 | 1) =>
-    (after[index]! - before[index]!) / (IDLE_SECONDS * 1000);
-  return {
-    entry: { idleMemory: entryMemory, idleShare: share(0) },
-    sidecar: { idleMemory: sidecarMemory, idleShare: share(1) },
-  };
+  const after = await processorTimes(path);
+  const idle = (role: "entry" | "sidecar") => ({
+    idleMemory: memory[role],
+    idleShare: (after[role] - before[role]) / (IDLE_SECONDS * 1000),
+  });
+  return { entry: idle("entry"), sidecar: idle("sidecar") };
 }
 
 function sendWaiting(
@@ -87,6 +100,6 @@
 }
 
 async function waitingAtEntry({ entry }: MeasuredPath): Promise<number> {
-  const metrics = await entry.metrics();
-  return metrics.get('sycamorepulley_waiting{service="assistant"}') ?? 0;
+  const { waiting } = await entry.status();
+  return Number(waiting);
 }
