--- a/packages/testing/test/idempotency_test.ts
+++ b/packages/testing/test/idempotency_test.ts
@@ -45,3 +45,56 @@
   const ran = (await fleet.runs()).filter((run) => run.marker === "racing");
   t.equal(ran.length, 1);
 });
+
+t.test("another body under the same key is refused", async (t) => {
+  const booking = {
+    marker: "reused",
+    service: "bookings",
+    method: "POST",
+    path: "/bookings",
+    idempotencyKey: "key-3",
+  } as const;
+  await caller.plain({ ...booking, body: { slot: "nine" } });
+  const reused = await other.plain({ ...booking, body: { slot: "ten" } });
+  t.match(reused, { reason: "idempotency_key_reused", ran: "no" });
+});
+
+t.test("a lost answer to the claim costs no second run", async (t) => {
+  const booking = {
+    marker: "lost-answer",
+    service: "bookings",
+    method: "POST",
+    path: "/bookings",
+    idempotencyKey: "key-4",
+  } as const;
+  await fleet.keyValueStore.putFaults({ lostWriteAnswers: 1 });
+  await caller.plain(booking);
+  await other.plain(booking);
+  await fleet.keyValueStore.putFaults({});
+  const ran = (await fleet.runs()).filter((run) =>
+    run.marker === "lost-answer"
+  );
+  t.ok(ran.length <= 1);
+});
+
+t.test("without the key-value service a booking is refused", async (t) => {
+  await fleet.keyValueStore.putFaults({ outage: "refuse" });
+  const refused = await caller.plain({
+    marker: "outage",
+    service: "bookings",
+    method: "POST",
+    path: "/bookings",
+    idempotencyKey: "key-5",
+  });
+  t.match(refused, { reason: "claims_unavailable", ran: "no" });
+  const lookup = await caller.plain({
+    marker: "lookup",
+    service: "bookings",
+    method: "GET",
+    path: "/bookings/1",
+  });
+  t.match(lookup, { type: "answered", status: 200 });
+  await fleet.keyValueStore.putFaults({});
+  const runs = await fleet.runs();
+  t.same(runs.filter((run) => run.marker === "outage"), []);
+});
