--- a/packages/testing/src/measure/report.ts
+++ b/packages/testing/src/measure/report.ts
@@ -12,8 +12,8 @@
 ): string {
   return `# Measurements
 
-Written by \`npm run measure:latency\` on ${today()}, at commit ${commit()},
-with Node.js ${process.version} on ${cpus().length} processors; the machine's load
+Written by \`npm run measure:latency\` on ${today()}, with
+Node.js ${process.version} on ${cpus().length} processors; the machine's load
 average at the end was ${
     loadavg()[0]?.toFixed(1)
   }, other work included. Above the
@@ -118,12 +118,6 @@
   return new Date().toISOString().slice(0, 10);
 }
 
-function commit(): string {
-  return execFileSync("git", ["rev-parse", "--short", "HEAD"], {
-    encoding: "utf8",
-  }).trim();
-}
-
 function bareMemory(): number {
   const bare = execFileSync(process.execPath, [
     "-e",
