--- a/benchmarks/src/main.ts
+++ b/benchmarks/src/main.ts
@@ -30,7 +30,7 @@
 function main(): void {
   const { values } = parseArgs({
     options: {
-      section: { type: "string", default: "all" },
+      section: { type: "string", default: "patterns" },
       seed: { type: "string", default: "1" },
       pattern: { type: "string" },
       deployment: { type: "string" },
--- a/benchmarks/src/workload/deployment.ts
+++ b/benchmarks/src/workload/deployment.ts
@@ -63,6 +63,14 @@
   return [...short, { ...longClass, share: longShare }];
 }
 
+/** The deployment as it would be if all engines had their mean speed. */
+export function withEqualSpeeds(deployment: Deployment): Deployment {
+  const { engines } = deployment;
+  const total = engines.reduce((sum, one) => sum + one.speed, 0);
+  const speed = total / engines.length;
+  return { ...deployment, engines: engines.map((one) => ({ ...one, speed })) };
+}
+
 /** Engines of the given speeds, spread over the data centres in turn. */
 export function engines(
   options: { prefix: string; speeds: number[]; dataCentres: number },
