--- a/packages/decisions/src/placement/reservation_plan.ts
+++ b/packages/decisions/src/placement/reservation_plan.ts
@@ -11,11 +11,9 @@
  * no grant after 4 ms found its servers full. The total is 6, since more gain
  * nothing (docs/design/placement.md). A request with a prefix starts with the
  * prefix's own server and gives it longer: a full server frees a place about
- * every 100 ms. Each further server that may grant is one more on which the
- * prefix is prefilled again, so only the two highest tiers, which must be served
- * soon, get more within half a second. In the bench at twice the capacity, six
- * for all tiers after 60, 150 and 300 ms repeated 20 % of the prefill, these
- * waves 11 %; two for the highest as well cost the second tier 12 points. Other regions, about 100
+ * every 100 ms, and 60 ms are 5 % of a first token's goal. In the bench at twice
+ * the capacity, waves at 25, 50 and 75 ms left 25 % of the prefill repeated,
+ * these 18 %; later ones cost the second tier goodput. Other regions, about 100
  * ms away, are asked once the own region gave nothing for 250 ms, or 500.
  * @module
  */
@@ -33,9 +31,6 @@
 /** The same for a request with a prefix, whose own region is asked longer. */
 const PREFIX_OTHER_REGIONS_AFTER = 500;
 
-/** Ranks 0 and 1 are served soon rather than where their prefix is. */
-const URGENT_TIERS = 2;
-
 type Wave = { after: number; reservations: number; reach: Reach };
 
 const WAVES: readonly Wave[] = [
@@ -51,23 +46,16 @@
 
 const PREFIX_WAVES: readonly Wave[] = [
   { after: 0, reservations: 1, reach: "region" },
-  { after: 100, reservations: 2, reach: "region" },
-  { after: 400, reservations: 4, reach: "region" },
+  { after: 60, reservations: 2, reach: "region" },
+  { after: 150, reservations: 4, reach: "region" },
+  { after: 300, reservations: MOST_RESERVATIONS, reach: "region" },
   {
     after: PREFIX_OTHER_REGIONS_AFTER,
-    reservations: MOST_RESERVATIONS,
+    reservations: MOST_RESERVATIONS + 1,
     reach: "everywhere",
   },
 ];
 
-/** Lower tiers can wait longer for one of their prefix's two servers. */
-const LOWER_PREFIX_WAVES: readonly Wave[] = [
-  { after: 0, reservations: 1, reach: "region" },
-  { after: 100, reservations: 2, reach: "region" },
-  { after: 1500, reservations: 4, reach: "everywhere" },
-  { after: 3000, reservations: 6, reach: "everywhere" },
-];
-
 /** What to place now. */
 export type PlannedReservations = { count: number; reach: Reach };
 
@@ -88,7 +76,7 @@
     },
   ) {
     this.#arrived = options.arrived;
-    this.#waves = wavesFor(options);
+    this.#waves = options.prefixKey === undefined ? WAVES : PREFIX_WAVES;
   }
 
   /** Reservations due by `now`; they count as placed from here on. */
@@ -129,10 +117,3 @@
     return this.#held === 0 && this.#placed >= MOST_PLACEMENTS;
   }
 }
-
-function wavesFor(
-  options: { tierRank: number; prefixKey?: string | undefined },
-): readonly Wave[] {
-  if (options.prefixKey === undefined) return WAVES;
-  return options.tierRank < URGENT_TIERS ? PREFIX_WAVES : LOWER_PREFIX_WAVES;
-}
