Carry the first token's goal from the tier to the sidecar's queue

Change: the reservation states what is left of the tier's firstTokenGoal; the sidecar's deadline is that plus the decoding it expects, with the estimator's margin. Not measured over processes.

--- a/packages/daemon/src/entry/placement_task.ts
+++ b/packages/daemon/src/entry/placement_task.ts
@@ -85,11 +85,12 @@
   }
 
   #react(event: RequestEvent): PlacementOutcome | undefined {
+    const { request } = this.#options;
     switch (event.kind) {
       case "callerLeft":
         return { kind: "callerLeft" };
       case "evicted":
-        return { kind: "refused", refusal: this.#evictedHere() };
+        return { kind: "refused", refusal: evictedHere(request) };
       case "grant":
         return this.#handOver(event.sidecar, event.grant);
       case "refuse":
@@ -231,6 +232,9 @@
       cost: request.cost,
       remaining: request.deadline - now,
       fingerprint: request.fingerprint,
+      ...(request.firstTokenBy === undefined
+        ? {}
+        : { firstTokenRemaining: request.firstTokenBy - now }),
       ...(request.prefixKey ? { prefixKey: request.prefixKey } : {}),
       ...(this.#suspect ? { suspect: true } : {}),
     };
@@ -266,15 +270,6 @@
     return { kind: "refused", refusal: notRun("deadline", detail, retryAfter) };
   }
 
-  #evictedHere(): Refusal {
-    const { service, tier } = this.#options.request;
-    return notRun(
-      "evicted",
-      `a request of a higher tier than ${tier.name} took its place in ` +
-        `${service.name}'s waiting room`,
-    );
-  }
-
   #finalRefusal(): Refusal {
     const { request } = this.#options;
     return this.#refusal ?? notRun(
@@ -291,6 +286,14 @@
   }
 }
 
+function evictedHere({ service, tier }: ResolvedRequest): Refusal {
+  return notRun(
+    "evicted",
+    `a request of a higher tier than ${tier.name} took its place in ` +
+      `${service.name}'s waiting room`,
+  );
+}
+
 /** The refusal that lets the caller come back first. */
 function soonest(known: Refusal | undefined, next: Refusal): Refusal {
   if (known?.retryAfter === undefined || next.retryAfter === undefined) {
--- a/packages/daemon/src/entry/resolve_request.ts
+++ b/packages/daemon/src/entry/resolve_request.ts
@@ -194,6 +194,7 @@
       keyOf(raw, treatment.idempotent).map((idempotencyKey) => ({
         ...describe(options, treatment.route),
         tier: { name: tier.name, rank: tier.rank },
+        firstTokenBy: tier.firstTokenGoal && now + tier.firstTokenGoal,
         idempotent: treatment.idempotent,
         idempotencyKey,
         deadline,
--- a/packages/daemon/src/entry/resolved_request.ts
+++ b/packages/daemon/src/entry/resolved_request.ts
@@ -7,6 +7,8 @@
   service: Service;
   organisation: string;
   tier: { name: string; rank: number };
+  /** On the monotonic clock; a later first token counts as bad. */
+  firstTokenBy?: number | undefined;
   /** Stable name of the call, for estimates and verdicts by route. */
   route: string;
   idempotent: boolean;
--- a/packages/daemon/src/sidecar/sidecar.ts
+++ b/packages/daemon/src/sidecar/sidecar.ts
@@ -173,7 +173,7 @@
         organisation: reserve.organisation,
         weight: weightOf(reserve.organisation),
         cost: reserve.cost,
-        deadline: now + reserve.remaining,
+        deadline: now + this.#options.timeAllowed(reserve),
         arrived: now,
         suspect: verdict.kind === "suspect" || reserve.suspect === true,
       }, now),
--- a/packages/daemon/src/sidecar/sidecar_estimates.ts
+++ b/packages/daemon/src/sidecar/sidecar_estimates.ts
@@ -1,6 +1,7 @@
 /** What a sidecar has learned of its backend server's speed. @module */
 import { DrainRate, ServiceTimeEstimator } from "@sycamorepulley/decisions";
 import type { Cost, WaitingQueue } from "@sycamorepulley/decisions";
+import type { Reserve } from "@sycamorepulley/protocol";
 
 /** Tiers beyond any rank: advice counts all that waits. */
 const LOWEST_RANK = Number.MAX_SAFE_INTEGER;
@@ -23,6 +24,20 @@
       : this.#meanPlainTime ?? 0;
   }
 
+  /**
+   * Time in which the whole answer must come: the caller's, or less where its
+   * first token would come too late to be good. Without the second bound a
+   * third of all prefill under overload is spent on answers that come late
+   * (docs/DECISIONS.md).
+   */
+  timeAllowed(reserve: Reserve): number {
+    const { cost, remaining, firstTokenRemaining } = reserve;
+    if (firstTokenRemaining === undefined) return remaining;
+    const decoding = this.#serviceTime.likelyWithin(cost) -
+      this.#serviceTime.likelyFirstTokenWithin(cost);
+    return Math.min(remaining, firstTokenRemaining + decoding);
+  }
+
   observe(
     served: { cost: Cost; firstToken: number; total: number },
     now: number,
--- a/packages/daemon/src/sidecar/sidecar_options.ts
+++ b/packages/daemon/src/sidecar/sidecar_options.ts
@@ -1,6 +1,6 @@
 /** What a sidecar is built from. @module */
 import type { GrantDesk, Suspects } from "@sycamorepulley/decisions";
-import type { Cost, Message } from "@sycamorepulley/protocol";
+import type { Cost, Message, Reserve } from "@sycamorepulley/protocol";
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
 import type { BackendClient } from "./backend_client.ts";
@@ -19,6 +19,8 @@
   probe: () => HealthProbe;
   /** Share of an organisation beside others, from the configuration. */
   weightOf: (organisation: string) => number;
+  /** Milliseconds within which a reservation's answer must be whole. */
+  timeAllowed: (reserve: Reserve) => number;
   /** Milliseconds until a refused request may come back. */
   retryAfter: (now: number) => number;
   /** Milliseconds that a new reservation of the lowest tier would wait. */
--- a/packages/daemon/src/sidecar/start_sidecar.ts
+++ b/packages/daemon/src/sidecar/start_sidecar.ts
@@ -136,6 +136,7 @@
     client: own.client,
     probe: own.probe,
     weightOf: (name) => configuration.index?.organisation(name)?.weight ?? 1,
+    timeAllowed: (reserve) => estimates.timeAllowed(reserve),
     retryAfter: (now) => estimates.retryAfter(queue, now, random()),
     expectedWait: (now) => estimates.expectedWait(queue, now),
     onServed: (served, now) => estimates.observe(served, now),
--- a/packages/protocol/src/key_map.ts
+++ b/packages/protocol/src/key_map.ts
@@ -58,6 +58,7 @@
   "ended",
   "failed",
   "slow",
+  "firstTokenRemaining",
 ] as const;
 
 /** Field name to wire key, as `cbor-x` takes it. */
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -64,6 +64,8 @@
   cost: costSchema,
   /** Time left until the caller gives up, counted from the sending. */
   remaining: duration,
+  /** Time left until the first token is no longer good; absent: no goal. */
+  firstTokenRemaining: v.optional(duration),
   prefixKey: v.optional(text),
   /** Hash of what would run; the same for a request sent again. */
   fingerprint: v.optional(text),
