Ask only silent links for a sign of life; read the list only at entries

Cause: at the target each entry has answers in flight on all of its 140 links, and a heartbeat a second on each is 11.5 KB/s, four times what a node may spend on control; sidecars read the whole instance list and made no use of it. Change: a link that has been heard within a second gets no heartbeat; sidecars only register. A test shows that a frozen sidecar's reservations go elsewhere and that a late grant is declined.

--- a/packages/daemon/src/common/membership.ts
+++ b/packages/daemon/src/common/membership.ts
@@ -17,7 +17,8 @@
   list: InstanceList;
   self: Instance;
   fleetSize: number;
-  onInstances: (instances: Instance[]) => void;
+  /** Absent: the list is not read, which is most of its traffic. */
+  onInstances?: (instances: Instance[]) => void;
   random: () => number;
   metrics: Metrics;
   log: Log;
@@ -72,10 +73,12 @@
   }
 
   async #read(): Promise<void> {
+    const { onInstances } = this.#options;
+    if (!onInstances) return;
     const listed = await this.#options.list.list();
     if (listed.isErr) return this.#count(listed.error);
     // What is known stays known while the list can't be read.
-    this.#options.onInstances(listed.value);
+    onInstances(listed.value);
   }
 
   #count(error: { step: string; reason: string }): void {
--- /dev/null
+++ b/packages/daemon/src/entry/placement_outcome.ts
@@ -0,0 +1,9 @@
+/** How the search for a backend server ends. @module */
+import type { Refusal } from "./refusal.ts";
+import type { SidecarSession } from "./sidecar_session.ts";
+
+/** How a placement ended. `handedOver` is the request's one dispatch. */
+export type PlacementOutcome =
+  | { kind: "handedOver"; session: SidecarSession }
+  | { kind: "refused"; refusal: Refusal }
+  | { kind: "callerLeft" };
--- a/packages/daemon/src/entry/placement_task.ts
+++ b/packages/daemon/src/entry/placement_task.ts
@@ -8,6 +8,7 @@
 import { monotonicNow } from "../common/clock.ts";
 import type { Metrics } from "../common/metrics.ts";
 import type { Mailbox } from "./mailbox.ts";
+import type { PlacementOutcome } from "./placement_outcome.ts";
 import { notRun } from "./refusal.ts";
 import type { Refusal } from "./refusal.ts";
 import type { RequestEvent } from "./request_event.ts";
@@ -19,12 +20,6 @@
 /** How long a request without budget or candidates waits to look again. */
 const LOOK_AGAIN = 100;
 
-/** How a placement ended. `handedOver` is the request's one dispatch. */
-export type PlacementOutcome =
-  | { kind: "handedOver"; session: SidecarSession }
-  | { kind: "refused"; refusal: Refusal }
-  | { kind: "callerLeft" };
-
 /** Options of {@link PlacementTask}. */
 export type PlacementTaskOptions = {
   number: number;
--- a/packages/daemon/src/entry/request_task.ts
+++ b/packages/daemon/src/entry/request_task.ts
@@ -7,7 +7,7 @@
 import type { AnswerSink } from "./answer_sink.ts";
 import { Mailbox } from "./mailbox.ts";
 import { PlacementTask } from "./placement_task.ts";
-import type { PlacementOutcome } from "./placement_task.ts";
+import type { PlacementOutcome } from "./placement_outcome.ts";
 import { notRun } from "./refusal.ts";
 import type { Refusal } from "./refusal.ts";
 import { AnswerRelay } from "./relay_answer.ts";
--- a/packages/daemon/src/entry/sidecar_session.ts
+++ b/packages/daemon/src/entry/sidecar_session.ts
@@ -24,8 +24,8 @@
 const HEARTBEAT_INTERVAL = 1000;
 /** An idle link is asked this often. */
 const IDLE_HEARTBEAT_INTERVAL = 10_000;
-/** Heartbeats without an answer before the link counts as frozen. */
-const MISSED_HEARTBEATS = 3;
+/** Milliseconds of silence, a heartbeat unanswered, after which it is frozen. */
+const LONGEST_SILENCE = 3 * HEARTBEAT_INTERVAL;
 
 /** What the session's owner does with what is not one request's. */
 export abstract class SessionListener {
@@ -173,21 +173,22 @@
   /**
    * Guards against a frozen sidecar or a cut cable: the connection stays open
    * and silent, and requests would wait on it until their deadlines. Only a
-   * link with requests is judged, so an idle one costs little.
+   * link with requests is judged, so an idle one costs little; one that
+   * answers pass over needs no heartbeat, since every message is a sign of
+   * life.
    */
   #startHeartbeat(link: Link): NodeJS.Timeout {
-    let sentAt = monotonicNow();
+    let sentAt = Number.NEGATIVE_INFINITY;
     return setInterval(() => {
       const now = monotonicNow();
       const interval = this.busy ? HEARTBEAT_INTERVAL : IDLE_HEARTBEAT_INTERVAL;
-      if (now - sentAt < interval) return;
       const silence = now - this.#heardAt;
-      if (
-        this.busy && sentAt > this.#heardAt &&
-        silence > MISSED_HEARTBEATS * HEARTBEAT_INTERVAL
-      ) {
+      if (silence < interval) return;
+      const unanswered = sentAt > this.#heardAt;
+      if (this.busy && unanswered && silence > LONGEST_SILENCE) {
         return link.close();
       }
+      if (now - sentAt < interval) return;
       sentAt = now;
       const { configurationRevision } = this.#options.hello();
       link.send({ type: "heartbeat", configurationRevision });
--- a/packages/daemon/src/sidecar/start_sidecar.ts
+++ b/packages/daemon/src/sidecar/start_sidecar.ts
@@ -71,7 +71,6 @@
     list: parts.instanceList,
     self: instanceOf(settings, protocol.port, status.port),
     fleetSize: settings.platform.fleetSize,
-    onInstances: () => {},
     random,
     metrics,
     log,
--- /dev/null
+++ b/packages/daemon/test/sidecar_session_test.ts
@@ -0,0 +1,109 @@
+import { acceptLink, PROTOCOL_VERSION } from "@sycamorepulley/protocol";
+import type { Hello, Message, Reserve } from "@sycamorepulley/protocol";
+import { once } from "node:events";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import t from "tap";
+import { Mailbox } from "../src/entry/mailbox.ts";
+import type { RequestEvent } from "../src/entry/request_event.ts";
+import {
+  SessionListener,
+  SidecarSession,
+} from "../src/entry/sidecar_session.ts";
+
+const hello: Hello = {
+  type: "hello",
+  protocolVersion: PROTOCOL_VERSION,
+  role: "entry",
+  instance: "entry-1",
+  dataCentre: "one",
+  incarnation: "a",
+  configurationRevision: 0,
+};
+
+const reserve: Reserve = {
+  type: "reserve",
+  reservation: 1,
+  service: "assistant",
+  tierRank: 0,
+  organisation: "one",
+  route: "chat/completions",
+  cost: { promptTokens: 1, outputTokens: 1 },
+  remaining: 60_000,
+};
+
+class IgnoringListener extends SessionListener {
+  override onOpen(): void {}
+  override onMessage(): void {}
+  override onClosed(): void {}
+  override onIgnored(): void {}
+}
+
+/** A session with a sidecar that does `onMessage` with what it hears. */
+async function sessionWith(
+  onMessage: (message: Message, send: (answer: Message) => void) => void,
+) {
+  const server = createServer(async (socket) => {
+    const opened = await acceptLink({
+      socket,
+      hello: { ...hello, role: "sidecar" },
+      timeout: 5000,
+    });
+    if (opened.isErr) return;
+    const { link, messages } = opened.value;
+    for await (const message of messages) {
+      onMessage(message, (answer) => link.send(answer));
+    }
+  }).listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const session = new SidecarSession({
+    name: "sidecar-1",
+    host: "127.0.0.1",
+    port: (server.address() as AddressInfo).port,
+    hello: () => hello,
+    listener: new IgnoringListener(),
+    random: () => 0.5,
+  });
+  const task = session.run();
+  const stop = async () => {
+    session.close();
+    server.close();
+    await task;
+  };
+  return { session, stop };
+}
+
+t.test("a frozen sidecar loses its reservations", async (t) => {
+  // A sidecar is stopped by a signal or its cable is cut: the connection stays
+  // open and nothing comes. Its reservations must go elsewhere long before
+  // their deadlines.
+  const { session, stop } = await sessionWith(() => {});
+  const mailbox = new Mailbox<RequestEvent>();
+  session.reserve(reserve, mailbox);
+  t.same(await mailbox.take(60_000), {
+    kind: "linkLost",
+    sidecar: "sidecar-1",
+  });
+  await stop();
+});
+
+t.test("a grant that comes after the withdrawal is declined", async (t) => {
+  // Two sidecars grant; the request went to the other one, and this grant was
+  // on its way already. Left alone it would hold the server's room.
+  const heard: string[] = [];
+  let declined: () => void = () => {};
+  const done = new Promise<void>((resolve) => declined = resolve);
+  const { session, stop } = await sessionWith((message, send) => {
+    heard.push(message.type);
+    if (message.type !== "withdraw") return;
+    if (heard.filter((type) => type === "withdraw").length === 2) {
+      return declined();
+    }
+    send({ type: "grant", reservation: 1, grant: 1, lapse: 250 });
+  });
+  session.reserve(reserve, new Mailbox<RequestEvent>());
+  session.withdraw(1);
+  await done;
+  t.same(heard, ["reserve", "withdraw", "withdraw"]);
+  await stop();
+});
