--- a/packages/command_line/src/commands/diff.ts
+++ b/packages/command_line/src/commands/diff.ts
@@ -1,5 +1,9 @@
 /** `diff`: what publishing a file would change. @module */
-import { diffObjects, readPublished } from "@sycamorepulley/configuration";
+import {
+  diffObjects,
+  NO_OBJECTS,
+  readPublished,
+} from "@sycamorepulley/configuration";
 import { requiredStore } from "../context.ts";
 import type { Context } from "../context.ts";
 import { EXIT_CODE } from "../exit_code.ts";
@@ -25,7 +29,7 @@
   const { snapshot } = published.value;
   const revision = snapshot?.revision ?? 0;
   const changes = diffObjects(
-    snapshot?.objects ?? NOTHING,
+    snapshot?.objects ?? NO_OBJECTS,
     read.value.objects,
   );
   const summary = changes.length === 0
@@ -38,11 +42,3 @@
     json: { revision, changes },
   };
 }
-
-const NOTHING = {
-  services: [],
-  tiers: [],
-  organisations: [],
-  versions: [],
-  moves: [],
-};
--- a/packages/configuration/src/objects.ts
+++ b/packages/configuration/src/objects.ts
@@ -116,3 +116,12 @@
 });
 /** See {@link objectsSchema}. */
 export type Objects = v.InferOutput<typeof objectsSchema>;
+
+/** What is published before the first set. */
+export const NO_OBJECTS: Objects = {
+  services: [],
+  tiers: [],
+  organisations: [],
+  versions: [],
+  moves: [],
+};
--- a/packages/configuration/src/publish.ts
+++ b/packages/configuration/src/publish.ts
@@ -14,6 +14,7 @@
   MANIFEST_KEY,
   publishedSource,
 } from "./manifest.ts";
+import { NO_OBJECTS } from "./objects.ts";
 import type { Objects } from "./objects.ts";
 import type { PublishError } from "./publish_error.ts";
 import type { Snapshot } from "./snapshot.ts";
@@ -135,18 +136,10 @@
     publications: (current?.history ?? []).filter((publication) =>
       publication.revision > baseRevision
     ),
-    difference: diffObjects(current?.objects ?? EMPTY, objects),
+    difference: diffObjects(current?.objects ?? NO_OBJECTS, objects),
   };
 }
 
-const EMPTY: Objects = {
-  services: [],
-  tiers: [],
-  organisations: [],
-  versions: [],
-  moves: [],
-};
-
 function sourceText(options: PublishOptions): string {
   return options.text ?? options.source?.text ??
     JSON.stringify(options.objects, null, 2);
@@ -156,7 +149,7 @@
   options: PublishOptions,
   current: Snapshot | undefined,
 ): string {
-  const changes = diffObjects(current?.objects ?? EMPTY, options.objects);
+  const changes = diffObjects(current?.objects ?? NO_OBJECTS, options.objects);
   const publication = {
     revision: nextRevision(options.baseRevision, options.now),
     publishId: options.publishId,
