--- a/packages/decisions/test/placement_test.ts
+++ b/packages/decisions/test/placement_test.ts
@@ -203,3 +203,29 @@
   t.ok(plan.exhausted);
   t.end();
 });
+
+t.test("a prefix keeps its servers when all are as full", (t) => {
+  // At twice the capacity every engine has a queue. Prefixes that leave their
+  // servers because of it are prefilled anew everywhere, which costs the
+  // capacity that is short.
+  const set = createSet(30, ["a"]);
+  const choose = () =>
+    set.choose({
+      count: 2,
+      exclude: new Set(),
+      prefixKey: "catalogue",
+      tierRank: 0,
+      now: 0,
+      random: createRandom(1),
+    });
+  const homes = choose();
+  for (let round = 0; round < 5; round++) {
+    for (let index = 0; index < 30; index++) {
+      set.observeLoad(`s${index}`, { ...idle, running: 8, waiting: 20 }, 0);
+    }
+  }
+  t.strictSame(choose(), homes);
+  set.observeLoad(homes[0]!, { ...idle, running: 8, waiting: 60 }, 0);
+  t.notOk(choose().includes(homes[0]!), "fuller than the others");
+  t.end();
+});
