Leave a driver's period between a move's last step and the guard

Cause: with little traffic each step used 0.9 of its time, so a move of 50 s had 0.9 s left before the guard; a driver that looks each 4 s, or late on a busy machine, came after it and the good version was taken back (new test, red with 0.9). Likely the cause of move_test and move_failures_test failing in a full run of the suite at a load of 15 and passing alone in 28 s; their records' reasons were not seen. Change: 0.6 of the time.

--- a/packages/decisions/src/moves/move_steps.ts
+++ b/packages/decisions/src/moves/move_steps.ts
@@ -135,9 +135,12 @@
   return late && endedOnNew(facts) > 0;
 }
 
-/** Parts of a step's time, so that the last one ends before the guard. */
+/**
+ * Parts of the time that a step may take. With 0.9 the last one ended within the
+ * driver's period of the guard, and good versions were taken back by chance.
+ */
 const FULL_EVIDENCE_TIME = 0.5;
-const SPARSE_EVIDENCE_TIME = 0.9;
+const SPARSE_EVIDENCE_TIME = 0.6;
 
 function endedOnNew(facts: MoveFacts): number {
   return facts.evidence.reduce((sum, route) => sum + route.to.ended, 0);
--- a/packages/decisions/test/moves_test.ts
+++ b/packages/decisions/test/moves_test.ts
@@ -323,3 +323,19 @@
   t.equal(fresh.heldFor, undefined);
   t.end();
 });
+
+t.test("a driver that looks seldom still completes a short move", (t) => {
+  // A good version is taken back at its deadline on a busy machine: each step
+  // used nearly all of its time, and the driver came to the last one just
+  // after the guard had begun.
+  const short: MoveRecord = { ...record, deadline: 50_000 };
+  for (const every of [1000, 2500, 4000]) {
+    let current = short;
+    for (let now = every; now < short.deadline; now += every) {
+      const facts = factsWith(Math.floor(now / 500));
+      current = nextStep(current, facts, now) ?? current;
+    }
+    t.equal(current.phase, "complete", `every ${every} ms`);
+  }
+  t.end();
+});
