--- a/packages/daemon/src/entry/relay_answer.ts
+++ b/packages/daemon/src/entry/relay_answer.ts
@@ -117,7 +117,6 @@
 const DETAILS: Partial<Record<RefusalReason, string>> = {
   deadline: "the deadline passed while the backend server worked on it",
   link_lost: "the connection to the backend server's sidecar broke",
-  server_crashed: "the backend server died while it worked on the request",
   answer_cut: "the backend server's answer broke off",
   answer_too_large: "the backend server's answer is larger than the bound",
   malformed_answer: "parts of the backend server's answer are missing",
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -115,10 +115,8 @@
   "leaving",
   "unhealthy",
   "wrong_service",
-  "wrong_version",
   "version_stopped",
   "grant_lapsed",
-  "suspect_busy",
   "quarantined",
 ]);
 /** See {@link refusalReasonSchema}. */
@@ -165,12 +163,10 @@
   reason: v.picklist([
     "grant_lapsed",
     "connect_failed",
-    "server_crashed",
     "answer_cut",
     "answer_too_large",
     "deadline",
     "cancelled",
-    "stopped",
   ]),
 });
 
