Let the test of a resent booking wait for the outcome's record

Seen in the demo: a resend through the other entry right after the answer got 409 idempotency_in_progress, since outcomes are committed in groups. The test passed so far because its resend at the first entry came in between. It now asks again while the answer is under way and still requires the same answer and one run.

--- a/packages/testing/test/idempotency_test.ts
+++ b/packages/testing/test/idempotency_test.ts
@@ -2,7 +2,8 @@
 // perhaps through another entry, perhaps while the first is still running. If
 // both run, two craftsmen come and both are paid.
 import t from "tap";
-import { Fleet } from "../src/mod.ts";
+import { Fleet, waitFor } from "../src/mod.ts";
+import type { CallOutcome } from "../src/mod.ts";
 
 const fleet = await Fleet.start({
   entries: 2,
@@ -17,6 +18,11 @@
 const caller = fleet.caller(fleet.entries[0]);
 const other = fleet.caller(fleet.entries[1]);
 
+function isUnderWay(outcome: CallOutcome) {
+  return outcome.type === "refused" &&
+    outcome.reason === "idempotency_in_progress";
+}
+
 t.test("a resent booking runs once, at either entry", async (t) => {
   const booking = {
     marker: "booking",
@@ -28,7 +34,16 @@
   const first = await caller.plain(booking);
   t.match(first, { type: "answered", status: 201 });
   t.same(await caller.plain(booking), first);
-  t.same(await other.plain(booking), first);
+  // The outcome is recorded a moment after the answer; until then the other
+  // entry must say that the first is under way, and never run it again.
+  const elsewhere = await waitFor(
+    "the outcome at the other entry",
+    async () => {
+      const outcome = await other.plain(booking);
+      return isUnderWay(outcome) ? undefined : outcome;
+    },
+  );
+  t.same(elsewhere, first);
   const ran = (await fleet.runs()).filter((run) => run.marker === "booking");
   t.equal(ran.length, 1);
 });
