--- /dev/null
+++ b/packages/testing/test/frozen_sidecar_test.ts
@@ -0,0 +1,55 @@
+import t from "tap";
+import {
+  checkDispatchedOnce,
+  checkNotRunTruth,
+  checkWholeAnswers,
+  Fleet,
+  waitFor,
+} from "../src/mod.ts";
+
+const CALLS = 24;
+
+t.test("a frozen sidecar's waiting requests go elsewhere", async (t) => {
+  // A sidecar is stopped by a signal: its connections stay open and nothing
+  // comes. What waits there must be placed elsewhere long before its deadline;
+  // what runs there is lost, and nobody may say that it did not run. When the
+  // sidecar wakes up it must not run what went elsewhere meanwhile.
+  const fleet = await Fleet.start({
+    entries: 1,
+    backends: [5, 5].map((stepTime) => ({
+      kind: "model",
+      service: "assistant",
+      version: "assistant-1",
+      options: { stepTime, maxSequences: 4 },
+    })),
+  });
+  t.teardown(() => fleet.stop());
+  const frozen = fleet.pairs[0]!;
+  const caller = fleet.caller();
+  const answers = Array.from({ length: CALLS }, (_, index) =>
+    caller.chat({
+      marker: `call-${index}`,
+      service: "assistant",
+      outputTokens: 60,
+      deadline: 100_000,
+    }));
+  await waitFor("requests to run at the first server", async () => {
+    const records = await frozen.server.records();
+    return records.length > 0;
+  });
+  frozen.sidecar.process.send("SIGSTOP");
+  await Promise.all(answers);
+  frozen.sidecar.process.send("SIGCONT");
+  await frozen.sidecar.waitUntilReady();
+  const runs = await fleet.runs();
+  const atFrozen = new Set(
+    runs.filter(({ server }) => server === frozen.name)
+      .map(({ marker }) => marker),
+  );
+  const unanswered = caller.calls
+    .filter(({ outcome }) => outcome.type !== "answered");
+  t.same(unanswered.filter(({ marker }) => !atFrozen.has(marker)), []);
+  t.same(checkWholeAnswers(caller.calls), []);
+  t.same(checkDispatchedOnce(runs), []);
+  t.same(checkNotRunTruth(caller.calls, runs), []);
+});
