Install the daemon's binary beside the command line's

Cause: the package named a file that only a build makes, so that npm linked no binary and the README's `npx sycamorepulleyd` was looked for at the registry. Change: a committed launcher, as the command line has; the example settings are read by a test.

--- /dev/null
+++ b/packages/daemon/bin/sycamorepulleyd.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/main.js";
--- a/packages/daemon/test/read_settings_test.ts
+++ b/packages/daemon/test/read_settings_test.ts
@@ -1,5 +1,9 @@
 import t from "tap";
-import { describeProblem, parseSettings } from "../src/common/read_settings.ts";
+import {
+  describeProblem,
+  parseSettings,
+  readSettings,
+} from "../src/common/read_settings.ts";
 
 const entry = `{
   // One of the entries behind the balancer.
@@ -49,3 +53,17 @@
   t.match(problems(text)[0], /:3: not JSON/);
   t.end();
 });
+
+t.test("the example settings are taken", (t) => {
+  for (const role of ["entry", "sidecar"]) {
+    const read = readSettings(`examples/${role}.jsonc`);
+    t.equal(read.isErr ? read.error : read.value.role, role);
+  }
+  t.end();
+});
+
+t.test("a file that is not there", (t) => {
+  const read = readSettings("examples/none.jsonc");
+  t.match(read.isErr && read.error[0]?.message, /can't be read/);
+  t.end();
+});
