--- a/packages/daemon/src/common/protocol_server.ts
+++ b/packages/daemon/src/common/protocol_server.ts
@@ -4,6 +4,7 @@
 import { acceptLink } from "@sycamorepulley/protocol";
 import type { Hello, LinkError, OpenLink } from "@sycamorepulley/protocol";
 import { listen } from "./listen.ts";
+import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
 import type { Address } from "./settings.ts";
 
@@ -18,6 +19,7 @@
   /** Resolves when the link has ended, with the error that ended it. */
   serve: (open: OpenLink) => Promise<LinkError | undefined>;
   metrics: Metrics;
+  log: Log;
 };
 
 /** A started server and the port it got. */
@@ -48,7 +50,7 @@
   socket: Socket,
   options: ProtocolServerOptions,
 ): Promise<void> {
-  const { hello, serve, metrics } = options;
+  const { hello, serve, metrics, log } = options;
   const accepted = await acceptLink({
     socket,
     hello: hello(),
@@ -56,5 +58,7 @@
   });
   const error = accepted.isErr ? accepted.error : await serve(accepted.value);
   if (!error) return;
-  metrics.linkErrors.inc({ step: error.step, reason: error.reason });
+  const { step, reason, peer } = error;
+  metrics.linkErrors.inc({ step, reason });
+  log.warn("link closed", { step, reason, peer });
 }
--- a/packages/daemon/src/entry/start_entry.ts
+++ b/packages/daemon/src/entry/start_entry.ts
@@ -29,6 +29,7 @@
         (peer, message) => entry.hear(peer, message),
       ),
     metrics,
+    log,
   });
   const status = await startStatusServer({
     address: settings.status,
--- a/packages/daemon/src/sidecar/start_sidecar.ts
+++ b/packages/daemon/src/sidecar/start_sidecar.ts
@@ -60,6 +60,7 @@
     links: settings.bounds.links,
     serve,
     metrics,
+    log,
   });
   const status = await startStatusServer({
     address: settings.status,
--- a/packages/testing/test/bad_frame_test.ts
+++ b/packages/testing/test/bad_frame_test.ts
@@ -39,20 +39,26 @@
   const socket = connect(daemon.protocolPort, "127.0.0.1");
   socket.on("error", () => {});
   await once(socket, "connect");
+  const peer = `127.0.0.1:${socket.localPort}`;
   socket.write(bytes);
   socket.resume();
   await once(socket, "close");
+  return peer;
 }
 
 for (const [name, bytes] of Object.entries(BAD_BYTES)) {
-  t.test(`${name} closes the link and is counted`, async (t) => {
+  t.test(`${name} closes the link, is counted and names the peer`, async (t) => {
     for (const daemon of [fleet.pairs[0]!.sidecar, fleet.entries[0]!]) {
       const before = await linkErrors(daemon);
-      await sendBadBytes(daemon, bytes);
+      const peer = await sendBadBytes(daemon, bytes);
       await waitFor(
         "the error to be counted",
         async () => await linkErrors(daemon) > before,
       );
+      await waitFor(
+        "the peer to be named",
+        () => daemon.process.output.includes(peer),
+      );
       t.notOk(daemon.process.hasEnded);
     }
     const marker = name.replaceAll(" ", "-");
