Tell a cut stream's caller why

Cause: the content type was asked of the response after writeHead, which does not keep headers passed to it, so the event that says why was never written. The connection broke off as it should, so no cut answer looked whole. The test failed before the change and passes with it.

--- a/packages/daemon/src/entry/http_answer_sink.ts
+++ b/packages/daemon/src/entry/http_answer_sink.ts
@@ -8,6 +8,7 @@
 /** Writes one answer to one caller. */
 export class HttpAnswerSink extends AnswerSink {
   readonly #response: ServerResponse;
+  #eventStream = false;
 
   constructor(response: ServerResponse) {
     super();
@@ -15,6 +16,8 @@
   }
 
   override head(status: number, headers: Headers): void {
+    const type = String(headers["content-type"] ?? "");
+    this.#eventStream = type.startsWith("text/event-stream");
     this.#response.writeHead(status, headers);
     this.#response.flushHeaders();
   }
@@ -52,8 +55,7 @@
   override cut(refusal: Refusal): void {
     const response = this.#response;
     if (response.destroyed) return;
-    const type = String(response.getHeader("content-type") ?? "");
-    if (!type.startsWith("text/event-stream")) {
+    if (!this.#eventStream) {
       response.destroy();
       return;
     }
