--- a/benchmarks/src/policies/entry.ts
+++ b/benchmarks/src/policies/entry.ts
@@ -198,7 +198,6 @@
     const { reservations } = this.#settings;
     if (reservations !== undefined) return new FixedPlan(reservations);
     return new ReservationPlan({
-      tierRank: request.requestClass.tierRank,
       prefixKey: this.#settings.prefixAffinity ? request.prefixKey : undefined,
       arrived: request.arrival,
     });
--- a/packages/daemon/src/entry/placement_task.ts
+++ b/packages/daemon/src/entry/placement_task.ts
@@ -46,12 +46,11 @@
 
   constructor(options: PlacementTaskOptions) {
     this.#options = options;
-    const { tier, prefixKey, arrived, fingerprint } = options.request;
+    const { prefixKey, arrived, fingerprint } = options.request;
     const { suspects } = options.desk;
     const verdict = suspects.verdict(fingerprint, monotonicNow());
     this.#suspect = verdict.kind === "suspect";
     this.#plan = new ReservationPlan({
-      tierRank: tier.rank,
       prefixKey,
       arrived,
     });
--- a/packages/decisions/src/placement/reservation_plan.ts
+++ b/packages/decisions/src/placement/reservation_plan.ts
@@ -69,7 +69,6 @@
 
   constructor(
     options: {
-      tierRank: number;
       prefixKey?: string | undefined;
       /** When the request arrived, milliseconds. */
       arrived: number;
--- a/packages/decisions/test/grant_desk_test.ts
+++ b/packages/decisions/test/grant_desk_test.ts
@@ -1,6 +1,6 @@
 import t from "tap";
 import { CallLimit, GRANT_LAPSE, GrantDesk, WaitingQueue } from "../src/mod.ts";
-import type { Waiting } from "../src/mod.ts";
+import { waiting } from "./waiting.ts";
 
 function desk(initial: number): GrantDesk {
   return new GrantDesk({
@@ -9,19 +9,6 @@
   });
 }
 
-function waiting(id: string, changes: Partial<Waiting> = {}): Waiting {
-  return {
-    id,
-    tierRank: 0,
-    organisation: "one",
-    weight: 1,
-    cost: { promptTokens: 0, outputTokens: 1 },
-    deadline: 60_000,
-    arrived: 0,
-    ...changes,
-  };
-}
-
 t.test("room is granted, then the rest waits", (t) => {
   const desk1 = desk(1);
   const [grant] = desk1.reserve(waiting("a"), 0);
--- a/packages/decisions/test/placement_test.ts
+++ b/packages/decisions/test/placement_test.ts
@@ -187,7 +187,7 @@
 });
 
 t.test("a plan grows while no grant comes and replaces what is lost", (t) => {
-  const plan = new ReservationPlan({ tierRank: 0, arrived: 100 });
+  const plan = new ReservationPlan({ arrived: 100 });
   t.strictSame(plan.next(100), { count: 2, reach: "dataCentre" });
   t.equal(plan.next(101).count, 0);
   t.equal(plan.nextAt, 104);
