--- a/benchmarks/src/claims/measure_claims.ts
+++ b/benchmarks/src/claims/measure_claims.ts
@@ -4,7 +4,7 @@
   claimCommitOptions,
   ClaimLedger,
   HttpKeyValueStore,
-} from "@sycamorepulley/platform";
+} from "@sycamorepulley/store";
 import { setTimeout as sleep } from "node:timers/promises";
 
 const DURATION = 5000;
--- a/benchmarks/src/claims/measure_size.ts
+++ b/benchmarks/src/claims/measure_size.ts
@@ -1,5 +1,5 @@
 /** Bytes that claims take in the key-value service. @module */
-import { ClaimLedger, MemoryKeyValueStore } from "@sycamorepulley/platform";
+import { ClaimLedger, MemoryKeyValueStore } from "@sycamorepulley/store";
 
 const CLAIMS = 20_000;
 const BATCH = 400;
--- a/packages/command_line/src/commands/apply.ts
+++ b/packages/command_line/src/commands/apply.ts
@@ -4,7 +4,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { publish, readPublished } from "@sycamorepulley/configuration";
 import type { Published } from "@sycamorepulley/configuration";
-import type { KeyValueStore } from "@sycamorepulley/platform";
+import type { KeyValueStore } from "@sycamorepulley/store";
 import { baseIn, withoutBase } from "../base_revision.ts";
 import { requiredInstanceList, requiredStore } from "../context.ts";
 import type { Context } from "../context.ts";
--- a/packages/command_line/src/commands/moves.ts
+++ b/packages/command_line/src/commands/moves.ts
@@ -1,5 +1,5 @@
 /** `moves`: how far each move has come, as the processes state it. @module */
-import type { MoveStatus } from "@sycamorepulley/platform";
+import type { MoveStatus } from "@sycamorepulley/store";
 import type { Context } from "../context.ts";
 import { EXIT_CODE } from "../exit_code.ts";
 import { readFleet } from "../fleet/read_fleet.ts";
--- a/packages/command_line/src/commands/refusals.ts
+++ b/packages/command_line/src/commands/refusals.ts
@@ -1,5 +1,5 @@
 /** `refusals`: why requests were refused or placed again, over the fleet. @module */
-import type { Status } from "@sycamorepulley/platform";
+import type { Status } from "@sycamorepulley/store";
 import type { Context } from "../context.ts";
 import { EXIT_CODE } from "../exit_code.ts";
 import { readFleet } from "../fleet/read_fleet.ts";
--- a/packages/command_line/src/commands/status.ts
+++ b/packages/command_line/src/commands/status.ts
@@ -1,6 +1,6 @@
 /** `status`: what every process has in force and how it fares. @module */
 import { readPublished } from "@sycamorepulley/configuration";
-import type { Status } from "@sycamorepulley/platform";
+import type { Status } from "@sycamorepulley/store";
 import type { Context } from "../context.ts";
 import { EXIT_CODE } from "../exit_code.ts";
 import type { ExitCode } from "../exit_code.ts";
--- a/packages/command_line/src/context.ts
+++ b/packages/command_line/src/context.ts
@@ -1,5 +1,5 @@
 /** What commands work with. @module */
-import type { InstanceList, KeyValueStore } from "@sycamorepulley/platform";
+import type { InstanceList, KeyValueStore } from "@sycamorepulley/store";
 import { UsageError } from "./output/command_result.ts";
 import type { StatusSource } from "./fleet/status_source.ts";
 
--- a/packages/command_line/src/fleet/read_fleet.ts
+++ b/packages/command_line/src/fleet/read_fleet.ts
@@ -1,5 +1,5 @@
 /** Statuses of every listed process. @module */
-import type { Instance, PlatformError } from "@sycamorepulley/platform";
+import type { Instance, PlatformError } from "@sycamorepulley/store";
 import { Result } from "true-myth/result";
 import { requiredInstanceList } from "../context.ts";
 import type { Context } from "../context.ts";
--- a/packages/command_line/src/fleet/status_source.ts
+++ b/packages/command_line/src/fleet/status_source.ts
@@ -1,6 +1,6 @@
 /** Asks processes for their status over HTTP. @module */
-import { statusSchema } from "@sycamorepulley/platform";
-import type { Instance, Status } from "@sycamorepulley/platform";
+import { statusSchema } from "@sycamorepulley/store";
+import type { Instance, Status } from "@sycamorepulley/store";
 import { Result } from "true-myth/result";
 import { Agent, request } from "undici";
 import * as v from "valibot";
--- a/packages/command_line/src/output/platform_failure.ts
+++ b/packages/command_line/src/output/platform_failure.ts
@@ -1,6 +1,6 @@
 /** How a failed call to the platform is told to the operator. @module */
-import { describePlatformError } from "@sycamorepulley/platform";
-import type { PlatformError } from "@sycamorepulley/platform";
+import { describePlatformError } from "@sycamorepulley/store";
+import type { PlatformError } from "@sycamorepulley/store";
 import { EXIT_CODE } from "../exit_code.ts";
 import type { CommandResult } from "./command_result.ts";
 
--- a/packages/command_line/src/output/publish_failure.ts
+++ b/packages/command_line/src/output/publish_failure.ts
@@ -3,7 +3,7 @@
   PublishConflict,
   PublishError,
 } from "@sycamorepulley/configuration";
-import { describePlatformError } from "@sycamorepulley/platform";
+import { describePlatformError } from "@sycamorepulley/store";
 import { EXIT_CODE } from "../exit_code.ts";
 import type { CommandResult } from "./command_result.ts";
 import { differenceLines } from "./difference_lines.ts";
--- a/packages/command_line/src/run.ts
+++ b/packages/command_line/src/run.ts
@@ -1,5 +1,5 @@
 /** One run of the command line, from its arguments to its exit code. @module */
-import { HttpInstanceList, HttpKeyValueStore } from "@sycamorepulley/platform";
+import { HttpInstanceList, HttpKeyValueStore } from "@sycamorepulley/store";
 import type { CAC } from "cac";
 import { findAddresses } from "./addresses.ts";
 import type { Addresses } from "./addresses.ts";
--- a/packages/command_line/test/fleet_commands_test.ts
+++ b/packages/command_line/test/fleet_commands_test.ts
@@ -1,5 +1,5 @@
-import { HttpInstanceList } from "@sycamorepulley/platform";
-import type { Status } from "@sycamorepulley/platform";
+import { HttpInstanceList } from "@sycamorepulley/store";
+import type { Status } from "@sycamorepulley/store";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import t from "tap";
--- a/packages/configuration/src/configuration_follower.ts
+++ b/packages/configuration/src/configuration_follower.ts
@@ -4,7 +4,7 @@
   Entry,
   KeyValueStore,
   PlatformError,
-} from "@sycamorepulley/platform";
+} from "@sycamorepulley/store";
 import { decodeManifest, MANIFEST_KEY } from "./manifest.ts";
 import { pollDelay, watchDuration } from "./poll_schedule.ts";
 import { adopt } from "./snapshot.ts";
--- a/packages/configuration/src/publish.ts
+++ b/packages/configuration/src/publish.ts
@@ -5,7 +5,7 @@
   Entry,
   KeyValueStore,
   PlatformError,
-} from "@sycamorepulley/platform";
+} from "@sycamorepulley/store";
 import { checkObjects } from "./check/check_objects.ts";
 import { diffObjects } from "./diff_objects.ts";
 import {
--- a/packages/configuration/src/publish_error.ts
+++ b/packages/configuration/src/publish_error.ts
@@ -1,5 +1,5 @@
 /** Why a set was not published, or may not have been. @module */
-import type { PlatformError } from "@sycamorepulley/platform";
+import type { PlatformError } from "@sycamorepulley/store";
 import type { ObjectChange } from "./diff_objects.ts";
 import type { Problem } from "./problem.ts";
 import type { Publication } from "./snapshot.ts";
--- a/packages/configuration/test/configuration_follower_test.ts
+++ b/packages/configuration/test/configuration_follower_test.ts
@@ -1,7 +1,7 @@
 import {
   FaultyKeyValueStore,
   MemoryKeyValueStore,
-} from "@sycamorepulley/platform";
+} from "@sycamorepulley/store";
 import t from "tap";
 import {
   ConfigurationFollower,
--- a/packages/configuration/test/manifest_test.ts
+++ b/packages/configuration/test/manifest_test.ts
@@ -1,4 +1,4 @@
-import { MAXIMUM_VALUE_BYTES } from "@sycamorepulley/platform";
+import { MAXIMUM_VALUE_BYTES } from "@sycamorepulley/store";
 import t from "tap";
 import { decodeManifest, encodeManifest, publishedSource } from "../src/mod.ts";
 import { EXAMPLE, hashOf, NOW } from "./example.ts";
--- a/packages/configuration/test/publish_test.ts
+++ b/packages/configuration/test/publish_test.ts
@@ -1,7 +1,7 @@
 import {
   FaultyKeyValueStore,
   MemoryKeyValueStore,
-} from "@sycamorepulley/platform";
+} from "@sycamorepulley/store";
 import t from "tap";
 import { publish } from "../src/mod.ts";
 import type { PublishOptions } from "../src/mod.ts";
--- a/packages/daemon/src/common/configuration_keeper.ts
+++ b/packages/daemon/src/common/configuration_keeper.ts
@@ -7,7 +7,7 @@
   ConfigurationFollower,
   ConfigurationIndex,
 } from "@sycamorepulley/configuration";
-import type { KeyValueStore } from "@sycamorepulley/platform";
+import type { KeyValueStore } from "@sycamorepulley/store";
 import type { Message } from "@sycamorepulley/protocol";
 import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
--- a/packages/daemon/src/common/membership.ts
+++ b/packages/daemon/src/common/membership.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { setTimeout as sleep } from "node:timers/promises";
-import type { Instance, InstanceList } from "@sycamorepulley/platform";
+import type { Instance, InstanceList } from "@sycamorepulley/store";
 import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
 
--- a/packages/daemon/src/common/process_parts.ts
+++ b/packages/daemon/src/common/process_parts.ts
@@ -4,7 +4,7 @@
   callBudgetOptions,
   HttpInstanceList,
   HttpKeyValueStore,
-} from "@sycamorepulley/platform";
+} from "@sycamorepulley/store";
 import { ProcessLifecycle } from "@sycamorepulley/decisions";
 import type { Hello } from "@sycamorepulley/protocol";
 import { monotonicNow } from "./clock.ts";
--- a/packages/daemon/src/common/status_server.ts
+++ b/packages/daemon/src/common/status_server.ts
@@ -3,7 +3,7 @@
 import type { Server } from "node:http";
 import polka from "polka";
 import type { Request } from "polka";
-import type { Status } from "@sycamorepulley/platform";
+import type { Status } from "@sycamorepulley/store";
 import { listen } from "./listen.ts";
 import type { Metrics } from "./metrics.ts";
 import type { Address } from "./settings.ts";
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -1,8 +1,8 @@
 /** The entry role: callers' requests in, backend servers' answers out. @module */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { CostEstimator, WaitingAllowance } from "@sycamorepulley/decisions";
-import { claimCommitOptions, ClaimLedger } from "@sycamorepulley/platform";
-import type { Instance, Status } from "@sycamorepulley/platform";
+import { claimCommitOptions, ClaimLedger } from "@sycamorepulley/store";
+import type { Instance, Status } from "@sycamorepulley/store";
 import type { Message } from "@sycamorepulley/protocol";
 import type { ConfigurationPeer } from "../common/configuration_keeper.ts";
 import { EntryMoves } from "../moves/entry_moves.ts";
--- a/packages/daemon/src/entry/keyed_request.ts
+++ b/packages/daemon/src/entry/keyed_request.ts
@@ -9,8 +9,8 @@
  * dispatched, and "not run" is true.
  * @module
  */
-import { MAXIMUM_BODY_BYTES } from "@sycamorepulley/platform";
-import type { ClaimLedger, HeldClaim, Outcome } from "@sycamorepulley/platform";
+import { MAXIMUM_BODY_BYTES } from "@sycamorepulley/store";
+import type { ClaimLedger, HeldClaim, Outcome } from "@sycamorepulley/store";
 import { wallNow } from "../common/clock.ts";
 import type { AnswerSink } from "./answer_sink.ts";
 import { RecordingSink } from "./recording_sink.ts";
--- a/packages/daemon/src/entry/recording_sink.ts
+++ b/packages/daemon/src/entry/recording_sink.ts
@@ -1,5 +1,5 @@
 /** Keeps a copy of an answer on its way to the caller. @module */
-import type { Outcome } from "@sycamorepulley/platform";
+import type { Outcome } from "@sycamorepulley/store";
 import type { Headers } from "@sycamorepulley/protocol";
 import { AnswerSink } from "./answer_sink.ts";
 import type { Refusal } from "./refusal.ts";
--- a/packages/daemon/src/entry/sidecar_directory.ts
+++ b/packages/daemon/src/entry/sidecar_directory.ts
@@ -7,7 +7,7 @@
  * its session until its requests are done.
  * @module
  */
-import type { Instance } from "@sycamorepulley/platform";
+import type { Instance } from "@sycamorepulley/store";
 import type { Hello, Message } from "@sycamorepulley/protocol";
 import { monotonicNow } from "../common/clock.ts";
 import type { Log } from "../common/log.ts";
--- a/packages/daemon/src/moves/entry_moves.ts
+++ b/packages/daemon/src/moves/entry_moves.ts
@@ -5,7 +5,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { RouteEvidence } from "@sycamorepulley/decisions";
 import type { ConfigurationIndex, Move } from "@sycamorepulley/configuration";
-import type { KeyValueStore, MoveStatus } from "@sycamorepulley/platform";
+import type { KeyValueStore, MoveStatus } from "@sycamorepulley/store";
 import { wallNow } from "../common/clock.ts";
 import type { Log } from "../common/log.ts";
 import { EvidenceLink } from "./evidence_link.ts";
--- a/packages/daemon/src/moves/move_driver.ts
+++ b/packages/daemon/src/moves/move_driver.ts
@@ -12,7 +12,7 @@
 import { mergeEvidence, MoveJudge, nextStep } from "@sycamorepulley/decisions";
 import type { MoveRecord, RouteEvidence } from "@sycamorepulley/decisions";
 import type { Move } from "@sycamorepulley/configuration";
-import type { KeyValueStore } from "@sycamorepulley/platform";
+import type { KeyValueStore } from "@sycamorepulley/store";
 import type { Log } from "../common/log.ts";
 import {
   decodeStoredMove,
--- a/packages/daemon/src/moves/service_move.ts
+++ b/packages/daemon/src/moves/service_move.ts
@@ -13,7 +13,7 @@
 } from "@sycamorepulley/decisions";
 import type { MoveEnd, RouteEvidence, Side } from "@sycamorepulley/decisions";
 import type { Move } from "@sycamorepulley/configuration";
-import type { MoveStatus } from "@sycamorepulley/platform";
+import type { MoveStatus } from "@sycamorepulley/store";
 import { firstRecord } from "./stored_move.ts";
 import type { StoredMove } from "./stored_move.ts";
 
--- a/packages/daemon/src/sidecar/start_sidecar.ts
+++ b/packages/daemon/src/sidecar/start_sidecar.ts
@@ -7,7 +7,7 @@
   WaitingQueue,
 } from "@sycamorepulley/decisions";
 import type { ConcurrencyLimit } from "@sycamorepulley/decisions";
-import type { Instance, Status } from "@sycamorepulley/platform";
+import type { Instance, Status } from "@sycamorepulley/store";
 import type { LinkError, OpenLink } from "@sycamorepulley/protocol";
 import { monotonicNow } from "../common/clock.ts";
 import { Membership } from "../common/membership.ts";
--- a/packages/daemon/test/move_driver_test.ts
+++ b/packages/daemon/test/move_driver_test.ts
@@ -2,7 +2,7 @@
 import {
   FaultyKeyValueStore,
   MemoryKeyValueStore,
-} from "@sycamorepulley/platform";
+} from "@sycamorepulley/store";
 import t from "tap";
 import { MoveDriver } from "../src/moves/move_driver.ts";
 import { ServiceMove } from "../src/moves/service_move.ts";
--- /dev/null
+++ b/packages/decisions/src/discovery/mod.ts
@@ -0,0 +1,4 @@
+/** The backend servers that may be sent work. @module */
+export { ServerDirectory } from "./server_directory.ts";
+export { incarnationOf } from "./server_record.ts";
+export type { ServerRecord } from "./server_record.ts";
--- /dev/null
+++ b/packages/decisions/src/dispatch/ask.ts
@@ -0,0 +1,55 @@
+/** A request for a backend server, as the granting entry sees it. @module */
+import type { Cost } from "../queueing/mod.ts";
+
+/**
+ * Times are milliseconds of the granting entry's own clock. The request itself,
+ * with its body, stays with the entry that asks.
+ */
+export type Ask = {
+  /** Unique among all asks: the asking entry's incarnation and a number. */
+  id: string;
+  /** Instance name of the entry that asks. */
+  entry: string;
+  service: string;
+  tierRank: number;
+  /** Empty where the route is open to all. */
+  organisation: string;
+  dataCentre: string;
+  cost: Cost;
+  /** What the organisation's quota is charged, in tokens. */
+  charge: number;
+  arrived: number;
+  /** Instant by which the first answer is on time. */
+  goalAt: number;
+  /** Instant after which a grant is of no use any more. */
+  lapsesAt: number;
+  /** Servers that this request was sent to before. */
+  avoid: readonly string[];
+  /** Waited or ran before: goes before others of its tier. */
+  resumed: boolean;
+};
+
+/** Why an ask was turned away; none of them has run for it. */
+export type AskRefusal = "quota" | "overload" | "no_server" | "expired";
+
+/** What became of an ask. */
+export type AskVerdict =
+  | { kind: "grant"; ask: Ask; server: string }
+  | { kind: "refuse"; ask: Ask; reason: AskRefusal; retryAfter: number };
+
+/** How a granted request ended at its server. */
+export type RunEnd =
+  /** A whole answer. */
+  | "answered"
+  /** The server answered with a failure of its own. */
+  | "failed"
+  /** No connection could be opened: refused at once. */
+  | "connection_refused"
+  /** No connection could be opened in time. */
+  | "connection_timeout"
+  /** The connection broke, or what came was no whole answer. */
+  | "broken"
+  /** The server said that it did not run the request. */
+  | "not_run"
+  /** The caller left, or the time was up. */
+  | "abandoned";
--- /dev/null
+++ b/packages/decisions/src/dispatch/desk.ts
@@ -0,0 +1,139 @@
+/**
+ * All that one entry grants for its group: quotas first, then the service's
+ * queue. One entry grants for all that hear it; alone, it grants for itself.
+ * @module
+ */
+import type { ServerRecord } from "../discovery/mod.ts";
+import { OrganisationQuotas } from "../quotas/mod.ts";
+import type { Quota } from "../quotas/mod.ts";
+import type { Ask, AskVerdict, RunEnd } from "./ask.ts";
+import { ServiceDesk } from "./service_desk.ts";
+
+/** Ends after which the quota's charge is taken back. */
+const NOT_RUN: ReadonlySet<RunEnd> = new Set<RunEnd>([
+  "connection_refused",
+  "connection_timeout",
+  "not_run",
+]);
+
+/** Grants for a group of entries; verdicts are drawn by {@link Desk.verdicts}. */
+export class Desk {
+  readonly #services = new Map<string, ServiceDesk>();
+  readonly #quotas = new OrganisationQuotas();
+  /** Asks that wait or run. */
+  readonly #asks = new Map<string, Ask>();
+  #part = 1;
+
+  /** Takes over the servers that may be sent work, of all services. */
+  setServers(records: readonly ServerRecord[]): void {
+    const byService = new Map<string, ServerRecord[]>();
+    for (const record of records) {
+      const same = byService.get(record.service);
+      if (same === undefined) byService.set(record.service, [record]);
+      else same.push(record);
+    }
+    for (const [name, desk] of this.#services) {
+      if (!byService.has(name)) desk.setServers([]);
+    }
+    for (const [name, servers] of byService) {
+      this.#service(name).setServers(servers);
+    }
+  }
+
+  /** Takes over quotas, and the group's part of them and of all room. */
+  setShares(
+    quotas: ReadonlyMap<string, Quota>,
+    part: number,
+    now: number,
+  ): void {
+    this.#part = part;
+    this.#quotas.configure(quotas, part, now);
+    for (const desk of this.#services.values()) desk.setPart(part);
+  }
+
+  /** Queues an ask, or turns it away at once. */
+  ask(ask: Ask, now: number): AskVerdict | undefined {
+    const quota = this.#quotas.charge(ask.organisation, ask.charge, now);
+    if (!quota.allowed) {
+      const { retryAfter } = quota;
+      return { kind: "refuse", ask, reason: "quota", retryAfter };
+    }
+    const verdict = this.#service(ask.service).ask(ask, now);
+    if (verdict === undefined) this.#asks.set(ask.id, ask);
+    else this.#quotas.refund(ask.organisation, ask.charge);
+    return verdict;
+  }
+
+  /** The request did not run: it no longer waits, or its grant went unused. */
+  withdraw(ask: Ask): void {
+    if (!this.#asks.delete(ask.id)) return;
+    this.#services.get(ask.service)?.withdraw(ask.id);
+    this.#quotas.refund(ask.organisation, ask.charge);
+  }
+
+  /** Counts a run that another entry granted before. */
+  adopt(ask: Ask, server: string, now: number): void {
+    this.#asks.set(ask.id, ask);
+    this.#service(ask.service).adopt(ask, server, now);
+  }
+
+  /** See {@link ServiceDesk.firstAnswer}. */
+  firstAnswer(id: string, measured: number, now: number): void {
+    this.#deskOf(id)?.firstAnswer(id, measured, now);
+  }
+
+  /** See {@link ServiceDesk.ended}. */
+  ended(id: string, end: RunEnd, now: number): void {
+    const ask = this.#asks.get(id);
+    if (ask === undefined) return;
+    this.#asks.delete(id);
+    this.#services.get(ask.service)?.ended(id, end, now);
+    if (NOT_RUN.has(end)) this.#quotas.refund(ask.organisation, ask.charge);
+  }
+
+  /** Drops all that an entry asked for. */
+  forgetEntry(entry: string): void {
+    for (const [id, ask] of this.#asks) {
+      if (ask.entry === entry) this.#asks.delete(id);
+    }
+    for (const desk of this.#services.values()) desk.forgetEntry(entry);
+  }
+
+  /** Everything that can be decided now. */
+  verdicts(now: number): AskVerdict[] {
+    const verdicts: AskVerdict[] = [];
+    for (const desk of this.#services.values()) {
+      verdicts.push(...desk.verdicts(now));
+    }
+    for (const verdict of verdicts) {
+      if (verdict.kind === "grant") continue;
+      this.#asks.delete(verdict.ask.id);
+      this.#quotas.refund(verdict.ask.organisation, verdict.ask.charge);
+    }
+    return verdicts;
+  }
+
+  /** Waiting and running of each service, for metrics. */
+  sizes(): { service: string; waiting: number; running: number }[] {
+    return [...this.#services].map(([service, { waiting, running }]) => ({
+      service,
+      waiting,
+      running,
+    }));
+  }
+
+  #deskOf(id: string): ServiceDesk | undefined {
+    const ask = this.#asks.get(id);
+    return ask && this.#services.get(ask.service);
+  }
+
+  #service(name: string): ServiceDesk {
+    let desk = this.#services.get(name);
+    if (desk === undefined) {
+      desk = new ServiceDesk();
+      desk.setPart(this.#part);
+      this.#services.set(name, desk);
+    }
+    return desk;
+  }
+}
--- a/packages/decisions/src/mod.ts
+++ b/packages/decisions/src/mod.ts
@@ -1,6 +1,9 @@
 /** Decisions under load, free of network, clock and randomness. @module */
+export * from "./discovery/mod.ts";
+export * from "./dispatch/mod.ts";
 export * from "./ejection/mod.ts";
 export * from "./estimates/mod.ts";
+export * from "./fleet/mod.ts";
 export * from "./granting/mod.ts";
 export * from "./isolation/mod.ts";
 export * from "./lifecycle/mod.ts";
@@ -8,5 +11,7 @@
 export * from "./moves/mod.ts";
 export * from "./placement/mod.ts";
 export * from "./queueing/mod.ts";
+export * from "./quotas/mod.ts";
 export * from "./retries/mod.ts";
+export * from "./routing/mod.ts";
 export * from "./suspects/mod.ts";
--- /dev/null
+++ b/packages/decisions/src/quotas/token_bucket.ts
@@ -0,0 +1,56 @@
+/** A rate with a burst, filled by the passing of time. @module */
+
+/** Holds at most `burst` tokens and gains `ratePerSecond`. */
+export class TokenBucket {
+  #balance: number;
+  #filledAt: number;
+  #ratePerSecond: number;
+  #burst: number;
+
+  constructor(ratePerSecond: number, burst: number, now: number) {
+    this.#ratePerSecond = ratePerSecond;
+    this.#burst = burst;
+    this.#balance = burst;
+    this.#filledAt = now;
+  }
+
+  /** Changes the bounds; a balance above the new burst is lost. */
+  configure(ratePerSecond: number, burst: number, now: number): void {
+    this.#fill(now);
+    this.#ratePerSecond = ratePerSecond;
+    this.#burst = burst;
+    this.#balance = Math.min(this.#balance, burst);
+  }
+
+  /**
+   * Takes `amount`; false, and nothing taken, when the balance is short. An
+   * amount above the whole burst passes on a full bucket and leaves a debt, or
+   * it could never pass at all.
+   */
+  take(amount: number, now: number): boolean {
+    this.#fill(now);
+    if (this.#balance < Math.min(amount, this.#burst)) return false;
+    this.#balance -= amount;
+    return true;
+  }
+
+  /** Gives back what was taken for work that did not run. */
+  giveBack(amount: number): void {
+    this.#balance = Math.min(this.#burst, this.#balance + amount);
+  }
+
+  /** Milliseconds until `amount` can be taken, if nothing else is. */
+  waitFor(amount: number, now: number): number {
+    this.#fill(now);
+    const missing = Math.min(amount, this.#burst) - this.#balance;
+    if (missing <= 0) return 0;
+    return missing / Math.max(this.#ratePerSecond, 1e-9) * 1000;
+  }
+
+  #fill(now: number): void {
+    const elapsed = Math.max(0, now - this.#filledAt);
+    this.#filledAt = now;
+    const gained = elapsed / 1000 * this.#ratePerSecond;
+    this.#balance = Math.min(this.#burst, this.#balance + gained);
+  }
+}
--- a/packages/emulator/src/platform/instance_list_service.ts
+++ b/packages/emulator/src/platform/instance_list_service.ts
@@ -1,5 +1,5 @@
 /** The emulated instance list of docs/platform-protocol.md, with a lag. @module */
-import { instanceSchema } from "@sycamorepulley/platform";
+import { instanceSchema } from "@sycamorepulley/store";
 import * as v from "valibot";
 import { listFaultsSchema } from "./faults.ts";
 import { json, parseJson } from "./answers.ts";
--- a/packages/emulator/src/platform/key_value_service.ts
+++ b/packages/emulator/src/platform/key_value_service.ts
@@ -4,13 +4,13 @@
  * that loses its newest writes.
  * @module
  */
-import { MemoryKeyValueStore } from "@sycamorepulley/platform";
+import { MemoryKeyValueStore } from "@sycamorepulley/store";
 import type {
   Entry,
   KeyValueBackup,
   PlatformError,
   WatchOutcome,
-} from "@sycamorepulley/platform";
+} from "@sycamorepulley/store";
 import { faultsSchema } from "./faults.ts";
 import type { Faults } from "./faults.ts";
 import { json, parseJson } from "./answers.ts";
--- a/packages/emulator/src/platform/lagging_instances.ts
+++ b/packages/emulator/src/platform/lagging_instances.ts
@@ -1,5 +1,5 @@
 /** The instance list's view of the fleet, late by a lag. @module */
-import type { Instance } from "@sycamorepulley/platform";
+import type { Instance } from "@sycamorepulley/store";
 
 /** An instance that sends no heartbeat for this long is dropped. */
 const SILENCE = 10_000;
--- a/packages/emulator/test/platform/instance_list_service_test.ts
+++ b/packages/emulator/test/platform/instance_list_service_test.ts
@@ -1,5 +1,5 @@
-import { HttpInstanceList } from "@sycamorepulley/platform";
-import type { Instance } from "@sycamorepulley/platform";
+import { HttpInstanceList } from "@sycamorepulley/store";
+import type { Instance } from "@sycamorepulley/store";
 import t from "tap";
 import { LaggingInstances } from "../../src/platform/lagging_instances.ts";
 import { startInstanceList } from "../../src/platform/mod.ts";
--- a/packages/emulator/test/platform/key_value_service_test.ts
+++ b/packages/emulator/test/platform/key_value_service_test.ts
@@ -1,4 +1,4 @@
-import { HttpKeyValueStore } from "@sycamorepulley/platform";
+import { HttpKeyValueStore } from "@sycamorepulley/store";
 import t from "tap";
 import type { Test } from "tap";
 import { startKeyValueStore } from "../../src/platform/mod.ts";
--- /dev/null
+++ b/packages/gateway/src/front/forwarded_headers.ts
@@ -0,0 +1,65 @@
+/** Which headers go on to the other side. @module */
+
+/** Headers that concern one connection only (RFC 9110, section 7.6.1). */
+const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "expect",
+  "content-length",
+]);
+
+/**
+ * Names and values in turn, as received, less those of the connection, those
+ * that its `Connection` header names, and `dropped` (lower case). Headers of
+ * `kept` can't be taken out by a caller's `Connection`.
+ */
+export function forwardedHeaders(
+  raw: readonly string[],
+  dropped: ReadonlySet<string>,
+  kept: ReadonlySet<string>,
+): string[] {
+  const named = namedByConnection(raw);
+  const forwarded: string[] = [];
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    const name = raw[index]!;
+    const lower = name.toLowerCase();
+    if (CONNECTION_HEADERS.has(lower) || dropped.has(lower)) continue;
+    if (named.has(lower) && !kept.has(lower)) continue;
+    forwarded.push(name, raw[index + 1]!);
+  }
+  return forwarded;
+}
+
+/** The headers of an answer that go to the caller. */
+export function answerHeaders(
+  headers: Record<string, string | string[] | undefined>,
+): Record<string, string | string[]> {
+  const named = new Set(
+    String(headers.connection ?? "").toLowerCase().split(/\s*,\s*/),
+  );
+  const kept: Record<string, string | string[]> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined || named.has(name)) continue;
+    if (CONNECTION_HEADERS.has(name)) continue;
+    kept[name] = value;
+  }
+  return kept;
+}
+
+function namedByConnection(raw: readonly string[]): Set<string> {
+  const named = new Set<string>();
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    if (raw[index]!.toLowerCase() !== "connection") continue;
+    for (const name of raw[index + 1]!.split(",")) {
+      named.add(name.trim().toLowerCase());
+    }
+  }
+  return named;
+}
--- /dev/null
+++ b/packages/gateway/src/front/front.ts
@@ -0,0 +1,74 @@
+/** Callers' HTTP server: connections, limits, a graceful end. @module */
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Address } from "../settings.ts";
+import type { FrontLimits } from "../state/gateway_configuration.ts";
+
+/**
+ * Milliseconds beyond the stated idle time for which a connection is kept: a
+ * caller that uses it at the last moment must not meet its closing.
+ */
+const IDLE_MARGIN = 3000;
+/** Milliseconds between checks of connections that are slow to send a request. */
+const CHECK_EVERY = 500;
+/** Largest head that is read at all; the configured bound is checked after. */
+const LARGEST_HEAD = 64 * 1024;
+/** Milliseconds for a whole body: callers' longest deadline. */
+const BODY_TIMEOUT = 15_000;
+
+/** Serves one request to its end. */
+export type ServeRequest = (
+  request: IncomingMessage,
+  response: ServerResponse,
+) => void;
+
+/** See the module. */
+export class Front {
+  readonly #server: Server;
+  #closing = false;
+
+  constructor(serve: ServeRequest) {
+    this.#server = createServer(
+      {
+        maxHeaderSize: LARGEST_HEAD,
+        connectionsCheckingInterval: CHECK_EVERY,
+        requestTimeout: BODY_TIMEOUT,
+        noDelay: true,
+      },
+      (request, response) => {
+        response.sendDate = false;
+        if (this.#closing) response.setHeader("connection", "close");
+        serve(request, response);
+      },
+    );
+  }
+
+  /** Applies the limits of a new configuration to what arrives from now on. */
+  limit(limits: FrontLimits): void {
+    this.#server.headersTimeout = limits.headerTimeout;
+    this.#server.keepAliveTimeout = limits.idleTimeout + IDLE_MARGIN;
+  }
+
+  listen(address: Address): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(address.port, address.host, () => resolve());
+    });
+  }
+
+  /** Answers ask connections to end; new connections are still taken. */
+  startClosing(): void {
+    this.#closing = true;
+  }
+
+  /** Takes no connection any more and ends those that are idle. */
+  stopListening(): void {
+    this.#server.close();
+    this.#server.closeIdleConnections();
+  }
+
+  /** Ends whatever is left. */
+  cut(): void {
+    this.#server.closeAllConnections();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/front/header_names.ts
@@ -0,0 +1,24 @@
+/** The names under which a platform's callers and servers put things. @module */
+
+/** Header names as sent; they are compared without regard to case. */
+export type HeaderNames = {
+  /** Names one try of one request; servers echo it. */
+  request: string;
+  credential: string;
+  /** Set by the gateway: whose credential it was. */
+  organisation: string;
+  /** Milliseconds that are left for the request. */
+  timeLeft: string;
+  /** Set by the gateway: the server that is meant. */
+  expectedServer: string;
+  /** A server's word that it did not run the request. */
+  notRun: string;
+  /** Marks an answer as a server's own. */
+  seal: string;
+  /** Prompt tokens and most output tokens. */
+  tokenUsage: string;
+  /** Where a stream goes on. */
+  lastEvent: string;
+  /** Headers that only the system itself may set; dropped from callers. */
+  reserved: readonly string[];
+};
--- /dev/null
+++ b/packages/gateway/src/front/status_pages.ts
@@ -0,0 +1,63 @@
+/** Pages for the balancer and for operators. @module */
+import { createServer } from "node:http";
+import type { Server } from "node:http";
+import polka from "polka";
+import type { Request } from "polka";
+import type { GatewayMetrics } from "../observe/metrics.ts";
+import type { Address } from "../settings.ts";
+
+/** Options of {@link StatusPages}. */
+export type StatusPagesOptions = {
+  metrics: GatewayMetrics;
+  /** Whether new callers should be sent here. */
+  ready: () => boolean;
+  /** Brings gauges up to date. */
+  refresh: () => void;
+};
+
+/** `/readiness` for the balancer; `/metrics` on an address of its own. */
+export class StatusPages {
+  readonly #options: StatusPagesOptions;
+  readonly #servers: Server[] = [];
+
+  constructor(options: StatusPagesOptions) {
+    this.#options = options;
+  }
+
+  async listen(readiness: Address, metrics: Address): Promise<void> {
+    await this.#start(readiness);
+    const same = readiness.host === metrics.host &&
+      readiness.port === metrics.port;
+    if (!same) await this.#start(metrics);
+  }
+
+  close(): void {
+    for (const server of this.#servers) {
+      server.close();
+      server.closeAllConnections();
+    }
+  }
+
+  #start(address: Address): Promise<void> {
+    const { metrics, ready, refresh } = this.#options;
+    const application = polka()
+      .get("/readiness", (_request, response) => {
+        response.statusCode = ready() ? 200 : 503;
+        response.end(ready() ? "ready\n" : "not ready\n");
+      })
+      .get("/metrics", async (_request, response) => {
+        refresh();
+        response.setHeader("content-type", metrics.registry.contentType);
+        response.end(await metrics.registry.metrics());
+      });
+    // polka takes requests only of servers that it starts itself.
+    const server = createServer((request, response) =>
+      application.handler(request as Request, response)
+    );
+    this.#servers.push(server);
+    return new Promise((resolve, reject) => {
+      server.once("error", reject);
+      server.listen(address.port, address.host, () => resolve());
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,412 @@
+/**
+ * One gateway process: the parts, how they hear of each other, and its stop.
+ * @module
+ */
+import { randomBytes, randomInt } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import {
+  incarnationOf,
+  ProcessLifecycle,
+  RetryBudget,
+} from "@sycamorepulley/decisions";
+import type { ServerRecord } from "@sycamorepulley/decisions";
+import type { MetadataStore } from "@sycamorepulley/store";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { ChannelPool } from "./backend/channel_pool.ts";
+import { SuspensionClock } from "./clock.ts";
+import { CallReader } from "./front/call.ts";
+import { Front } from "./front/front.ts";
+import type { HeaderNames } from "./front/header_names.ts";
+import { StatusPages } from "./front/status_pages.ts";
+import { EventLog, OutputSink } from "./observe/event_log.ts";
+import { GatewayMetrics } from "./observe/metrics.ts";
+import { Granter } from "./peers/granter.ts";
+import { HEARTBEAT_EVERY, PeerEvents, Peers } from "./peers/peers.ts";
+import type { PeerMessage } from "./peers/messages.ts";
+import type { PeerStanding } from "./peers/peer_link.ts";
+import { RequestDesk } from "./request/request_desk.ts";
+import type { GatewaySettings } from "./settings.ts";
+import { FleetState } from "./state/fleet_state.ts";
+import { decodeMember } from "./state/member_record.ts";
+import { MEMBER_PREFIX, Membership } from "./state/membership.ts";
+import { PrefixFollower } from "./state/prefix_follower.ts";
+import type { RecordCodec } from "./state/records.ts";
+
+/** Milliseconds between looks at what time alone changes in the queues. */
+const PUMP_EVERY = 10;
+/** Milliseconds between looks at idle connections. */
+const SWEEP_EVERY = 1000;
+/**
+ * Milliseconds for which connections are still taken after a request to stop:
+ * the balancer asks once a second and believes the second refusal.
+ */
+const KEEP_LISTENING = 3000;
+/** Milliseconds before the process would be killed at which it ends itself. */
+const GRACE_MARGIN = 400;
+/** Part of the fleet's resends that is used: others may count otherwise. */
+const RETRY_PART = 0.6;
+
+/** What a platform gives to a gateway. */
+export type GatewayParts = {
+  settings: GatewaySettings;
+  store: MetadataStore;
+  codec: RecordCodec;
+  names: HeaderNames;
+};
+
+/** See the module. */
+export class Gateway {
+  readonly #settings: GatewaySettings;
+  readonly #store: MetadataStore;
+  readonly #codec: RecordCodec;
+  readonly #lifecycle = new ProcessLifecycle();
+  readonly #suspension = new SuspensionClock();
+  readonly #clock = () => this.#suspension.now();
+  readonly #log: EventLog;
+  readonly #metrics = new GatewayMetrics();
+  readonly #state: FleetState;
+  readonly #pool: ChannelPool;
+  readonly #granter: Granter;
+  readonly #peers: Peers;
+  readonly #membership: Membership;
+  readonly #front: Front;
+  readonly #pages: StatusPages;
+  readonly #desk: RequestDesk;
+  readonly #stopped = new AbortController();
+  readonly #timers: NodeJS.Timeout[] = [];
+  readonly #servers = new Map<string, ServerRecord>();
+  readonly #budgets = new Map<string, RetryBudget>();
+
+  constructor(parts: GatewayParts) {
+    const { settings, store, codec, names } = parts;
+    this.#settings = settings;
+    this.#store = store;
+    this.#codec = codec;
+    const { instance } = settings;
+    const incarnation = randomBytes(6).toString("hex");
+    const clock = this.#clock;
+    this.#log = new EventLog({ instance, sink: new OutputSink(), clock });
+    const log = this.#log;
+    this.#state = new FleetState({
+      codec,
+      log,
+      clock,
+      changed: (what) => this.#changed(what),
+    });
+    this.#pool = new ChannelPool(clock);
+    this.#granter = new Granter({
+      instance,
+      incarnation,
+      clock,
+      log,
+      peers: () => this.#peers,
+    });
+    this.#peers = new Peers({
+      instance,
+      incarnation,
+      own: settings.peers,
+      seeds: settings.seeds,
+      events: new Events(this),
+      log,
+      clock,
+    });
+    this.#membership = new Membership({
+      store,
+      member: { instance, ...settings.peers },
+      log,
+      clock,
+    });
+    this.#desk = new RequestDesk({
+      reader: new CallReader(names),
+      context: {
+        names,
+        dataCentre: settings.dataCentre,
+        clock,
+        random: randomSource(),
+        log,
+        metrics: this.#metrics,
+        granter: this.#granter,
+        pool: this.#pool,
+        inForce: () => this.#state.inForce,
+        current: () => !this.#state.storeLost || this.#peers.heard().length > 0,
+        server: (name) => this.#usable(name),
+        retryBudget: (service) => this.#budget(service),
+      },
+    });
+    this.#front = new Front((request, response) =>
+      this.#serve(request, response)
+    );
+    this.#pages = new StatusPages({
+      metrics: this.#metrics,
+      ready: () => this.#ready(),
+      refresh: () => this.#refreshMetrics(),
+    });
+  }
+
+  async start(): Promise<void> {
+    const startedAt = performance.now();
+    const { settings } = this;
+    this.#peers.listen();
+    this.#follow();
+    void this.#membership.run();
+    await this.#pages.listen(settings.readiness, settings.metrics);
+    await this.#front.listen(settings.front);
+    this.#every(HEARTBEAT_EVERY, () => this.#tick());
+    this.#every(PUMP_EVERY, () => this.#granter.pump());
+    this.#every(
+      SWEEP_EVERY,
+      () => this.#pool.sweep([...this.#servers.values()]),
+    );
+    this.#lifecycle.apply("started");
+    this.#log.write({
+      event: "started",
+      dataCentre: settings.dataCentre,
+      startTime: Math.round(performance.now() - startedAt),
+    });
+  }
+
+  get settings(): GatewaySettings {
+    return this.#settings;
+  }
+
+  /** Says in the log what a reload of the settings came to. */
+  reloaded(changed: boolean, detail: string): void {
+    this.#log.write({ event: "reloaded", changed, detail });
+  }
+
+  /**
+   * Takes no new work, finishes what runs, ends. A second call changes nothing:
+   * it must not cut what the first one lets finish.
+   */
+  async stop(): Promise<void> {
+    if (!this.#lifecycle.apply("stop")) return;
+    const gracePeriod = this.#settings.bounds.gracePeriodSeconds * 1000;
+    const endAt = this.#clock() + gracePeriod - GRACE_MARGIN;
+    this.#log.write({
+      event: "stopping",
+      active: this.#desk.active,
+      grace: gracePeriod,
+    });
+    this.#front.startClosing();
+    this.#regroup();
+    this.#peers.announce();
+    void this.#membership.leave();
+    await sleep(Math.min(KEEP_LISTENING, gracePeriod / 2));
+    this.#front.stopListening();
+    while (this.#desk.active > 0 && this.#clock() < endAt) await sleep(20);
+    this.#log.write({ event: "stopped", cut: this.#desk.active });
+    this.#close();
+  }
+
+  received(peer: string, message: PeerMessage): void {
+    if (this.#granter.received(peer, message)) return;
+    switch (message.type) {
+      case "heartbeat":
+        this.#compare(peer, message);
+        return;
+      case "pull_configuration":
+        this.#peers.send(peer, {
+          type: "configuration",
+          ...this.#state.published,
+        });
+        return;
+      case "configuration":
+        this.#state.adopt(message.value, message.revision, peer);
+        return;
+      case "pull_servers":
+        this.#peers.send(peer, {
+          type: "servers",
+          revision: this.#state.directory.revision,
+          records: this.#state.directory.all(),
+        });
+        return;
+      case "servers":
+        this.#state.adoptServers(message.records, message.revision, peer);
+        return;
+      default:
+    }
+  }
+
+  lost(peer: string): void {
+    this.#granter.lost(peer);
+    this.#metrics.dependencies.inc({ dependency: "peer", change: "lost" });
+    this.#regroup();
+  }
+
+  joined(): void {
+    this.#metrics.dependencies.inc({ dependency: "peer", change: "regained" });
+    this.#regroup();
+  }
+
+  standing(): PeerStanding {
+    return {
+      configurationRevision: this.#state.published.revision,
+      serverRevision: this.#state.directory.revision,
+      leaving: this.#lifecycle.state === "leaving",
+      listed: this.#membership.listed(this.#clock()),
+    };
+  }
+
+  #serve(request: IncomingMessage, response: ServerResponse): void {
+    void this.#desk.serve(request, response);
+  }
+
+  #ready(): boolean {
+    return this.#lifecycle.state === "ready" &&
+      this.#state.inForce !== undefined && this.#state.serversKnown;
+  }
+
+  #follow(): void {
+    const store = this.#store;
+    const { signal } = this.#stopped;
+    const followers = [
+      new PrefixFollower({
+        store,
+        prefix: this.#codec.configurationKey,
+        listener: this.#state.configurationListener(),
+      }),
+      new PrefixFollower({
+        store,
+        prefix: this.#codec.serverPrefix,
+        listener: this.#state.serverListener(),
+      }),
+      new PrefixFollower({
+        store,
+        prefix: MEMBER_PREFIX,
+        listener: this.#state.memberListener(MEMBER_PREFIX, decodeMember),
+      }),
+    ];
+    for (const follower of followers) void follower.run(signal);
+  }
+
+  #changed(what: "configuration" | "servers" | "members"): void {
+    if (what === "configuration") {
+      const inForce = this.#state.inForce!;
+      this.#front.limit(inForce.configuration.limits);
+      this.#granter.setQuotas(inForce.quotas);
+      this.#metrics.configurationVersion.set(inForce.configuration.version);
+      this.#peers.announce();
+    } else if (what === "servers") {
+      this.#useServers();
+    } else {
+      this.#regroup();
+    }
+  }
+
+  #useServers(): void {
+    const usable = this.#state.directory.usable(this.#clock());
+    this.#servers.clear();
+    for (const record of usable) {
+      this.#servers.set(incarnationOf(record), record);
+    }
+    this.#granter.setServers(usable);
+  }
+
+  #usable(name: string): ServerRecord | undefined {
+    const record = this.#servers.get(name);
+    return record && this.#state.directory.mayUse(record) ? record : undefined;
+  }
+
+  #budget(service: string): RetryBudget {
+    let budget = this.#budgets.get(service);
+    if (budget === undefined) {
+      const { retryRatio, retrySlack, retryWindowSeconds } =
+        this.#settings.bounds;
+      const entries = Math.max(1, this.#state.members.size);
+      const largest = retrySlack * RETRY_PART / entries;
+      budget = new RetryBudget({
+        share: retryRatio * RETRY_PART,
+        freePerSecond: largest / 2 / retryWindowSeconds,
+        largest: Math.max(2, largest / 2),
+      });
+      this.#budgets.set(service, budget);
+    }
+    return budget;
+  }
+
+  #tick(): void {
+    this.#peers.tick(this.#state.members);
+    // Records that lapsed in an outage are dropped by time alone.
+    this.#useServers();
+    this.#regroup();
+  }
+
+  #regroup(): void {
+    const now = this.#clock();
+    const own = this.#settings.instance;
+    const registered = new Set(this.#state.members.keys());
+    const leaving = this.#lifecycle.state === "leaving";
+    this.#granter.regroup({
+      heard: this.#peers.heard(),
+      registered,
+      listed: this.#membership.listed(now) || this.#peers.anyListed() ||
+        (!registered.has(own) && registered.size === 0),
+      leaving,
+    });
+  }
+
+  #compare(peer: string, standing: PeerStanding): void {
+    const { published, directory, storeLost } = this.#state;
+    if (standing.configurationRevision > published.revision) {
+      this.#peers.send(peer, { type: "pull_configuration" });
+    }
+    const behind = standing.serverRevision > directory.revision;
+    if (behind && (storeLost || !this.#state.serversKnown)) {
+      this.#peers.send(peer, { type: "pull_servers" });
+    }
+  }
+
+  #refreshMetrics(): void {
+    for (const { service, waiting, running } of this.#granter.sizes()) {
+      this.#metrics.waiting.set({ service }, waiting);
+      this.#metrics.running.set({ service }, running);
+    }
+  }
+
+  #every(interval: number, action: () => void): void {
+    this.#timers.push(setInterval(action, interval));
+  }
+
+  #close(): void {
+    this.#lifecycle.apply("drained");
+    this.#stopped.abort();
+    for (const timer of this.#timers) clearInterval(timer);
+    this.#peers.close();
+    this.#pages.close();
+    this.#front.cut();
+    this.#pool.close();
+  }
+}
+
+class Events extends PeerEvents {
+  readonly #gateway: Gateway;
+
+  constructor(gateway: Gateway) {
+    super();
+    this.#gateway = gateway;
+  }
+
+  override received(peer: string, message: PeerMessage): void {
+    this.#gateway.received(peer, message);
+  }
+
+  override joined(): void {
+    this.#gateway.joined();
+  }
+
+  override lost(peer: string): void {
+    this.#gateway.lost(peer);
+  }
+
+  override standing(): PeerStanding {
+    return this.#gateway.standing();
+  }
+}
+
+/** Numbers in [0, 1), seeded anew in each process. */
+function randomSource(): () => number {
+  const generator = xoroshiro128plus(randomInt(2 ** 31));
+  return () => uniformFloat64(generator);
+}
--- /dev/null
+++ b/packages/gateway/src/mod.ts
@@ -0,0 +1,13 @@
+/** An entry that sends to backend servers itself. @module */
+export type { HeaderNames } from "./front/header_names.ts";
+export { Gateway } from "./gateway.ts";
+export type { GatewayParts } from "./gateway.ts";
+export { gatewaySettingsSchema } from "./settings.ts";
+export type { Address, GatewaySettings } from "./settings.ts";
+export type {
+  FrontLimits,
+  GatewayConfiguration,
+  Organisation,
+  ServiceLimits,
+} from "./state/gateway_configuration.ts";
+export { RecordCodec } from "./state/records.ts";
--- /dev/null
+++ b/packages/gateway/src/observe/events.ts
@@ -0,0 +1,81 @@
+/** Every line that the gateway may log. Durations are milliseconds. @module */
+
+/** One decision, or one change of what the process believes. */
+export type LogEvent =
+  | { event: "started"; dataCentre: string; startTime: number }
+  | { event: "stopping"; active: number; grace: number }
+  | { event: "stopped"; cut: number }
+  | { event: "reloaded"; changed: boolean; detail: string }
+  | { event: "suspended"; missed: number }
+  | { event: "registered"; lease: number }
+  | { event: "registration_lapsed"; lease: number }
+  | {
+    event: "configuration_adopted";
+    version: number;
+    revision: number;
+    from: string;
+  }
+  | {
+    event: "configuration_unreadable";
+    revision: number;
+    from: string;
+    detail: string;
+  }
+  | { event: "servers_adopted"; from: string; revision: number; count: number }
+  | {
+    event: "server_changed";
+    server: string;
+    change: string;
+    revision: number;
+  }
+  | {
+    event: "dependency_lost";
+    dependency: string;
+    detail: string;
+    silence: number;
+  }
+  | { event: "dependency_regained"; dependency: string }
+  | { event: "group_changed"; granting: string; size: number; part: number }
+  | {
+    event: "granted";
+    request: string;
+    server: string;
+    waited: number;
+    by: string;
+    version: number;
+    attempt: number;
+  }
+  | {
+    event: "refused";
+    request: string;
+    status: number;
+    reason: string;
+    waited: number;
+    retryAfter: number;
+    version: number;
+  }
+  | {
+    event: "retried";
+    request: string;
+    server: string;
+    reason: string;
+    sent: number;
+  }
+  | { event: "resumed"; request: string; server: string; after: string }
+  | {
+    event: "cut";
+    request: string;
+    server: string;
+    reason: string;
+    time: number;
+  }
+  | { event: "left"; request: string; state: string; time: number }
+  | {
+    event: "answered";
+    request: string;
+    server: string;
+    status: number;
+    first: number;
+    time: number;
+  }
+  | { event: "omitted"; of: string; lines: number };
--- /dev/null
+++ b/packages/gateway/src/observe/metrics.ts
@@ -0,0 +1,95 @@
+/** Counters and histograms of one gateway, by `prom-client`. @module */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** Seconds; dense around the goals of 0.15 to 0.6 s. */
+const BUCKETS = [0.002, 0.01, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 2, 5, 15];
+
+/** Every metric that the gateway states; names are part of its interface. */
+export class GatewayMetrics {
+  readonly registry = new Registry();
+
+  readonly requests = this.#counter("requests_total", "Requests received", [
+    "service",
+    "route",
+  ]);
+  readonly answers = this.#counter("answers_total", "Whole answers sent on", [
+    "service",
+    "status",
+  ]);
+  readonly refusals = this.#counter("refusals_total", "Requests not run", [
+    "service",
+    "reason",
+  ]);
+  readonly retries = this.#counter("retries_total", "Requests sent again", [
+    "service",
+    "reason",
+  ]);
+  readonly failures = this.#counter(
+    "failures_total",
+    "Requests that ended without a whole answer",
+    ["service", "reason"],
+  );
+  readonly dependencies = this.#counter(
+    "dependency_changes_total",
+    "Dependencies lost and regained",
+    ["dependency", "change"],
+  );
+  readonly waiting = this.#gauge("waiting", "Requests waiting for a grant", [
+    "service",
+  ]);
+  readonly running = this.#gauge("running", "Requests at backend servers", [
+    "service",
+  ]);
+  readonly configurationVersion = this.#gauge(
+    "configuration_version",
+    "Version of the configuration in force",
+    [],
+  );
+  readonly waited = this.#histogram("waited_seconds", "Time until a grant");
+  readonly firstByte = this.#histogram(
+    "first_byte_seconds",
+    "Time until the answer's first byte",
+  );
+  readonly whole = this.#histogram(
+    "whole_seconds",
+    "Time until the answer's end",
+  );
+
+  #counter<Label extends string>(
+    name: string,
+    help: string,
+    labelNames: Label[],
+  ): Counter<Label> {
+    const registers = [this.registry];
+    return new Counter({
+      name: `sycamorepulley_gateway_${name}`,
+      help,
+      labelNames,
+      registers,
+    });
+  }
+
+  #gauge<Label extends string>(
+    name: string,
+    help: string,
+    labelNames: Label[],
+  ): Gauge<Label> {
+    const registers = [this.registry];
+    return new Gauge({
+      name: `sycamorepulley_gateway_${name}`,
+      help,
+      labelNames,
+      registers,
+    });
+  }
+
+  #histogram(name: string, help: string): Histogram<"service" | "route"> {
+    return new Histogram({
+      name: `sycamorepulley_gateway_${name}`,
+      help,
+      labelNames: ["service", "route"],
+      buckets: BUCKETS,
+      registers: [this.registry],
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/peers/granter.ts
@@ -0,0 +1,350 @@
+/**
+ * Gets a backend server for each request of this entry: from the one entry that
+ * grants for the group, which may be this one.
+ *
+ * The state of granting is soft. When the granting entry is lost, each entry
+ * asks the next one anew for what waits and tells it what runs; nothing of it
+ * is stored.
+ * @module
+ */
+import { Desk, grantingEntry, groupPart } from "@sycamorepulley/decisions";
+import type {
+  Ask,
+  AskRefusal,
+  AskVerdict,
+  RunEnd,
+} from "@sycamorepulley/decisions";
+import type { Quota, ServerRecord } from "@sycamorepulley/decisions";
+import type { EventLog } from "../observe/event_log.ts";
+import type { AskMessage, PeerMessage } from "./messages.ts";
+import type { Peers } from "./peers.ts";
+
+/** What a request is told; `by` is the entry that decided. */
+export type GrantAnswer =
+  | { kind: "grant"; server: string; by: string }
+  | { kind: "refuse"; reason: AskRefusal; retryAfter: number; by: string };
+
+/** What is asked for one request, with times of this entry's clock. */
+export type GrantRequest = Omit<Ask, "id" | "entry">;
+
+/** An ask until its request has ended. */
+export class HeldAsk {
+  readonly ask: Ask;
+  readonly resolve: (answer: GrantAnswer) => void;
+  server: string | undefined;
+  by = "";
+
+  constructor(ask: Ask, resolve: (answer: GrantAnswer) => void) {
+    this.ask = ask;
+    this.resolve = resolve;
+  }
+}
+
+/** An ask under way. */
+export type AskHandle = { id: string; answer: Promise<GrantAnswer> };
+
+/** See the module. */
+export class Granter {
+  readonly #instance: string;
+  readonly #incarnation: string;
+  readonly #clock: () => number;
+  readonly #log: EventLog;
+  readonly #peers: () => Peers;
+  readonly #desk = new Desk();
+  readonly #held = new Map<string, HeldAsk>();
+  /** Asks of other entries that wait or run here. */
+  readonly #foreign = new Map<string, Ask>();
+  #granting: string;
+  #part = 1;
+  #quotas: ReadonlyMap<string, Quota> = new Map();
+  #number = 0;
+
+  constructor(
+    options: {
+      instance: string;
+      incarnation: string;
+      clock: () => number;
+      log: EventLog;
+      peers: () => Peers;
+    },
+  ) {
+    this.#instance = options.instance;
+    this.#incarnation = options.incarnation;
+    this.#clock = options.clock;
+    this.#log = options.log;
+    this.#peers = options.peers;
+    this.#granting = options.instance;
+  }
+
+  /** The part of all room and quotas that the group uses. */
+  get part(): number {
+    return this.#part;
+  }
+
+  sizes(): ReturnType<Desk["sizes"]> {
+    return this.#desk.sizes();
+  }
+
+  setServers(records: readonly ServerRecord[]): void {
+    this.#desk.setServers(records);
+    this.pump();
+  }
+
+  setQuotas(quotas: ReadonlyMap<string, Quota>): void {
+    this.#quotas = quotas;
+    this.#desk.setShares(quotas, this.#part, this.#clock());
+  }
+
+  /** Works out anew who grants; `leaving`: this entry no longer does. */
+  regroup(
+    options: {
+      heard: readonly string[];
+      registered: ReadonlySet<string>;
+      listed: boolean;
+      leaving: boolean;
+    },
+  ): void {
+    const { heard, registered, listed, leaving } = options;
+    const group = new Set([...heard, this.#instance]);
+    const part = groupPart({ group, registered, listed });
+    const able = leaving && heard.length > 0 ? heard : [...group];
+    const granting = grantingEntry(able) ?? this.#instance;
+    if (part !== this.#part) {
+      this.#part = part;
+      this.#desk.setShares(this.#quotas, part, this.#clock());
+    }
+    if (granting === this.#granting) return;
+    this.#log.write({
+      event: "group_changed",
+      granting,
+      size: group.size,
+      part: Math.round(part * 1000) / 1000,
+    });
+    this.#moveTo(granting);
+  }
+
+  /** Asks for a server. The ask lives until `withdraw` or `ended`. */
+  ask(request: GrantRequest): AskHandle {
+    const id = `${this.#incarnation}.${++this.#number}`;
+    const ask: Ask = { ...request, id, entry: this.#instance };
+    const answer = new Promise<GrantAnswer>((resolve) => {
+      this.#held.set(id, new HeldAsk(ask, resolve));
+    });
+    this.#place(ask);
+    return { id, answer };
+  }
+
+  /** The request does not run: it no longer waits, or its grant goes unused. */
+  withdraw(id: string): void {
+    const held = this.#held.get(id);
+    if (held === undefined) return;
+    this.#held.delete(id);
+    if (this.#granting === this.#instance) {
+      this.#desk.withdraw(held.ask);
+      this.pump();
+      return;
+    }
+    this.#peers().send(this.#granting, { type: "withdraw", id });
+  }
+
+  firstAnswer(id: string, measured: number): void {
+    if (!this.#held.has(id)) return;
+    if (this.#granting === this.#instance) {
+      this.#desk.firstAnswer(id, measured, this.#clock());
+      this.pump();
+      return;
+    }
+    this.#peers().send(this.#granting, { type: "first_answer", id, measured });
+  }
+
+  ended(id: string, end: RunEnd): void {
+    if (!this.#held.delete(id)) return;
+    if (this.#granting === this.#instance) {
+      this.#desk.ended(id, end, this.#clock());
+      this.pump();
+      return;
+    }
+    this.#peers().send(this.#granting, { type: "ended", id, end });
+  }
+
+  /** Takes a peer's message about granting; false for any other. */
+  received(peer: string, message: PeerMessage): boolean {
+    const now = this.#clock();
+    switch (message.type) {
+      case "ask":
+        this.#askedBy(peer, message, now);
+        break;
+      case "withdraw": {
+        const ask = this.#foreign.get(message.id);
+        this.#foreign.delete(message.id);
+        if (ask !== undefined) this.#desk.withdraw(ask);
+        break;
+      }
+      case "first_answer":
+        this.#desk.firstAnswer(message.id, message.measured, now);
+        break;
+      case "ended":
+        this.#foreign.delete(message.id);
+        this.#desk.ended(message.id, message.end, now);
+        break;
+      case "grant":
+        this.#answered(message.id, {
+          kind: "grant",
+          server: message.server,
+          by: peer,
+        });
+        return true;
+      case "refuse":
+        this.#answered(message.id, {
+          kind: "refuse",
+          reason: message.reason,
+          retryAfter: message.retryAfter,
+          by: peer,
+        });
+        return true;
+      default:
+        return false;
+    }
+    this.pump();
+    return true;
+  }
+
+  /** A peer is gone, with its connections to backend servers. */
+  lost(peer: string): void {
+    for (const [id, ask] of this.#foreign) {
+      if (ask.entry === peer) this.#foreign.delete(id);
+    }
+    this.#desk.forgetEntry(peer);
+    this.pump();
+  }
+
+  /** Hands out all that can be decided now. */
+  pump(): void {
+    for (const verdict of this.#desk.verdicts(this.#clock())) {
+      this.#deliver(verdict);
+    }
+  }
+
+  #place(ask: Ask): void {
+    if (this.#granting !== this.#instance) {
+      this.#peers().send(this.#granting, messageOf(ask, this.#clock()));
+      return;
+    }
+    const verdict = this.#desk.ask(ask, this.#clock());
+    if (verdict !== undefined) this.#deliver(verdict);
+    this.pump();
+  }
+
+  #moveTo(granting: string): void {
+    const before = this.#granting;
+    this.#granting = granting;
+    const now = this.#clock();
+    for (const { ask, server } of this.#held.values()) {
+      if (before === this.#instance) this.#desk.withdraw(ask);
+      if (granting !== this.#instance) {
+        this.#peers().send(granting, messageOf(ask, now, server));
+      } else if (server !== undefined) {
+        this.#desk.adopt(ask, server, now);
+      } else {
+        this.#place(ask);
+      }
+    }
+    this.pump();
+  }
+
+  #askedBy(peer: string, message: AskMessage, now: number): void {
+    const ask = askOf(message, peer, now);
+    this.#foreign.set(ask.id, ask);
+    if (message.runsAt !== undefined) {
+      this.#desk.adopt(ask, message.runsAt, now);
+      return;
+    }
+    const verdict = this.#desk.ask(ask, now);
+    if (verdict !== undefined) this.#deliver(verdict);
+  }
+
+  #deliver(verdict: AskVerdict): void {
+    const { ask } = verdict;
+    if (ask.entry === this.#instance) {
+      this.#answered(ask.id, ownAnswer(verdict, this.#instance));
+      return;
+    }
+    if (verdict.kind === "grant") {
+      const { server } = verdict;
+      this.#peers().send(ask.entry, { type: "grant", id: ask.id, server });
+      return;
+    }
+    this.#foreign.delete(ask.id);
+    const { reason, retryAfter } = verdict;
+    this.#peers().send(ask.entry, {
+      type: "refuse",
+      id: ask.id,
+      reason,
+      retryAfter,
+    });
+  }
+
+  #answered(id: string, answer: GrantAnswer): void {
+    const held = this.#held.get(id);
+    if (held === undefined || held.server !== undefined) {
+      // It was withdrawn meanwhile, or another entry granted it before.
+      if (answer.kind === "grant" && answer.by !== this.#instance) {
+        this.#peers().send(answer.by, { type: "withdraw", id });
+      }
+      return;
+    }
+    held.by = answer.by;
+    if (answer.kind === "grant") held.server = answer.server;
+    else this.#held.delete(id);
+    held.resolve(answer);
+  }
+}
+
+function ownAnswer(verdict: AskVerdict, by: string): GrantAnswer {
+  if (verdict.kind === "grant") {
+    return { kind: "grant", server: verdict.server, by };
+  }
+  const { reason, retryAfter } = verdict;
+  return { kind: "refuse", reason, retryAfter, by };
+}
+
+function messageOf(ask: Ask, now: number, runsAt?: string): AskMessage {
+  return {
+    type: "ask",
+    id: ask.id,
+    service: ask.service,
+    tierRank: ask.tierRank,
+    organisation: ask.organisation,
+    dataCentre: ask.dataCentre,
+    promptTokens: ask.cost.promptTokens,
+    outputTokens: ask.cost.outputTokens,
+    charge: ask.charge,
+    age: now - ask.arrived,
+    goalIn: ask.goalAt - now,
+    lapsesIn: ask.lapsesAt - now,
+    avoid: [...ask.avoid],
+    resumed: ask.resumed,
+    ...(runsAt === undefined ? {} : { runsAt }),
+  };
+}
+
+function askOf(message: AskMessage, entry: string, now: number): Ask {
+  return {
+    id: message.id,
+    entry,
+    service: message.service,
+    tierRank: message.tierRank,
+    organisation: message.organisation,
+    dataCentre: message.dataCentre,
+    cost: {
+      promptTokens: message.promptTokens,
+      outputTokens: message.outputTokens,
+    },
+    charge: message.charge,
+    arrived: now - message.age,
+    goalAt: now + message.goalIn,
+    lapsesAt: now + message.lapsesIn,
+    avoid: message.avoid,
+    resumed: message.resumed,
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/peers/messages.ts
@@ -0,0 +1,101 @@
+/**
+ * Messages between entries. Durations are milliseconds from the moment of
+ * sending: the clocks of two instances are not compared.
+ * @module
+ */
+import * as v from "valibot";
+
+const text = v.pipe(v.string(), v.maxLength(512));
+const count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
+const duration = v.pipe(v.number(), v.finite());
+
+/** An ask, with times relative to its sending; see `Ask`. */
+export const askMessageSchema = v.object({
+  type: v.literal("ask"),
+  id: text,
+  service: text,
+  tierRank: count,
+  organisation: text,
+  dataCentre: text,
+  promptTokens: count,
+  outputTokens: count,
+  charge: count,
+  age: duration,
+  goalIn: duration,
+  lapsesIn: duration,
+  avoid: v.array(text),
+  resumed: v.boolean(),
+  /** Server that another entry granted already: it is counted, not granted. */
+  runsAt: v.optional(text),
+});
+/** See {@link askMessageSchema}. */
+export type AskMessage = v.InferOutput<typeof askMessageSchema>;
+
+const serverSchema = v.object({
+  id: text,
+  startedAt: v.number(),
+  service: text,
+  host: text,
+  port: count,
+  dataCentre: text,
+  version: text,
+  slots: count,
+  draining: v.boolean(),
+});
+
+/** Everything that entries say to each other. */
+export const peerMessageSchema = v.variant("type", [
+  v.object({
+    type: v.literal("hello"),
+    instance: text,
+    incarnation: text,
+  }),
+  /** Sent in fixed intervals and on changes; silence means that the peer is gone. */
+  v.object({
+    type: v.literal("heartbeat"),
+    configurationRevision: count,
+    serverRevision: count,
+    /** The sender takes no part in granting any more. */
+    leaving: v.boolean(),
+    /** The store lists the sender. */
+    listed: v.boolean(),
+  }),
+  v.object({ type: v.literal("pull_configuration") }),
+  v.object({
+    type: v.literal("configuration"),
+    revision: count,
+    value: v.string(),
+  }),
+  v.object({ type: v.literal("pull_servers") }),
+  v.object({
+    type: v.literal("servers"),
+    revision: count,
+    records: v.array(serverSchema),
+  }),
+  askMessageSchema,
+  /** The request no longer waits, or did not use its grant. */
+  v.object({ type: v.literal("withdraw"), id: text }),
+  v.object({ type: v.literal("first_answer"), id: text, measured: duration }),
+  v.object({
+    type: v.literal("ended"),
+    id: text,
+    end: v.picklist([
+      "answered",
+      "failed",
+      "connection_refused",
+      "connection_timeout",
+      "broken",
+      "not_run",
+      "abandoned",
+    ]),
+  }),
+  v.object({ type: v.literal("grant"), id: text, server: text }),
+  v.object({
+    type: v.literal("refuse"),
+    id: text,
+    reason: v.picklist(["quota", "overload", "no_server", "expired"]),
+    retryAfter: duration,
+  }),
+]);
+/** See {@link peerMessageSchema}. */
+export type PeerMessage = v.InferOutput<typeof peerMessageSchema>;
--- /dev/null
+++ b/packages/gateway/src/peers/peer_link.ts
@@ -0,0 +1,50 @@
+/** One connection to another entry, dialled or accepted. @module */
+import type { Socket } from "node:net";
+import { Link } from "@sycamorepulley/protocol";
+import { peerMessageSchema } from "./messages.ts";
+import type { PeerMessage } from "./messages.ts";
+
+/** Largest frame: a configuration of a thousand routes, several times over. */
+const MAXIMUM_FRAME_BYTES = 4 * 1024 * 1024;
+
+/** A peer's last word on itself. */
+export type PeerStanding = {
+  configurationRevision: number;
+  serverRevision: number;
+  leaving: boolean;
+  listed: boolean;
+};
+
+/** See the module. */
+export class PeerLink {
+  readonly #link: Link<PeerMessage>;
+  heardAt: number;
+  instance: string | undefined;
+  incarnation = "";
+  standing: PeerStanding | undefined;
+
+  constructor(socket: Socket, now: number) {
+    this.heardAt = now;
+    this.#link = new Link<PeerMessage>({
+      socket,
+      maximumFrameBytes: MAXIMUM_FRAME_BYTES,
+      schema: peerMessageSchema,
+    });
+  }
+
+  get peer(): string {
+    return this.instance ?? this.#link.peer;
+  }
+
+  send(message: PeerMessage): void {
+    this.#link.send(message);
+  }
+
+  messages(): AsyncGenerator<PeerMessage, void> {
+    return this.#link.receive();
+  }
+
+  close(): void {
+    this.#link.close();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/peers/peers.ts
@@ -0,0 +1,222 @@
+/**
+ * Links to all other entries, and which of them are heard.
+ *
+ * A link that is silent for a few heartbeats is closed: connections may go
+ * silent for good without being reset, and a frozen or unreachable peer must not
+ * hold up the requests that wait for its grants.
+ * @module
+ */
+import { connect, createServer } from "node:net";
+import type { Server, Socket } from "node:net";
+import type { EventLog } from "../observe/event_log.ts";
+import type { Address } from "../settings.ts";
+import type { Member } from "../state/fleet_state.ts";
+import type { PeerMessage } from "./messages.ts";
+import { PeerLink } from "./peer_link.ts";
+import type { PeerStanding } from "./peer_link.ts";
+
+/** Milliseconds between heartbeats: three may be lost before a link is closed. */
+export const HEARTBEAT_EVERY = 200;
+const SILENT_AFTER = 700;
+/** Milliseconds until a failed dial is tried again. */
+const DIAL_AGAIN_AFTER = 500;
+const DIAL_TIMEOUT = 500;
+
+/** What the owner of the links does with them. */
+export abstract class PeerEvents {
+  abstract received(peer: string, message: PeerMessage): void;
+  /** A peer is heard for the first time, or again. */
+  abstract joined(peer: string): void;
+  abstract lost(peer: string): void;
+  abstract standing(): PeerStanding;
+}
+
+/** Links by the peer's instance name. */
+export class Peers {
+  readonly #instance: string;
+  readonly #incarnation: string;
+  readonly #events: PeerEvents;
+  readonly #log: EventLog;
+  readonly #clock: () => number;
+  readonly #links = new Map<string, PeerLink>();
+  readonly #unnamed = new Set<PeerLink>();
+  readonly #dialledAt = new Map<string, number>();
+  readonly #seeds: readonly Address[];
+  readonly #own: Address;
+  #server: Server | undefined;
+
+  constructor(
+    options: {
+      instance: string;
+      incarnation: string;
+      own: Address;
+      seeds: readonly Address[];
+      events: PeerEvents;
+      log: EventLog;
+      clock: () => number;
+    },
+  ) {
+    this.#instance = options.instance;
+    this.#incarnation = options.incarnation;
+    this.#own = options.own;
+    this.#seeds = options.seeds;
+    this.#events = options.events;
+    this.#log = options.log;
+    this.#clock = options.clock;
+  }
+
+  /** Peers that are heard and take part in granting. */
+  heard(): string[] {
+    return [...this.#links].filter(([, link]) => !link.standing?.leaving)
+      .map(([name]) => name);
+  }
+
+  /** True when a peer that is heard is listed in the store. */
+  anyListed(): boolean {
+    return [...this.#links.values()].some((link) => link.standing?.listed);
+  }
+
+  listen(): void {
+    this.#server = createServer((socket) => this.#adopt(socket));
+    this.#server.on("error", (error) => this.#failedToListen(error));
+    this.#server.listen(this.#own.port, this.#own.host);
+  }
+
+  send(peer: string, message: PeerMessage): boolean {
+    const link = this.#links.get(peer);
+    link?.send(message);
+    return link !== undefined;
+  }
+
+  /** Says at once how this entry stands. */
+  announce(): void {
+    const standing = this.#events.standing();
+    for (const link of this.#links.values()) {
+      link.send({ type: "heartbeat", ...standing });
+    }
+  }
+
+  /** Heartbeats, closing of silent links, dialling of missing ones. */
+  tick(members: ReadonlyMap<string, Member>): void {
+    const now = this.#clock();
+    for (const link of [...this.#links.values(), ...this.#unnamed]) {
+      if (now - link.heardAt > SILENT_AFTER) link.close();
+    }
+    this.announce();
+    for (const [name, member] of members) {
+      // One of the two dials, or each pair would hold two links.
+      if (name <= this.#instance || this.#links.has(name)) continue;
+      this.#dial(member, now);
+    }
+    if (members.size > 1) return;
+    for (const seed of this.#seeds) {
+      const known = [...members.values()].some((member) =>
+        member.host === seed.host && member.port === seed.port &&
+        this.#links.has(member.instance)
+      );
+      const self = seed.host === this.#own.host && seed.port === this.#own.port;
+      if (!known && !self && this.#links.size === 0) this.#dial(seed, now);
+    }
+  }
+
+  close(): void {
+    this.#server?.close();
+    for (const link of this.#links.values()) link.close();
+    for (const link of this.#unnamed) link.close();
+  }
+
+  #dial(address: Address, now: number): void {
+    const { host, port } = address;
+    const key = `${host}:${port}`;
+    if (now - (this.#dialledAt.get(key) ?? -Infinity) < DIAL_AGAIN_AFTER) {
+      return;
+    }
+    this.#dialledAt.set(key, now);
+    const socket = connect({ host, port });
+    const giveUp = () => socket.destroy();
+    socket.setTimeout(DIAL_TIMEOUT, giveUp);
+    // A peer that can't be reached is dialled again; its absence is what counts.
+    socket.once("error", giveUp);
+    socket.once("connect", () => {
+      socket.setTimeout(0);
+      socket.off("error", giveUp);
+      this.#adopt(socket);
+    });
+  }
+
+  #adopt(socket: Socket): void {
+    const link = new PeerLink(socket, this.#clock());
+    this.#unnamed.add(link);
+    link.send({
+      type: "hello",
+      instance: this.#instance,
+      incarnation: this.#incarnation,
+    });
+    link.send({ type: "heartbeat", ...this.#events.standing() });
+    void this.#serve(link);
+  }
+
+  async #serve(link: PeerLink): Promise<void> {
+    let reason = "closed";
+    try {
+      for await (const message of link.messages()) {
+        link.heardAt = this.#clock();
+        this.#take(link, message);
+      }
+    } catch (error) {
+      reason = String(error);
+    }
+    this.#unnamed.delete(link);
+    const name = link.instance;
+    if (name === undefined || this.#links.get(name) !== link) return;
+    this.#links.delete(name);
+    this.#log.write({
+      event: "dependency_lost",
+      dependency: `entry ${name}`,
+      detail: reason,
+      silence: Math.round(this.#clock() - link.heardAt),
+    });
+    this.#events.lost(name);
+  }
+
+  #take(link: PeerLink, message: PeerMessage): void {
+    if (message.type === "hello") {
+      this.#named(link, message.instance, message.incarnation);
+      return;
+    }
+    const name = link.instance;
+    if (name === undefined) return;
+    if (message.type === "heartbeat") {
+      const { type: _type, ...standing } = message;
+      link.standing = standing;
+    }
+    this.#events.received(name, message);
+  }
+
+  #named(link: PeerLink, instance: string, incarnation: string): void {
+    link.instance = instance;
+    link.incarnation = incarnation;
+    this.#unnamed.delete(link);
+    const before = this.#links.get(instance);
+    this.#links.set(instance, link);
+    if (before !== undefined) {
+      // A restarted peer connects before its old link is found dead.
+      before.close();
+      this.#events.lost(instance);
+    }
+    this.#log.write({
+      event: "dependency_regained",
+      dependency: `entry ${instance}`,
+    });
+    this.#events.joined(instance);
+  }
+
+  #failedToListen(error: Error): void {
+    this.#log.write({
+      event: "dependency_lost",
+      dependency: "peer listener",
+      detail: error.message,
+      silence: 0,
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/request/request_context.ts
@@ -0,0 +1,26 @@
+/** What every request task works with. @module */
+import type { RetryBudget, ServerRecord } from "@sycamorepulley/decisions";
+import type { ChannelPool } from "../backend/channel_pool.ts";
+import type { HeaderNames } from "../front/header_names.ts";
+import type { EventLog } from "../observe/event_log.ts";
+import type { GatewayMetrics } from "../observe/metrics.ts";
+import type { Granter } from "../peers/granter.ts";
+import type { ConfigurationInForce } from "../state/gateway_configuration.ts";
+
+/** Shared by all requests of one process. */
+export type RequestContext = {
+  names: HeaderNames;
+  dataCentre: string;
+  clock: () => number;
+  random: () => number;
+  log: EventLog;
+  metrics: GatewayMetrics;
+  granter: Granter;
+  pool: ChannelPool;
+  inForce: () => ConfigurationInForce | undefined;
+  /** False when what is known may be out of date. */
+  current: () => boolean;
+  /** The server as it is registered now; `undefined` once it may not be used. */
+  server: (incarnation: string) => ServerRecord | undefined;
+  retryBudget: (service: string) => RetryBudget;
+};
--- /dev/null
+++ b/packages/gateway/src/request/request_desk.ts
@@ -0,0 +1,106 @@
+/** Takes callers' requests in and runs one task for each. @module */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { CallReader } from "../front/call.ts";
+import type { Call } from "../front/call.ts";
+import { Caller } from "./caller.ts";
+import { reply, statusOf } from "./reply.ts";
+import type { ReplyReason } from "./reply.ts";
+import type { RequestContext } from "./request_context.ts";
+import { RequestTask } from "./request_task.ts";
+import { resolveCall } from "./resolve_call.ts";
+
+/** Milliseconds after which a caller may try again while this entry starts. */
+const RETRY_WHILE_STARTING = 500;
+
+/** See the module. */
+export class RequestDesk {
+  readonly #context: RequestContext;
+  readonly #reader: CallReader;
+  #active = 0;
+
+  constructor(options: { context: RequestContext; reader: CallReader }) {
+    this.#context = options.context;
+    this.#reader = options.reader;
+  }
+
+  /** Requests without a final answer. */
+  get active(): number {
+    return this.#active;
+  }
+
+  async serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    this.#active++;
+    try {
+      await this.#serve(request, response);
+    } catch (error) {
+      this.#context.log.write({
+        event: "cut",
+        request: "",
+        server: "",
+        reason: `internal error: ${String(error)}`,
+        time: 0,
+      });
+      response.destroy();
+    } finally {
+      this.#active--;
+    }
+  }
+
+  async #serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { clock, inForce, random, metrics } = this.#context;
+    const call = this.#reader.read(request, clock());
+    let task: RequestTask | undefined;
+    const caller = new Caller(request, response, () => task?.left());
+    const limits = inForce()?.configuration.limits;
+    const body = await caller.body(limits?.bodyBytes ?? Infinity);
+    if (body.isErr) {
+      if (body.error === "too_large") {
+        response.setHeader("connection", "close");
+        this.#refuse(response, call, "body_too_large");
+      }
+      return;
+    }
+    if (caller.left) return;
+    const resolved = resolveCall(call, inForce(), random());
+    if (resolved.isErr) {
+      this.#refuse(response, call, resolved.error);
+      return;
+    }
+    const { service, route } = resolved.value;
+    metrics.requests.inc({ service, route: route.name });
+    task = new RequestTask({
+      context: this.#context,
+      call,
+      resolved: resolved.value,
+      caller,
+      body: body.value,
+    });
+    await task.run();
+  }
+
+  #refuse(response: ServerResponse, call: Call, reason: ReplyReason): void {
+    const { metrics, log, clock, current, inForce } = this.#context;
+    // What is missing here may be in a newer version that can't be reached.
+    const stale = !current() &&
+      (reason === "no_route" || reason === "bad_credential");
+    const known = stale ? "no_configuration" : reason;
+    const status = statusOf(known, false);
+    reply(response, status, known, RETRY_WHILE_STARTING);
+    metrics.refusals.inc({ service: "", reason: known });
+    log.write({
+      event: "refused",
+      request: call.request,
+      status,
+      reason: known,
+      waited: Math.round(clock() - call.arrived),
+      retryAfter: RETRY_WHILE_STARTING,
+      version: inForce()?.configuration.version ?? 0,
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/request/resolve_call.ts
@@ -0,0 +1,69 @@
+/** From a call to its route, organisation and service, or a refusal. @module */
+import { chooseTarget } from "@sycamorepulley/decisions";
+import type { Cost, Route } from "@sycamorepulley/decisions";
+import { Result } from "true-myth/result";
+import type { Call } from "../front/call.ts";
+import type {
+  ConfigurationInForce,
+  Organisation,
+} from "../state/gateway_configuration.ts";
+
+/** What is known of a call before it is placed. */
+export type ResolvedCall = {
+  route: Route;
+  service: string;
+  /** Empty where the route asks for no credential. */
+  organisation: string;
+  tierRank: number;
+  cost: Cost;
+  /** Tokens that the quota is charged. */
+  charge: number;
+  /** Instant of the last answer that helps anybody. */
+  limitAt: number;
+};
+
+/** Why a call is refused before it is placed. */
+export type CallProblem =
+  | "no_configuration"
+  | "no_route"
+  | "bad_credential"
+  | "head_too_large";
+
+/** Resolves by the configuration in force; `draw` in [0, 1) splits traffic. */
+export function resolveCall(
+  call: Call,
+  inForce: ConfigurationInForce | undefined,
+  draw: number,
+): Result<ResolvedCall, CallProblem> {
+  if (inForce === undefined) return Result.err("no_configuration");
+  const route = inForce.routes.find(call.host, call.target);
+  const service = route && chooseTarget(route, draw);
+  if (route === undefined || service === undefined) {
+    return Result.err("no_route");
+  }
+  const asked = !route.open && inForce.configuration.organisations.length > 0;
+  const organisation = inForce.organisationOf(call.credential);
+  if (asked && organisation === undefined) return Result.err("bad_credential");
+  const known = asked ? organisation : undefined;
+  const { tokens } = call;
+  return Result.ok({
+    route,
+    service,
+    organisation: known?.name ?? "",
+    tierRank: known?.tierRank ?? route.tierRank,
+    cost: tokens ?? { promptTokens: 0, outputTokens: 1 },
+    charge: chargeOf(known, tokens),
+    limitAt: call.arrived + Math.min(call.timeLeft ?? Infinity, route.timeout),
+  });
+}
+
+function chargeOf(
+  organisation: Organisation | undefined,
+  tokens: Cost | undefined,
+): number {
+  if (organisation === undefined) return 0;
+  if (!organisation.countsTokens) return 1;
+  return tokens === undefined
+    ? organisation.plainTokens
+    : tokens.promptTokens + tokens.outputTokens;
+}
--- /dev/null
+++ b/packages/gateway/src/state/fleet_state.ts
@@ -0,0 +1,265 @@
+/**
+ * What this process believes: the configuration, the backend servers, the other
+ * entries. Fed by the store, and by peers while the store can't be reached;
+ * only ever moves forward.
+ * @module
+ */
+import { ServerDirectory } from "@sycamorepulley/decisions";
+import type { ServerRecord } from "@sycamorepulley/decisions";
+import type {
+  ItemChange,
+  PlatformError,
+  StoredItem,
+} from "@sycamorepulley/store";
+import type { EventLog } from "../observe/event_log.ts";
+import { ConfigurationInForce } from "./gateway_configuration.ts";
+import { PrefixListener } from "./prefix_follower.ts";
+import type { RecordCodec } from "./records.ts";
+
+/** Milliseconds of failed calls after which the store counts as lost. */
+const STORE_LOST_AFTER = 1000;
+
+/** Another entry's address for its peers. */
+export type Member = { instance: string; host: string; port: number };
+
+/** The configuration's stored text, for peers that can't reach the store. */
+export type PublishedText = { revision: number; value: string };
+
+/** Called on every change of what is believed. */
+export type StateChanged = (
+  what: "configuration" | "servers" | "members",
+) => void;
+
+/** See the module. */
+export class FleetState {
+  readonly directory = new ServerDirectory();
+  readonly members = new Map<string, Member>();
+  readonly #codec: RecordCodec;
+  readonly #log: EventLog;
+  readonly #clock: () => number;
+  readonly #changed: StateChanged;
+  #inForce: ConfigurationInForce | undefined;
+  #published: PublishedText = { revision: 0, value: "" };
+  #storeHeardAt: number;
+  #storeLost = false;
+  #serversKnown = false;
+
+  constructor(
+    options: {
+      codec: RecordCodec;
+      log: EventLog;
+      clock: () => number;
+      changed: StateChanged;
+    },
+  ) {
+    this.#codec = options.codec;
+    this.#log = options.log;
+    this.#clock = options.clock;
+    this.#changed = options.changed;
+    this.#storeHeardAt = options.clock();
+  }
+
+  get inForce(): ConfigurationInForce | undefined {
+    return this.#inForce;
+  }
+
+  get published(): PublishedText {
+    return this.#published;
+  }
+
+  /** False until servers were read once, from the store or a peer. */
+  get serversKnown(): boolean {
+    return this.#serversKnown;
+  }
+
+  get storeLost(): boolean {
+    return this.#storeLost;
+  }
+
+  /** Adopts a newer configuration; older ones and unreadable ones change nothing. */
+  adopt(value: string, revision: number, from: string): void {
+    if (revision <= this.#published.revision) return;
+    const decoded = this.#codec.configuration(value);
+    if (decoded.isErr) {
+      this.#log.write({
+        event: "configuration_unreadable",
+        revision,
+        from,
+        detail: decoded.error,
+      });
+      return;
+    }
+    this.#published = { revision, value };
+    this.#inForce = new ConfigurationInForce(decoded.value);
+    this.#log.write({
+      event: "configuration_adopted",
+      version: decoded.value.version,
+      revision,
+      from,
+    });
+    this.#changed("configuration");
+  }
+
+  /** Takes over a peer's servers if they are newer than what is known here. */
+  adoptServers(
+    records: readonly ServerRecord[],
+    revision: number,
+    from: string,
+  ): void {
+    if (revision <= this.directory.revision) return;
+    this.directory.replace(records, revision, this.#clock());
+    this.#serversKnown = true;
+    this.#log.write({
+      event: "servers_adopted",
+      from,
+      revision,
+      count: records.length,
+    });
+    this.#changed("servers");
+  }
+
+  /** Listens to the configuration's key. */
+  configurationListener(): PrefixListener {
+    return new Listener(this, {
+      snapshot: (items) => items.forEach((item) => this.#configuration(item)),
+      change: (change) => {
+        if (change.kind === "written") this.#configuration(change.item);
+      },
+    });
+  }
+
+  /** Listens to the backend servers' keys. */
+  serverListener(): PrefixListener {
+    return new Listener(this, {
+      snapshot: (items, asOf) => {
+        const records = items.map((item) => this.#server(item))
+          .filter((record) => record !== undefined);
+        this.directory.replace(records, asOf, this.#clock());
+        this.#serversKnown = true;
+        this.#changed("servers");
+      },
+      change: (change) => this.#serverChanged(change),
+      advanced: (asOf, any) => {
+        this.directory.advance(asOf);
+        if (any) this.#changed("servers");
+      },
+    });
+  }
+
+  /** Listens to the keys under which entries register. */
+  memberListener(
+    prefix: string,
+    decode: (value: string) => Member | undefined,
+  ): PrefixListener {
+    const put = (item: StoredItem) => {
+      const member = decode(item.value);
+      if (member !== undefined) {
+        this.members.set(item.key.slice(prefix.length), member);
+      }
+    };
+    return new Listener(this, {
+      snapshot: (items) => {
+        this.members.clear();
+        items.forEach(put);
+        this.#changed("members");
+      },
+      change: (change) => {
+        if (change.kind === "written") put(change.item);
+        else this.members.delete(change.key.slice(prefix.length));
+      },
+      advanced: (_asOf, any) => {
+        if (any) this.#changed("members");
+      },
+    });
+  }
+
+  /** The store answered. */
+  storeHeard(): void {
+    const now = this.#clock();
+    this.directory.heard(now);
+    this.#storeHeardAt = now;
+    if (!this.#storeLost) return;
+    this.#storeLost = false;
+    this.#log.write({ event: "dependency_regained", dependency: "store" });
+  }
+
+  /** A call to the store failed. */
+  storeFailed(error: PlatformError): void {
+    const silence = this.#clock() - this.#storeHeardAt;
+    if (this.#storeLost || silence < STORE_LOST_AFTER) return;
+    this.#storeLost = true;
+    this.#log.write({
+      event: "dependency_lost",
+      dependency: "store",
+      detail: `${error.step}: ${error.reason}: ${error.detail}`,
+      silence: Math.round(silence),
+    });
+  }
+
+  #configuration(item: StoredItem): void {
+    if (item.key !== this.#codec.configurationKey) return;
+    this.adopt(item.value, item.revision, "store");
+  }
+
+  #server(item: StoredItem): ServerRecord | undefined {
+    const id = item.key.slice(this.#codec.serverPrefix.length);
+    return this.#codec.server(id, item.value);
+  }
+
+  #serverChanged(change: ItemChange): void {
+    const now = this.#clock();
+    const key = change.kind === "written" ? change.item.key : change.key;
+    const id = key.slice(this.#codec.serverPrefix.length);
+    const before = this.directory.find(id);
+    if (change.kind === "removed") this.directory.remove(id, now);
+    else this.directory.put(id, this.#server(change.item), now);
+    const after = this.directory.find(id);
+    if (before?.draining === after?.draining && before && after) return;
+    this.#log.write({
+      event: "server_changed",
+      server: id,
+      change: after === undefined
+        ? "gone"
+        : after.draining
+        ? "draining"
+        : "ready",
+      revision: change.kind === "written"
+        ? change.item.revision
+        : change.revision,
+    });
+  }
+}
+
+type ListenerActions = {
+  snapshot: (items: readonly StoredItem[], asOf: number) => void;
+  change: (change: ItemChange) => void;
+  advanced?: (asOf: number, any: boolean) => void;
+};
+
+class Listener extends PrefixListener {
+  readonly #state: FleetState;
+  readonly #actions: ListenerActions;
+
+  constructor(state: FleetState, actions: ListenerActions) {
+    super();
+    this.#state = state;
+    this.#actions = actions;
+  }
+
+  override snapshot(items: readonly StoredItem[], asOf: number): void {
+    this.#actions.snapshot(items, asOf);
+  }
+
+  override changes(changes: readonly ItemChange[], asOf: number): void {
+    for (const change of changes) this.#actions.change(change);
+    this.#actions.advanced?.(asOf, changes.length > 0);
+  }
+
+  override heard(): void {
+    this.#state.storeHeard();
+  }
+
+  override failed(error: PlatformError): void {
+    this.#state.storeFailed(error);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/state/membership.ts
@@ -0,0 +1,103 @@
+/**
+ * Registers this entry in the store under a lease, so that others find it and
+ * count it in the fleet.
+ * @module
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+import type { MetadataStore } from "@sycamorepulley/store";
+import type { EventLog } from "../observe/event_log.ts";
+import type { Member } from "./fleet_state.ts";
+
+/** Prefix of the keys under which entries register. */
+export const MEMBER_PREFIX = "sycamorepulley/entries/";
+/**
+ * Milliseconds until the entry of a dead process is dropped. Long enough for a
+ * few lost renewals, short against a window of quotas of 8 s.
+ */
+const LEASE_DURATION = 4000;
+const RENEW_EVERY = 1000;
+const RETRY_AFTER = 400;
+
+/** Keeps the entry registered until {@link Membership.leave}. */
+export class Membership {
+  readonly #store: MetadataStore;
+  readonly #member: Member;
+  readonly #log: EventLog;
+  readonly #clock: () => number;
+  readonly #stop = new AbortController();
+  #lease: number | undefined;
+  #registered = false;
+  #validUntil = -Infinity;
+
+  constructor(
+    options: {
+      store: MetadataStore;
+      member: Member;
+      log: EventLog;
+      clock: () => number;
+    },
+  ) {
+    this.#store = options.store;
+    this.#member = options.member;
+    this.#log = options.log;
+    this.#clock = options.clock;
+  }
+
+  /** True while the store certainly lists this entry. */
+  listed(now: number): boolean {
+    return now < this.#validUntil;
+  }
+
+  async run(): Promise<void> {
+    const { signal } = this.#stop;
+    while (!signal.aborted) {
+      const kept = this.#registered
+        ? await this.#renew()
+        : await this.#register();
+      const pause = kept ? RENEW_EVERY : RETRY_AFTER;
+      await sleep(pause, undefined, { signal }).catch(() => {});
+    }
+  }
+
+  /** Takes the entry out, so that nobody waits for it. */
+  async leave(): Promise<void> {
+    this.#stop.abort();
+    this.#validUntil = -Infinity;
+    if (this.#lease === undefined) return;
+    await this.#store.endLease(this.#lease);
+  }
+
+  async #register(): Promise<boolean> {
+    const startedAt = this.#clock();
+    const lease = await this.#store.grantLease(LEASE_DURATION);
+    if (lease.isErr) return false;
+    this.#lease = lease.value;
+    const written = await this.#store.transact({
+      expected: [],
+      writes: [{
+        key: MEMBER_PREFIX + this.#member.instance,
+        value: JSON.stringify(this.#member),
+        lease: lease.value,
+      }],
+      removals: [],
+    });
+    if (written.isErr || written.value.kind !== "committed") return false;
+    this.#registered = true;
+    this.#validUntil = startedAt + LEASE_DURATION;
+    this.#log.write({ event: "registered", lease: lease.value });
+    return true;
+  }
+
+  async #renew(): Promise<boolean> {
+    const startedAt = this.#clock();
+    const renewed = await this.#store.renewLease(this.#lease ?? 0);
+    if (renewed.isErr) return false;
+    if (renewed.value) {
+      this.#validUntil = startedAt + LEASE_DURATION;
+      return true;
+    }
+    this.#registered = false;
+    this.#log.write({ event: "registration_lapsed", lease: this.#lease ?? 0 });
+    return false;
+  }
+}
--- a/packages/protocol/src/frame_codec.ts
+++ b/packages/protocol/src/frame_codec.ts
@@ -24,7 +24,7 @@
 });
 
 /** One frame that holds all of `messages`. */
-export function encodeFrame(messages: readonly Message[]): Uint8Array {
+export function encodeFrame(messages: readonly object[]): Uint8Array {
   const payload = codec.encode(messages);
   const frame = Buffer.allocUnsafe(FRAME_HEADER_BYTES + payload.byteLength);
   frame.writeUInt32BE(payload.byteLength, 0);
@@ -32,16 +32,29 @@
   return frame;
 }
 
+/** What the messages of a link are checked against. */
+export type MessageSchema<Checked> = v.GenericSchema<unknown, Checked>;
+
 /** Cuts a byte stream into frames and frames into checked messages. */
-export class FrameDecoder {
+export class FrameDecoder<Checked = Message> {
   readonly #peer: string;
   readonly #maximumFrameBytes: number;
+  readonly #schema: MessageSchema<Checked>;
   #parts: Uint8Array[] = [];
   #buffered = 0;
   #expected: number | undefined;
 
-  constructor(options: { peer: string; maximumFrameBytes?: number }) {
+  constructor(
+    options: {
+      peer: string;
+      maximumFrameBytes?: number;
+      /** Absent: the messages between entry and sidecar. */
+      schema?: MessageSchema<Checked>;
+    },
+  ) {
     this.#peer = options.peer;
+    this.#schema = options.schema ??
+      (messageSchema as unknown as MessageSchema<Checked>);
     this.#maximumFrameBytes = options.maximumFrameBytes ?? MAXIMUM_FRAME_BYTES;
   }
 
@@ -50,10 +63,10 @@
    * Throws {@link LinkError} on a frame that is too large or malformed; the
    * stream can't be followed after that and the link must be closed.
    */
-  push(bytes: Uint8Array): Message[] {
+  push(bytes: Uint8Array): Checked[] {
     this.#parts.push(bytes);
     this.#buffered += bytes.byteLength;
-    const messages: Message[] = [];
+    const messages: Checked[] = [];
     for (;;) {
       const payload = this.#nextPayload();
       if (payload === undefined) return messages;
@@ -92,7 +105,7 @@
     return whole.subarray(0, count);
   }
 
-  #decode(payload: Uint8Array): Message[] {
+  #decode(payload: Uint8Array): Checked[] {
     let decoded: unknown;
     try {
       decoded = codec.decode(payload);
@@ -105,8 +118,8 @@
     return decoded.map((message) => this.#check(message));
   }
 
-  #check(message: unknown): Message {
-    const parsed = v.safeParse(messageSchema, message);
+  #check(message: unknown): Checked {
+    const parsed = v.safeParse(this.#schema, message);
     if (parsed.success) return parsed.output;
     const issue = parsed.issues[0];
     const path = v.getDotPath(issue) ?? "message";
--- a/packages/protocol/src/link.ts
+++ b/packages/protocol/src/link.ts
@@ -1,11 +1,12 @@
 /**
- * One TCP connection between an entry and a sidecar. Its owner runs one loop
+ * One TCP connection between two processes. Its owner runs one loop
  * over {@link Link.receive} for as long as the connection lives.
  * @module
  */
 import type { Socket } from "node:net";
 import { encodeFrame, FrameDecoder } from "./frame_codec.ts";
 import { LinkError } from "./link_error.ts";
+import type { MessageSchema } from "./frame_codec.ts";
 import type { Message } from "./messages.ts";
 
 /** Buffered bytes beyond which {@link Link.drained} waits. */
@@ -20,7 +21,7 @@
 };
 
 /** Sends and receives messages over a connected socket. */
-export class Link {
+export class Link<Sent extends object = Message> {
   readonly peer: string;
   readonly traffic: LinkTraffic = {
     messagesSent: 0,
@@ -29,11 +30,17 @@
     bytesReceived: 0,
   };
   readonly #socket: Socket;
-  readonly #decoder: FrameDecoder;
-  #outgoing: Message[] = [];
+  readonly #decoder: FrameDecoder<Sent>;
+  #outgoing: Sent[] = [];
   #closed = false;
 
-  constructor(options: { socket: Socket; maximumFrameBytes?: number }) {
+  constructor(
+    options: {
+      socket: Socket;
+      maximumFrameBytes?: number;
+      schema?: MessageSchema<Sent>;
+    },
+  ) {
     const { socket } = options;
     this.#socket = socket;
     this.peer = `${socket.remoteAddress}:${socket.remotePort}`;
@@ -50,7 +57,7 @@
   }
 
   /** Queues a message; those of one turn of the event loop share a frame. */
-  send(message: Message): void {
+  send(message: Sent): void {
     if (this.#closed) return;
     if (this.#outgoing.length === 0) setImmediate(() => this.#flush());
     this.#outgoing.push(message);
@@ -74,7 +81,7 @@
    * The peer's messages in order, until it closes the connection.
    * Throws {@link LinkError} on a lost connection or a malformed frame.
    */
-  async *receive(): AsyncGenerator<Message, void> {
+  async *receive(): AsyncGenerator<Sent, void> {
     try {
       for await (const bytes of this.#socket) {
         this.traffic.bytesReceived += bytes.byteLength;
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -6,6 +6,7 @@
   FrameDecoder,
   MAXIMUM_FRAME_BYTES,
 } from "./frame_codec.ts";
+export type { MessageSchema } from "./frame_codec.ts";
 export { acceptLink, openLink } from "./handshake.ts";
 export type { OpenLink } from "./handshake.ts";
 export { Link } from "./link.ts";
--- a/packages/platform/src/mod.ts
+++ b/packages/store/src/mod.ts
@@ -7,6 +7,17 @@
   WatchOptions,
   WatchOutcome,
 } from "./key_value_store.ts";
+export { MetadataStore } from "./metadata_store.ts";
+export type {
+  ChangeBatch,
+  ItemChange,
+  ItemPage,
+  StoredItem,
+  Transaction,
+  TransactionOutcome,
+} from "./metadata_store.ts";
+export { HttpCaller } from "./http_caller.ts";
+export type { HttpAnswer, HttpCall } from "./http_caller.ts";
 export { InstanceList, instanceSchema } from "./instance_list.ts";
 export type { Instance } from "./instance_list.ts";
 export { describePlatformError } from "./platform_error.ts";
--- a/packages/testing/src/fleet/publish_objects.ts
+++ b/packages/testing/src/fleet/publish_objects.ts
@@ -1,7 +1,7 @@
 /** Publishing configuration into an emulated key-value service. @module */
 import { publish } from "@sycamorepulley/configuration";
 import type { Objects } from "@sycamorepulley/configuration";
-import { HttpKeyValueStore } from "@sycamorepulley/platform";
+import { HttpKeyValueStore } from "@sycamorepulley/store";
 import { randomUUID } from "node:crypto";
 
 /** Publishes a checked set; resolves to its revision. */
