--- a/packages/decisions/src/dispatch/ask.ts
+++ b/packages/decisions/src/dispatch/ask.ts
@@ -15,6 +15,7 @@
   /** Empty where the route is open to all. */
   organisation: string;
   dataCentre: string;
+  /** Tokens of the prompt, and those that the answer is expected to have. */
   cost: Cost;
   /** What the organisation's quota is charged, in tokens. */
   charge: number;
@@ -23,6 +24,12 @@
   goalAt: number;
   /** Instant after which a grant is of no use any more. */
   lapsesAt: number;
+  /** Instant by which the answer must be whole. */
+  endsAt: number;
+  /** The same for each try of one request by its caller. */
+  fingerprint: string;
+  /** In [0, 1): spreads what is asked of several callers at once. */
+  spread: number;
   /** Servers that this request was sent to before. */
   avoid: readonly string[];
   /** Waited or ran before: goes before others of its tier. */
--- /dev/null
+++ b/packages/decisions/src/dispatch/ask_queue.ts
@@ -0,0 +1,82 @@
+/** Asks that wait, in the order of {@link askKey}. @module */
+import { IndexedHeap, OUTSIDE_HEAP } from "../queueing/indexed_heap.ts";
+import type { HeapItem } from "../queueing/indexed_heap.ts";
+import type { Ask } from "./ask.ts";
+import { askKey } from "./ask_value.ts";
+import type { AskStanding } from "./ask_value.ts";
+
+/** One waiting ask; `key` is its place in the order. */
+export class WaitingAsk implements HeapItem {
+  readonly ask: Ask;
+  /** Instant after which it can't be on time, or is of no use any more. */
+  changesAt: number;
+  standing: AskStanding;
+  key: number;
+  heapIndex = OUTSIDE_HEAP;
+
+  constructor(ask: Ask, standing: AskStanding, changesAt: number) {
+    this.ask = ask;
+    this.standing = standing;
+    this.changesAt = changesAt;
+    this.key = askKey(ask, standing);
+  }
+}
+
+/** Asks passed over in one search before it ends: a bound on its time. */
+const MOST_PASSED_OVER = 16;
+
+/** See the module. */
+export class AskQueue {
+  readonly #heap = new IndexedHeap<WaitingAsk>();
+  readonly #byId = new Map<string, WaitingAsk>();
+
+  get size(): number {
+    return this.#byId.size;
+  }
+
+  push(waiting: WaitingAsk): void {
+    this.#byId.set(waiting.ask.id, waiting);
+    this.#heap.push(waiting);
+  }
+
+  remove(id: string): WaitingAsk | undefined {
+    const waiting = this.#byId.get(id);
+    if (waiting === undefined) return undefined;
+    this.#byId.delete(id);
+    this.#heap.remove(waiting);
+    return waiting;
+  }
+
+  /**
+   * Removes the first ask that `admits`. Those before it that find no room are
+   * passed over, so that a place that fits only others is not left idle.
+   */
+  take(admits: (ask: Ask) => boolean): WaitingAsk | undefined {
+    const passed: WaitingAsk[] = [];
+    let found: WaitingAsk | undefined;
+    while (passed.length < MOST_PASSED_OVER) {
+      const head = this.#heap.peek();
+      if (head === undefined) break;
+      this.#heap.remove(head);
+      if (admits(head.ask)) {
+        this.#byId.delete(head.ask.id);
+        found = head;
+        break;
+      }
+      passed.push(head);
+    }
+    for (const waiting of passed) this.#heap.push(waiting);
+    return found;
+  }
+
+  /** Those whose standing ends by `now`. */
+  *due(now: number): Generator<WaitingAsk> {
+    for (const waiting of [...this.#byId.values()]) {
+      if (waiting.changesAt <= now) yield waiting;
+    }
+  }
+
+  *[Symbol.iterator](): Generator<WaitingAsk> {
+    yield* this.#byId.values();
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/dispatch/ask_value.ts
@@ -0,0 +1,46 @@
+/**
+ * How much is gained by serving an ask, for the time that it takes up a place.
+ *
+ * Load pattern: twice as many requests as places, for some seconds. Places are
+ * what is short, and answers differ by a factor of a hundred in how long they
+ * hold one. Serving in order of arrival spends most of the places on the few
+ * longest answers; serving what gains most for its time serves nearly all of the
+ * others. A tier is worth a fixed factor more than the next, so that a long
+ * answer of a high tier may wait behind short ones of the next, and an answer
+ * that is late already is worth a part of one that can still be on time.
+ * @module
+ */
+import type { Ask } from "./ask.ts";
+import { nominalRunTime } from "./pace.ts";
+
+/**
+ * Times more that a tier's answer is worth than one of the next tier. Operators
+ * state only the order; the users' sheets have factors of 3.3 to 7.6.
+ */
+const TIER_FACTOR = 25;
+/** What an answer is worth that comes too late, beside one on time. */
+const LATE_PART = 0.02;
+/**
+ * The same for a caller that was refused before and has come back as told: a
+ * second refusal helps nobody, and ends its tries.
+ */
+const RETURNED_PART = 0.1;
+/** Weight of arrival in the order of equal asks: first come, first served. */
+const ARRIVAL_WEIGHT = 1e-6;
+
+/** Whether an ask can be on time, and whether its caller was refused before. */
+export type AskStanding = "timely" | "returned" | "late";
+
+/** Sorts asks: the smallest is served first. */
+export function askKey(ask: Ask, standing: AskStanding): number {
+  const time = nominalRunTime(ask.cost);
+  const part = PARTS[standing];
+  const key = time * TIER_FACTOR ** ask.tierRank / part;
+  return key + ask.arrived * ARRIVAL_WEIGHT;
+}
+
+const PARTS: Record<AskStanding, number> = {
+  timely: 1,
+  returned: RETURNED_PART,
+  late: LATE_PART,
+};
--- a/packages/decisions/src/dispatch/desk.ts
+++ b/packages/decisions/src/dispatch/desk.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { ServerRecord } from "../discovery/mod.ts";
+import type { GroupParts } from "../fleet/mod.ts";
 import { OrganisationQuotas } from "../quotas/mod.ts";
 import type { Quota, QuotaLeeway } from "../quotas/mod.ts";
 import type { Ask, AskVerdict, RunEnd } from "./ask.ts";
@@ -55,15 +56,20 @@
     }
   }
 
-  /** Takes over quotas, and the group's part of them and of all room. */
+  /** Takes over quotas, and the group's parts. */
   setShares(
     quotas: ReadonlyMap<string, Quota>,
-    part: number,
+    parts: GroupParts,
     now: number,
   ): void {
-    this.#part = part;
-    this.#quotas.configure(quotas, part, now);
-    for (const desk of this.#services.values()) desk.setPart(part);
+    this.#part = parts.room;
+    this.#quotas.configure(quotas, parts.quota, now);
+    for (const desk of this.#services.values()) desk.setPart(parts.room);
+  }
+
+  /** Begins to grant for a group that another entry granted for until now. */
+  takeOver(now: number): void {
+    this.#quotas.takeOver(now);
   }
 
   /** Queues an ask, or turns it away at once. */
@@ -87,9 +93,9 @@
   }
 
   /** Counts a run that another entry granted before. */
-  adopt(ask: Ask, server: string, now: number): void {
+  adopt(ask: Ask, server: string): void {
     this.#asks.set(ask.id, ask);
-    this.#service(ask.service).adopt(ask, server, now);
+    this.#service(ask.service).adopt(ask, server);
   }
 
   /** See {@link ServiceDesk.firstAnswer}. */
@@ -97,6 +103,16 @@
     this.#deskOf(id)?.firstAnswer(id, measured, now);
   }
 
+  /** See {@link ServiceDesk.restAnswered}. */
+  restAnswered(
+    id: string,
+    tokens: number,
+    measured: number,
+    now: number,
+  ): void {
+    this.#deskOf(id)?.restAnswered(id, tokens, measured, now);
+  }
+
   /** See {@link ServiceDesk.ended}. */
   ended(id: string, end: RunEnd, now: number): void {
     const ask = this.#asks.get(id);
--- a/packages/decisions/src/dispatch/grant_rate.ts
+++ b/packages/decisions/src/dispatch/grant_rate.ts
@@ -1,31 +1,61 @@
-/** How many grants a service's servers allow in a second. @module */
+/**
+ * Whether a service takes in more than its places allow, and which asks are then
+ * beyond its reach.
+ *
+ * Load pattern: a burst of twice the usual for some seconds. An ask that all
+ * places will go past while its caller waits is better told so at once, with the
+ * time to come back, than held until its caller leaves.
+ * @module
+ */
 
-/** Milliseconds over which grants are counted: longer than most runs. */
+/** Milliseconds over which arrivals are counted: longer than a clump of them. */
 const WINDOW = 2000;
+/** Milliseconds over which grants are counted. */
+const RATE_WINDOW = 1000;
 
-/** Times of the last grants. */
+type Arrival = { at: number; key: number; time: number };
+
+/** Grants and arrivals of the last seconds. */
 export class GrantRate {
-  #times: number[] = [];
-  #startedAt: number | undefined;
+  #granted: number[] = [];
+  #arrivals: Arrival[] = [];
 
   granted(now: number): void {
-    this.#startedAt ??= now;
-    this.#times.push(now);
-    this.#drop(now);
+    this.#granted.push(now);
   }
 
-  /** Grants in a second; `undefined` until a whole window was seen. */
-  perSecond(now: number): number | undefined {
-    if (this.#startedAt === undefined || now - this.#startedAt < WINDOW) {
-      return undefined;
-    }
-    this.#drop(now);
-    return this.#times.length / WINDOW * 1000;
+  /** `time`: milliseconds for which the ask is expected to take a place. */
+  arrived(key: number, time: number, now: number): void {
+    this.#arrivals.push({ at: now, key, time });
   }
 
-  #drop(now: number): void {
-    let old = 0;
-    while (old < this.#times.length && this.#times[old]! < now - WINDOW) old++;
-    if (old > 0) this.#times.splice(0, old);
+  /** Grants in a second. */
+  perSecond(now: number): number {
+    this.#granted = after(this.#granted, now - RATE_WINDOW, (at) => at);
+    return this.#granted.length;
   }
+
+  /**
+   * True when what arrives and goes before `key` takes up all `places`, at the
+   * rate of the last seconds.
+   */
+  beyondReach(key: number, places: number, now: number): boolean {
+    this.#arrivals = after(this.#arrivals, now - WINDOW, ({ at }) => at);
+    let time = 0;
+    for (const arrival of this.#arrivals) {
+      if (arrival.key < key) time += arrival.time;
+    }
+    return time > places * WINDOW;
+  }
+}
+
+/** The items from the first one that is not older than `since`. */
+function after<Item>(
+  items: Item[],
+  since: number,
+  timeOf: (item: Item) => number,
+): Item[] {
+  const first = items.findIndex((item) => timeOf(item) >= since);
+  if (first === 0) return items;
+  return first < 0 ? [] : items.slice(first);
 }
--- a/packages/decisions/src/dispatch/server_room.ts
+++ b/packages/decisions/src/dispatch/server_room.ts
@@ -2,30 +2,35 @@
 import type { ServerRecord } from "../discovery/mod.ts";
 import type { Cost } from "../queueing/mod.ts";
 import type { Ask } from "./ask.ts";
-import { nominalTime, Pace } from "./pace.ts";
+import { nominalFirst, nominalRest, Pace } from "./pace.ts";
 
 /**
  * Milliseconds of prompts that a server may have to read at a time. Prompts are
  * read between the tokens of the requests beside them; more at once and their
  * pauses pass the 250 ms that callers accept.
  */
-const UNREAD_TIME = 200;
-
+const UNREAD_TIME = 400;
+/** Part of the time left that an answer is expected to take at most. */
+const LONGEST_RUN_PART = 0.6;
 /** Milliseconds without work for a server that could not be connected to. */
 const FIRST_BACKOFF = 250;
 const LONGEST_BACKOFF = 2000;
 
-type Run = { entry: string; cost: Cost; unread: boolean; grantedAt: number };
+/** Paces of a whole service, for servers that nothing is known of. */
+export type ServicePaces = { first: number; rest: number };
+
+type Run = { entry: string; cost: Cost; unread: boolean };
 
 /** One server's runs, by ask. */
 export class ServerRoom {
   record: ServerRecord;
-  readonly pace = new Pace();
+  readonly #first = new Pace();
+  readonly #rest = new Pace();
   readonly #runs = new Map<string, Run>();
   #unreadTokens = 0;
   #downUntil = -Infinity;
   #backoff = 0;
-  /** Entry that alone could not connect, and until when it is not sent here. */
+  /** Entries that alone could not connect, and until when they are not sent here. */
   readonly #unreachableFrom = new Map<string, number>();
 
   constructor(record: ServerRecord) {
@@ -36,55 +41,55 @@
     return this.#runs.size;
   }
 
-  get unreadTokens(): number {
-    return this.#unreadTokens;
-  }
-
-  /** Whether the server may be given the ask; `part`: see `groupPart`. */
-  admits(ask: Ask, part: number, now: number): boolean {
-    if (!this.reachable(ask.entry, now)) return false;
+  /** Whether the server may be given the ask; `part`: see `GroupParts`. */
+  admits(ask: Ask, part: number, paces: ServicePaces, now: number): boolean {
+    if (!this.#reachable(ask.entry, now)) return false;
     if (this.#runs.size >= this.#largest(part)) return false;
+    const { cost } = ask;
+    if (cost.promptTokens === 0) return true;
+    const rest = this.#rest.ratio(now, paces.rest) * nominalRest(cost);
+    const slow = this.#rest.ratio(now, paces.rest) > paces.rest;
+    if (slow && rest > LONGEST_RUN_PART * (ask.endsAt - now)) return false;
     if (this.#unreadTokens === 0) return true;
-    const ratio = this.pace.ratio ?? 1;
-    const unread = nominalTime(ask.cost, this.#unreadTokens) -
-      nominalTime({ promptTokens: 1, outputTokens: 0 });
-    return ratio * unread < UNREAD_TIME;
+    const unread = nominalFirst(cost, this.#unreadTokens) -
+      nominalFirst({ promptTokens: 1, outputTokens: 0 });
+    return this.#first.ratio(now, paces.first) * unread < UNREAD_TIME;
   }
 
-  /** False while connections from the entry fail. */
-  reachable(entry: string, now: number): boolean {
-    if (now < this.#downUntil) return false;
-    return now >= (this.#unreachableFrom.get(entry) ?? -Infinity);
+  /** Expected milliseconds to the first answer. */
+  expectedFirst(cost: Cost, paces: ServicePaces, now: number): number {
+    const ratio = this.#first.ratio(now, paces.first);
+    const filled = this.#runs.size / Math.max(1, this.record.slots);
+    return ratio * nominalFirst(cost, this.#unreadTokens) * (1 + filled);
   }
 
-  /** Expected milliseconds to the first answer; `middling`: the service's pace. */
-  expectedFirst(cost: Cost, middling: number): number {
-    const ratio = this.pace.ratio ?? middling;
-    const filled = this.#runs.size / Math.max(1, this.record.slots);
-    return ratio * nominalTime(cost, this.#unreadTokens) * (1 + filled);
+  /** Expected milliseconds from the first token to the last. */
+  expectedRest(cost: Cost, paces: ServicePaces, now: number): number {
+    return this.#rest.ratio(now, paces.rest) * nominalRest(cost);
   }
 
-  started(ask: Ask, now: number): void {
+  started(ask: Ask): void {
     const unread = ask.cost.promptTokens > 0;
-    this.#runs.set(ask.id, {
-      entry: ask.entry,
-      cost: ask.cost,
-      unread,
-      grantedAt: now,
-    });
+    this.#runs.set(ask.id, { entry: ask.entry, cost: ask.cost, unread });
     if (unread) this.#unreadTokens += ask.cost.promptTokens;
   }
 
   /** The first answer came, `measured` milliseconds after the request was sent. */
-  firstAnswer(id: string, measured: number): Cost | undefined {
+  firstAnswer(id: string, measured: number, now: number): Cost | undefined {
     const run = this.#runs.get(id);
     this.#backoff = 0;
     if (run === undefined) return undefined;
     this.#read(run);
-    this.pace.observe(measured, nominalTime(run.cost));
+    this.#first.observe(measured, nominalFirst(run.cost), now);
     return run.cost;
   }
 
+  /** `tokens` came in `measured` milliseconds after the first. */
+  restAnswered(tokens: number, measured: number, now: number): void {
+    const cost = { promptTokens: 1, outputTokens: tokens };
+    this.#rest.observe(measured, nominalRest(cost), now);
+  }
+
   ended(id: string): boolean {
     const run = this.#runs.get(id);
     if (run === undefined) return false;
@@ -119,13 +124,17 @@
     if (this.#unreachableFrom.size > 1) this.refusedConnection(now);
   }
 
+  #reachable(entry: string, now: number): boolean {
+    if (now < this.#downUntil) return false;
+    return now >= (this.#unreachableFrom.get(entry) ?? -Infinity);
+  }
+
   /**
    * A server that comes back from a failed connect gets one request first: it may
    * refuse again, and each refusal costs its caller a round trip.
    */
   #largest(part: number): number {
-    if (this.#backoff > 0) return 1;
-    return this.record.slots * part;
+    return this.#backoff > 0 ? 1 : this.record.slots * part;
   }
 
   #read(run: Run): void {
--- a/packages/decisions/src/dispatch/service_desk.ts
+++ b/packages/decisions/src/dispatch/service_desk.ts
@@ -3,53 +3,60 @@
  * sent where, who is turned away.
  *
  * Load pattern: engines of unlike speed that batch a dozen requests, know no
- * priorities and admit in order of arrival; bursts of twice the usual; several
- * tiers, of which the lowest is the most numerous. Whatever is sent to an engine
- * waits there beyond any control, so no more is sent than it runs at once, and
- * what waits here can be ordered, sent elsewhere or refused early.
- *
- * - Requests that can still be answered on time go before those that can't,
- *   and among each the higher tier first: an answer that is late already loses
- *   less by waiting than one that becomes late.
- * - A request is turned away as it arrives when the queue in front of it is
- *   longer than its caller will wait, and told when to come back.
+ * priorities and admit in order of arrival; bursts of twice the usual. Whatever
+ * is sent to an engine waits there beyond any control, so no more is sent than
+ * it runs at once, and what waits here can be ordered, sent elsewhere or refused
+ * early. The order is that of `ask_value.ts`; a request that is out of reach of
+ * it is turned away as it arrives, and told when to come back.
  * @module
  */
 import { Ejection } from "../ejection/mod.ts";
 import type { ServerRecord } from "../discovery/mod.ts";
 import { incarnationOf } from "../discovery/mod.ts";
-import { WaitingQueue } from "../queueing/mod.ts";
-import type { Waiting } from "../queueing/mod.ts";
 import type { Ask, AskRefusal, AskVerdict, RunEnd } from "./ask.ts";
+import { AskQueue, WaitingAsk } from "./ask_queue.ts";
+import { askKey } from "./ask_value.ts";
 import { GrantRate } from "./grant_rate.ts";
-import { nominalTime, Pace } from "./pace.ts";
+import { nominalFirst, nominalRest, Pace } from "./pace.ts";
+import { ReturningCallers } from "./returning_callers.ts";
 import { ServerRoom } from "./server_room.ts";
+import type { ServicePaces } from "./server_room.ts";
 
-/** Most asks that wait for one service: some seconds of a busy one's traffic. */
-const CAPACITY = 2000;
 /**
  * Milliseconds that a server of another data centre must be faster by, to be
  * preferred. Bytes between data centres have a price.
  */
 const DISTANCE_PENALTY = 60;
-/** Longest and shortest times to come back that are asked of a caller. */
-const SHORTEST_RETRY = 300;
-const LONGEST_RETRY = 4000;
+/**
+ * Part of an answer's expected time after its first token that counts in the
+ * choice: a place at a fast server is free again sooner.
+ */
+const REST_WEIGHT = 0.1;
+/** Milliseconds to come back that are asked of a caller while there is no server. */
+const RETRY_WITHOUT_SERVER = 300;
+/**
+ * Milliseconds to come back after a refusal for lack of room: bursts last 2.5 to
+ * 5 s. Spread, so that those refused together don't return together.
+ */
+const SHORTEST_RETRY = 1500;
+const RETRY_SPREAD = 2000;
+
+type Granted = { ask: Ask; server: string };
 
-/** Grants servers of one service. Verdicts are collected by {@link verdicts}. */
+/** Grants servers of one service. Verdicts are drawn by `verdicts`. */
 export class ServiceDesk {
   readonly #rooms = new Map<string, ServerRoom>();
   readonly #ejection = new Ejection();
-  readonly #pace = new Pace();
+  readonly #first = new Pace();
+  readonly #rest = new Pace();
   readonly #rate = new GrantRate();
-  readonly #asks = new Map<string, Ask>();
-  readonly #granted = new Map<string, { ask: Ask; server: string }>();
-  readonly #timely = new WaitingQueue({ capacity: CAPACITY });
-  readonly #late = new WaitingQueue({ capacity: CAPACITY });
+  readonly #queue = new AskQueue();
+  readonly #granted = new Map<string, Granted>();
+  readonly #returning = new ReturningCallers();
   #part = 1;
 
   get waiting(): number {
-    return this.#asks.size;
+    return this.#queue.size;
   }
 
   get running(): number {
@@ -65,7 +72,7 @@
 
   /** Grants in the last second. */
   granted(now: number): number {
-    return Math.round(this.#rate.perSecond(now) ?? 0);
+    return this.#rate.perSecond(now);
   }
 
   /** Takes over which servers may be sent work. */
@@ -96,22 +103,21 @@
   /** Queues an ask, or turns it away at once. */
   ask(ask: Ask, now: number): AskVerdict | undefined {
     if (this.#rooms.size === 0) {
-      return refusal(ask, "no_server", SHORTEST_RETRY);
+      return this.#refusal(ask, "no_server", now);
     }
-    const wait = this.#expectedWait(ask, now);
-    if (now + wait > ask.lapsesAt) {
-      return refusal(ask, "overload", wait);
+    const waiting = this.#waitingOf(ask, now);
+    this.#rate.arrived(waiting.key, this.#expectedTime(ask, now), now);
+    const crowded = this.#queue.size > 0 && waiting.standing === "timely";
+    if (crowded && this.#beyondReach(waiting.key, now)) {
+      return this.#refusal(ask, "overload", now);
     }
-    this.#asks.set(ask.id, ask);
-    this.#enqueue(ask, now);
+    this.#queue.push(waiting);
     return undefined;
   }
 
   /** Takes an ask back, or states that its grant was not used. */
   withdraw(id: string): void {
-    this.#timely.withdraw(id);
-    this.#late.withdraw(id);
-    this.#asks.delete(id);
+    this.#queue.remove(id);
     const granted = this.#granted.get(id);
     if (granted === undefined) return;
     this.#granted.delete(id);
@@ -119,11 +125,11 @@
   }
 
   /** Counts a run that another entry granted before. */
-  adopt(ask: Ask, server: string, now: number): void {
+  adopt(ask: Ask, server: string): void {
     const room = this.#rooms.get(server);
     if (room === undefined || this.#granted.has(ask.id)) return;
     this.#granted.set(ask.id, { ask, server });
-    room.started(ask, now);
+    room.started(ask);
   }
 
   /** The first answer came `measured` milliseconds after the request was sent. */
@@ -131,13 +137,27 @@
     const granted = this.#granted.get(id);
     if (granted === undefined) return;
     const room = this.#rooms.get(granted.server);
-    const cost = room?.firstAnswer(id, measured);
+    const cost = room?.firstAnswer(id, measured, now);
     if (cost === undefined) return;
-    const nominal = nominalTime(cost);
-    this.#pace.observe(measured, nominal);
+    const nominal = nominalFirst(cost);
+    this.#first.observe(measured, nominal, now);
     this.#ejection.succeeded(granted.server, now, measured / nominal);
   }
 
+  /** After the first, `tokens` came in `measured` milliseconds. */
+  restAnswered(
+    id: string,
+    tokens: number,
+    measured: number,
+    now: number,
+  ): void {
+    const granted = this.#granted.get(id);
+    if (granted === undefined || tokens <= 0) return;
+    this.#rooms.get(granted.server)?.restAnswered(tokens, measured, now);
+    const cost = { promptTokens: 1, outputTokens: tokens };
+    this.#rest.observe(measured, nominalRest(cost), now);
+  }
+
   /** States how a granted request ended. */
   ended(id: string, end: RunEnd, now: number): void {
     const granted = this.#granted.get(id);
@@ -151,8 +171,8 @@
 
   /** An entry is gone, and with it its connections to servers. */
   forgetEntry(entry: string): void {
-    for (const [id, ask] of this.#asks) {
-      if (ask.entry === entry) this.withdraw(id);
+    for (const { ask } of [...this.#queue]) {
+      if (ask.entry === entry) this.#queue.remove(ask.id);
     }
     for (const [id, { ask }] of this.#granted) {
       if (ask.entry === entry) this.#granted.delete(id);
@@ -162,50 +182,43 @@
 
   /** Everything that can be decided now. */
   verdicts(now: number): AskVerdict[] {
-    this.#demote(now);
-    const verdicts: AskVerdict[] = this.#lapsed(now);
-    for (const queue of [this.#timely, this.#late]) {
-      for (;;) {
-        const grant = this.#grantNext(queue, now);
-        if (grant === undefined) break;
-        verdicts.push(grant);
-      }
+    const verdicts = this.#changes(now);
+    while (this.#queue.size > 0) {
+      const grant = this.#grantNext(now);
+      if (grant === undefined) break;
+      verdicts.push(grant);
     }
     return verdicts;
   }
 
-  #grantNext(queue: WaitingQueue, now: number): AskVerdict | undefined {
-    if (queue.size === 0) return undefined;
-    let chosen: string | undefined;
-    const waiting = queue.take(now, (waiting) => {
-      const ask = this.#asks.get(waiting.id);
-      if (ask === undefined) return false;
-      chosen = this.#choose(ask, now);
-      return chosen !== undefined;
+  #grantNext(now: number): AskVerdict | undefined {
+    const paces = this.#paces(now);
+    let server: string | undefined;
+    const waiting = this.#queue.take((ask) => {
+      server = this.#choose(ask, paces, now);
+      return server !== undefined;
     });
-    const ask = waiting && this.#asks.get(waiting.id);
-    if (ask === undefined || chosen === undefined) return undefined;
-    this.#asks.delete(ask.id);
-    this.#granted.set(ask.id, { ask, server: chosen });
-    this.#rooms.get(chosen)?.started(ask, now);
-    this.#ejection.started(chosen, now);
+    if (waiting === undefined || server === undefined) return undefined;
+    const { ask } = waiting;
+    this.#granted.set(ask.id, { ask, server });
+    this.#rooms.get(server)?.started(ask);
+    this.#ejection.started(server, now);
     this.#rate.granted(now);
-    return { kind: "grant", ask, server: chosen };
+    return { kind: "grant", ask, server };
   }
 
-  /** The server with room that is expected to answer first. */
-  #choose(ask: Ask, now: number): string | undefined {
+  /** The server with room that is expected to be done soonest. */
+  #choose(ask: Ask, paces: ServicePaces, now: number): string | undefined {
     let best: string | undefined;
     let bestScore = Infinity;
-    const middling = this.#pace.ratio ?? 1;
     for (const [name, room] of this.#rooms) {
       if (ask.avoid.includes(name)) continue;
-      if (!room.admits(ask, this.#part, now)) continue;
+      if (!room.admits(ask, this.#part, paces, now)) continue;
       if (!this.#ejection.allowed(name, now)) continue;
-      const distance = room.record.dataCentre === ask.dataCentre
-        ? 0
-        : DISTANCE_PENALTY;
-      const score = room.expectedFirst(ask.cost, middling) + distance;
+      const near = room.record.dataCentre === ask.dataCentre;
+      const score = room.expectedFirst(ask.cost, paces, now) +
+        REST_WEIGHT * room.expectedRest(ask.cost, paces, now) +
+        (near ? 0 : DISTANCE_PENALTY);
       if (score < bestScore) {
         bestScore = score;
         best = name;
@@ -214,64 +227,68 @@
     return best;
   }
 
-  /** Those that can't be on time any more wait behind those that can. */
-  #demote(now: number): void {
-    for (const waiting of this.#timely.expire(now)) {
-      const ask = this.#asks.get(waiting.id);
-      if (ask !== undefined) this.#enqueueLate(ask, now);
+  #waitingOf(ask: Ask, now: number): WaitingAsk {
+    if (this.#returning.returns(ask.fingerprint, now)) {
+      return new WaitingAsk(ask, "returned", ask.lapsesAt);
     }
+    const first = this.#paces(now).first * nominalFirst(ask.cost);
+    const latestStart = ask.goalAt - first;
+    return latestStart > now
+      ? new WaitingAsk(ask, "timely", latestStart)
+      : new WaitingAsk(ask, "late", ask.lapsesAt);
   }
 
-  #lapsed(now: number): AskVerdict[] {
+  /** Asks that can't be on time any more, and those nobody waits for. */
+  #changes(now: number): AskVerdict[] {
     const verdicts: AskVerdict[] = [];
-    for (const waiting of this.#late.expire(now)) {
-      const ask = this.#asks.get(waiting.id);
-      if (ask === undefined) continue;
-      this.#asks.delete(ask.id);
-      verdicts.push(refusal(ask, "expired", this.#expectedWait(ask, now)));
+    for (const waiting of this.#queue.due(now)) {
+      const { ask } = waiting;
+      this.#queue.remove(ask.id);
+      if (ask.lapsesAt <= now) {
+        verdicts.push(this.#refusal(ask, "expired", now));
+        continue;
+      }
+      this.#becomeLate(waiting, now, verdicts);
     }
     return verdicts;
   }
 
-  #enqueue(ask: Ask, now: number): void {
-    const latestStart = ask.goalAt - this.#expectedFirst(ask);
-    if (latestStart <= now) {
-      this.#enqueueLate(ask, now);
+  #becomeLate(waiting: WaitingAsk, now: number, verdicts: AskVerdict[]): void {
+    const { ask } = waiting;
+    if (this.#beyondReach(askKey(ask, "late"), now)) {
+      verdicts.push(this.#refusal(ask, "overload", now));
       return;
     }
-    this.#timely.offer(waitingOf(ask, latestStart), now);
+    this.#queue.push(new WaitingAsk(ask, "late", ask.lapsesAt));
   }
 
-  #enqueueLate(ask: Ask, now: number): void {
-    this.#late.offer(waitingOf(ask, Math.max(now, ask.lapsesAt)), now);
+  #beyondReach(key: number, now: number): boolean {
+    return this.#rate.beyondReach(key, this.places * this.#part, now);
   }
 
-  #expectedFirst(ask: Ask): number {
-    return (this.#pace.ratio ?? 1) * nominalTime(ask.cost);
+  /** Milliseconds for which the ask is expected to take a place. */
+  #expectedTime(ask: Ask, now: number): number {
+    const { first, rest } = this.#paces(now);
+    return first * nominalFirst(ask.cost) + rest * nominalRest(ask.cost);
   }
 
-  /** Milliseconds until those in front of the ask have been granted. */
-  #expectedWait(ask: Ask, now: number): number {
-    const ahead = this.#sizeUpTo(this.#timely, ask.tierRank) +
-      this.#sizeUpTo(this.#late, ask.tierRank);
-    if (ahead === 0) return 0;
-    const rate = this.#rate.perSecond(now);
-    if (rate === undefined) return 0;
-    return ahead / Math.max(rate, 1) * 1000;
+  #paces(now: number): ServicePaces {
+    return {
+      first: this.#first.ratio(now, 1),
+      rest: this.#rest.ratio(now, 1),
+    };
   }
 
-  #sizeUpTo(queue: WaitingQueue, tierRank: number): number {
-    let size = 0;
-    for (let rank = 0; rank <= tierRank; rank++) size += queue.sizeOf(rank);
-    return size;
+  #refusal(ask: Ask, reason: AskRefusal, now: number): AskVerdict {
+    this.#returning.refused(ask.fingerprint, now);
+    const spread = (ask.spread * RETRY_SPREAD) | 0;
+    const retryAfter = reason === "no_server"
+      ? RETRY_WITHOUT_SERVER
+      : SHORTEST_RETRY + spread;
+    return { kind: "refuse", ask, reason, retryAfter };
   }
 
-  #judge(
-    room: ServerRoom,
-    granted: { ask: Ask; server: string },
-    end: RunEnd,
-    now: number,
-  ): void {
+  #judge(room: ServerRoom, granted: Granted, end: RunEnd, now: number): void {
     switch (end) {
       case "connection_refused":
         room.refusedConnection(now);
@@ -280,8 +297,6 @@
         room.silentTo(granted.ask.entry, now);
         return;
       case "failed":
-        this.#ejection.failed(granted.server, "error", now);
-        return;
       case "broken":
         this.#ejection.failed(granted.server, "error", now);
         return;
@@ -289,20 +304,3 @@
     }
   }
 }
-
-function waitingOf(ask: Ask, deadline: number): Waiting {
-  return {
-    id: ask.id,
-    tierRank: ask.tierRank,
-    organisation: ask.organisation,
-    weight: 1,
-    cost: ask.cost,
-    deadline,
-    arrived: ask.arrived,
-  };
-}
-
-function refusal(ask: Ask, reason: AskRefusal, wait: number): AskVerdict {
-  const retryAfter = Math.min(LONGEST_RETRY, Math.max(SHORTEST_RETRY, wait));
-  return { kind: "refuse", ask, reason, retryAfter };
-}
--- a/packages/decisions/src/fleet/entry_group.ts
+++ b/packages/decisions/src/fleet/entry_group.ts
@@ -11,11 +11,15 @@
 import { hashText } from "../placement/hash_text.ts";
 
 /**
- * Part of its proportional share that a group uses when none of it holds a
- * lease in the store: the others have then dropped it from the fleet and use its
- * share as well. Quotas allow a tenth beyond the rate, and a slack.
+ * Part of its share of the quotas that a group uses once the others have dropped
+ * it from the fleet and use that share as well. Quotas allow a tenth beyond.
  */
-const UNLISTED_PART = 0.5;
+const DROPPED_PART = 0.2;
+/**
+ * Milliseconds for which an entry that is registered no more is still counted:
+ * longer than any window of quotas (8 s), and than a restart.
+ */
+export const COUNTED_FOR = 10_000;
 
 /** The entry that grants for the group: the same one whoever of it asks. */
 export function grantingEntry(names: readonly string[]): string | undefined {
@@ -31,23 +35,32 @@
   return best;
 }
 
-/** What {@link groupPart} goes by. */
+/** What {@link groupParts} goes by. */
 export type GroupView = {
   /** Entries that hear each other, this one included. */
   group: ReadonlySet<string>;
-  /** Entries registered in the store, as far as known. */
-  registered: ReadonlySet<string>;
-  /** Some entry of the group holds its lease, so the others count it. */
+  /** Entries registered in the store now or until a moment ago. */
+  counted: ReadonlySet<string>;
+  /** Some entry of the group is still counted by the others. */
   listed: boolean;
 };
 
-/** The part, above 0 and up to 1, of what all entries share. */
-export function groupPart(view: GroupView): number {
+/** Parts, above 0 and up to 1, of what all entries share. */
+export type GroupParts = {
+  /** Of servers' places: too much of it costs time only. */
+  room: number;
+  /** Of quotas: never above the whole in sum. */
+  quota: number;
+};
+
+/** The group's parts; see the module. */
+export function groupParts(view: GroupView): GroupParts {
   let others = 0;
-  for (const name of view.registered) {
+  for (const name of view.counted) {
     if (!view.group.has(name)) others++;
   }
   const size = view.group.size;
-  const part = size / (size + others);
-  return view.listed || others === 0 ? part : part * UNLISTED_PART;
+  const room = size / (size + others);
+  const alone = others === 0 || view.listed;
+  return { room, quota: alone ? room : room * DROPPED_PART };
 }
--- a/packages/decisions/src/fleet/mod.ts
+++ b/packages/decisions/src/fleet/mod.ts
@@ -1,3 +1,3 @@
 /** Entries that work as one group. @module */
-export { grantingEntry, groupPart } from "./entry_group.ts";
-export type { GroupView } from "./entry_group.ts";
+export { COUNTED_FOR, grantingEntry, groupParts } from "./entry_group.ts";
+export type { GroupParts, GroupView } from "./entry_group.ts";
--- a/packages/decisions/src/quotas/organisation_quotas.ts
+++ b/packages/decisions/src/quotas/organisation_quotas.ts
@@ -24,7 +24,13 @@
 };
 
 /** Part of the leeway that is let through; see {@link QuotaLeeway}. */
-const LEEWAY_PART = 0.5;
+const LEEWAY_PART = 0.4;
+/**
+ * Part of the burst that whoever takes over begins with: whoever granted before
+ * may have let a whole burst through a moment ago, and with another one on top a
+ * window would hold more than is accepted.
+ */
+const TAKE_OVER_PART = 0.2;
 
 /** A rate over all entries. */
 export type Quota = { ratePerSecond: number; burst: number };
@@ -37,7 +43,6 @@
 /** Buckets by organisation; see the module. */
 export class OrganisationQuotas {
   readonly #buckets = new Map<string, TokenBucket>();
-  #quotas: ReadonlyMap<string, Quota> = new Map();
   readonly #leeway: QuotaLeeway;
   #part = 1;
 
@@ -51,21 +56,29 @@
     part: number,
     now: number,
   ): void {
-    this.#quotas = quotas;
     this.#part = part;
-    for (const [name, bucket] of this.#buckets) {
-      const quota = quotas.get(name);
-      if (quota === undefined) {
-        this.#buckets.delete(name);
-        continue;
-      }
-      bucket.configure(quota.ratePerSecond * part, this.#burst(quota), now);
+    for (const name of [...this.#buckets.keys()]) {
+      if (!quotas.has(name)) this.#buckets.delete(name);
+    }
+    for (const [name, quota] of quotas) {
+      const rate = quota.ratePerSecond * part;
+      const burst = this.#burst(quota);
+      const bucket = this.#buckets.get(name);
+      if (bucket !== undefined) bucket.configure(rate, burst, now);
+      else this.#buckets.set(name, new TokenBucket(rate, burst, now, 0));
+    }
+  }
+
+  /** Begins to hold quotas that another entry held until now. */
+  takeOver(now: number): void {
+    for (const bucket of this.#buckets.values()) {
+      bucket.lowerTo(TAKE_OVER_PART, now);
     }
   }
 
   /** Charges `tokens` to the organisation, or says when to come back. */
   charge(organisation: string, tokens: number, now: number): QuotaVerdict {
-    const bucket = this.#bucket(organisation, now);
+    const bucket = this.#buckets.get(organisation);
     if (bucket === undefined || bucket.take(tokens, now)) {
       return { allowed: true };
     }
@@ -83,19 +96,4 @@
     return this.#part *
       (quota.burst + LEEWAY_PART * (overage * stated + slack));
   }
-
-  #bucket(organisation: string, now: number): TokenBucket | undefined {
-    const quota = this.#quotas.get(organisation);
-    if (quota === undefined) return undefined;
-    let bucket = this.#buckets.get(organisation);
-    if (bucket === undefined) {
-      bucket = new TokenBucket(
-        quota.ratePerSecond * this.#part,
-        this.#burst(quota),
-        now,
-      );
-      this.#buckets.set(organisation, bucket);
-    }
-    return bucket;
-  }
 }
--- a/packages/decisions/src/quotas/token_bucket.ts
+++ b/packages/decisions/src/quotas/token_bucket.ts
@@ -7,13 +7,25 @@
   #ratePerSecond: number;
   #burst: number;
 
-  constructor(ratePerSecond: number, burst: number, now: number) {
+  /** `balance`: what can be taken at once; the burst if absent. */
+  constructor(
+    ratePerSecond: number,
+    burst: number,
+    now: number,
+    balance = burst,
+  ) {
     this.#ratePerSecond = ratePerSecond;
     this.#burst = burst;
-    this.#balance = burst;
+    this.#balance = balance;
     this.#filledAt = now;
   }
 
+  /** Lowers the balance to a part of the burst. */
+  lowerTo(part: number, now: number): void {
+    this.#fill(now);
+    this.#balance = Math.min(this.#balance, this.#burst * part);
+  }
+
   /** Changes the bounds; a balance above the new burst is lost. */
   configure(ratePerSecond: number, burst: number, now: number): void {
     this.#fill(now);
--- a/packages/gateway/src/front/call.ts
+++ b/packages/gateway/src/front/call.ts
@@ -14,6 +14,8 @@
   credential: string | undefined;
   /** What it states of its size. */
   tokens: Cost | undefined;
+  /** Tokens that it expects its answer to have. */
+  expectedTokens: number | undefined;
   /** How long the caller waits from its sending. */
   timeLeft: number | undefined;
   /** Headers to hand on, names and values in turn. */
@@ -53,6 +55,7 @@
       host: message.headers.host ?? "",
       credential: valueOf(message, names.credential),
       tokens: tokensOf(valueOf(message, names.tokenUsage)),
+      expectedTokens: positive(valueOf(message, names.expectedTokens)),
       timeLeft: positive(valueOf(message, names.timeLeft)),
       headers: forwardedHeaders(
         message.rawHeaders,
--- a/packages/gateway/src/front/header_names.ts
+++ b/packages/gateway/src/front/header_names.ts
@@ -17,6 +17,8 @@
   seal: string;
   /** Prompt tokens and most output tokens. */
   tokenUsage: string;
+  /** A caller's estimate of the tokens of its answer. */
+  expectedTokens: string;
   /** Where a stream goes on. */
   lastEvent: string;
   /** Headers that only the system itself may set; dropped from callers. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,7 +15,6 @@
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { ChannelPool } from "./backend/channel_pool.ts";
-import { SuspensionClock } from "./clock.ts";
 import { CallReader } from "./front/call.ts";
 import { Front } from "./front/front.ts";
 import type { HeaderNames } from "./front/header_names.ts";
@@ -71,8 +70,13 @@
   readonly #store: MetadataStore;
   readonly #codec: RecordCodec;
   readonly #lifecycle = new ProcessLifecycle();
-  readonly #suspension = new SuspensionClock();
-  readonly #clock = () => this.#suspension.now();
+  /**
+   * Milliseconds of the steady clock. It stands still while a machine is
+   * suspended; the time since boot does not, but where a process sees only its
+   * own part of a machine that time is another machine's, and deadlines and
+   * quotas kept by it are wrong by a tenth and more.
+   */
+  readonly #clock = () => performance.now();
   readonly #log: EventLog;
   readonly #metrics = new GatewayMetrics();
   readonly #state: FleetState;
@@ -263,7 +267,7 @@
       configurationRevision: this.#state.published.revision,
       serverRevision: this.#state.directory.revision,
       leaving: this.#lifecycle.state === "leaving",
-      listed: this.#membership.listed(this.#clock()),
+      listed: this.#membership.counted(this.#clock()),
     };
   }
 
@@ -356,14 +360,12 @@
 
   #regroup(): void {
     const now = this.#clock();
-    const own = this.#settings.instance;
-    const registered = new Set(this.#state.members.keys());
+    const counted = this.#state.countedMembers();
     const leaving = this.#lifecycle.state === "leaving";
     this.#granter.regroup({
       heard: this.#peers.heard(),
-      registered,
-      listed: this.#membership.listed(now) || this.#peers.anyListed() ||
-        (!registered.has(own) && registered.size === 0),
+      counted,
+      listed: this.#membership.counted(now) || this.#peers.anyListed(),
       leaving,
     });
   }
@@ -378,9 +380,9 @@
   }
 
   #logLoad(): void {
-    const part = this.#granter.part;
+    const { parts } = this.#granter;
     for (const load of this.#granter.loads()) {
-      this.#log.write({ event: "load", ...load, part });
+      this.#log.write({ event: "load", ...load, ...parts });
     }
   }
 
--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -6,7 +6,6 @@
   | { event: "stopping"; active: number; grace: number }
   | { event: "stopped"; cut: number }
   | { event: "reloaded"; changed: boolean; detail: string }
-  | { event: "suspended"; missed: number }
   | { event: "registered"; lease: number }
   | { event: "registration_lapsed"; lease: number }
   | {
@@ -35,7 +34,13 @@
     silence: number;
   }
   | { event: "dependency_regained"; dependency: string }
-  | { event: "group_changed"; granting: string; size: number; part: number }
+  | {
+    event: "group_changed";
+    granting: string;
+    size: number;
+    room: number;
+    quota: number;
+  }
   | {
     event: "granted";
     request: string;
@@ -77,6 +82,12 @@
     status: number;
     first: number;
     time: number;
+    /** Prompt and most output tokens, and events passed on. */
+    promptTokens: number;
+    outputTokens: number;
+    events: number;
+    /** Longest pause between parts of the answer. */
+    longestPause: number;
   }
   | {
     event: "load";
@@ -85,6 +96,7 @@
     running: number;
     places: number;
     granted: number;
-    part: number;
+    room: number;
+    quota: number;
   }
   | { event: "omitted"; of: string; lines: number };
--- a/packages/gateway/src/peers/granter.ts
+++ b/packages/gateway/src/peers/granter.ts
@@ -7,11 +7,12 @@
  * is stored.
  * @module
  */
-import { Desk, grantingEntry, groupPart } from "@sycamorepulley/decisions";
+import { Desk, grantingEntry, groupParts } from "@sycamorepulley/decisions";
 import type {
   Ask,
   AskRefusal,
   AskVerdict,
+  GroupParts,
   RunEnd,
 } from "@sycamorepulley/decisions";
 import type {
@@ -60,7 +61,7 @@
   /** Asks of other entries that wait or run here. */
   readonly #foreign = new Map<string, Ask>();
   #granting: string;
-  #part = 1;
+  #parts: GroupParts = { room: 1, quota: 1 };
   #quotas: ReadonlyMap<string, Quota> = new Map();
   #number = 0;
 
@@ -83,9 +84,9 @@
     this.#granting = options.instance;
   }
 
-  /** The part of all room and quotas that the group uses. */
-  get part(): number {
-    return this.#part;
+  /** The parts of all room and quotas that the group uses. */
+  get parts(): GroupParts {
+    return this.#parts;
   }
 
   /** How full each service is; empty where another entry grants. */
@@ -101,33 +102,35 @@
 
   setQuotas(quotas: ReadonlyMap<string, Quota>): void {
     this.#quotas = quotas;
-    this.#desk.setShares(quotas, this.#part, this.#clock());
+    this.#desk.setShares(quotas, this.#parts, this.#clock());
   }
 
   /** Works out anew who grants; `leaving`: this entry no longer does. */
   regroup(
     options: {
       heard: readonly string[];
-      registered: ReadonlySet<string>;
+      counted: ReadonlySet<string>;
       listed: boolean;
       leaving: boolean;
     },
   ): void {
-    const { heard, registered, listed, leaving } = options;
+    const { heard, counted, listed, leaving } = options;
     const group = new Set([...heard, this.#instance]);
-    const part = groupPart({ group, registered, listed });
+    const parts = groupParts({ group, counted, listed });
     const able = leaving && heard.length > 0 ? heard : [...group];
     const granting = grantingEntry(able) ?? this.#instance;
-    if (part !== this.#part) {
-      this.#part = part;
-      this.#desk.setShares(this.#quotas, part, this.#clock());
+    const { room, quota } = this.#parts;
+    if (parts.room !== room || parts.quota !== quota) {
+      this.#parts = parts;
+      this.#desk.setShares(this.#quotas, parts, this.#clock());
     }
     if (granting === this.#granting) return;
     this.#log.write({
       event: "group_changed",
       granting,
       size: group.size,
-      part: Math.round(part * 1000) / 1000,
+      room: Math.round(parts.room * 1000) / 1000,
+      quota: Math.round(parts.quota * 1000) / 1000,
     });
     this.#moveTo(granting);
   }
@@ -166,14 +169,23 @@
     this.#peers().send(this.#granting, { type: "first_answer", id, measured });
   }
 
-  ended(id: string, end: RunEnd): void {
+  /** After the first, `tokens` came in `measured` milliseconds. */
+  ended(id: string, end: RunEnd, tokens = 0, measured = 0): void {
     if (!this.#held.delete(id)) return;
     if (this.#granting === this.#instance) {
-      this.#desk.ended(id, end, this.#clock());
+      const now = this.#clock();
+      this.#desk.restAnswered(id, tokens, measured, now);
+      this.#desk.ended(id, end, now);
       this.pump();
       return;
     }
-    this.#peers().send(this.#granting, { type: "ended", id, end });
+    this.#peers().send(this.#granting, {
+      type: "ended",
+      id,
+      end,
+      tokens,
+      measured,
+    });
   }
 
   /** Takes a peer's message about granting; false for any other. */
@@ -194,6 +206,12 @@
         break;
       case "ended":
         this.#foreign.delete(message.id);
+        this.#desk.restAnswered(
+          message.id,
+          message.tokens,
+          message.measured,
+          now,
+        );
         this.#desk.ended(message.id, message.end, now);
         break;
       case "grant":
@@ -248,12 +266,16 @@
     const before = this.#granting;
     this.#granting = granting;
     const now = this.#clock();
+    if (granting === this.#instance) this.#desk.takeOver(now);
+    if (before === this.#instance) this.#forgetForeign();
     for (const { ask, server } of this.#held.values()) {
+      // Left where they were, they would take places there for ever.
       if (before === this.#instance) this.#desk.withdraw(ask);
+      else this.#peers().send(before, { type: "withdraw", id: ask.id });
       if (granting !== this.#instance) {
         this.#peers().send(granting, messageOf(ask, now, server));
       } else if (server !== undefined) {
-        this.#desk.adopt(ask, server, now);
+        this.#desk.adopt(ask, server);
       } else {
         this.#place(ask);
       }
@@ -261,11 +283,17 @@
     this.pump();
   }
 
+  /** Their entries ask whoever grants now. */
+  #forgetForeign(): void {
+    for (const ask of this.#foreign.values()) this.#desk.withdraw(ask);
+    this.#foreign.clear();
+  }
+
   #askedBy(peer: string, message: AskMessage, now: number): void {
     const ask = askOf(message, peer, now);
     this.#foreign.set(ask.id, ask);
     if (message.runsAt !== undefined) {
-      this.#desk.adopt(ask, message.runsAt, now);
+      this.#desk.adopt(ask, message.runsAt);
       return;
     }
     const verdict = this.#desk.ask(ask, now);
@@ -331,6 +359,9 @@
     age: now - ask.arrived,
     goalIn: ask.goalAt - now,
     lapsesIn: ask.lapsesAt - now,
+    endsIn: ask.endsAt - now,
+    fingerprint: ask.fingerprint,
+    spread: ask.spread,
     avoid: [...ask.avoid],
     resumed: ask.resumed,
     ...(runsAt === undefined ? {} : { runsAt }),
@@ -353,6 +384,9 @@
     arrived: now - message.age,
     goalAt: now + message.goalIn,
     lapsesAt: now + message.lapsesIn,
+    endsAt: now + message.endsIn,
+    fingerprint: message.fingerprint,
+    spread: message.spread,
     avoid: message.avoid,
     resumed: message.resumed,
   };
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -23,6 +23,9 @@
   age: duration,
   goalIn: duration,
   lapsesIn: duration,
+  endsIn: duration,
+  fingerprint: text,
+  spread: duration,
   avoid: v.array(text),
   resumed: v.boolean(),
   /** Server that another entry granted already: it is counted, not granted. */
@@ -79,6 +82,9 @@
   v.object({
     type: v.literal("ended"),
     id: text,
+    /** Tokens after the first, and how long they took. */
+    tokens: count,
+    measured: duration,
     end: v.picklist([
       "answered",
       "failed",
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -198,6 +198,12 @@
     link.incarnation = incarnation;
     this.#unnamed.delete(link);
     const before = this.#links.get(instance);
+    if (before?.incarnation === incarnation) {
+      // Both sides dialled, as at a start by seeds: one link is enough.
+      link.instance = undefined;
+      link.close();
+      return;
+    }
     this.#links.set(instance, link);
     if (before !== undefined) {
       // A restarted peer connects before its old link is found dead.
--- a/packages/gateway/src/request/request_task.ts
+++ b/packages/gateway/src/request/request_task.ts
@@ -7,6 +7,7 @@
  * again unless it may be repeated, and is never answered as not run.
  * @module
  */
+import { createHash } from "node:crypto";
 import { incarnationOf, mayRepeat } from "@sycamorepulley/decisions";
 import type { RunEnd, ServerRecord } from "@sycamorepulley/decisions";
 import type { Channel } from "../backend/channel.ts";
@@ -43,6 +44,7 @@
   readonly #resolved: ResolvedCall;
   readonly #caller: Caller;
   readonly #body: Buffer | undefined;
+  readonly #fingerprint: string;
   readonly #avoid: string[] = [];
   /** Servers that something was written to and that may have run it. */
   #sent = 0;
@@ -53,6 +55,9 @@
   /** The caller has its final answer, or none is owed any more. */
   #final = false;
   #firstAt: number | undefined;
+  #events = 0;
+  #heardAt: number | undefined;
+  #longestPause = 0;
 
   constructor(
     options: {
@@ -68,6 +73,11 @@
     this.#resolved = options.resolved;
     this.#caller = options.caller;
     this.#body = options.body;
+    this.#fingerprint = fingerprintOf(
+      options.call,
+      options.body,
+      options.context.names.request,
+    );
   }
 
   /** The caller has left: nothing more is done for it. */
@@ -93,7 +103,11 @@
     for (let grant = 1; grant <= MOST_GRANTS; grant++) {
       if (this.#over()) return;
       const answer = await this.#ask(grant);
-      if (this.#over()) return;
+      if (this.#over()) {
+        // A grant that is kept without a request takes a place for ever.
+        if (answer !== undefined) this.#context.granter.withdraw(answer.id);
+        return;
+      }
       if (answer === undefined) continue;
       await this.#sendTo(answer.id, answer.server);
     }
@@ -133,6 +147,9 @@
       arrived: this.#call.arrived,
       goalAt: this.#call.arrived + route.goal,
       lapsesAt: this.#lapsesAt(asked),
+      endsAt: this.#resolved.limitAt,
+      fingerprint: this.#fingerprint,
+      spread: this.#context.random(),
       avoid: [...this.#avoid],
       resumed: this.#lastEvent !== undefined,
     });
@@ -214,6 +231,7 @@
         begin: (head) => this.#caller.begin(head),
         events: (events, lastId) => {
           this.#lastEvent = lastId ?? this.#lastEvent;
+          this.#noteEvents(clock());
           this.#caller.events(events);
         },
       },
@@ -232,6 +250,28 @@
     return end;
   }
 
+  /** Tokens after the first event, and the time that they took. */
+  #decoded(): { tokens: number; measured: number } {
+    const { inForce, clock } = this.#context;
+    const service = inForce()?.configuration.services.get(
+      this.#resolved.service,
+    );
+    const events = Math.max(0, this.#events - 1);
+    const resumed = this.#sent > 1 || this.#firstAt === undefined;
+    if (events === 0 || resumed) return { tokens: 0, measured: 0 };
+    return {
+      tokens: events * (service?.tokensPerEvent ?? 1),
+      measured: clock() - this.#firstAt!,
+    };
+  }
+
+  #noteEvents(now: number): void {
+    this.#events++;
+    const pause = now - (this.#heardAt ?? now);
+    this.#heardAt = now;
+    this.#longestPause = Math.max(this.#longestPause, pause);
+  }
+
   #settle(
     ask: string,
     server: ServerRecord,
@@ -239,7 +279,8 @@
     end: ExchangeEnd,
   ): void {
     const { granter, pool } = this.#context;
-    granter.ended(ask, runEndOf(end));
+    const { tokens, measured } = this.#decoded();
+    granter.ended(ask, runEndOf(end), tokens, measured);
     switch (end.kind) {
       case "stream":
         pool.give(server, channel);
@@ -423,6 +464,10 @@
       status,
       first: Math.round(first),
       time: Math.round(time),
+      promptTokens: this.#resolved.cost.promptTokens,
+      outputTokens: this.#resolved.cost.outputTokens,
+      events: this.#events,
+      longestPause: Math.round(this.#longestPause),
     });
   }
 
@@ -438,6 +483,20 @@
   }
 }
 
+/** The same for each try of one request, whoever its caller sends it to. */
+function fingerprintOf(
+  call: Call,
+  body: Buffer | undefined,
+  ownName: string,
+): string {
+  const hash = createHash("sha1");
+  hash.update(`${call.method} ${call.host}${call.target}\n`);
+  hash.update(`${call.credential ?? ""}\n`);
+  for (const part of without(call.headers, ownName)) hash.update(`${part}\n`);
+  if (body !== undefined) hash.update(body);
+  return hash.digest("base64url");
+}
+
 function runEndOf(end: ExchangeEnd): RunEnd {
   switch (end.kind) {
     case "stream":
--- a/packages/gateway/src/request/resolve_call.ts
+++ b/packages/gateway/src/request/resolve_call.ts
@@ -29,6 +29,13 @@
   | "bad_credential"
   | "head_too_large";
 
+/**
+ * Tokens of an answer beside the most that its caller allows, where the caller
+ * gives no estimate: measured as 0.1 on average over 2,800 answers.
+ */
+const EXPECTED_PART = 0.1;
+const PLAIN_CALL: Cost = { promptTokens: 0, outputTokens: 1 };
+
 /** Resolves by the configuration in force; `draw` in [0, 1) splits traffic. */
 export function resolveCall(
   call: Call,
@@ -46,12 +53,17 @@
   if (asked && organisation === undefined) return Result.err("bad_credential");
   const known = asked ? organisation : undefined;
   const { tokens } = call;
+  const stated = tokens?.outputTokens ?? 0;
+  const expected = call.expectedTokens ?? stated * EXPECTED_PART;
   return Result.ok({
     route,
     service,
     organisation: known?.name ?? "",
     tierRank: known?.tierRank ?? route.tierRank,
-    cost: tokens ?? { promptTokens: 0, outputTokens: 1 },
+    cost: tokens === undefined ? PLAIN_CALL : {
+      promptTokens: tokens.promptTokens,
+      outputTokens: Math.min(stated, Math.round(expected)),
+    },
     charge: chargeOf(known, tokens),
     limitAt: call.arrived + Math.min(call.timeLeft ?? Infinity, route.timeout),
   });
--- a/packages/gateway/src/state/fleet_state.ts
+++ b/packages/gateway/src/state/fleet_state.ts
@@ -4,7 +4,7 @@
  * only ever moves forward.
  * @module
  */
-import { ServerDirectory } from "@sycamorepulley/decisions";
+import { COUNTED_FOR, ServerDirectory } from "@sycamorepulley/decisions";
 import type { ServerRecord } from "@sycamorepulley/decisions";
 import type {
   ItemChange,
@@ -46,6 +46,8 @@
   #storeLost = false;
   #serversKnown = false;
   #behindSince: number | undefined;
+  /** Entries that are registered no more, and until when they are counted. */
+  readonly #departed = new Map<string, number>();
 
   constructor(
     options: {
@@ -121,6 +123,15 @@
     this.#changed("servers");
   }
 
+  /** Entries that are registered, or were until a moment ago. */
+  countedMembers(): Set<string> {
+    const now = this.#clock();
+    for (const [name, until] of this.#departed) {
+      if (until <= now || this.members.has(name)) this.#departed.delete(name);
+    }
+    return new Set([...this.members.keys(), ...this.#departed.keys()]);
+  }
+
   /**
    * Whether to ask a peer for its servers. A peer whose watch was answered a
    * moment earlier is no reason; a store that answers others only is one.
@@ -176,13 +187,18 @@
     };
     return new Listener(this, {
       snapshot: (items) => {
+        for (const name of this.members.keys()) this.#depart(name);
         this.members.clear();
         items.forEach(put);
         this.#changed("members");
       },
       change: (change) => {
         if (change.kind === "written") put(change.item);
-        else this.members.delete(change.key.slice(prefix.length));
+        else {
+          const name = change.key.slice(prefix.length);
+          this.members.delete(name);
+          this.#depart(name);
+        }
       },
       advanced: (_asOf, any) => {
         if (any) this.#changed("members");
@@ -213,6 +229,10 @@
     });
   }
 
+  #depart(name: string): void {
+    this.#departed.set(name, this.#clock() + COUNTED_FOR);
+  }
+
   #configuration(item: StoredItem): void {
     if (item.key !== this.#codec.configurationKey) return;
     this.adopt(item.value, item.revision, "store");
--- a/packages/gateway/src/state/gateway_configuration.ts
+++ b/packages/gateway/src/state/gateway_configuration.ts
@@ -10,8 +10,12 @@
   idleTimeout: number;
 };
 
-/** Connections that a service's servers take, from all entries together. */
-export type ServiceLimits = { connections: number };
+/** What a service's servers take from all entries together, and send. */
+export type ServiceLimits = {
+  connections: number;
+  /** Tokens in one event of a stream. */
+  tokensPerEvent: number;
+};
 
 /** An organisation that sends requests under its credentials. */
 export type Organisation = {
--- a/packages/gateway/src/state/membership.ts
+++ b/packages/gateway/src/state/membership.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { setTimeout as sleep } from "node:timers/promises";
+import { COUNTED_FOR } from "@sycamorepulley/decisions";
 import type { MetadataStore } from "@sycamorepulley/store";
 import type { EventLog } from "../observe/event_log.ts";
 import type { Member } from "./fleet_state.ts";
@@ -43,9 +44,9 @@
     this.#clock = options.clock;
   }
 
-  /** True while the store certainly lists this entry. */
-  listed(now: number): boolean {
-    return now < this.#validUntil;
+  /** True while the other entries certainly count this one. */
+  counted(now: number): boolean {
+    return now < this.#validUntil + COUNTED_FOR;
   }
 
   async run(): Promise<void> {
