--- a/packages/decisions/src/dispatch/ask_value.ts
+++ b/packages/decisions/src/dispatch/ask_value.ts
@@ -28,8 +28,14 @@
 /** Weight of arrival in the order of equal asks: first come, first served. */
 const ARRIVAL_WEIGHT = 1e-6;
 
-/** Whether an ask can be on time, and whether its caller was refused before. */
-export type AskStanding = "timely" | "returned" | "late";
+/** What work beyond a quota is worth: it takes places that nobody else wants. */
+const EXCESS_PART = 0.001;
+
+/**
+ * Whether an ask can be on time, whether its caller was refused before, and
+ * whether it is beyond its quota.
+ */
+export type AskStanding = "timely" | "returned" | "late" | "excess";
 
 /** Sorts asks: the smallest is served first. */
 export function askKey(ask: Ask, standing: AskStanding): number {
@@ -43,4 +49,5 @@
   timely: 1,
   returned: RETURNED_PART,
   late: LATE_PART,
+  excess: EXCESS_PART,
 };
--- a/packages/decisions/src/dispatch/desk.ts
+++ b/packages/decisions/src/dispatch/desk.ts
@@ -36,7 +36,7 @@
   readonly #asks = new Map<string, Ask>();
   #part = 1;
 
-  constructor(leeway?: QuotaLeeway) {
+  constructor(leeway: QuotaLeeway) {
     this.#quotas = new OrganisationQuotas(leeway);
   }
 
@@ -79,6 +79,7 @@
       const { retryAfter } = quota;
       return { kind: "refuse", ask, reason: "quota", retryAfter };
     }
+    ask.excess = quota.excess;
     const verdict = this.#service(ask.service).ask(ask, now);
     if (verdict === undefined) this.#asks.set(ask.id, ask);
     else this.#quotas.refund(ask.organisation, ask.charge);
@@ -119,7 +120,8 @@
     if (ask === undefined) return;
     this.#asks.delete(id);
     this.#services.get(ask.service)?.ended(id, end, now);
-    if (NOT_RUN.has(end)) this.#quotas.refund(ask.organisation, ask.charge);
+    if (!NOT_RUN.has(end)) return;
+    this.#quotas.refund(ask.organisation, ask.charge);
   }
 
   /** Drops all that an entry asked for. */
--- a/packages/decisions/src/dispatch/service_desk.ts
+++ b/packages/decisions/src/dispatch/service_desk.ts
@@ -228,6 +228,10 @@
   }
 
   #waitingOf(ask: Ask, now: number): WaitingAsk {
+    if (ask.excess) {
+      const first = this.#paces(now).first * nominalFirst(ask.cost);
+      return new WaitingAsk(ask, "excess", Math.max(now, ask.goalAt - first));
+    }
     if (this.#returning.returns(ask.fingerprint, now)) {
       return new WaitingAsk(ask, "returned", ask.lapsesAt);
     }
@@ -244,6 +248,10 @@
     for (const waiting of this.#queue.due(now)) {
       const { ask } = waiting;
       this.#queue.remove(ask.id);
+      if (waiting.standing === "excess") {
+        verdicts.push(this.#refusal(ask, "quota", now));
+        continue;
+      }
       if (ask.lapsesAt <= now) {
         verdicts.push(this.#refusal(ask, "expired", now));
         continue;
--- a/packages/gateway/src/backend/channel.ts
+++ b/packages/gateway/src/backend/channel.ts
@@ -49,6 +49,7 @@
   readonly #socket: Socket;
   readonly #client: Client;
   #closed = false;
+  #reset = false;
   #idleSince: number;
   #idleLimit = UNSTATED_IDLE;
 
@@ -56,6 +57,12 @@
     this.#socket = socket;
     this.#idleSince = now;
     socket.once("close", () => this.#closed = true);
+    // undici takes a reset for the end of an answer that has no length; such an
+    // answer would look whole, and isn't. This listener hears the reset first.
+    socket.on("error", () => {
+      this.#reset = true;
+      socket.destroy();
+    });
     let handedOut = false;
     this.#client = new Client(`http://${socket.remoteAddress}`, {
       pipelining: 1,
@@ -94,8 +101,6 @@
       socket.once("connect", () => {
         socket.setTimeout(0);
         socket.off("error", refused);
-        // undici listens once it has the socket; until then nobody would.
-        socket.on("error", () => socket.destroy());
         resolve(Result.ok(new Channel(socket, now)));
       });
     });
@@ -110,10 +115,10 @@
 
   /** Sends one request; the result aborts it, which closes the connection. */
   send(request: BackendRequest, listener: AnswerListener): () => void {
-    const handler = new Handler(
-      listener,
-      (headers) => this.#learnIdle(headers),
-    );
+    const handler = new Handler(listener, {
+      learn: (headers) => this.#learnIdle(headers),
+      reset: () => this.#reset,
+    });
     this.#client.dispatch({
       method: request.method as Dispatcher.HttpMethod,
       path: request.target,
@@ -150,17 +155,23 @@
   }
 }
 
+/** What the handler of an answer needs of its connection. */
+type HandlerChannel = {
+  learn: (headers: AnswerHead["headers"]) => void;
+  reset: () => boolean;
+};
+
 class Handler implements Dispatcher.DispatchHandler {
   readonly #listener: AnswerListener;
-  readonly #learn: (headers: AnswerHead["headers"]) => void;
+  readonly #channel: HandlerChannel;
   #over = false;
 
   constructor(
     listener: AnswerListener,
-    learn: (headers: AnswerHead["headers"]) => void,
+    channel: HandlerChannel,
   ) {
     this.#listener = listener;
-    this.#learn = learn;
+    this.#channel = channel;
   }
 
   silence(): void {
@@ -175,7 +186,7 @@
     headers: AnswerHead["headers"],
   ): void {
     if (this.#over || status < 200) return;
-    this.#learn(headers);
+    this.#channel.learn(headers);
     this.#listener.head({ status, headers });
   }
 
@@ -189,7 +200,8 @@
   onResponseEnd(): void {
     if (this.#over) return;
     this.#over = true;
-    this.#listener.ended();
+    if (this.#channel.reset()) this.#listener.failed("reset");
+    else this.#listener.ended();
   }
 
   onResponseError(
--- a/packages/gateway/src/peers/granter.ts
+++ b/packages/gateway/src/peers/granter.ts
@@ -31,7 +31,7 @@
   | { kind: "refuse"; reason: AskRefusal; retryAfter: number; by: string };
 
 /** What is asked for one request, with times of this entry's clock. */
-export type GrantRequest = Omit<Ask, "id" | "entry">;
+export type GrantRequest = Omit<Ask, "id" | "entry" | "excess">;
 
 /** An ask until its request has ended. */
 export class HeldAsk {
@@ -138,7 +138,12 @@
   /** Asks for a server. The ask lives until `withdraw` or `ended`. */
   ask(request: GrantRequest): AskHandle {
     const id = `${this.#incarnation}.${++this.#number}`;
-    const ask: Ask = { ...request, id, entry: this.#instance };
+    const ask: Ask = {
+      ...request,
+      id,
+      entry: this.#instance,
+      excess: false,
+    };
     const answer = new Promise<GrantAnswer>((resolve) => {
       this.#held.set(id, new HeldAsk(ask, resolve));
     });
@@ -381,6 +386,7 @@
       outputTokens: message.outputTokens,
     },
     charge: message.charge,
+    excess: false,
     arrived: now - message.age,
     goalAt: now + message.goalIn,
     lapsesAt: now + message.lapsesIn,
