--- a/packages/decisions/src/dispatch/ask_queue.ts
+++ b/packages/decisions/src/dispatch/ask_queue.ts
@@ -25,16 +25,21 @@
 /** Asks passed over in one search before it ends: a bound on its time. */
 const MOST_PASSED_OVER = 16;
 
+/** Weight of the order of arrival among asks of one millisecond. */
+const SEQUENCE_WEIGHT = 1e-9;
+
 /** See the module. */
 export class AskQueue {
   readonly #heap = new IndexedHeap<WaitingAsk>();
   readonly #byId = new Map<string, WaitingAsk>();
+  #pushed = 0;
 
   get size(): number {
     return this.#byId.size;
   }
 
   push(waiting: WaitingAsk): void {
+    waiting.key += ++this.#pushed * SEQUENCE_WEIGHT;
     this.#byId.set(waiting.ask.id, waiting);
     this.#heap.push(waiting);
   }
--- a/packages/decisions/src/dispatch/pace.ts
+++ b/packages/decisions/src/dispatch/pace.ts
@@ -50,6 +50,11 @@
   #ratio: number | undefined;
   #observedAt = 0;
 
+  /** False until something was observed. */
+  get known(): boolean {
+    return this.#ratio !== undefined;
+  }
+
   /** 1 is middling; `otherwise` before anything was observed. */
   ratio(now: number, otherwise: number): number {
     if (this.#ratio === undefined) return otherwise;
--- a/packages/decisions/src/dispatch/server_room.ts
+++ b/packages/decisions/src/dispatch/server_room.ts
@@ -16,6 +16,12 @@
 const FIRST_BACKOFF = 250;
 const LONGEST_BACKOFF = 2000;
 
+/**
+ * Pace of a server that nothing is known of, beside the service's: a little
+ * better, so that each is tried, and none is left aside for one slow start.
+ */
+const UNTRIED_PART = 0.8;
+
 /** Paces of a whole service, for servers that nothing is known of. */
 export type ServicePaces = { first: number; rest: number };
 
@@ -58,7 +64,9 @@
 
   /** Expected milliseconds to the first answer. */
   expectedFirst(cost: Cost, paces: ServicePaces, now: number): number {
-    const ratio = this.#first.ratio(now, paces.first);
+    const known = this.#first.known;
+    const ratio = this.#first.ratio(now, paces.first) *
+      (known ? 1 : UNTRIED_PART);
     const filled = this.#runs.size / Math.max(1, this.record.slots);
     return ratio * nominalFirst(cost, this.#unreadTokens) * (1 + filled);
   }
--- /dev/null
+++ b/packages/decisions/test/burst_test.ts
@@ -0,0 +1,91 @@
+import t from "tap";
+import { ServiceDesk } from "../src/mod.ts";
+import type { Ask, ServerRecord } from "../src/mod.ts";
+
+/*
+ * Six engines of two places; for four seconds twice as many requests arrive as
+ * they can run, their lengths spread as callers' are (a median of 160 tokens, one
+ * in ten over 800). What callers get on time is counted.
+ * Measured: 136 of 400 in order of arrival, 216 by expected time.
+ */
+
+const SERVERS = 6;
+const PLACES = 2;
+const ARRIVALS = 400;
+const SPACING = 10;
+const TIME_PER_TOKEN = 1;
+
+function serverRecord(index: number): ServerRecord {
+  return {
+    id: `s${index}`,
+    startedAt: 1,
+    service: "assistant",
+    host: "10.0.0.1",
+    port: 80 + index,
+    dataCentre: "a",
+    version: "v1",
+    slots: PLACES,
+    draining: false,
+  };
+}
+
+/** Lengths of a lognormal spread, in a fixed mixed order. */
+function lengthOf(index: number): number {
+  const position = ((index * 7919) % ARRIVALS + 0.5) / ARRIVALS;
+  const normal = Math.log(position / (1 - position)) / 1.7;
+  return Math.round(160 * Math.exp(1.1 * normal));
+}
+
+function onTime(estimate: (tokens: number) => number): number {
+  const desk = new ServiceDesk();
+  desk.setServers(Array.from({ length: SERVERS }, (_, i) => serverRecord(i)));
+  const ends: { at: number; id: string }[] = [];
+  let served = 0;
+  for (let now = 0; now < ARRIVALS * SPACING + 3000; now += 5) {
+    const index = now / SPACING;
+    if (now % SPACING === 0 && index < ARRIVALS) {
+      desk.ask(askOf(index, estimate(lengthOf(index)), now), now);
+    }
+    for (const end of ends.filter(({ at }) => at === now)) {
+      desk.ended(end.id, "answered", now);
+    }
+    for (const verdict of desk.verdicts(now)) {
+      if (verdict.kind !== "grant") continue;
+      if (now + 70 <= verdict.ask.goalAt) served++;
+      const length = lengthOf(Number(verdict.ask.id));
+      const time = 70 + length * TIME_PER_TOKEN;
+      ends.push({ at: now + Math.ceil(time / 5) * 5, id: verdict.ask.id });
+    }
+  }
+  return served;
+}
+
+function askOf(index: number, outputTokens: number, now: number): Ask {
+  return {
+    id: String(index),
+    entry: "entry",
+    service: "assistant",
+    tierRank: 1,
+    organisation: "firm",
+    dataCentre: "a",
+    cost: { promptTokens: 600, outputTokens },
+    charge: 1,
+    excess: false,
+    arrived: now,
+    goalAt: now + 300,
+    lapsesAt: now + 1600,
+    endsAt: now + 12_000,
+    fingerprint: String(index),
+    spread: 0.5,
+    avoid: [],
+    resumed: false,
+  };
+}
+
+t.test("a burst of twice the places: more callers are served on time", (t) => {
+  const byArrival = onTime(() => 200);
+  const byLength = onTime((tokens) => tokens);
+  t.comment(`on time: ${byArrival} in order of arrival, ${byLength} by length`);
+  t.ok(byLength >= byArrival * 1.3, `${byLength} against ${byArrival}`);
+  t.end();
+});
--- /dev/null
+++ b/packages/decisions/test/organisation_quotas_test.ts
@@ -0,0 +1,119 @@
+import fc from "fast-check";
+import t from "tap";
+import { groupParts, OrganisationQuotas } from "../src/mod.ts";
+import type { Quota, QuotaLeeway } from "../src/mod.ts";
+
+const LEEWAY: QuotaLeeway = { window: 8000, overage: 0.1, slack: 500 };
+const QUOTA: Quota = { ratePerSecond: 1000, burst: 1000 };
+const QUOTAS = new Map([["hot", QUOTA]]);
+const ACCEPTED = (8 * QUOTA.ratePerSecond + QUOTA.burst) * 1.1 + 500;
+
+type Use = { at: number; tokens: number };
+
+function largestWindow(uses: readonly Use[]): number {
+  let largest = 0;
+  for (const first of uses) {
+    let sum = 0;
+    for (const use of uses) {
+      const inside = use.at >= first.at && use.at < first.at + LEEWAY.window;
+      if (inside) sum += use.tokens;
+    }
+    largest = Math.max(largest, sum);
+  }
+  return largest;
+}
+
+const arrivals = fc.array(
+  fc.record({
+    wait: fc.integer({ min: 0, max: 120 }),
+    tokens: fc.integer({ min: 10, max: 800 }),
+    group: fc.integer({ min: 0, max: 1 }),
+  }),
+  { minLength: 50, maxLength: 300 },
+);
+
+t.test("two groups together never pass what is accepted in a window", (t) => {
+  // The fleet is cut in two; each half goes on by itself, and a hot organisation
+  // sends to both. With the whole quota in each it would get twice as much.
+  fc.assert(
+    fc.property(arrivals, (arrivals) => {
+      const halves = [2, 3].map((size) => {
+        const quotas = new OrganisationQuotas(LEEWAY);
+        quotas.configure(QUOTAS, size / 5, 0);
+        return quotas;
+      });
+      const uses: Use[] = [];
+      let now = 0;
+      for (const { wait, tokens, group } of arrivals) {
+        now += wait;
+        const verdict = halves[group]!.charge("hot", tokens, now);
+        if (verdict.allowed) uses.push({ at: now, tokens });
+      }
+      return largestWindow(uses) <= ACCEPTED;
+    }),
+  );
+  t.end();
+});
+
+t.test("a take-over lets no second burst through", (t) => {
+  // The granting entry dies with the quota's burst just used; the next one knows
+  // nothing of it.
+  const uses: Use[] = [];
+  const drain = (quotas: OrganisationQuotas, from: number, to: number) => {
+    for (let now = from; now < to; now += 5) {
+      if (quotas.charge("hot", 100, now).allowed) {
+        uses.push({ at: now, tokens: 100 });
+      }
+    }
+  };
+  const first = new OrganisationQuotas(LEEWAY);
+  first.configure(QUOTAS, 1, 0);
+  drain(first, 0, 4000);
+  const second = new OrganisationQuotas(LEEWAY);
+  second.configure(QUOTAS, 1, 0);
+  second.takeOver(4000);
+  drain(second, 4000, 8000);
+  t.ok(largestWindow(uses) <= ACCEPTED, String(largestWindow(uses)));
+  t.end();
+});
+
+t.test("use at half of the rate is never refused, nor marked as excess", (t) => {
+  const quotas = new OrganisationQuotas(LEEWAY);
+  quotas.configure(QUOTAS, 1, 0);
+  for (let now = 1000; now < 20_000; now += 100) {
+    t.same(quotas.charge("hot", 50, now), { allowed: true, excess: false });
+  }
+  t.end();
+});
+
+t.test("what is beyond the rate is marked, and refused beyond the leeway", (t) => {
+  const quotas = new OrganisationQuotas(LEEWAY);
+  quotas.configure(QUOTAS, 1, 0);
+  let excess = 0;
+  let refused = 0;
+  for (let now = 0; now < 30_000; now += 10) {
+    const verdict = quotas.charge("hot", 20, now);
+    if (!verdict.allowed) refused++;
+    else if (verdict.excess) excess++;
+  }
+  t.ok(excess > 10, `excess ${excess}`);
+  t.ok(refused > 100, `refused ${refused}`);
+  t.same(quotas.charge("unknown", 1e9, 0), { allowed: true, excess: false });
+  t.end();
+});
+
+t.test("parts of groups that don't hear each other add up to one", (t) => {
+  const counted = new Set(["a", "b", "c", "d", "e"]);
+  const one = groupParts({ group: new Set(["a", "b"]), counted, listed: true });
+  const rest = new Set(["c", "d", "e"]);
+  const other = groupParts({ group: rest, counted, listed: true });
+  t.equal(one.quota + other.quota, 1);
+  t.equal(one.room + other.room, 1);
+  const dropped = groupParts({
+    group: new Set(["a"]),
+    counted,
+    listed: false,
+  });
+  t.ok(dropped.quota <= 0.2 * dropped.room + 1e-9);
+  t.end();
+});
--- /dev/null
+++ b/packages/decisions/test/server_directory_test.ts
@@ -0,0 +1,63 @@
+import t from "tap";
+import { ServerDirectory } from "../src/mod.ts";
+import type { ServerRecord } from "../src/mod.ts";
+
+function server(id: string, changes: Partial<ServerRecord> = {}): ServerRecord {
+  return {
+    id,
+    startedAt: 1,
+    service: "assistant",
+    host: "10.0.0.1",
+    port: 80,
+    dataCentre: "a",
+    version: "v1",
+    slots: 2,
+    draining: false,
+    ...changes,
+  };
+}
+
+function ids(directory: ServerDirectory, now: number): string[] {
+  return directory.usable(now).map(({ id }) => id);
+}
+
+t.test("a record that vanishes in quiet times is dropped at once", (t) => {
+  const directory = new ServerDirectory();
+  directory.heard(0);
+  directory.replace([server("x"), server("y")], 5, 0);
+  directory.heard(1000);
+  directory.remove("x", 1000);
+  t.same(ids(directory, 1000), ["y"]);
+  t.end();
+});
+
+t.test("records that lapse in an outage are kept until servers are back", (t) => {
+  // The store is away for some seconds and leases run out meanwhile. On its
+  // return the records are missing although all servers live: dropping them
+  // refused every request of the service until they had registered again.
+  const directory = new ServerDirectory();
+  directory.heard(0);
+  directory.replace([server("x"), server("y")], 5, 0);
+  directory.heard(6000);
+  directory.replace([], 9, 6000);
+  t.same(ids(directory, 7900), ["x", "y"]);
+  directory.put("x", server("x"), 7950);
+  t.same(ids(directory, 8001), ["x"], "the one still missing is gone");
+  t.end();
+});
+
+t.test("a draining server, another start and a bad record are not used", (t) => {
+  const directory = new ServerDirectory();
+  directory.heard(0);
+  const first = server("x");
+  directory.replace([first], 5, 0);
+  t.ok(directory.mayUse(first));
+  directory.put("x", server("x", { startedAt: 2 }), 10);
+  t.notOk(directory.mayUse(first), "the same id, started anew");
+  directory.put("x", server("x", { startedAt: 2, draining: true }), 20);
+  t.same(ids(directory, 20), []);
+  directory.put("y", server("y"), 30);
+  directory.put("y", undefined, 40);
+  t.same(ids(directory, 40), []);
+  t.end();
+});
--- /dev/null
+++ b/packages/decisions/test/service_desk_test.ts
@@ -0,0 +1,197 @@
+import t from "tap";
+import { ServiceDesk } from "../src/mod.ts";
+import type { Ask, AskVerdict, ServerRecord } from "../src/mod.ts";
+
+function server(id: string, changes: Partial<ServerRecord> = {}): ServerRecord {
+  return {
+    id,
+    startedAt: 1,
+    service: "assistant",
+    host: "10.0.0.1",
+    port: 80,
+    dataCentre: "a",
+    version: "v1",
+    slots: 2,
+    draining: false,
+    ...changes,
+  };
+}
+
+let number = 0;
+function ask(changes: Partial<Ask> = {}): Ask {
+  number++;
+  const arrived = changes.arrived ?? 0;
+  return {
+    id: `ask-${number}`,
+    entry: "entry-1",
+    service: "assistant",
+    tierRank: 0,
+    organisation: "firm",
+    dataCentre: "a",
+    cost: { promptTokens: 600, outputTokens: 200 },
+    charge: 800,
+    excess: false,
+    arrived,
+    goalAt: arrived + 600,
+    lapsesAt: arrived + 2000,
+    endsAt: arrived + 12_000,
+    fingerprint: `print-${number}`,
+    spread: 0.5,
+    avoid: [],
+    resumed: false,
+    ...changes,
+  };
+}
+
+function granted(verdicts: AskVerdict[]): string[] {
+  return verdicts.filter(({ kind }) => kind === "grant")
+    .map(({ ask }) => ask.id);
+}
+
+t.test("no more is sent to a server than it runs at once", (t) => {
+  // Engines admit in order of arrival: what is sent beyond their places waits
+  // there, where an urgent request can't pass it.
+  const desk = new ServiceDesk();
+  desk.setServers([server("x")]);
+  const asks = [ask(), ask(), ask()];
+  for (const one of asks) t.equal(desk.ask(one, 0), undefined);
+  t.same(granted(desk.verdicts(0)), [asks[0]!.id, asks[1]!.id]);
+  t.same(desk.verdicts(1), []);
+  desk.ended(asks[0]!.id, "answered", 50);
+  t.same(granted(desk.verdicts(50)), [asks[2]!.id]);
+  t.end();
+});
+
+t.test("a higher tier goes first, and a short answer within a tier", (t) => {
+  const desk = new ServiceDesk();
+  desk.setServers([server("x", { slots: 1 })]);
+  const running = ask();
+  desk.ask(running, 0);
+  desk.verdicts(0);
+  const lower = ask({ tierRank: 1, cost: { promptTokens: 60, outputTokens: 10 } });
+  const long = ask({ cost: { promptTokens: 600, outputTokens: 500 } });
+  const short = ask({ cost: { promptTokens: 600, outputTokens: 30 } });
+  for (const one of [lower, long, short]) desk.ask(one, 0);
+  const order: string[] = [];
+  let last = running.id;
+  for (let now = 10; now < 50; now += 10) {
+    desk.ended(last, "answered", now);
+    const [next] = granted(desk.verdicts(now));
+    if (next === undefined) break;
+    order.push(next);
+    last = next;
+  }
+  t.same(order, [short.id, long.id, lower.id]);
+  t.end();
+});
+
+t.test("a crashed server draws no requests", (t) => {
+  // It refuses connections at once, so it is always idle and looks fastest: of
+  // 19,000 tries on a day with crashes 3,283 went to servers that were down.
+  const desk = new ServiceDesk();
+  desk.setServers([server("x", { slots: 8 }), server("y", { slots: 8 })]);
+  const first = ask();
+  desk.ask(first, 0);
+  const [grant] = desk.verdicts(0);
+  if (grant?.kind !== "grant") return t.fail("not granted");
+  const down = grant.server;
+  desk.ended(first.id, "connection_refused", 1);
+  for (let count = 0; count < 8; count++) desk.ask(ask(), 2);
+  const servers = desk.verdicts(2)
+    .map((verdict) => verdict.kind === "grant" ? verdict.server : "");
+  t.notOk(servers.includes(down));
+  t.equal(servers.length, 8);
+  for (let count = 0; count < 8; count++) desk.ask(ask(), 400);
+  const later = desk.verdicts(400)
+    .map((verdict) => verdict.kind === "grant" ? verdict.server : "");
+  t.equal(later.filter((name) => name === down).length, 1, "one tries it again");
+  t.end();
+});
+
+t.test("a connect without an answer shuts a server out for its entry only", (t) => {
+  const desk = new ServiceDesk();
+  desk.setServers([server("x", { slots: 8 })]);
+  const first = ask();
+  desk.ask(first, 0);
+  desk.verdicts(0);
+  desk.ended(first.id, "connection_timeout", 300);
+  const same = ask({ arrived: 300 });
+  const other = ask({ arrived: 300, entry: "entry-2" });
+  desk.ask(same, 300);
+  desk.ask(other, 300);
+  t.same(granted(desk.verdicts(300)), [other.id]);
+  t.end();
+});
+
+t.test("who waits in vain is told so before its caller leaves", (t) => {
+  const desk = new ServiceDesk();
+  desk.setServers([server("x", { slots: 1 })]);
+  desk.ask(ask(), 0);
+  desk.verdicts(0);
+  const waiting = ask({ lapsesAt: 1600 });
+  desk.ask(waiting, 0);
+  t.same(desk.verdicts(1599), []);
+  const [verdict] = desk.verdicts(1601);
+  t.equal(verdict?.kind, "refuse");
+  if (verdict?.kind === "refuse") t.ok(verdict.retryAfter >= 1000);
+  t.equal(desk.waiting, 0);
+  t.end();
+});
+
+t.test("a caller that comes back goes before late ones of its tier", (t) => {
+  // A second refusal is a caller's last: it has one retry.
+  const desk = new ServiceDesk();
+  desk.setServers([server("x", { slots: 1 })]);
+  const running = ask();
+  desk.ask(running, 0);
+  desk.verdicts(0);
+  const refused = ask({ lapsesAt: 100, fingerprint: "again" });
+  desk.ask(refused, 0);
+  desk.verdicts(101);
+  const late = ask({ arrived: 2000, goalAt: 1900, lapsesAt: 4000 });
+  const again = ask({ arrived: 2000, fingerprint: "again", lapsesAt: 4000 });
+  desk.ask(late, 2000);
+  desk.ask(again, 2000);
+  desk.ended(running.id, "answered", 2010);
+  t.same(granted(desk.verdicts(2010)), [again.id]);
+  t.end();
+});
+
+t.test("a long answer is not sent to a server too slow to end it", (t) => {
+  // At an engine a fifth as fast as others an answer of 1,500 tokens takes longer
+  // than its caller has: its place is taken until the deadline, for nothing.
+  const desk = new ServiceDesk();
+  desk.setServers([server("slow", { slots: 4 }), server("fast", { slots: 4 })]);
+  for (let count = 0; count < 40; count++) {
+    const one = ask();
+    desk.ask(one, count);
+    const [verdict] = desk.verdicts(count);
+    if (verdict?.kind !== "grant") return t.fail("not granted");
+    const slow = verdict.server.startsWith("slow");
+    desk.firstAnswer(one.id, slow ? 150 : 80, count);
+    desk.restAnswered(one.id, 100, slow ? 1500 : 250, count);
+    desk.ended(one.id, "answered", count);
+  }
+  const servers: string[] = [];
+  for (let count = 0; count < 6; count++) {
+    desk.ask(ask({ cost: { promptTokens: 600, outputTokens: 1500 } }), 50);
+    for (const verdict of desk.verdicts(50)) {
+      if (verdict.kind === "grant") servers.push(verdict.server);
+    }
+  }
+  t.same(servers, Array(4).fill("fast@1"));
+  t.end();
+});
+
+t.test("what an entry ran is forgotten with it", (t) => {
+  const desk = new ServiceDesk();
+  desk.setServers([server("x", { slots: 1 })]);
+  desk.ask(ask({ entry: "gone" }), 0);
+  desk.verdicts(0);
+  const waiting = ask();
+  desk.ask(waiting, 0);
+  t.same(desk.verdicts(1), []);
+  desk.forgetEntry("gone");
+  t.same(granted(desk.verdicts(2)), [waiting.id]);
+  t.end();
+});
--- a/packages/store/src/mod.ts
+++ b/packages/store/src/mod.ts
@@ -7,6 +7,7 @@
   WatchOptions,
   WatchOutcome,
 } from "./key_value_store.ts";
+export { MemoryMetadataStore } from "./memory_metadata_store.ts";
 export { MetadataStore } from "./metadata_store.ts";
 export type {
   ChangeBatch,
