--- a/packages/decisions/test/service_desk_test.ts
+++ b/packages/decisions/test/service_desk_test.ts
@@ -68,7 +68,10 @@
   const running = ask();
   desk.ask(running, 0);
   desk.verdicts(0);
-  const lower = ask({ tierRank: 1, cost: { promptTokens: 60, outputTokens: 10 } });
+  const lower = ask({
+    tierRank: 1,
+    cost: { promptTokens: 60, outputTokens: 10 },
+  });
   const long = ask({ cost: { promptTokens: 600, outputTokens: 500 } });
   const short = ask({ cost: { promptTokens: 600, outputTokens: 30 } });
   for (const one of [lower, long, short]) desk.ask(one, 0);
@@ -104,7 +107,11 @@
   for (let count = 0; count < 8; count++) desk.ask(ask(), 400);
   const later = desk.verdicts(400)
     .map((verdict) => verdict.kind === "grant" ? verdict.server : "");
-  t.equal(later.filter((name) => name === down).length, 1, "one tries it again");
+  t.equal(
+    later.filter((name) => name === down).length,
+    1,
+    "one tries it again",
+  );
   t.end();
 });
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,6 +20,7 @@
 import type { HeaderNames } from "./front/header_names.ts";
 import { StatusPages } from "./front/status_pages.ts";
 import { EventLog, OutputSink } from "./observe/event_log.ts";
+import type { LineSink } from "./observe/event_log.ts";
 import { GatewayMetrics } from "./observe/metrics.ts";
 import { Granter } from "./peers/granter.ts";
 import { HEARTBEAT_EVERY, PeerEvents, Peers } from "./peers/peers.ts";
@@ -62,6 +63,8 @@
   store: MetadataStore;
   codec: RecordCodec;
   names: HeaderNames;
+  /** Where log lines go; standard output if absent. */
+  sink?: LineSink;
 };
 
 /** See the module. */
@@ -100,7 +103,11 @@
     const { instance } = settings;
     const incarnation = randomBytes(6).toString("hex");
     const clock = this.#clock;
-    this.#log = new EventLog({ instance, sink: new OutputSink(), clock });
+    this.#log = new EventLog({
+      instance,
+      sink: parts.sink ?? new OutputSink(),
+      clock,
+    });
     const log = this.#log;
     this.#state = new FleetState({
       codec,
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -1,4 +1,6 @@
 /** An entry that sends to backend servers itself. @module */
+export { EventLog, LineSink, OutputSink } from "./observe/event_log.ts";
+export type { LogEvent } from "./observe/events.ts";
 export type { HeaderNames } from "./front/header_names.ts";
 export { Gateway } from "./gateway.ts";
 export type { GatewayParts } from "./gateway.ts";
--- a/packages/gateway/src/observe/event_log.ts
+++ b/packages/gateway/src/observe/event_log.ts
@@ -12,7 +12,7 @@
 import type { LogEvent } from "./events.ts";
 
 /** Most lines of one kind of event in a second; others are counted. */
-const LINES_PER_SECOND = 600;
+const LINES_PER_SECOND = 100;
 /** Most bytes that wait for a slow reader. */
 const LARGEST_BUFFER = 256 * 1024;
 const STANDARD_OUTPUT = 1;
--- /dev/null
+++ b/packages/gateway/test/fixture.ts
@@ -0,0 +1,269 @@
+import { request as httpRequest } from "node:http";
+import type { IncomingHttpHeaders } from "node:http";
+import type { Route, ServerRecord } from "@sycamorepulley/decisions";
+import { MemoryMetadataStore } from "@sycamorepulley/store";
+import { freePort } from "@sycamorepulley/testing";
+import { Result } from "true-myth/result";
+import { Gateway, LineSink, RecordCodec } from "../src/mod.ts";
+import type { GatewayConfiguration, HeaderNames } from "../src/mod.ts";
+import { StandInServer } from "./stand_in_server.ts";
+
+const NAMES: HeaderNames = {
+  request: "X-Request",
+  credential: "X-Credential",
+  organisation: "X-Organisation",
+  timeLeft: "X-Time-Left",
+  expectedServer: "X-Expected-Server",
+  notRun: "X-Not-Run",
+  seal: "X-Seal",
+  tokenUsage: "X-Tokens",
+  expectedTokens: "X-Expected-Tokens",
+  lastEvent: "Last-Event-Id",
+  reserved: ["X-Hold"],
+};
+
+class Quiet extends LineSink {
+  override push(): boolean {
+    return true;
+  }
+}
+
+class JsonRecords extends RecordCodec {
+  override readonly configurationKey = "configuration";
+  override readonly serverPrefix = "servers/";
+
+  override configuration(value: string): Result<GatewayConfiguration, string> {
+    const parsed = JSON.parse(value);
+    const services = new Map(Object.entries(parsed.services));
+    return Result.ok({ ...parsed, services } as GatewayConfiguration);
+  }
+
+  override server(_id: string, value: string): ServerRecord | undefined {
+    return value === "" ? undefined : JSON.parse(value);
+  }
+}
+
+/** A route of tests. */
+export function route(changes: Partial<Route> = {}): Route {
+  return {
+    name: "calls",
+    host: "a.example",
+    prefix: "/calls/",
+    repeatability: "idempotent",
+    targets: [{ service: "calls", weight: 1 }],
+    timeout: 2000,
+    goal: 500,
+    tierRank: 0,
+    maximumServers: 2,
+    open: false,
+    resumable: false,
+    longestPause: undefined,
+    ...changes,
+  };
+}
+
+const ROUTES: Route[] = [
+  route(),
+  route({ name: "once", prefix: "/once/", repeatability: "non_idempotent" }),
+  route({ name: "stream", prefix: "/stream/", repeatability: "streaming" }),
+  route({
+    name: "resumed",
+    prefix: "/resumed/",
+    repeatability: "streaming",
+    resumable: true,
+  }),
+];
+
+/** The configuration of tests, as stored. */
+export function configuration(version: number, routes = ROUTES): string {
+  return JSON.stringify({
+    version,
+    routes,
+    services: { calls: { connections: 100, tokensPerEvent: 1 } },
+    limits: {
+      headerBytes: 16_384,
+      bodyBytes: 1000,
+      headerTimeout: 3000,
+      idleTimeout: 10_000,
+    },
+    organisations: [{
+      name: "firm",
+      credentials: ["key"],
+      plainTokens: 1,
+      countsTokens: true,
+      quota: { ratePerSecond: 1000, burst: 1000 },
+    }],
+  });
+}
+
+/** An answer as a caller sees it; `whole` is false for one that was cut. */
+export type Seen = {
+  status: number;
+  headers: IncomingHttpHeaders;
+  body: string;
+  whole: boolean;
+};
+
+/** One gateway with its store and two servers. */
+export class Fixture {
+  readonly store: MemoryMetadataStore;
+  readonly servers: [StandInServer, StandInServer];
+  readonly gateway: Gateway;
+  readonly ports: { front: number; readiness: number; peers: number };
+
+  private constructor(
+    store: MemoryMetadataStore,
+    servers: [StandInServer, StandInServer],
+    gateway: Gateway,
+    ports: { front: number; readiness: number; peers: number },
+  ) {
+    this.store = store;
+    this.servers = servers;
+    this.gateway = gateway;
+    this.ports = ports;
+  }
+
+  static async start(
+    options: {
+      store?: MemoryMetadataStore;
+      servers?: [StandInServer, StandInServer];
+      instance?: string;
+      seeds?: { host: string; port: number }[];
+    } = {},
+  ): Promise<Fixture> {
+    const store = options.store ?? new MemoryMetadataStore();
+    const servers = options.servers ?? await startServers(store);
+    const ports = {
+      front: await freePort(),
+      readiness: await freePort(),
+      peers: await freePort(),
+    };
+    const at = (port: number) => ({ host: "127.0.0.1", port });
+    const gateway = new Gateway({
+      settings: {
+        instance: options.instance ?? "entry-1",
+        dataCentre: "a",
+        front: at(ports.front),
+        readiness: at(ports.readiness),
+        peers: at(ports.peers),
+        metrics: at(ports.readiness),
+        seeds: options.seeds ?? [],
+        limits: { memoryMegabytes: 200, descriptors: 1000 },
+        bounds: {
+          gracePeriodSeconds: 2,
+          retryRatio: 0.2,
+          retrySlack: 50,
+          retryWindowSeconds: 10,
+          quotaWindowSeconds: 8,
+          quotaOverage: 0.1,
+          quotaSlack: 100,
+        },
+      },
+      store,
+      codec: new JsonRecords(),
+      names: NAMES,
+      sink: new Quiet(),
+    });
+    await gateway.start();
+    return new Fixture(store, servers, gateway, ports);
+  }
+
+  /** Starts with a configuration in force. */
+  static async ready(): Promise<Fixture> {
+    const store = new MemoryMetadataStore();
+    store.put("configuration", configuration(1));
+    const fixture = await Fixture.start({ store });
+    await fixture.untilReady();
+    return fixture;
+  }
+
+  async untilReady(): Promise<void> {
+    for (let count = 0; count < 200; count++) {
+      if (await this.readiness() === 200) return;
+      await new Promise((resolve) => setTimeout(resolve, 10));
+    }
+    throw new Error("the gateway is not ready");
+  }
+
+  async readiness(): Promise<number> {
+    const url = `http://127.0.0.1:${this.ports.readiness}/readiness`;
+    return (await fetch(url)).status;
+  }
+
+  /** Sends one request on a connection of its own. */
+  call(
+    path: string,
+    options: {
+      method?: string;
+      body?: string;
+      headers?: Record<string, string>;
+      signal?: AbortSignal;
+    } = {},
+  ): Promise<Seen> {
+    return new Promise((resolve, reject) => {
+      const request = httpRequest({
+        host: "127.0.0.1",
+        port: this.ports.front,
+        method: options.method ?? "GET",
+        path,
+        agent: false,
+        ...(options.signal === undefined ? {} : { signal: options.signal }),
+        headers: {
+          host: "a.example",
+          "x-request": "request-1",
+          "x-credential": "key",
+          "x-time-left": "1500",
+          ...options.headers,
+        },
+      }, (response) => {
+        let body = "";
+        response.on("data", (chunk: Buffer) => body += chunk.toString());
+        response.on("error", () => {});
+        response.on("close", () =>
+          resolve({
+            status: response.statusCode ?? 0,
+            headers: response.headers,
+            body,
+            whole: response.complete,
+          }));
+      });
+      request.on("error", reject);
+      request.end(options.body);
+    });
+  }
+
+  async stop(): Promise<void> {
+    await this.gateway.stop();
+    for (const server of this.servers) server.stop();
+  }
+}
+
+async function startServers(
+  store: MemoryMetadataStore,
+): Promise<[StandInServer, StandInServer]> {
+  const servers: [StandInServer, StandInServer] = [
+    new StandInServer(),
+    new StandInServer(),
+  ];
+  for (const [index, server] of servers.entries()) {
+    await server.start();
+    store.put(`servers/s${index}`, record(`s${index}`, server.port));
+  }
+  return servers;
+}
+
+/** A server's record, as stored. */
+export function record(id: string, port: number, draining = false): string {
+  const record: ServerRecord = {
+    id,
+    startedAt: 1,
+    service: "calls",
+    host: "127.0.0.1",
+    port,
+    dataCentre: "a",
+    version: "v1",
+    slots: 4,
+    draining,
+  };
+  return JSON.stringify(record);
+}
--- /dev/null
+++ b/packages/gateway/test/lifecycle_test.ts
@@ -0,0 +1,134 @@
+import { connect } from "node:net";
+import { MemoryMetadataStore } from "@sycamorepulley/store";
+import t from "tap";
+import { configuration, Fixture, record, route } from "./fixture.ts";
+import { event, stream } from "./stand_in_server.ts";
+
+async function until(
+  check: () => Promise<boolean> | boolean,
+): Promise<boolean> {
+  for (let count = 0; count < 150; count++) {
+    if (await check()) return true;
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  return false;
+}
+
+t.test("without a configuration callers are told to come back, not denied", async (t) => {
+  const fixture = await Fixture.start();
+  t.equal(await fixture.readiness(), 503);
+  const seen = await fixture.call("/calls/");
+  t.equal(seen.status, 503);
+  t.ok(Number(seen.headers["retry-after"]) > 0);
+  fixture.store.put("configuration", configuration(1));
+  t.ok(await until(async () => await fixture.readiness() === 200));
+  t.equal((await fixture.call("/calls/")).status, 200);
+  await fixture.stop();
+});
+
+t.test("a new version is in force at once, through a compaction too", async (t) => {
+  const fixture = await Fixture.ready();
+  const added = route({ name: "added", prefix: "/added/" });
+  fixture.store.put("configuration", configuration(2, [added]));
+  t.ok(await until(async () => (await fixture.call("/added/")).status === 200));
+  t.equal((await fixture.call("/calls/")).status, 404);
+  fixture.store.compact();
+  fixture.store.put("configuration", configuration(3));
+  t.ok(await until(async () => (await fixture.call("/calls/")).status === 200));
+  await fixture.stop();
+});
+
+t.test("a draining server gets nothing more", async (t) => {
+  const fixture = await Fixture.ready();
+  const [leaving, staying] = fixture.servers;
+  fixture.store.put("servers/s0", record("s0", leaving.port, true));
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  const before = leaving.received.length;
+  for (let count = 0; count < 6; count++) await fixture.call("/calls/");
+  t.equal(leaving.received.length, before);
+  t.equal(staying.received.length, 6);
+  await fixture.stop();
+});
+
+t.test("an entry that the store turns away learns from its peer", async (t) => {
+  // The store answers one machine with errors while it serves the others. A key
+  // that is taken away meanwhile must not stay good at that one machine.
+  const store = new MemoryMetadataStore();
+  store.put("configuration", configuration(1));
+  const first = await Fixture.start({ store, instance: "entry-1" });
+  await first.untilReady();
+  const cut = new MemoryMetadataStore();
+  cut.down = true;
+  const second = await Fixture.start({
+    store: cut,
+    servers: first.servers,
+    instance: "entry-2",
+    seeds: [{ host: "127.0.0.1", port: first.ports.peers }],
+  });
+  t.ok(await until(async () => await second.readiness() === 200));
+  t.equal((await second.call("/calls/")).status, 200);
+  store.put("configuration", configuration(2, [route({ prefix: "/new/" })]));
+  t.ok(await until(async () => (await second.call("/new/")).status === 200));
+  t.equal((await second.call("/calls/")).status, 404);
+  await Promise.all([first.stop(), second.gateway.stop()]);
+});
+
+t.test("when the granting entry stops, the other grants for itself", async (t) => {
+  const store = new MemoryMetadataStore();
+  store.put("configuration", configuration(1));
+  const entries = [];
+  const first = await Fixture.start({ store, instance: "entry-1" });
+  entries.push(first);
+  for (const instance of ["entry-2", "entry-3"]) {
+    entries.push(
+      await Fixture.start({ store, instance, servers: first.servers }),
+    );
+  }
+  for (const entry of entries) await entry.untilReady();
+  await new Promise((resolve) => setTimeout(resolve, 1200));
+  for (const entry of entries) {
+    t.equal((await entry.call("/calls/")).status, 200);
+  }
+  const [stopped, ...rest] = entries;
+  await stopped!.gateway.stop();
+  for (const entry of rest) {
+    t.equal((await entry.call("/calls/")).status, 200);
+  }
+  await rest[0]!.gateway.stop();
+  t.equal((await rest[1]!.call("/calls/")).status, 200);
+  await rest[1]!.stop();
+});
+
+t.test("a stop cuts no stream, and takes nothing on its connection after", async (t) => {
+  // A connection whose answer began before the stop was not told to close. Kept,
+  // it took a request 7 s after SIGTERM, which the end of the process then cut.
+  const fixture = await Fixture.ready();
+  for (const server of fixture.servers) {
+    server.answer = (response, received) => {
+      stream(response, received).write(event(1));
+      setTimeout(() => response.end(event(2)), 500);
+    };
+  }
+  const socket = connect(fixture.ports.front, "127.0.0.1");
+  let text = "";
+  socket.on("data", (chunk: Buffer) => text += chunk.toString());
+  const ended = new Promise((resolve) => socket.once("end", resolve));
+  socket.write(
+    "POST /stream/ HTTP/1.1\r\nHost: a.example\r\nX-Request: r\r\n" +
+      "X-Credential: key\r\nContent-Length: 0\r\n\r\n",
+  );
+  await until(() => text.includes("piece 1"));
+  const stopped = fixture.gateway.stop();
+  t.equal(await fixture.readiness(), 503);
+  const late = await fixture.call("/calls/");
+  t.equal(
+    late.headers.connection,
+    "close",
+    "still answered, and told to close",
+  );
+  await ended;
+  t.match(text, "piece 2");
+  t.match(text, /0\r\n\r\n$/, "the stream is whole");
+  await stopped;
+  for (const server of fixture.servers) server.stop();
+});
--- /dev/null
+++ b/packages/gateway/test/request_path_test.ts
@@ -0,0 +1,204 @@
+import t from "tap";
+import { Fixture } from "./fixture.ts";
+import { event, sealed, stream } from "./stand_in_server.ts";
+
+t.test("a request is forwarded as it is, with the system's own headers", async (t) => {
+  const fixture = await Fixture.ready();
+  const seen = await fixture.call("/calls/x?q=1", {
+    method: "POST",
+    body: "text",
+    headers: {
+      "x-hold": "forged",
+      "x-organisation": "forged",
+      "x-other": "kept",
+      connection: "x-dropped, x-request",
+      "x-dropped": "1",
+    },
+  });
+  t.equal(seen.status, 200);
+  t.equal(seen.headers["x-seal"], "sealed");
+  const received = fixture.servers.flatMap(({ received }) => received);
+  t.equal(received.length, 1);
+  const [got] = received;
+  t.match(got, { method: "POST", target: "/calls/x?q=1", body: "text" });
+  t.match(got?.headers, {
+    host: "a.example",
+    "x-request": "request-1",
+    "x-organisation": "firm",
+    "x-expected-server": /^s[01]$/,
+    "x-other": "kept",
+  });
+  for (const name of ["x-hold", "x-credential", "x-dropped"]) {
+    t.equal(got?.headers[name], undefined, name);
+  }
+  t.ok(Number(got?.headers["x-time-left"]) <= 1500);
+  await fixture.stop();
+});
+
+t.test("what no configuration allows is refused with its reason", async (t) => {
+  const fixture = await Fixture.ready();
+  t.equal((await fixture.call("/none/")).status, 404);
+  const wrong = { "x-credential": "wrong" };
+  t.equal((await fixture.call("/calls/", { headers: wrong })).status, 401);
+  const long = { method: "POST", body: "x".repeat(2000) };
+  t.equal((await fixture.call("/calls/", long)).status, 413);
+  t.equal(fixture.servers.flatMap(({ received }) => received).length, 0);
+  await fixture.stop();
+});
+
+t.test("an idempotent call goes to another server after a broken answer", async (t) => {
+  const fixture = await Fixture.ready();
+  let broken = 0;
+  for (const server of fixture.servers) {
+    server.answer = (response, received, socket) => {
+      if (broken++ > 0) return sealed(response, received).end("whole");
+      sealed(response, received, { "content-length": "100" }).write("cut");
+      setTimeout(() => socket.destroy(), 20);
+    };
+  }
+  const seen = await fixture.call("/calls/");
+  t.match(seen, { status: 200, body: "whole", whole: true });
+  await fixture.stop();
+});
+
+t.test("what may have run is neither sent again nor called not run", async (t) => {
+  // A booking runs and its answer is lost with the connection. Sent again, or
+  // answered 503, it would be booked twice.
+  const fixture = await Fixture.ready();
+  for (const server of fixture.servers) {
+    server.answer = (_response, _received, socket) => socket.resetAndDestroy();
+  }
+  const seen = await fixture.call("/once/", { method: "POST", body: "book" });
+  t.equal(seen.status, 502);
+  t.equal(seen.headers["retry-after"], undefined);
+  t.equal(fixture.servers.flatMap(({ received }) => received).length, 1);
+  await fixture.stop();
+});
+
+t.test("a server that says it did not run the call lets another run it", async (t) => {
+  const fixture = await Fixture.ready();
+  let rejected = 0;
+  for (const server of fixture.servers) {
+    server.answer = (response, received) => {
+      if (rejected++ > 0) return sealed(response, received).end("ran");
+      response.writeHead(503, { "x-not-run": "1" }).end();
+    };
+  }
+  const seen = await fixture.call("/once/", { method: "POST", body: "book" });
+  t.match(seen, { status: 200, body: "ran" });
+  await fixture.stop();
+});
+
+t.test("with no server to run it a call is refused truly, with a time", async (t) => {
+  const fixture = await Fixture.ready();
+  for (const server of fixture.servers) {
+    server.answer = (response) =>
+      response.writeHead(503, { "x-not-run": "1" }).end();
+  }
+  const seen = await fixture.call("/once/", { method: "POST", body: "book" });
+  t.equal(seen.status, 503);
+  t.ok(Number(seen.headers["retry-after"]) > 0);
+  await fixture.stop();
+});
+
+t.test("an answer to another request reaches nobody", async (t) => {
+  // A server answers late, on a kept connection, where the next answer is due.
+  const fixture = await Fixture.ready();
+  for (const server of fixture.servers) {
+    server.answer = (response) =>
+      response.writeHead(200, { "x-request": "another", "x-seal": "sealed" })
+        .end("another caller's");
+  }
+  const seen = await fixture.call("/once/", { method: "POST", body: "book" });
+  t.equal(seen.status, 502);
+  t.notMatch(seen.body, "another caller's");
+  await fixture.stop();
+});
+
+t.test("an answer without length that ends by a reset isn't whole", async (t) => {
+  // The HTTP client takes such a reset for the end of the answer: callers got
+  // the first half of a body as a complete answer.
+  const fixture = await Fixture.ready();
+  for (const server of fixture.servers) {
+    server.answer = (_response, received, socket) => {
+      const name = String(received.headers["x-request"]);
+      socket.write(
+        `HTTP/1.1 200 OK\r\nConnection: close\r\nX-Request: ${name}\r\n` +
+          "X-Seal: sealed\r\n\r\nhalf",
+      );
+      setTimeout(() => socket.resetAndDestroy(), 30);
+    };
+  }
+  const seen = await fixture.call("/once/", { method: "POST", body: "book" });
+  t.equal(seen.status, 502);
+  await fixture.stop();
+});
+
+t.test("a stream goes on at another server, in whole events", async (t) => {
+  const fixture = await Fixture.ready();
+  let starts = 0;
+  for (const server of fixture.servers) {
+    server.answer = (response, received, socket) => {
+      stream(response, received);
+      if (starts++ === 0) {
+        response.write(event(1) + event(2) + "id: 3\ndata: pie");
+        setTimeout(() => socket.destroy(), 30);
+        return;
+      }
+      t.equal(received.headers["last-event-id"], "2");
+      response.end(event(3) + event(4));
+    };
+  }
+  const seen = await fixture.call("/resumed/", { method: "POST", body: "{}" });
+  t.equal(seen.body, [1, 2, 3, 4].map(event).join(""));
+  t.ok(seen.whole);
+  await fixture.stop();
+});
+
+t.test("a stream that can't be resumed ends visibly cut", async (t) => {
+  const fixture = await Fixture.ready();
+  for (const server of fixture.servers) {
+    server.answer = (response, received, socket) => {
+      stream(response, received).write(event(1) + "id: 2\nda");
+      setTimeout(() => socket.destroy(), 30);
+    };
+  }
+  const seen = await fixture.call("/stream/", { method: "POST", body: "{}" });
+  t.equal(seen.body, event(1));
+  t.notOk(seen.whole);
+  t.equal(fixture.servers.flatMap(({ received }) => received).length, 1);
+  await fixture.stop();
+});
+
+t.test("a caller that leaves frees its server at once", async (t) => {
+  const fixture = await Fixture.ready();
+  for (const server of fixture.servers) {
+    server.answer = (response, received) => {
+      stream(response, received).write(event(1));
+    };
+  }
+  const leave = new AbortController();
+  const call = fixture.call("/stream/", {
+    method: "POST",
+    body: "{}",
+    signal: leave.signal,
+  }).catch(() => undefined);
+  await new Promise((resolve) => setTimeout(resolve, 150));
+  leave.abort();
+  await call;
+  await new Promise((resolve) => setTimeout(resolve, 150));
+  const closed = fixture.servers.map((server) => server.closedConnections);
+  t.same(closed.sort(), [0, 1]);
+  await fixture.stop();
+});
+
+t.test("a server that is down costs its callers nothing but a connect", async (t) => {
+  const fixture = await Fixture.ready();
+  fixture.servers[0].stop();
+  for (let count = 0; count < 6; count++) {
+    const seen = await fixture.call("/once/", { method: "POST", body: "x" });
+    t.equal(seen.status, 200);
+  }
+  t.equal(fixture.servers[1].received.length, 6);
+  await fixture.stop();
+});
--- /dev/null
+++ b/packages/gateway/test/stand_in_server.ts
@@ -0,0 +1,84 @@
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+
+/** What a stand-in server got. */
+export type Received = {
+  method: string;
+  target: string;
+  headers: IncomingMessage["headers"];
+  body: string;
+};
+
+/** Answers one request; `socket` is for faults. */
+export type Answer = (
+  response: ServerResponse,
+  received: Received,
+  socket: Socket,
+) => void;
+
+/** A backend server of tests: records what it gets, answers as told. */
+export class StandInServer {
+  readonly received: Received[] = [];
+  readonly #server: Server;
+  answer: Answer = (response, received) => sealed(response, received).end("ok");
+  closedConnections = 0;
+
+  constructor() {
+    this.#server = createServer((request, response) => {
+      let body = "";
+      request.on("data", (chunk: Buffer) => body += chunk.toString());
+      request.on("end", () => {
+        const { method = "", url: target = "", headers } = request;
+        const received = { method, target, headers, body };
+        this.received.push(received);
+        this.answer(response, received, request.socket);
+      });
+    });
+    this.#server.on("connection", (socket) => {
+      socket.on("close", () => this.closedConnections++);
+      socket.on("error", () => {});
+    });
+  }
+
+  async start(): Promise<void> {
+    await new Promise<void>((resolve) =>
+      this.#server.listen(0, "127.0.0.1", () => resolve())
+    );
+  }
+
+  get port(): number {
+    return (this.#server.address() as AddressInfo).port;
+  }
+
+  stop(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+}
+
+/** The head of a server's own answer. */
+export function sealed(
+  response: ServerResponse,
+  received: Received,
+  headers: Record<string, string> = {},
+): ServerResponse {
+  return response.writeHead(200, {
+    "x-request": String(received.headers["x-request"]),
+    "x-seal": "sealed",
+    ...headers,
+  });
+}
+
+/** The same for a stream of events. */
+export function stream(
+  response: ServerResponse,
+  received: Received,
+): ServerResponse {
+  return sealed(response, received, { "content-type": "text/event-stream" });
+}
+
+/** One event of a stream. */
+export function event(id: number): string {
+  return `id: ${id}\ndata: piece ${id}\n\n`;
+}
