--- a/packages/gateway/src/backend/channel.ts
+++ b/packages/gateway/src/backend/channel.ts
@@ -50,6 +50,7 @@
   readonly #client: Client;
   #closed = false;
   #reset = false;
+  #ended = false;
   #idleSince: number;
   #idleLimit = UNSTATED_IDLE;
 
@@ -57,8 +58,11 @@
     this.#socket = socket;
     this.#idleSince = now;
     socket.once("close", () => this.#closed = true);
-    // undici takes a reset for the end of an answer that has no length; such an
-    // answer would look whole, and isn't. This listener hears the reset first.
+    // undici takes the end of a connection for the end of an answer wherever the
+    // connection was to close after it: after a reset, and between two chunks as
+    // well. Such an answer would look whole, and isn't. These listeners hear of
+    // the end first.
+    socket.once("end", () => this.#ended = true);
     socket.on("error", () => {
       this.#reset = true;
       socket.destroy();
@@ -117,7 +121,7 @@
   send(request: BackendRequest, listener: AnswerListener): () => void {
     const handler = new Handler(listener, {
       learn: (headers) => this.#learnIdle(headers),
-      reset: () => this.#reset,
+      cut: (chunked) => this.#reset || (chunked && this.#ended),
     });
     this.#client.dispatch({
       method: request.method as Dispatcher.HttpMethod,
@@ -158,12 +162,14 @@
 /** What the handler of an answer needs of its connection. */
 type HandlerChannel = {
   learn: (headers: AnswerHead["headers"]) => void;
-  reset: () => boolean;
+  /** True if the connection ended before the answer; asked at its end. */
+  cut: (chunked: boolean) => boolean;
 };
 
 class Handler implements Dispatcher.DispatchHandler {
   readonly #listener: AnswerListener;
   readonly #channel: HandlerChannel;
+  #chunked = false;
   #over = false;
 
   constructor(
@@ -186,6 +192,7 @@
     headers: AnswerHead["headers"],
   ): void {
     if (this.#over || status < 200) return;
+    this.#chunked = headers["transfer-encoding"] !== undefined;
     this.#channel.learn(headers);
     this.#listener.head({ status, headers });
   }
@@ -200,7 +207,7 @@
   onResponseEnd(): void {
     if (this.#over) return;
     this.#over = true;
-    if (this.#channel.reset()) this.#listener.failed("reset");
+    if (this.#channel.cut(this.#chunked)) this.#listener.failed("cut");
     else this.#listener.ended();
   }
 
--- a/packages/gateway/test/request_path_test.ts
+++ b/packages/gateway/test/request_path_test.ts
@@ -134,6 +134,42 @@
   await fixture.stop();
 });
 
+t.test("a chunked answer that ends between two chunks isn't whole", async (t) => {
+  // A server crashes while it answers, on a connection that was to close after
+  // the answer. The HTTP client calls the answer complete.
+  const fixture = await Fixture.ready();
+  for (const server of fixture.servers) {
+    server.answer = (_response, received, socket) => {
+      const name = String(received.headers["x-request"]);
+      socket.write(
+        `HTTP/1.1 200 OK\r\nConnection: close\r\nX-Request: ${name}\r\n` +
+          "X-Seal: sealed\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+      );
+      setTimeout(() => socket.end(), 30);
+    };
+  }
+  const seen = await fixture.call("/once/", { method: "POST", body: "book" });
+  t.equal(seen.status, 502);
+  await fixture.stop();
+});
+
+t.test("a whole chunked answer on a closing connection is passed on", async (t) => {
+  const fixture = await Fixture.ready();
+  for (const server of fixture.servers) {
+    server.answer = (_response, received, socket) => {
+      const name = String(received.headers["x-request"]);
+      socket.end(
+        `HTTP/1.1 200 OK\r\nConnection: close\r\nX-Request: ${name}\r\n` +
+          "X-Seal: sealed\r\nTransfer-Encoding: chunked\r\n\r\n" +
+          "5\r\nwhole\r\n0\r\n\r\n",
+      );
+    };
+  }
+  const seen = await fixture.call("/once/", { method: "POST", body: "book" });
+  t.match(seen, { status: 200, body: "whole" });
+  await fixture.stop();
+});
+
 t.test("a stream goes on at another server, in whole events", async (t) => {
   const fixture = await Fixture.ready();
   let starts = 0;
