--- a/packages/decisions/src/dispatch/service_desk.ts
+++ b/packages/decisions/src/dispatch/service_desk.ts
@@ -102,7 +102,10 @@
 
   /** Queues an ask, or turns it away at once. */
   ask(ask: Ask, now: number): AskVerdict | undefined {
-    if (this.#rooms.size === 0) {
+    // Held until its end, a request that every server was tried for would get
+    // the same answer, only later.
+    const tried = ask.avoid.filter((name) => this.#rooms.has(name)).length;
+    if (tried >= this.#rooms.size) {
       return this.#refusal(ask, "no_server", now);
     }
     const waiting = this.#waitingOf(ask, now);
--- a/packages/decisions/test/service_desk_test.ts
+++ b/packages/decisions/test/service_desk_test.ts
@@ -190,6 +190,15 @@
   t.end();
 });
 
+t.test("a request that every server was tried for is refused at once", (t) => {
+  const desk = new ServiceDesk();
+  desk.setServers([server("x")]);
+  const verdict = desk.ask(ask({ avoid: ["x@1"] }), 0);
+  t.equal(verdict?.kind, "refuse");
+  t.equal(desk.waiting, 0);
+  t.end();
+});
+
 t.test("what an entry ran is forgotten with it", (t) => {
   const desk = new ServiceDesk();
   desk.setServers([server("x", { slots: 1 })]);
--- a/packages/gateway/src/backend/channel.ts
+++ b/packages/gateway/src/backend/channel.ts
@@ -50,7 +50,6 @@
   readonly #client: Client;
   #closed = false;
   #reset = false;
-  #ended = false;
   #idleSince: number;
   #idleLimit = UNSTATED_IDLE;
 
@@ -58,11 +57,8 @@
     this.#socket = socket;
     this.#idleSince = now;
     socket.once("close", () => this.#closed = true);
-    // undici takes the end of a connection for the end of an answer wherever the
-    // connection was to close after it: after a reset, and between two chunks as
-    // well. Such an answer would look whole, and isn't. These listeners hear of
-    // the end first.
-    socket.once("end", () => this.#ended = true);
+    // undici takes a reset for the end of an answer that has no length; such an
+    // answer would look whole, and isn't. This listener hears the reset first.
     socket.on("error", () => {
       this.#reset = true;
       socket.destroy();
@@ -121,7 +117,7 @@
   send(request: BackendRequest, listener: AnswerListener): () => void {
     const handler = new Handler(listener, {
       learn: (headers) => this.#learnIdle(headers),
-      cut: (chunked) => this.#reset || (chunked && this.#ended),
+      cut: () => this.#reset,
     });
     this.#client.dispatch({
       method: request.method as Dispatcher.HttpMethod,
@@ -163,13 +159,12 @@
 type HandlerChannel = {
   learn: (headers: AnswerHead["headers"]) => void;
   /** True if the connection ended before the answer; asked at its end. */
-  cut: (chunked: boolean) => boolean;
+  cut: () => boolean;
 };
 
 class Handler implements Dispatcher.DispatchHandler {
   readonly #listener: AnswerListener;
   readonly #channel: HandlerChannel;
-  #chunked = false;
   #over = false;
 
   constructor(
@@ -192,7 +187,6 @@
     headers: AnswerHead["headers"],
   ): void {
     if (this.#over || status < 200) return;
-    this.#chunked = headers["transfer-encoding"] !== undefined;
     this.#channel.learn(headers);
     this.#listener.head({ status, headers });
   }
@@ -207,7 +201,7 @@
   onResponseEnd(): void {
     if (this.#over) return;
     this.#over = true;
-    if (this.#channel.cut(this.#chunked)) this.#listener.failed("cut");
+    if (this.#channel.cut()) this.#listener.failed("cut");
     else this.#listener.ended();
   }
 
--- a/packages/gateway/src/front/front.ts
+++ b/packages/gateway/src/front/front.ts
@@ -1,6 +1,7 @@
 /** Callers' HTTP server: connections, limits, a graceful end. @module */
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { listen } from "../listen.ts";
 import type { Address } from "../settings.ts";
 import type { FrontLimits } from "../state/gateway_configuration.ts";
 
@@ -54,11 +55,8 @@
     this.#server.keepAliveTimeout = limits.idleTimeout + IDLE_MARGIN;
   }
 
-  listen(address: Address): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(address.port, address.host, () => resolve());
-    });
+  listen(address: Address): Promise<number> {
+    return listen(this.#server, address);
   }
 
   /** Answers ask connections to end; new connections are still taken. */
--- a/packages/gateway/src/front/status_pages.ts
+++ b/packages/gateway/src/front/status_pages.ts
@@ -3,6 +3,7 @@
 import type { Server } from "node:http";
 import polka from "polka";
 import type { Request } from "polka";
+import { listen } from "../listen.ts";
 import type { GatewayMetrics } from "../observe/metrics.ts";
 import type { Address } from "../settings.ts";
 
@@ -24,11 +25,13 @@
     this.#options = options;
   }
 
-  async listen(readiness: Address, metrics: Address): Promise<void> {
-    await this.#start(readiness);
+  /** Resolves to the port of the balancer's page. */
+  async listen(readiness: Address, metrics: Address): Promise<number> {
+    const port = await this.#start(readiness);
     const same = readiness.host === metrics.host &&
       readiness.port === metrics.port;
     if (!same) await this.#start(metrics);
+    return port;
   }
 
   close(): void {
@@ -38,7 +41,7 @@
     }
   }
 
-  #start(address: Address): Promise<void> {
+  #start(address: Address): Promise<number> {
     const { metrics, ready, refresh } = this.#options;
     const application = polka()
       .get("/readiness", (_request, response) => {
@@ -55,9 +58,6 @@
       application.handler(request as Request, response)
     );
     this.#servers.push(server);
-    return new Promise((resolve, reject) => {
-      server.once("error", reject);
-      server.listen(address.port, address.host, () => resolve());
-    });
+    return listen(server, address);
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -67,6 +67,9 @@
   sink?: LineSink;
 };
 
+/** Ports that a gateway listens on. */
+export type GatewayPorts = { front: number; readiness: number; peers: number };
+
 /** See the module. */
 export class Gateway {
   readonly #settings: GatewaySettings;
@@ -139,7 +142,7 @@
     });
     this.#membership = new Membership({
       store,
-      member: { instance, ...settings.peers },
+      instance,
       log,
       clock,
     });
@@ -170,14 +173,19 @@
     });
   }
 
-  async start(): Promise<void> {
+  /** Starts; resolves to the ports, which were free to choose if 0. */
+  async start(): Promise<GatewayPorts> {
     const startedAt = performance.now();
     const { settings } = this;
-    this.#peers.listen();
+    const peers = await this.#peers.listen();
     this.#follow();
-    void this.#membership.run();
-    await this.#pages.listen(settings.readiness, settings.metrics);
-    await this.#front.listen(settings.front);
+    void this.#membership.run({ ...settings.peers, port: peers });
+    const { readiness, metrics } = settings;
+    const ports = {
+      peers,
+      readiness: await this.#pages.listen(readiness, metrics),
+      front: await this.#front.listen(settings.front),
+    };
     this.#every(HEARTBEAT_EVERY, () => this.#tick());
     this.#every(PUMP_EVERY, () => this.#granter.pump());
     this.#every(
@@ -191,6 +199,7 @@
       dataCentre: settings.dataCentre,
       startTime: Math.round(performance.now() - startedAt),
     });
+    return ports;
   }
 
   get settings(): GatewaySettings {
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -3,7 +3,7 @@
 export type { LogEvent } from "./observe/events.ts";
 export type { HeaderNames } from "./front/header_names.ts";
 export { Gateway } from "./gateway.ts";
-export type { GatewayParts } from "./gateway.ts";
+export type { GatewayParts, GatewayPorts } from "./gateway.ts";
 export { gatewaySettingsSchema } from "./settings.ts";
 export type { Address, GatewaySettings } from "./settings.ts";
 export type {
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -9,6 +9,7 @@
 import { connect, createServer } from "node:net";
 import type { Server, Socket } from "node:net";
 import type { EventLog } from "../observe/event_log.ts";
+import { listen } from "../listen.ts";
 import type { Address } from "../settings.ts";
 import type { Member } from "../state/fleet_state.ts";
 import type { PeerMessage } from "./messages.ts";
@@ -76,10 +77,9 @@
     return [...this.#links.values()].some((link) => link.standing?.listed);
   }
 
-  listen(): void {
+  listen(): Promise<number> {
     this.#server = createServer((socket) => this.#adopt(socket));
-    this.#server.on("error", (error) => this.#failedToListen(error));
-    this.#server.listen(this.#own.port, this.#own.host);
+    return listen(this.#server, this.#own);
   }
 
   send(peer: string, message: PeerMessage): boolean {
@@ -216,13 +216,4 @@
     });
     this.#events.joined(instance);
   }
-
-  #failedToListen(error: Error): void {
-    this.#log.write({
-      event: "dependency_lost",
-      dependency: "peer listener",
-      detail: error.message,
-      silence: 0,
-    });
-  }
 }
--- a/packages/gateway/src/request/caller.ts
+++ b/packages/gateway/src/request/caller.ts
@@ -12,6 +12,7 @@
   readonly #response: ServerResponse;
   #onLeft = () => {};
   #left = false;
+  #unframed = false;
 
   constructor(request: IncomingMessage, response: ServerResponse) {
     this.#request = request;
@@ -72,7 +73,9 @@
   answer(head: AnswerHead, body: Buffer): void {
     if (this.#left) return;
     const headers = answerHeaders(head.headers);
-    if (this.#request.method !== "HEAD" && head.status !== 304) {
+    if (isUnframed(head)) {
+      this.#unframe();
+    } else if (this.#request.method !== "HEAD" && head.status !== 304) {
       headers["content-length"] = String(body.length);
     }
     this.#response.writeHead(head.status, headers);
@@ -81,6 +84,7 @@
 
   begin(head: AnswerHead): void {
     if (this.#left || this.begun) return;
+    if (isUnframed(head)) this.#unframe();
     this.#response.writeHead(head.status, answerHeaders(head.headers));
   }
 
@@ -88,8 +92,14 @@
     if (!this.#left) this.#response.write(events);
   }
 
-  end(): void {
-    if (!this.#left) this.#response.end();
+  /**
+   * Ends a stream whose server's last part was `unframed` or not. Its end can't
+   * be told from a crash, so a caller that was promised a framed end gets none.
+   */
+  end(unframed: boolean): void {
+    if (this.#left) return;
+    if (unframed && !this.#unframed) this.cut();
+    else this.#response.end();
   }
 
   /** Ends the connection, so that the answer can't look whole. */
@@ -97,9 +107,26 @@
     this.#response.destroy();
   }
 
+  /**
+   * Lets the answer end with its connection, as its server's does. A server that
+   * crashes closes its connections too: stated as a length, what had come of the
+   * answer until then would look whole.
+   */
+  #unframe(): void {
+    this.#unframed = true;
+    this.#response.useChunkedEncodingByDefault = false;
+    this.#response.shouldKeepAlive = false;
+  }
+
   #leave(): void {
     if (this.#left || this.#response.writableFinished) return;
     this.#left = true;
     this.#onLeft();
   }
 }
+
+/** True for an answer that ends with its connection, whole or not. */
+export function isUnframed(head: AnswerHead): boolean {
+  return head.headers["content-length"] === undefined &&
+    head.headers["transfer-encoding"] === undefined;
+}
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -14,6 +14,7 @@
   Channel,
 } from "../backend/channel.ts";
 import type { HeaderNames } from "../front/header_names.ts";
+import { isUnframed } from "./caller.ts";
 import { EventBuffer } from "./event_buffer.ts";
 
 /** Largest plain answer that is held until it is whole, in bytes. */
@@ -27,7 +28,7 @@
   /** A whole plain answer, not yet passed on. */
   | { kind: "plain"; head: AnswerHead; body: Buffer }
   /** A whole stream, passed on. */
-  | { kind: "stream" }
+  | { kind: "stream"; unframed: boolean }
   /** The server's own word that it did not run the request. */
   | { kind: "not_run"; status: number }
   /** No whole answer; the request may have run. */
@@ -140,7 +141,7 @@
       return;
     }
     this.#begin();
-    this.#end({ kind: "stream" });
+    this.#end({ kind: "stream", unframed: isUnframed(this.#head!) });
   }
 
   #begin(): void {
--- a/packages/gateway/src/request/request_task.ts
+++ b/packages/gateway/src/request/request_task.ts
@@ -285,7 +285,7 @@
       case "stream":
         pool.give(server, channel);
         this.#final = true;
-        this.#caller.end();
+        this.#caller.end(end.unframed);
         this.#logAnswered(server, 200);
         return;
       case "plain":
--- a/packages/gateway/src/state/membership.ts
+++ b/packages/gateway/src/state/membership.ts
@@ -7,6 +7,7 @@
 import { COUNTED_FOR } from "@sycamorepulley/decisions";
 import type { MetadataStore } from "@sycamorepulley/store";
 import type { EventLog } from "../observe/event_log.ts";
+import type { Address } from "../settings.ts";
 import type { Member } from "./fleet_state.ts";
 
 /** Prefix of the keys under which entries register. */
@@ -22,7 +23,7 @@
 /** Keeps the entry registered until {@link Membership.leave}. */
 export class Membership {
   readonly #store: MetadataStore;
-  readonly #member: Member;
+  readonly #instance: string;
   readonly #log: EventLog;
   readonly #clock: () => number;
   readonly #stop = new AbortController();
@@ -33,13 +34,13 @@
   constructor(
     options: {
       store: MetadataStore;
-      member: Member;
+      instance: string;
       log: EventLog;
       clock: () => number;
     },
   ) {
     this.#store = options.store;
-    this.#member = options.member;
+    this.#instance = options.instance;
     this.#log = options.log;
     this.#clock = options.clock;
   }
@@ -49,12 +50,14 @@
     return now < this.#validUntil + COUNTED_FOR;
   }
 
-  async run(): Promise<void> {
+  /** `address`: where other entries connect. */
+  async run(address: Address): Promise<void> {
+    const member: Member = { instance: this.#instance, ...address };
     const { signal } = this.#stop;
     while (!signal.aborted) {
       const kept = this.#registered
         ? await this.#renew()
-        : await this.#register();
+        : await this.#register(member);
       const pause = kept ? RENEW_EVERY : RETRY_AFTER;
       await sleep(pause, undefined, { signal }).catch(() => {});
     }
@@ -68,7 +71,7 @@
     await this.#store.endLease(this.#lease);
   }
 
-  async #register(): Promise<boolean> {
+  async #register(member: Member): Promise<boolean> {
     const startedAt = this.#clock();
     const lease = await this.#store.grantLease(LEASE_DURATION);
     if (lease.isErr) return false;
@@ -76,8 +79,8 @@
     const written = await this.#store.transact({
       expected: [],
       writes: [{
-        key: MEMBER_PREFIX + this.#member.instance,
-        value: JSON.stringify(this.#member),
+        key: MEMBER_PREFIX + member.instance,
+        value: JSON.stringify(member),
         lease: lease.value,
       }],
       removals: [],
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -2,10 +2,13 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Route, ServerRecord } from "@sycamorepulley/decisions";
 import { MemoryMetadataStore } from "@sycamorepulley/store";
-import { freePort } from "@sycamorepulley/testing";
 import { Result } from "true-myth/result";
 import { Gateway, LineSink, RecordCodec } from "../src/mod.ts";
-import type { GatewayConfiguration, HeaderNames } from "../src/mod.ts";
+import type {
+  GatewayConfiguration,
+  GatewayPorts,
+  HeaderNames,
+} from "../src/mod.ts";
 import { StandInServer } from "./stand_in_server.ts";
 
 const NAMES: HeaderNames = {
@@ -109,13 +112,13 @@
   readonly store: MemoryMetadataStore;
   readonly servers: [StandInServer, StandInServer];
   readonly gateway: Gateway;
-  readonly ports: { front: number; readiness: number; peers: number };
+  readonly ports: GatewayPorts;
 
   private constructor(
     store: MemoryMetadataStore,
     servers: [StandInServer, StandInServer],
     gateway: Gateway,
-    ports: { front: number; readiness: number; peers: number },
+    ports: GatewayPorts,
   ) {
     this.store = store;
     this.servers = servers;
@@ -133,20 +136,15 @@
   ): Promise<Fixture> {
     const store = options.store ?? new MemoryMetadataStore();
     const servers = options.servers ?? await startServers(store);
-    const ports = {
-      front: await freePort(),
-      readiness: await freePort(),
-      peers: await freePort(),
-    };
-    const at = (port: number) => ({ host: "127.0.0.1", port });
+    const anyPort = { host: "127.0.0.1", port: 0 };
     const gateway = new Gateway({
       settings: {
         instance: options.instance ?? "entry-1",
         dataCentre: "a",
-        front: at(ports.front),
-        readiness: at(ports.readiness),
-        peers: at(ports.peers),
-        metrics: at(ports.readiness),
+        front: anyPort,
+        readiness: anyPort,
+        peers: anyPort,
+        metrics: anyPort,
         seeds: options.seeds ?? [],
         limits: { memoryMegabytes: 200, descriptors: 1000 },
         bounds: {
@@ -164,7 +162,7 @@
       names: NAMES,
       sink: new Quiet(),
     });
-    await gateway.start();
+    const ports = await gateway.start();
     return new Fixture(store, servers, gateway, ports);
   }
 
--- a/packages/gateway/test/request_path_test.ts
+++ b/packages/gateway/test/request_path_test.ts
@@ -170,6 +170,28 @@
   await fixture.stop();
 });
 
+t.test("an answer that ends with its connection is passed on as such", async (t) => {
+  // A server crashes while it answers without a length; its connection closes as
+  // at the end of a whole answer. With a length of what had come, the caller took
+  // a thousand bytes of a longer answer for all of it.
+  const fixture = await Fixture.ready();
+  for (const server of fixture.servers) {
+    server.answer = (_response, received, socket) => {
+      const name = String(received.headers["x-request"]);
+      socket.end(
+        `HTTP/1.1 200 OK\r\nConnection: close\r\nX-Request: ${name}\r\n` +
+          "X-Seal: sealed\r\n\r\npart or whole",
+      );
+    };
+  }
+  const seen = await fixture.call("/once/", { method: "POST", body: "book" });
+  t.match(seen, { status: 200, body: "part or whole" });
+  t.equal(seen.headers["content-length"], undefined);
+  t.equal(seen.headers["transfer-encoding"], undefined);
+  t.equal(seen.headers.connection, "close");
+  await fixture.stop();
+});
+
 t.test("a stream goes on at another server, in whole events", async (t) => {
   const fixture = await Fixture.ready();
   let starts = 0;
