Explain a request from logs; end the count of omitted lines while a reader stands still

Cause: the loop over what was left out counted its own lines anew and never ended when no line found room: a stalled reader of the log would have hung the process.

--- a/packages/command_line/src/program.ts
+++ b/packages/command_line/src/program.ts
@@ -4,6 +4,7 @@
 import { apply } from "./commands/apply.ts";
 import { check } from "./commands/check.ts";
 import { diff } from "./commands/diff.ts";
+import { explain } from "./commands/explain.ts";
 import { get } from "./commands/get.ts";
 import { instances } from "./commands/instances.ts";
 import { moves } from "./commands/moves.ts";
@@ -98,6 +99,14 @@
     .action(() => {
       chosen.run = moves;
     });
+  program.command(
+    "explain <request> [...files]",
+    "Tell a request's story from logs (files, or standard input)",
+  )
+    .example("  $ sycamorepulley explain 9c41d07be2a35f68 entry-*.log")
+    .action((request: string, files: string[]) => {
+      chosen.run = (context) => explain(context, request, files);
+    });
   program.command("refusals", "Sum refusals and retries by reason")
     .example("  $ sycamorepulley refusals")
     .action(() => {
--- a/packages/gateway/src/observe/event_log.ts
+++ b/packages/gateway/src/observe/event_log.ts
@@ -124,7 +124,9 @@
   #sayOmitted(): void {
     if (this.#omitted.size === 0) return;
     const now = this.#clock();
-    for (const [of, lines] of this.#omitted) {
+    // A copy: a line that finds no room is counted here again, and the loop over
+    // the map itself would never end while the reader stands still.
+    for (const [of, lines] of [...this.#omitted]) {
       const budget = this.#budgets.get(of);
       if (budget !== undefined && now - budget.since < 1000) continue;
       this.#omitted.delete(of);
