Send a request that may be repeated elsewhere when its server falls silent

Cause: a dark server closes nothing; its callers leave after 2 s and the answer is lost. The test fails before (the caller gets a cut stream after 2 s).

--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -90,6 +90,11 @@
     this.#end({ kind: "aborted" });
   }
 
+  /** Takes what comes, or doesn't, for a broken answer. */
+  giveUp(detail: string): void {
+    if (!this.#over) this.#break(detail);
+  }
+
   override head(head: AnswerHead): void {
     const problem = this.#problemOf(head);
     if (problem !== undefined) {
--- a/packages/gateway/src/request/request_task.ts
+++ b/packages/gateway/src/request/request_task.ts
@@ -18,6 +18,7 @@
 import type { ExchangeEnd } from "./exchange.ts";
 import type { ReplyReason } from "./reply.ts";
 import { statusOf } from "./reply.ts";
+import { SilenceWatch } from "./silence_watch.ts";
 import type { RequestContext } from "./request_context.ts";
 import type { ResolvedCall } from "./resolve_call.ts";
 
@@ -37,6 +38,18 @@
 /** Milliseconds of that patience that a server needs for a first event. */
 const FIRST_EVENT_RESERVE = 400;
 
+/**
+ * Silences after which a request that may be repeated is sent elsewhere: goals
+ * until the first part, allowed pauses between parts, and their least time in
+ * milliseconds. First parts come within 0.3 s of sending, as only free places
+ * are granted; callers leave after 2 s.
+ */
+const SILENT_GOALS = 2;
+const SILENT_PAUSES = 4;
+const LEAST_SILENCE = 400;
+/** Milliseconds without a first part that tell of a dark server. */
+const DARK_AFTER = 1500;
+
 /** See the module. */
 export class RequestTask {
   readonly #context: RequestContext;
@@ -52,6 +65,10 @@
   #lastEvent: string | undefined;
   #stop: (() => void) | undefined;
   #timeUp = false;
+  /** The resend after a silence is paid for already. */
+  #retryTaken = false;
+  /** The caller left a server that had said nothing for long. */
+  #sawDark = false;
   /** The caller has its final answer, or none is owed any more. */
   #final = false;
   #firstAt: number | undefined;
@@ -232,10 +249,12 @@
         events: (events, lastId) => {
           this.#lastEvent = lastId ?? this.#lastEvent;
           this.#noteEvents(clock());
+          watch?.heard();
           this.#caller.events(events);
         },
       },
     });
+    const watch = this.#watch(server, exchange);
     this.#stop = () => exchange.abort();
     this.#sent++;
     this.#mayHaveRun = true;
@@ -246,7 +265,10 @@
       body: this.#body,
     });
     const end = await exchange.done;
+    watch?.end();
     this.#stop = undefined;
+    const dark = !exchange.heard && clock() - sentAt > DARK_AFTER;
+    this.#sawDark = end.kind === "aborted" && dark;
     return end;
   }
 
@@ -272,6 +294,22 @@
     this.#longestPause = Math.max(this.#longestPause, pause);
   }
 
+  /** Watches an exchange whose request may go on at another server. */
+  #watch(server: ServerRecord, exchange: Exchange): SilenceWatch | undefined {
+    if (!this.#mayTryAnother()) return undefined;
+    const { goal, longestPause } = this.#resolved.route;
+    const limits = {
+      first: Math.max(LEAST_SILENCE, SILENT_GOALS * goal),
+      between: Math.max(LEAST_SILENCE, SILENT_PAUSES * (longestPause ?? goal)),
+    };
+    return new SilenceWatch(limits, () => {
+      if (!this.#takeRetry(server, "silent")) return false;
+      this.#retryTaken = true;
+      exchange.giveUp("silent");
+      return true;
+    });
+  }
+
   #settle(
     ask: string,
     server: ServerRecord,
@@ -280,7 +318,8 @@
   ): void {
     const { granter, pool } = this.#context;
     const { tokens, measured } = this.#decoded();
-    granter.ended(ask, runEndOf(end), tokens, measured);
+    const runEnd = this.#sawDark ? "broken" : runEndOf(end);
+    granter.ended(ask, runEnd, tokens, measured);
     switch (end.kind) {
       case "stream":
         pool.give(server, channel);
@@ -331,6 +370,10 @@
   }
 
   #broken(server: ServerRecord, detail: string): void {
+    if (this.#retryTaken) {
+      this.#retryTaken = false;
+      return;
+    }
     if (this.#mayTryAnother() && this.#takeRetry(server, "broken")) return;
     if (this.#caller.begun) this.#cut(server, detail);
     else this.#giveUp("broken");
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -74,6 +74,7 @@
     prefix: "/resumed/",
     repeatability: "streaming",
     resumable: true,
+    longestPause: 150,
   }),
 ];
 
--- a/packages/gateway/test/request_path_test.ts
+++ b/packages/gateway/test/request_path_test.ts
@@ -213,6 +213,41 @@
   await fixture.stop();
 });
 
+t.test("a stream goes on elsewhere when its server falls silent", async (t) => {
+  // A server goes dark in the middle of a stream and closes nothing. Its caller
+  // waited two seconds and left; the rest of the answer was lost.
+  const fixture = await Fixture.ready();
+  let starts = 0;
+  for (const server of fixture.servers) {
+    server.answer = (response, received) => {
+      stream(response, received);
+      if (starts++ === 0) response.write(event(1));
+      else response.end(event(2));
+    };
+  }
+  const seen = await fixture.call("/resumed/", {
+    method: "POST",
+    body: "{}",
+    headers: { "x-time-left": "5000" },
+  });
+  t.equal(seen.body, event(1) + event(2));
+  t.ok(seen.whole);
+  await fixture.stop();
+});
+
+t.test("what may not be repeated is waited for, however silent", async (t) => {
+  const fixture = await Fixture.ready();
+  for (const server of fixture.servers) {
+    server.answer = (response, received) => {
+      setTimeout(() => sealed(response, received).end("late"), 1300);
+    };
+  }
+  const seen = await fixture.call("/once/", { method: "POST", body: "book" });
+  t.match(seen, { status: 200, body: "late" });
+  t.equal(fixture.servers.flatMap(({ received }) => received).length, 1);
+  await fixture.stop();
+});
+
 t.test("a stream that can't be resumed ends visibly cut", async (t) => {
   const fixture = await Fixture.ready();
   for (const server of fixture.servers) {
