Count entries that are leaving in their group; let refused organisations back later

Left out of the group, each other one used a quarter of quotas and places, and 259 requests were answered 429. Also: a 429 asked its caller back after 18 ms, when others of the organisation took the next tokens; now after 1 to 2 s. The test fails before.

--- a/packages/decisions/src/dispatch/desk.ts
+++ b/packages/decisions/src/dispatch/desk.ts
@@ -17,6 +17,13 @@
   "not_run",
 ]);
 
+/**
+ * Milliseconds to come back after a quota was used up, at least, and up to twice
+ * as many: others of the organisation wait for the next tokens as well, and a
+ * caller has one retry.
+ */
+const SOONEST_RETRY = 1000;
+
 /** How full a service is, as the group knows it. */
 export type ServiceLoad = {
   service: string;
@@ -76,7 +83,8 @@
   ask(ask: Ask, now: number): AskVerdict | undefined {
     const quota = this.#quotas.charge(ask.organisation, ask.charge, now);
     if (!quota.allowed) {
-      const { retryAfter } = quota;
+      const soonest = SOONEST_RETRY * (1 + ask.spread);
+      const retryAfter = Math.max(quota.retryAfter, soonest);
       return { kind: "refuse", ask, reason: "quota", retryAfter };
     }
     ask.excess = quota.excess;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -380,6 +380,7 @@
     const leaving = this.#lifecycle.state === "leaving";
     this.#granter.regroup({
       heard: this.#peers.heard(),
+      staying: this.#peers.staying(),
       counted,
       listed: this.#membership.counted(now) || this.#peers.anyListed(),
       leaving,
--- a/packages/gateway/src/peers/granter.ts
+++ b/packages/gateway/src/peers/granter.ts
@@ -109,15 +109,17 @@
   regroup(
     options: {
       heard: readonly string[];
+      /** Peers that are heard and not leaving. */
+      staying: readonly string[];
       counted: ReadonlySet<string>;
       listed: boolean;
       leaving: boolean;
     },
   ): void {
-    const { heard, counted, listed, leaving } = options;
+    const { heard, staying, counted, listed, leaving } = options;
     const group = new Set([...heard, this.#instance]);
     const parts = groupParts({ group, counted, listed });
-    const able = leaving && heard.length > 0 ? heard : [...group];
+    const able = leaving ? staying : [...staying, this.#instance];
     const granting = grantingEntry(able) ?? this.#instance;
     const { room, quota } = this.#parts;
     if (parts.room !== room || parts.quota !== quota) {
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -66,8 +66,13 @@
     this.#clock = options.clock;
   }
 
-  /** Peers that are heard and take part in granting. */
+  /** Peers that are heard, those that are leaving included: they still ask. */
   heard(): string[] {
+    return [...this.#links.keys()];
+  }
+
+  /** Those that may grant for others. */
+  staying(): string[] {
     return [...this.#links].filter(([, link]) => !link.standing?.leaving)
       .map(([name]) => name);
   }
--- a/packages/gateway/src/state/membership.ts
+++ b/packages/gateway/src/state/membership.ts
@@ -66,7 +66,6 @@
   /** Takes the entry out, so that nobody waits for it. */
   async leave(): Promise<void> {
     this.#stop.abort();
-    this.#validUntil = -Infinity;
     if (this.#lease === undefined) return;
     await this.#store.endLease(this.#lease);
   }
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -25,8 +25,14 @@
   reserved: ["X-Hold"],
 };
 
-class Quiet extends LineSink {
-  override push(): boolean {
+/** A logged event: its name and its inputs. */
+export type Logged = { message: string; context: Record<string, unknown> };
+
+class Recorded extends LineSink {
+  readonly events: Logged[] = [];
+
+  override push(line: string): boolean {
+    this.events.push(JSON.parse(line));
     return true;
   }
 }
@@ -114,17 +120,21 @@
   readonly servers: [StandInServer, StandInServer];
   readonly gateway: Gateway;
   readonly ports: GatewayPorts;
+  /** What the gateway logged. */
+  readonly events: readonly Logged[];
 
   private constructor(
     store: MemoryMetadataStore,
     servers: [StandInServer, StandInServer],
     gateway: Gateway,
     ports: GatewayPorts,
+    events: readonly Logged[],
   ) {
     this.store = store;
     this.servers = servers;
     this.gateway = gateway;
     this.ports = ports;
+    this.events = events;
   }
 
   static async start(
@@ -138,6 +148,7 @@
     const store = options.store ?? new MemoryMetadataStore();
     const servers = options.servers ?? await startServers(store);
     const anyPort = { host: "127.0.0.1", port: 0 };
+    const sink = new Recorded();
     const gateway = new Gateway({
       settings: {
         instance: options.instance ?? "entry-1",
@@ -161,10 +172,10 @@
       store,
       codec: new JsonRecords(),
       names: NAMES,
-      sink: new Quiet(),
+      sink,
     });
     const ports = await gateway.start();
-    return new Fixture(store, servers, gateway, ports);
+    return new Fixture(store, servers, gateway, ports, sink.events);
   }
 
   /** Starts with a configuration in force. */
--- a/packages/gateway/test/lifecycle_test.ts
+++ b/packages/gateway/test/lifecycle_test.ts
@@ -99,6 +99,38 @@
   await rest[1]!.stop();
 });
 
+t.test("entries that are leaving still count in their group", async (t) => {
+  // All entries are restarted in turn, and several are leaving at once for some
+  // seconds. Left out of the group, each of the others used a quarter of the
+  // quotas and places, and callers within their quota were refused.
+  const store = new MemoryMetadataStore();
+  store.put("configuration", configuration(1));
+  const first = await Fixture.start({ store, instance: "entry-1" });
+  const entries = [first];
+  for (const instance of ["entry-2", "entry-3"]) {
+    const { servers } = first;
+    entries.push(await Fixture.start({ store, instance, servers }));
+  }
+  await new Promise((resolve) => setTimeout(resolve, 1200));
+  // One writer of the log serves a process: the last one got all lines.
+  const lastChange = (instance: string) =>
+    entries.flatMap(({ events }) => events).findLast(({ message, context }) =>
+      message === "group_changed" && context["instance"] === instance
+    )?.context;
+  const names = ["entry-1", "entry-2", "entry-3"];
+  const name = names.map(lastChange).find((context) => context)?.["granting"];
+  const granting = entries[names.indexOf(String(name))];
+  const others = entries.filter((entry) => entry !== granting);
+  const stopped = granting!.gateway.stop();
+  await new Promise((resolve) => setTimeout(resolve, 400));
+  for (const other of names.filter((other) => other !== name)) {
+    t.match(lastChange(other), { size: 3, room: 1, quota: 1 });
+  }
+  await stopped;
+  for (const entry of others) await entry.gateway.stop();
+  for (const server of first.servers) server.stop();
+});
+
 t.test("a stop cuts no stream, and takes nothing on its connection after", async (t) => {
   // A connection whose answer began before the stop was not told to close. Kept,
   // it took a request 7 s after SIGTERM, which the end of the process then cut.
