Pass on no request that crosses the end of its connection at a stop

Cause: the test of LOST passed with its guard taken out, so it showed nothing. The one added here failed with the guard and without it: the connection was ended on one side only, and a request that its caller sent as the stream ended still ran at a server, with nowhere for its answer.

--- a/packages/gateway/src/front/front.ts
+++ b/packages/gateway/src/front/front.ts
@@ -1,6 +1,7 @@
 /** Callers' HTTP server: connections, limits, a graceful end. @module */
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { listen } from "../listen.ts";
 import type { Address } from "../settings.ts";
 import type { FrontLimits } from "../state/gateway_configuration.ts";
@@ -26,6 +27,8 @@
 /** See the module. */
 export class Front {
   readonly #server: Server;
+  /** Connections that this side has ended and the caller not yet. */
+  readonly #ended = new WeakSet<Socket>();
   #closing = false;
 
   constructor(serve: ServeRequest) {
@@ -39,10 +42,16 @@
       (request, response) => {
         response.sendDate = false;
         if (this.#closing) response.setHeader("connection", "close");
+        if (this.#ended.has(request.socket)) {
+          // It crossed the end of its connection. Passed on, it would run, and
+          // its answer would have nowhere to go.
+          request.socket.destroy();
+          return;
+        }
         // An answer that began before the stop did not say so: its connection
         // would be kept, and a request on it taken when no time is left for it.
         response.once("finish", () => {
-          if (this.#closing) request.socket.end();
+          if (this.#closing) this.#end(request.socket);
         });
         serve(request, response);
       },
@@ -79,4 +88,9 @@
   cut(): void {
     this.#server.closeAllConnections();
   }
+
+  #end(socket: Socket): void {
+    this.#ended.add(socket);
+    socket.end();
+  }
 }
--- a/packages/gateway/test/lifecycle_test.ts
+++ b/packages/gateway/test/lifecycle_test.ts
@@ -164,3 +164,46 @@
   await stopped;
   for (const server of fixture.servers) server.stop();
 });
+
+t.test("a stop takes no request on a connection whose stream has ended", async (t) => {
+  // A stream began before the stop, so its answer could not tell its caller to
+  // close the connection. The caller sends its next request on it as the stream
+  // ends. Taken then, that request has too little time left, and the end of the
+  // process cuts it; passed on over a connection that is half closed, it runs and
+  // its answer has nowhere to go.
+  const fixture = await Fixture.ready();
+  for (const server of fixture.servers) {
+    server.answer = (response, received) => {
+      stream(response, received).write(event(1));
+      // The other stream keeps the process from ending meanwhile.
+      const time = received.target === "/stream/first" ? 300 : 900;
+      setTimeout(() => response.end(event(2)), time);
+    };
+  }
+  const post = (target: string) =>
+    `POST ${target} HTTP/1.1\r\nHost: a.example\r\nX-Request: r\r\n` +
+    "X-Credential: key\r\nContent-Length: 0\r\n\r\n";
+  const other = fixture.call("/stream/other", { method: "POST" });
+  const socket = connect(fixture.ports.front, "127.0.0.1");
+  socket.on("error", () => {});
+  const closed = new Promise((resolve) => socket.once("close", resolve));
+  let text = "";
+  let sentAgain = false;
+  socket.on("data", (chunk: Buffer) => {
+    text += chunk.toString();
+    if (sentAgain || !text.endsWith("0\r\n\r\n")) return;
+    sentAgain = true;
+    socket.write(post("/stream/again"));
+  });
+  socket.write(post("/stream/first"));
+  await until(() => text.includes("piece 1"));
+  const stopped = fixture.gateway.stop();
+  await closed;
+  t.ok(sentAgain);
+  await stopped;
+  t.ok((await other).whole);
+  const targets = fixture.servers.flatMap(({ received }) => received)
+    .map(({ target }) => target);
+  t.same(targets.sort(), ["/stream/first", "/stream/other"]);
+  for (const server of fixture.servers) server.stop();
+});
