--- /dev/null
+++ b/packages/gateway/test/request_task_test.ts
@@ -0,0 +1,69 @@
+import type { ServerRecord } from "@sycamorepulley/decisions";
+import t from "tap";
+import type { Call } from "../src/front/call.ts";
+import type { Caller } from "../src/request/caller.ts";
+import type { RequestContext } from "../src/request/request_context.ts";
+import { RequestTask } from "../src/request/request_task.ts";
+import { route } from "./fixture.ts";
+
+const SERVER: ServerRecord = {
+  id: "s1",
+  startedAt: 1,
+  service: "calls",
+  host: "127.0.0.1",
+  port: 1,
+  dataCentre: "a",
+  version: "v1",
+  slots: 4,
+  draining: false,
+};
+
+t.test("a grant that comes too late is given back", async (t) => {
+  // Places ran out one by one on a busy day: a request whose time was up, or
+  // whose caller had left, as its grant came kept the place for ever.
+  let now = 0;
+  const withdrawn: string[] = [];
+  const refused: number[] = [];
+  const context = {
+    names: { request: "x-request" },
+    clock: () => now,
+    random: () => 0,
+    log: { write: () => {} },
+    metrics: {
+      waited: { observe: () => {} },
+      refusals: { inc: () => {} },
+    },
+    granter: {
+      ask: () => {
+        const grant = { kind: "grant", server: "s1@1", by: "entry-1" };
+        const answer = Promise.resolve(grant).then((grant) => {
+          now = 2000;
+          return grant;
+        });
+        return { id: "ask-1", answer };
+      },
+      withdraw: (id: string) => withdrawn.push(id),
+    },
+    inForce: () => undefined,
+    server: () => SERVER,
+  } as unknown as RequestContext;
+  const caller = {
+    left: false,
+    begun: false,
+    refuse: (status: number) => refused.push(status),
+  } as unknown as Caller;
+  const call = { request: "r", headers: [], arrived: 0 } as unknown as Call;
+  const resolved = {
+    route: route(),
+    service: "calls",
+    organisation: "",
+    tierRank: 0,
+    cost: { promptTokens: 0, outputTokens: 1 },
+    charge: 0,
+    limitAt: 1000,
+  };
+  await new RequestTask({ context, call, resolved, caller, body: undefined })
+    .run();
+  t.same(withdrawn, ["ask-1"]);
+  t.same(refused, [503], "it has not run, and is said so");
+});
