--- /dev/null
+++ b/packages/gateway/src/request/backend_headers.ts
@@ -0,0 +1,57 @@
+/** Headers that a backend server is sent, and what names a request. @module */
+import { createHash } from "node:crypto";
+import type { ServerRecord } from "@sycamorepulley/decisions";
+import type { Call } from "../front/call.ts";
+import type { HeaderNames } from "../front/header_names.ts";
+import type { ResolvedCall } from "./resolve_call.ts";
+
+/** Names and values in turn; `lastEvent`: where a resumed stream goes on. */
+export function backendHeaders(
+  options: {
+    names: HeaderNames;
+    call: Call;
+    resolved: ResolvedCall;
+    server: ServerRecord;
+    lastEvent: string | undefined;
+    now: number;
+  },
+): string[] {
+  const { names, call, resolved, server, lastEvent, now } = options;
+  const { organisation, limitAt } = resolved;
+  const headers = lastEvent === undefined
+    ? [...call.headers]
+    : without(call.headers, names.lastEvent);
+  const left = Math.max(1, Math.floor(limitAt - now));
+  headers.push(names.timeLeft, String(left));
+  headers.push(names.expectedServer, server.id);
+  if (organisation !== "") headers.push(names.organisation, organisation);
+  if (lastEvent !== undefined) headers.push(names.lastEvent, lastEvent);
+  return headers;
+}
+
+/**
+ * The same for each try of one request, whoever its caller sends it to;
+ * `ownName`: the header that each try has a value of its own in.
+ */
+export function fingerprintOf(
+  call: Call,
+  body: Buffer | undefined,
+  ownName: string,
+): string {
+  const hash = createHash("sha1");
+  hash.update(`${call.method} ${call.host}${call.target}\n`);
+  hash.update(`${call.credential ?? ""}\n`);
+  for (const part of without(call.headers, ownName)) hash.update(`${part}\n`);
+  if (body !== undefined) hash.update(body);
+  return hash.digest("base64url");
+}
+
+function without(headers: readonly string[], name: string): string[] {
+  const kept: string[] = [];
+  const lower = name.toLowerCase();
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    if (headers[index]!.toLowerCase() === lower) continue;
+    kept.push(headers[index]!, headers[index + 1]!);
+  }
+  return kept;
+}
--- /dev/null
+++ b/packages/gateway/src/request/patience.ts
@@ -0,0 +1,46 @@
+/** How long a request waits: for a place, and for a server that is silent. @module */
+import type { Route } from "@sycamorepulley/decisions";
+import type { ResolvedCall } from "./resolve_call.ts";
+import type { SilenceLimits } from "./silence_watch.ts";
+
+/** Milliseconds that must be left for a server to be sent anything. */
+export const LEAST_TIME_LEFT = 20;
+/**
+ * Milliseconds after which callers of a stream leave while nothing comes: the
+ * longest of this, four times the goal and eight times the longest pause.
+ */
+const STREAM_PATIENCE = 2000;
+const STREAM_PATIENCE_GOALS = 4;
+const STREAM_PATIENCE_PAUSES = 8;
+/** Milliseconds of that patience that a server needs for a first event. */
+const FIRST_EVENT_RESERVE = 400;
+/**
+ * Silences after which a request that may be repeated is sent elsewhere: goals
+ * until the first part, allowed pauses between parts, and their least time in
+ * milliseconds. First parts come within 0.3 s of sending, as only free places
+ * are granted; callers leave after 2 s.
+ */
+const SILENT_GOALS = 2;
+const SILENT_PAUSES = 4;
+const LEAST_SILENCE = 400;
+
+/** Instant after which a place is of no use; `from`: its caller heard something. */
+export function lapseOf(resolved: ResolvedCall, from: number): number {
+  const { route, limitAt } = resolved;
+  if (route.repeatability !== "streaming") return limitAt - LEAST_TIME_LEFT;
+  const patience = Math.max(
+    STREAM_PATIENCE,
+    STREAM_PATIENCE_GOALS * route.goal,
+    STREAM_PATIENCE_PAUSES * (route.longestPause ?? 0),
+  );
+  return Math.min(limitAt, from + patience - FIRST_EVENT_RESERVE);
+}
+
+/** Silences that a request of the route waits for. */
+export function silenceLimits(route: Route): SilenceLimits {
+  const { goal, longestPause } = route;
+  return {
+    first: Math.max(LEAST_SILENCE, SILENT_GOALS * goal),
+    between: Math.max(LEAST_SILENCE, SILENT_PAUSES * (longestPause ?? goal)),
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/request/request_report.ts
@@ -0,0 +1,132 @@
+/** What is logged and counted of one request. @module */
+import type { ServerRecord } from "@sycamorepulley/decisions";
+import type { Call } from "../front/call.ts";
+import type { AnswerProgress } from "./answer_progress.ts";
+import type { ReplyReason } from "./reply.ts";
+import type { RequestContext } from "./request_context.ts";
+import type { ResolvedCall } from "./resolve_call.ts";
+
+/** One method for each decision on the request. */
+export class RequestReport {
+  readonly #context: RequestContext;
+  readonly #call: Call;
+  readonly #resolved: ResolvedCall;
+
+  constructor(context: RequestContext, call: Call, resolved: ResolvedCall) {
+    this.#context = context;
+    this.#call = call;
+    this.#resolved = resolved;
+  }
+
+  /** `waited` in milliseconds; `attempt` counts grants. */
+  granted(
+    server: ServerRecord,
+    grant: { waited: number; by: string; attempt: number },
+  ): void {
+    const { metrics, log } = this.#context;
+    const { service, route } = this.#resolved;
+    const waited = Math.round(grant.waited);
+    const labels = { service, route: route.name };
+    metrics.waited.observe(labels, waited / 1000);
+    log.write({
+      event: "granted",
+      request: this.#call.request,
+      server: server.id,
+      waited,
+      by: grant.by,
+      version: this.#version,
+      attempt: grant.attempt,
+    });
+  }
+
+  /** `sent`: servers that may have run it. */
+  retried(server: ServerRecord, reason: string, sent: number): void {
+    const { metrics, log } = this.#context;
+    metrics.retries.inc({ service: this.#resolved.service, reason });
+    log.write({
+      event: "retried",
+      request: this.#call.request,
+      server: server.id,
+      reason,
+      sent,
+    });
+  }
+
+  refused(
+    reason: ReplyReason,
+    answer: { status: number; retryAfter: number; mayHaveRun: boolean },
+  ): void {
+    const { metrics, log } = this.#context;
+    const { service } = this.#resolved;
+    if (answer.mayHaveRun) metrics.failures.inc({ service, reason });
+    else metrics.refusals.inc({ service, reason });
+    log.write({
+      event: "refused",
+      request: this.#call.request,
+      status: answer.status,
+      reason,
+      waited: this.#age(),
+      retryAfter: Math.round(answer.retryAfter),
+      version: this.#version,
+    });
+  }
+
+  cut(server: ServerRecord | undefined, reason: string): void {
+    const { metrics, log } = this.#context;
+    metrics.failures.inc({ service: this.#resolved.service, reason: "cut" });
+    log.write({
+      event: "cut",
+      request: this.#call.request,
+      server: server?.id ?? "",
+      reason,
+      time: this.#age(),
+    });
+  }
+
+  left(state: "sent" | "waiting"): void {
+    const { log, metrics } = this.#context;
+    metrics.failures.inc({ service: this.#resolved.service, reason: "left" });
+    log.write({
+      event: "left",
+      request: this.#call.request,
+      state,
+      time: this.#age(),
+    });
+  }
+
+  answered(
+    server: ServerRecord,
+    status: number,
+    progress: AnswerProgress,
+  ): void {
+    const { clock, metrics, log } = this.#context;
+    const { service, route, cost } = this.#resolved;
+    const labels = { service, route: route.name };
+    const now = clock();
+    const first = (progress.firstAt ?? now) - this.#call.arrived;
+    const time = now - this.#call.arrived;
+    metrics.answers.inc({ service, status: String(status) });
+    metrics.firstByte.observe(labels, first / 1000);
+    metrics.whole.observe(labels, time / 1000);
+    log.write({
+      event: "answered",
+      request: this.#call.request,
+      server: server.id,
+      status,
+      first: Math.round(first),
+      time: Math.round(time),
+      promptTokens: cost.promptTokens,
+      outputTokens: cost.outputTokens,
+      events: progress.events,
+      longestPause: Math.round(progress.longestPause),
+    });
+  }
+
+  get #version(): number {
+    return this.#context.inForce()?.configuration.version ?? 0;
+  }
+
+  #age(): number {
+    return Math.round(this.#context.clock() - this.#call.arrived);
+  }
+}
--- a/packages/gateway/src/request/request_task.ts
+++ b/packages/gateway/src/request/request_task.ts
@@ -7,46 +7,28 @@
  * again unless it may be repeated, and is never answered as not run.
  * @module
  */
-import { createHash } from "node:crypto";
 import { incarnationOf, mayRepeat } from "@sycamorepulley/decisions";
 import type { RunEnd, ServerRecord } from "@sycamorepulley/decisions";
 import type { Channel } from "../backend/channel.ts";
 import type { Call } from "../front/call.ts";
 import type { GrantAnswer } from "../peers/granter.ts";
+import { AnswerProgress } from "./answer_progress.ts";
+import { backendHeaders, fingerprintOf } from "./backend_headers.ts";
 import type { Caller } from "./caller.ts";
 import { Exchange } from "./exchange.ts";
 import type { ExchangeEnd } from "./exchange.ts";
-import type { ReplyReason } from "./reply.ts";
+import { lapseOf, LEAST_TIME_LEFT, silenceLimits } from "./patience.ts";
 import { statusOf } from "./reply.ts";
-import { SilenceWatch } from "./silence_watch.ts";
+import type { ReplyReason } from "./reply.ts";
 import type { RequestContext } from "./request_context.ts";
+import { RequestReport } from "./request_report.ts";
 import type { ResolvedCall } from "./resolve_call.ts";
+import { SilenceWatch } from "./silence_watch.ts";
 
 /** Grants that one request may use up, whatever became of them. */
 const MOST_GRANTS = 6;
-/** Milliseconds that must be left for a server to be sent anything. */
-const LEAST_TIME_LEFT = 20;
 /** Milliseconds after which a refused caller may come back, if nothing is known. */
 const DEFAULT_RETRY_AFTER = 300;
-/**
- * Milliseconds after which callers of a stream leave while nothing comes: the
- * longest of this, four times the goal and eight times the longest pause.
- */
-const STREAM_PATIENCE = 2000;
-const STREAM_PATIENCE_GOALS = 4;
-const STREAM_PATIENCE_PAUSES = 8;
-/** Milliseconds of that patience that a server needs for a first event. */
-const FIRST_EVENT_RESERVE = 400;
-
-/**
- * Silences after which a request that may be repeated is sent elsewhere: goals
- * until the first part, allowed pauses between parts, and their least time in
- * milliseconds. First parts come within 0.3 s of sending, as only free places
- * are granted; callers leave after 2 s.
- */
-const SILENT_GOALS = 2;
-const SILENT_PAUSES = 4;
-const LEAST_SILENCE = 400;
 /** Milliseconds without a first part that tell of a dark server. */
 const DARK_AFTER = 1500;
 
@@ -58,11 +40,12 @@
   readonly #caller: Caller;
   readonly #body: Buffer | undefined;
   readonly #fingerprint: string;
+  readonly #report: RequestReport;
+  readonly #progress = new AnswerProgress();
   readonly #avoid: string[] = [];
   /** Servers that something was written to and that may have run it. */
   #sent = 0;
   #mayHaveRun = false;
-  #lastEvent: string | undefined;
   #stop: (() => void) | undefined;
   #timeUp = false;
   /** The resend after a silence is paid for already. */
@@ -71,10 +54,6 @@
   #sawDark = false;
   /** The caller has its final answer, or none is owed any more. */
   #final = false;
-  #firstAt: number | undefined;
-  #events = 0;
-  #heardAt: number | undefined;
-  #longestPause = 0;
 
   constructor(
     options: {
@@ -90,6 +69,8 @@
     this.#resolved = options.resolved;
     this.#caller = options.caller;
     this.#body = options.body;
+    const { context, call, resolved } = options;
+    this.#report = new RequestReport(context, call, resolved);
     this.#fingerprint = fingerprintOf(
       options.call,
       options.body,
@@ -137,7 +118,7 @@
     if (this.#final) return true;
     if (this.#caller.left) {
       this.#final = true;
-      this.#logLeft();
+      this.#report.left(this.#sent > 0 ? "sent" : "waiting");
       return true;
     }
     const left = this.#resolved.limitAt - this.#context.clock();
@@ -150,10 +131,12 @@
   async #ask(
     grant: number,
   ): Promise<{ id: string; server: ServerRecord } | undefined> {
-    const { granter, clock, server, log } = this.#context;
+    const { granter, clock, server } = this.#context;
     const { route, service, organisation, tierRank, cost, charge } =
       this.#resolved;
     const asked = clock();
+    const { lastEvent } = this.#progress;
+    const from = lastEvent === undefined ? this.#call.arrived : asked;
     const { id, answer } = granter.ask({
       service,
       organisation,
@@ -163,12 +146,12 @@
       dataCentre: this.#context.dataCentre,
       arrived: this.#call.arrived,
       goalAt: this.#call.arrived + route.goal,
-      lapsesAt: this.#lapsesAt(asked),
+      lapsesAt: lapseOf(this.#resolved, from),
       endsAt: this.#resolved.limitAt,
       fingerprint: this.#fingerprint,
       spread: this.#context.random(),
       avoid: [...this.#avoid],
-      resumed: this.#lastEvent !== undefined,
+      resumed: lastEvent !== undefined,
     });
     const verdict = await this.#orStopped(answer);
     if (verdict === undefined) {
@@ -186,20 +169,9 @@
       this.#avoid.push(verdict.server);
       return undefined;
     }
-    const waited = Math.round(clock() - asked);
-    this.#context.metrics.waited.observe(
-      { service, route: route.name },
-      waited / 1000,
-    );
-    log.write({
-      event: "granted",
-      request: this.#call.request,
-      server: record.id,
-      waited,
-      by: verdict.by,
-      version: this.#context.inForce()?.configuration.version ?? 0,
-      attempt: grant,
-    });
+    const waited = clock() - asked;
+    const { by } = verdict;
+    this.#report.granted(record, { waited, by, attempt: grant });
     return { id, server: record };
   }
 
@@ -241,14 +213,13 @@
       request: this.#call.request,
       channel,
       first: () => {
-        this.#firstAt ??= clock();
+        this.#progress.first(clock());
         granter.firstAnswer(ask, clock() - sentAt);
       },
       sink: {
         begin: (head) => this.#caller.begin(head),
         events: (events, lastId) => {
-          this.#lastEvent = lastId ?? this.#lastEvent;
-          this.#noteEvents(clock());
+          this.#progress.passed(lastId, clock());
           watch?.heard();
           this.#caller.events(events);
         },
@@ -261,7 +232,14 @@
     exchange.start({
       method: this.#call.method,
       target: this.#call.target,
-      headers: this.#headers(server, sentAt),
+      headers: backendHeaders({
+        names,
+        call: this.#call,
+        resolved: this.#resolved,
+        server,
+        lastEvent: this.#progress.lastEvent,
+        now: sentAt,
+      }),
       body: this.#body,
     });
     const end = await exchange.done;
@@ -272,36 +250,10 @@
     return end;
   }
 
-  /** Tokens after the first event, and the time that they took. */
-  #decoded(): { tokens: number; measured: number } {
-    const { inForce, clock } = this.#context;
-    const service = inForce()?.configuration.services.get(
-      this.#resolved.service,
-    );
-    const events = Math.max(0, this.#events - 1);
-    const resumed = this.#sent > 1 || this.#firstAt === undefined;
-    if (events === 0 || resumed) return { tokens: 0, measured: 0 };
-    return {
-      tokens: events * (service?.tokensPerEvent ?? 1),
-      measured: clock() - this.#firstAt!,
-    };
-  }
-
-  #noteEvents(now: number): void {
-    this.#events++;
-    const pause = now - (this.#heardAt ?? now);
-    this.#heardAt = now;
-    this.#longestPause = Math.max(this.#longestPause, pause);
-  }
-
   /** Watches an exchange whose request may go on at another server. */
   #watch(server: ServerRecord, exchange: Exchange): SilenceWatch | undefined {
     if (!this.#mayTryAnother()) return undefined;
-    const { goal, longestPause } = this.#resolved.route;
-    const limits = {
-      first: Math.max(LEAST_SILENCE, SILENT_GOALS * goal),
-      between: Math.max(LEAST_SILENCE, SILENT_PAUSES * (longestPause ?? goal)),
-    };
+    const limits = silenceLimits(this.#resolved.route);
     return new SilenceWatch(limits, () => {
       if (!this.#takeRetry(server, "silent")) return false;
       this.#retryTaken = true;
@@ -316,8 +268,13 @@
     channel: Channel,
     end: ExchangeEnd,
   ): void {
-    const { granter, pool } = this.#context;
-    const { tokens, measured } = this.#decoded();
+    const { granter, pool, inForce, clock } = this.#context;
+    const { services } = inForce()?.configuration ?? {};
+    const { tokens, measured } = this.#progress.decoded(
+      this.#sent,
+      services?.get(this.#resolved.service)?.tokensPerEvent ?? 1,
+      clock(),
+    );
     const runEnd = this.#sawDark ? "broken" : runEndOf(end);
     granter.ended(ask, runEnd, tokens, measured);
     switch (end.kind) {
@@ -325,7 +282,7 @@
         pool.give(server, channel);
         this.#final = true;
         this.#caller.end(end.unframed);
-        this.#logAnswered(server, 200);
+        this.#report.answered(server, 200, this.#progress);
         return;
       case "plain":
         pool.give(server, channel);
@@ -366,7 +323,7 @@
     }
     this.#final = true;
     this.#caller.answer(end.head, end.body);
-    this.#logAnswered(server, end.head.status);
+    this.#report.answered(server, end.head.status, this.#progress);
   }
 
   #broken(server: ServerRecord, detail: string): void {
@@ -393,22 +350,14 @@
 
   /** Takes a resend from the service's budget; false when it is spent. */
   #takeRetry(server: ServerRecord, reason: string): boolean {
-    const { retryBudget, metrics, log, clock } = this.#context;
+    const { retryBudget, clock } = this.#context;
     const { service } = this.#resolved;
     if (!retryBudget(service).allow(clock())) return false;
-    metrics.retries.inc({ service, reason });
-    log.write({
-      event: "retried",
-      request: this.#call.request,
-      server: server.id,
-      reason,
-      sent: this.#sent,
-    });
+    this.#report.retried(server, reason, this.#sent);
     return true;
   }
 
   #giveUp(reason: ReplyReason, retryAfter?: number): void {
-    const { clock, metrics, log } = this.#context;
     if (this.#caller.left || this.#final) return;
     if (this.#caller.begun) {
       this.#cut(undefined, reason);
@@ -416,37 +365,22 @@
     }
     this.#final = true;
     const status = statusOf(reason, this.#mayHaveRun);
-    const left = this.#resolved.limitAt - clock();
+    const left = this.#resolved.limitAt - this.#context.clock();
     const wait = retryAfter === undefined
       ? undefined
       : Math.min(retryAfter, Math.max(0, left / 3));
     this.#caller.refuse(status, reason, wait);
-    const { service } = this.#resolved;
-    if (this.#mayHaveRun) metrics.failures.inc({ service, reason });
-    else metrics.refusals.inc({ service, reason });
-    log.write({
-      event: "refused",
-      request: this.#call.request,
+    this.#report.refused(reason, {
       status,
-      reason,
-      waited: Math.round(clock() - this.#call.arrived),
-      retryAfter: Math.round(wait ?? 0),
-      version: this.#context.inForce()?.configuration.version ?? 0,
+      retryAfter: wait ?? 0,
+      mayHaveRun: this.#mayHaveRun,
     });
   }
 
   #cut(server: ServerRecord | undefined, reason: string): void {
-    const { clock, metrics, log } = this.#context;
     this.#final = true;
     this.#caller.cut();
-    metrics.failures.inc({ service: this.#resolved.service, reason: "cut" });
-    log.write({
-      event: "cut",
-      request: this.#call.request,
-      server: server?.id ?? "",
-      reason,
-      time: Math.round(clock() - this.#call.arrived),
-    });
+    this.#report.cut(server, reason);
   }
 
   /** The answer, or `undefined` once the caller left or the time was up. */
@@ -460,84 +394,6 @@
       });
     });
   }
-
-  #lapsesAt(now: number): number {
-    const { route, limitAt } = this.#resolved;
-    if (route.repeatability !== "streaming") {
-      return limitAt - LEAST_TIME_LEFT;
-    }
-    const patience = Math.max(
-      STREAM_PATIENCE,
-      STREAM_PATIENCE_GOALS * route.goal,
-      STREAM_PATIENCE_PAUSES * (route.longestPause ?? 0),
-    );
-    const from = this.#lastEvent === undefined ? this.#call.arrived : now;
-    return Math.min(limitAt, from + patience - FIRST_EVENT_RESERVE);
-  }
-
-  #headers(server: ServerRecord, now: number): string[] {
-    const { names } = this.#context;
-    const { organisation, limitAt } = this.#resolved;
-    const headers = this.#lastEvent === undefined
-      ? [...this.#call.headers]
-      : without(this.#call.headers, names.lastEvent);
-    const left = Math.max(1, Math.floor(limitAt - now));
-    headers.push(names.timeLeft, String(left));
-    headers.push(names.expectedServer, server.id);
-    if (organisation !== "") headers.push(names.organisation, organisation);
-    if (this.#lastEvent !== undefined) {
-      headers.push(names.lastEvent, this.#lastEvent);
-    }
-    return headers;
-  }
-
-  #logAnswered(server: ServerRecord, status: number): void {
-    const { clock, metrics, log } = this.#context;
-    const { service, route } = this.#resolved;
-    const now = clock();
-    const first = (this.#firstAt ?? now) - this.#call.arrived;
-    const time = now - this.#call.arrived;
-    metrics.answers.inc({ service, status: String(status) });
-    metrics.firstByte.observe({ service, route: route.name }, first / 1000);
-    metrics.whole.observe({ service, route: route.name }, time / 1000);
-    log.write({
-      event: "answered",
-      request: this.#call.request,
-      server: server.id,
-      status,
-      first: Math.round(first),
-      time: Math.round(time),
-      promptTokens: this.#resolved.cost.promptTokens,
-      outputTokens: this.#resolved.cost.outputTokens,
-      events: this.#events,
-      longestPause: Math.round(this.#longestPause),
-    });
-  }
-
-  #logLeft(): void {
-    const { clock, log, metrics } = this.#context;
-    metrics.failures.inc({ service: this.#resolved.service, reason: "left" });
-    log.write({
-      event: "left",
-      request: this.#call.request,
-      state: this.#sent > 0 ? "sent" : "waiting",
-      time: Math.round(clock() - this.#call.arrived),
-    });
-  }
-}
-
-/** The same for each try of one request, whoever its caller sends it to. */
-function fingerprintOf(
-  call: Call,
-  body: Buffer | undefined,
-  ownName: string,
-): string {
-  const hash = createHash("sha1");
-  hash.update(`${call.method} ${call.host}${call.target}\n`);
-  hash.update(`${call.credential ?? ""}\n`);
-  for (const part of without(call.headers, ownName)) hash.update(`${part}\n`);
-  if (body !== undefined) hash.update(body);
-  return hash.digest("base64url");
 }
 
 function runEndOf(end: ExchangeEnd): RunEnd {
@@ -554,13 +410,3 @@
       return "abandoned";
   }
 }
-
-function without(headers: readonly string[], name: string): string[] {
-  const kept: string[] = [];
-  const lower = name.toLowerCase();
-  for (let index = 0; index + 1 < headers.length; index += 2) {
-    if (headers[index]!.toLowerCase() === lower) continue;
-    kept.push(headers[index]!, headers[index + 1]!);
-  }
-  return kept;
-}
