--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,18 +2,12 @@
  * One gateway process: the parts, how they hear of each other, and its stop.
  * @module
  */
-import { randomBytes, randomInt } from "node:crypto";
+import { randomBytes } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
-import {
-  incarnationOf,
-  ProcessLifecycle,
-  RetryBudget,
-} from "@sycamorepulley/decisions";
+import { incarnationOf, ProcessLifecycle } from "@sycamorepulley/decisions";
 import type { ServerRecord } from "@sycamorepulley/decisions";
 import type { MetadataStore } from "@sycamorepulley/store";
-import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { ChannelPool } from "./backend/channel_pool.ts";
 import { CallReader } from "./front/call.ts";
 import { Front } from "./front/front.ts";
@@ -26,23 +20,18 @@
 import { HEARTBEAT_EVERY, PeerEvents, Peers } from "./peers/peers.ts";
 import type { PeerMessage } from "./peers/messages.ts";
 import type { PeerStanding } from "./peers/peer_link.ts";
+import { StateSharing } from "./peers/state_sharing.ts";
+import { randomSource } from "./random.ts";
 import { RequestDesk } from "./request/request_desk.ts";
+import { retryBudgets } from "./request/retry_budgets.ts";
 import type { GatewaySettings } from "./settings.ts";
 import { FleetState } from "./state/fleet_state.ts";
-import { decodeMember } from "./state/member_record.ts";
-import { MEMBER_PREFIX, Membership } from "./state/membership.ts";
-import { PrefixFollower } from "./state/prefix_follower.ts";
+import { follow } from "./state/follow.ts";
+import { Membership } from "./state/membership.ts";
 import type { RecordCodec } from "./state/records.ts";
 
 /** Milliseconds between looks at what time alone changes in the queues. */
 const PUMP_EVERY = 10;
-/**
- * Milliseconds that the store holds a watch. Each call has a price; a change is
- * told at once, and only a connection that went silent is found this late.
- */
-const WATCH_WAIT = 2000;
-/** The same for entries, whose peers are heard directly as well. */
-const MEMBER_WATCH_WAIT = 5000;
 /** Milliseconds between log lines on how full services are. */
 const LOAD_EVERY = 1000;
 /** Milliseconds between looks at idle connections. */
@@ -54,9 +43,6 @@
 const KEEP_LISTENING = 3000;
 /** Milliseconds before the process would be killed at which it ends itself. */
 const GRACE_MARGIN = 400;
-/** Part of the fleet's resends that is used: others may count otherwise. */
-const RETRY_PART = 0.6;
-
 /** What a platform gives to a gateway. */
 export type GatewayParts = {
   settings: GatewaySettings;
@@ -89,6 +75,7 @@
   readonly #pool: ChannelPool;
   readonly #granter: Granter;
   readonly #peers: Peers;
+  readonly #sharing: StateSharing;
   readonly #membership: Membership;
   readonly #front: Front;
   readonly #pages: StatusPages;
@@ -96,7 +83,6 @@
   readonly #stopped = new AbortController();
   readonly #timers: NodeJS.Timeout[] = [];
   readonly #servers = new Map<string, ServerRecord>();
-  readonly #budgets = new Map<string, RetryBudget>();
 
   constructor(parts: GatewayParts) {
     const { settings, store, codec, names } = parts;
@@ -140,6 +126,7 @@
       log,
       clock,
     });
+    this.#sharing = new StateSharing(this.#state, this.#peers);
     this.#membership = new Membership({
       store,
       instance,
@@ -160,7 +147,10 @@
         inForce: () => this.#state.inForce,
         current: () => !this.#state.storeLost || this.#peers.heard().length > 0,
         server: (name) => this.#usable(name),
-        retryBudget: (service) => this.#budget(service),
+        retryBudget: retryBudgets(
+          settings,
+          () => this.#state.members.size,
+        ),
       },
     });
     this.#front = new Front((request, response) =>
@@ -178,7 +168,9 @@
     const startedAt = performance.now();
     const { settings } = this;
     const peers = await this.#peers.listen();
-    this.#follow();
+    const { signal } = this.#stopped;
+    const followers = { store: this.#store, codec: this.#codec };
+    follow({ ...followers, state: this.#state, signal });
     void this.#membership.run({ ...settings.peers, port: peers });
     const { readiness, metrics } = settings;
     const ports = {
@@ -239,31 +231,8 @@
   }
 
   received(peer: string, message: PeerMessage): void {
-    if (this.#granter.received(peer, message)) return;
-    switch (message.type) {
-      case "heartbeat":
-        this.#compare(peer, message);
-        return;
-      case "pull_configuration":
-        this.#peers.send(peer, {
-          type: "configuration",
-          ...this.#state.published,
-        });
-        return;
-      case "configuration":
-        this.#state.adopt(message.value, message.revision, peer);
-        return;
-      case "pull_servers":
-        this.#peers.send(peer, {
-          type: "servers",
-          revision: this.#state.directory.revision,
-          records: this.#state.directory.all(),
-        });
-        return;
-      case "servers":
-        this.#state.adoptServers(message.records, message.revision, peer);
-        return;
-      default:
+    if (!this.#granter.received(peer, message)) {
+      this.#sharing.received(peer, message);
     }
   }
 
@@ -296,32 +265,6 @@
       this.#state.inForce !== undefined && this.#state.serversKnown;
   }
 
-  #follow(): void {
-    const store = this.#store;
-    const { signal } = this.#stopped;
-    const followers = [
-      new PrefixFollower({
-        store,
-        prefix: this.#codec.configurationKey,
-        listener: this.#state.configurationListener(),
-        wait: WATCH_WAIT,
-      }),
-      new PrefixFollower({
-        store,
-        prefix: this.#codec.serverPrefix,
-        listener: this.#state.serverListener(),
-        wait: WATCH_WAIT,
-      }),
-      new PrefixFollower({
-        store,
-        prefix: MEMBER_PREFIX,
-        listener: this.#state.memberListener(MEMBER_PREFIX, decodeMember),
-        wait: MEMBER_WATCH_WAIT,
-      }),
-    ];
-    for (const follower of followers) void follower.run(signal);
-  }
-
   #changed(what: "configuration" | "servers" | "members"): void {
     if (what === "configuration") {
       const inForce = this.#state.inForce!;
@@ -350,23 +293,6 @@
     return record && this.#state.directory.mayUse(record) ? record : undefined;
   }
 
-  #budget(service: string): RetryBudget {
-    let budget = this.#budgets.get(service);
-    if (budget === undefined) {
-      const { retryRatio, retrySlack, retryWindowSeconds } =
-        this.#settings.bounds;
-      const entries = Math.max(1, this.#state.members.size);
-      const largest = retrySlack * RETRY_PART / entries;
-      budget = new RetryBudget({
-        share: retryRatio * RETRY_PART,
-        freePerSecond: largest / 2 / retryWindowSeconds,
-        largest: Math.max(2, largest / 2),
-      });
-      this.#budgets.set(service, budget);
-    }
-    return budget;
-  }
-
   #tick(): void {
     this.#peers.tick(this.#state.members);
     // Records that lapsed in an outage are dropped by time alone.
@@ -387,15 +313,6 @@
     });
   }
 
-  #compare(peer: string, standing: PeerStanding): void {
-    if (standing.configurationRevision > this.#state.published.revision) {
-      this.#peers.send(peer, { type: "pull_configuration" });
-    }
-    if (this.#state.behind(standing.serverRevision)) {
-      this.#peers.send(peer, { type: "pull_servers" });
-    }
-  }
-
   #logLoad(): void {
     const { parts } = this.#granter;
     for (const load of this.#granter.loads()) {
@@ -449,9 +366,3 @@
     return this.#gateway.standing();
   }
 }
-
-/** Numbers in [0, 1), seeded anew in each process. */
-function randomSource(): () => number {
-  const generator = xoroshiro128plus(randomInt(2 ** 31));
-  return () => uniformFloat64(generator);
-}
--- /dev/null
+++ b/packages/gateway/src/peers/ask_message.ts
@@ -0,0 +1,57 @@
+/**
+ * Asks as messages. Times are sent as durations: the clocks of two instances are
+ * not compared.
+ * @module
+ */
+import type { Ask } from "@sycamorepulley/decisions";
+import type { AskMessage } from "./messages.ts";
+
+/** `runsAt`: the server that another entry granted already. */
+export function messageOf(ask: Ask, now: number, runsAt?: string): AskMessage {
+  return {
+    type: "ask",
+    id: ask.id,
+    service: ask.service,
+    tierRank: ask.tierRank,
+    organisation: ask.organisation,
+    dataCentre: ask.dataCentre,
+    promptTokens: ask.cost.promptTokens,
+    outputTokens: ask.cost.outputTokens,
+    charge: ask.charge,
+    age: now - ask.arrived,
+    goalIn: ask.goalAt - now,
+    lapsesIn: ask.lapsesAt - now,
+    endsIn: ask.endsAt - now,
+    fingerprint: ask.fingerprint,
+    spread: ask.spread,
+    avoid: [...ask.avoid],
+    resumed: ask.resumed,
+    ...(runsAt === undefined ? {} : { runsAt }),
+  };
+}
+
+/** The ask of a message that `entry` sent. */
+export function askOf(message: AskMessage, entry: string, now: number): Ask {
+  return {
+    id: message.id,
+    entry,
+    service: message.service,
+    tierRank: message.tierRank,
+    organisation: message.organisation,
+    dataCentre: message.dataCentre,
+    cost: {
+      promptTokens: message.promptTokens,
+      outputTokens: message.outputTokens,
+    },
+    charge: message.charge,
+    excess: false,
+    arrived: now - message.age,
+    goalAt: now + message.goalIn,
+    lapsesAt: now + message.lapsesIn,
+    endsAt: now + message.endsIn,
+    fingerprint: message.fingerprint,
+    spread: message.spread,
+    avoid: message.avoid,
+    resumed: message.resumed,
+  };
+}
--- a/packages/gateway/src/peers/granter.ts
+++ b/packages/gateway/src/peers/granter.ts
@@ -10,7 +10,6 @@
 import { Desk, grantingEntry, groupParts } from "@sycamorepulley/decisions";
 import type {
   Ask,
-  AskRefusal,
   AskVerdict,
   GroupParts,
   RunEnd,
@@ -22,30 +21,15 @@
   ServiceLoad,
 } from "@sycamorepulley/decisions";
 import type { EventLog } from "../observe/event_log.ts";
+import { askOf, messageOf } from "./ask_message.ts";
+import { HeldAsk } from "./held_ask.ts";
+import type { GrantAnswer } from "./held_ask.ts";
 import type { AskMessage, PeerMessage } from "./messages.ts";
 import type { Peers } from "./peers.ts";
 
-/** What a request is told; `by` is the entry that decided. */
-export type GrantAnswer =
-  | { kind: "grant"; server: string; by: string }
-  | { kind: "refuse"; reason: AskRefusal; retryAfter: number; by: string };
-
 /** What is asked for one request, with times of this entry's clock. */
 export type GrantRequest = Omit<Ask, "id" | "entry" | "excess">;
 
-/** An ask until its request has ended. */
-export class HeldAsk {
-  readonly ask: Ask;
-  readonly resolve: (answer: GrantAnswer) => void;
-  server: string | undefined;
-  by = "";
-
-  constructor(ask: Ask, resolve: (answer: GrantAnswer) => void) {
-    this.ask = ask;
-    this.resolve = resolve;
-  }
-}
-
 /** An ask under way. */
 export type AskHandle = { id: string; answer: Promise<GrantAnswer> };
 
@@ -351,51 +335,3 @@
   const { reason, retryAfter } = verdict;
   return { kind: "refuse", reason, retryAfter, by };
 }
-
-function messageOf(ask: Ask, now: number, runsAt?: string): AskMessage {
-  return {
-    type: "ask",
-    id: ask.id,
-    service: ask.service,
-    tierRank: ask.tierRank,
-    organisation: ask.organisation,
-    dataCentre: ask.dataCentre,
-    promptTokens: ask.cost.promptTokens,
-    outputTokens: ask.cost.outputTokens,
-    charge: ask.charge,
-    age: now - ask.arrived,
-    goalIn: ask.goalAt - now,
-    lapsesIn: ask.lapsesAt - now,
-    endsIn: ask.endsAt - now,
-    fingerprint: ask.fingerprint,
-    spread: ask.spread,
-    avoid: [...ask.avoid],
-    resumed: ask.resumed,
-    ...(runsAt === undefined ? {} : { runsAt }),
-  };
-}
-
-function askOf(message: AskMessage, entry: string, now: number): Ask {
-  return {
-    id: message.id,
-    entry,
-    service: message.service,
-    tierRank: message.tierRank,
-    organisation: message.organisation,
-    dataCentre: message.dataCentre,
-    cost: {
-      promptTokens: message.promptTokens,
-      outputTokens: message.outputTokens,
-    },
-    charge: message.charge,
-    excess: false,
-    arrived: now - message.age,
-    goalAt: now + message.goalIn,
-    lapsesAt: now + message.lapsesIn,
-    endsAt: now + message.endsIn,
-    fingerprint: message.fingerprint,
-    spread: message.spread,
-    avoid: message.avoid,
-    resumed: message.resumed,
-  };
-}
--- a/packages/gateway/src/request/request_task.ts
+++ b/packages/gateway/src/request/request_task.ts
@@ -11,7 +11,7 @@
 import type { RunEnd, ServerRecord } from "@sycamorepulley/decisions";
 import type { Channel } from "../backend/channel.ts";
 import type { Call } from "../front/call.ts";
-import type { GrantAnswer } from "../peers/granter.ts";
+import type { GrantAnswer } from "../peers/held_ask.ts";
 import { AnswerProgress } from "./answer_progress.ts";
 import { backendHeaders, fingerprintOf } from "./backend_headers.ts";
 import type { Caller } from "./caller.ts";
--- a/packages/gateway/src/state/fleet_state.ts
+++ b/packages/gateway/src/state/fleet_state.ts
@@ -13,8 +13,9 @@
 } from "@sycamorepulley/store";
 import type { EventLog } from "../observe/event_log.ts";
 import { ConfigurationInForce } from "./gateway_configuration.ts";
-import { PrefixListener } from "./prefix_follower.ts";
+import type { PrefixListener } from "./prefix_follower.ts";
 import type { RecordCodec } from "./records.ts";
+import { StateListener } from "./state_listener.ts";
 
 /** Milliseconds of failed calls after which the store counts as lost. */
 const STORE_LOST_AFTER = 1000;
@@ -149,7 +150,7 @@
 
   /** Listens to the configuration's key. */
   configurationListener(): PrefixListener {
-    return new Listener(this, {
+    return new StateListener(this, {
       snapshot: (items) => items.forEach((item) => this.#configuration(item)),
       change: (change) => {
         if (change.kind === "written") this.#configuration(change.item);
@@ -159,7 +160,7 @@
 
   /** Listens to the backend servers' keys. */
   serverListener(): PrefixListener {
-    return new Listener(this, {
+    return new StateListener(this, {
       snapshot: (items, asOf) => {
         const records = items.map((item) => this.#server(item))
           .filter((record) => record !== undefined);
@@ -185,7 +186,7 @@
         this.members.set(item.key.slice(prefix.length), member);
       }
     };
-    return new Listener(this, {
+    return new StateListener(this, {
       snapshot: (items) => {
         for (const name of this.members.keys()) this.#depart(name);
         this.members.clear();
@@ -268,37 +269,3 @@
     });
   }
 }
-
-type ListenerActions = {
-  snapshot: (items: readonly StoredItem[], asOf: number) => void;
-  change: (change: ItemChange) => void;
-  advanced?: (asOf: number, any: boolean) => void;
-};
-
-class Listener extends PrefixListener {
-  readonly #state: FleetState;
-  readonly #actions: ListenerActions;
-
-  constructor(state: FleetState, actions: ListenerActions) {
-    super();
-    this.#state = state;
-    this.#actions = actions;
-  }
-
-  override snapshot(items: readonly StoredItem[], asOf: number): void {
-    this.#actions.snapshot(items, asOf);
-  }
-
-  override changes(changes: readonly ItemChange[], asOf: number): void {
-    for (const change of changes) this.#actions.change(change);
-    this.#actions.advanced?.(asOf, changes.length > 0);
-  }
-
-  override heard(): void {
-    this.#state.storeHeard();
-  }
-
-  override failed(error: PlatformError): void {
-    this.#state.storeFailed(error);
-  }
-}
--- /dev/null
+++ b/packages/gateway/src/state/follow.ts
@@ -0,0 +1,35 @@
+/** What a gateway follows in the store. @module */
+import type { MetadataStore } from "@sycamorepulley/store";
+import type { FleetState } from "./fleet_state.ts";
+import { decodeMember } from "./member_record.ts";
+import { MEMBER_PREFIX } from "./membership.ts";
+import { PrefixFollower } from "./prefix_follower.ts";
+import type { PrefixListener } from "./prefix_follower.ts";
+import type { RecordCodec } from "./records.ts";
+
+/**
+ * Milliseconds that the store holds a watch. Each call has a price; a change is
+ * told at once, and only a connection that went silent is found this late.
+ */
+const WATCH_WAIT = 2000;
+/** The same for entries, whose peers are heard directly as well. */
+const MEMBER_WATCH_WAIT = 5000;
+
+/** Follows configuration, backend servers and entries until the signal. */
+export function follow(
+  options: {
+    store: MetadataStore;
+    codec: RecordCodec;
+    state: FleetState;
+    signal: AbortSignal;
+  },
+): void {
+  const { store, codec, state, signal } = options;
+  const start = (prefix: string, listener: PrefixListener, wait: number) => {
+    void new PrefixFollower({ store, prefix, listener, wait }).run(signal);
+  };
+  start(codec.configurationKey, state.configurationListener(), WATCH_WAIT);
+  start(codec.serverPrefix, state.serverListener(), WATCH_WAIT);
+  const members = state.memberListener(MEMBER_PREFIX, decodeMember);
+  start(MEMBER_PREFIX, members, MEMBER_WATCH_WAIT);
+}
