--- a/packages/decisions/src/dispatch/ask.ts
+++ b/packages/decisions/src/dispatch/ask.ts
@@ -34,8 +34,6 @@
   spread: number;
   /** Servers that this request was sent to before. */
   avoid: readonly string[];
-  /** Waited or ran before: goes before others of its tier. */
-  resumed: boolean;
 };
 
 /** Why an ask was turned away; none of them has run for it. */
--- a/packages/decisions/test/burst_test.ts
+++ b/packages/decisions/test/burst_test.ts
@@ -1,6 +1,7 @@
 import t from "tap";
 import { ServiceDesk } from "../src/mod.ts";
-import type { Ask, ServerRecord } from "../src/mod.ts";
+import type { Ask } from "../src/mod.ts";
+import { serverRecord } from "./server_record.ts";
 
 /*
  * Six engines of two places; for four seconds twice as many requests arrive as
@@ -15,20 +16,6 @@
 const SPACING = 10;
 const TIME_PER_TOKEN = 1;
 
-function serverRecord(index: number): ServerRecord {
-  return {
-    id: `s${index}`,
-    startedAt: 1,
-    service: "assistant",
-    host: "10.0.0.1",
-    port: 80 + index,
-    dataCentre: "a",
-    version: "v1",
-    slots: PLACES,
-    draining: false,
-  };
-}
-
 /** Lengths of a lognormal spread, in a fixed mixed order. */
 function lengthOf(index: number): number {
   const position = ((index * 7919) % ARRIVALS + 0.5) / ARRIVALS;
@@ -38,7 +25,12 @@
 
 function onTime(estimate: (tokens: number) => number): number {
   const desk = new ServiceDesk();
-  desk.setServers(Array.from({ length: SERVERS }, (_, i) => serverRecord(i)));
+  desk.setServers(
+    Array.from(
+      { length: SERVERS },
+      (_, index) => serverRecord(`s${index}`, { slots: PLACES }),
+    ),
+  );
   const ends: { at: number; id: string }[] = [];
   let served = 0;
   for (let now = 0; now < ARRIVALS * SPACING + 3000; now += 5) {
@@ -78,7 +70,6 @@
     fingerprint: String(index),
     spread: 0.5,
     avoid: [],
-    resumed: false,
   };
 }
 
--- a/packages/decisions/test/server_directory_test.ts
+++ b/packages/decisions/test/server_directory_test.ts
@@ -1,21 +1,6 @@
 import t from "tap";
 import { ServerDirectory } from "../src/mod.ts";
-import type { ServerRecord } from "../src/mod.ts";
-
-function server(id: string, changes: Partial<ServerRecord> = {}): ServerRecord {
-  return {
-    id,
-    startedAt: 1,
-    service: "assistant",
-    host: "10.0.0.1",
-    port: 80,
-    dataCentre: "a",
-    version: "v1",
-    slots: 2,
-    draining: false,
-    ...changes,
-  };
-}
+import { serverRecord as server } from "./server_record.ts";
 
 function ids(directory: ServerDirectory, now: number): string[] {
   return directory.usable(now).map(({ id }) => id);
--- a/packages/decisions/test/service_desk_test.ts
+++ b/packages/decisions/test/service_desk_test.ts
@@ -1,21 +1,7 @@
 import t from "tap";
 import { ServiceDesk } from "../src/mod.ts";
-import type { Ask, AskVerdict, ServerRecord } from "../src/mod.ts";
-
-function server(id: string, changes: Partial<ServerRecord> = {}): ServerRecord {
-  return {
-    id,
-    startedAt: 1,
-    service: "assistant",
-    host: "10.0.0.1",
-    port: 80,
-    dataCentre: "a",
-    version: "v1",
-    slots: 2,
-    draining: false,
-    ...changes,
-  };
-}
+import type { Ask, AskVerdict } from "../src/mod.ts";
+import { serverRecord as server } from "./server_record.ts";
 
 let number = 0;
 function ask(changes: Partial<Ask> = {}): Ask {
@@ -38,7 +24,6 @@
     fingerprint: `print-${number}`,
     spread: 0.5,
     avoid: [],
-    resumed: false,
     ...changes,
   };
 }
--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -66,7 +66,6 @@
     reason: string;
     sent: number;
   }
-  | { event: "resumed"; request: string; server: string; after: string }
   | {
     event: "cut";
     request: string;
--- a/packages/gateway/src/peers/ask_message.ts
+++ b/packages/gateway/src/peers/ask_message.ts
@@ -25,7 +25,6 @@
     fingerprint: ask.fingerprint,
     spread: ask.spread,
     avoid: [...ask.avoid],
-    resumed: ask.resumed,
     ...(runsAt === undefined ? {} : { runsAt }),
   };
 }
@@ -52,6 +51,5 @@
     fingerprint: message.fingerprint,
     spread: message.spread,
     avoid: message.avoid,
-    resumed: message.resumed,
   };
 }
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -27,7 +27,6 @@
   fingerprint: text,
   spread: duration,
   avoid: v.array(text),
-  resumed: v.boolean(),
   /** Server that another entry granted already: it is counted, not granted. */
   runsAt: v.optional(text),
 });
--- a/packages/gateway/src/request/request_desk.ts
+++ b/packages/gateway/src/request/request_desk.ts
@@ -66,6 +66,10 @@
       return;
     }
     if (caller.left) return;
+    if (limits !== undefined && headSize(request) > limits.headerBytes) {
+      this.#refuse(response, call, "head_too_large");
+      return;
+    }
     const resolved = resolveCall(call, inForce(), random());
     if (resolved.isErr) {
       this.#refuse(response, call, resolved.error);
@@ -104,3 +108,13 @@
     });
   }
 }
+
+/** Bytes of the request line and the headers, as they were sent. */
+function headSize(request: IncomingMessage): number {
+  const { method = "", url = "", rawHeaders } = request;
+  // Each name and each value has two characters more: ": " or a line's end.
+  return rawHeaders.reduce(
+    (size, text) => size + text.length + 2,
+    method.length + url.length,
+  );
+}
--- a/packages/gateway/src/request/request_task.ts
+++ b/packages/gateway/src/request/request_task.ts
@@ -151,7 +151,6 @@
       fingerprint: this.#fingerprint,
       spread: this.#context.random(),
       avoid: [...this.#avoid],
-      resumed: lastEvent !== undefined,
     });
     const verdict = await this.#orStopped(answer);
     if (verdict === undefined) {
--- a/packages/gateway/src/request/resolve_call.ts
+++ b/packages/gateway/src/request/resolve_call.ts
@@ -26,8 +26,7 @@
 export type CallProblem =
   | "no_configuration"
   | "no_route"
-  | "bad_credential"
-  | "head_too_large";
+  | "bad_credential";
 
 /**
  * Tokens of an answer beside the most that its caller allows, where the caller
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -28,10 +28,6 @@
   metrics: address,
   /** Entries to ask before the store has told of any: `host:port`. */
   seeds: v.array(address),
-  limits: v.object({
-    memoryMegabytes: positive,
-    descriptors: positive,
-  }),
   bounds: v.object({
     /** From a request to stop until the process is killed. */
     gracePeriodSeconds: positive,
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -158,7 +158,6 @@
         peers: anyPort,
         metrics: anyPort,
         seeds: options.seeds ?? [],
-        limits: { memoryMegabytes: 200, descriptors: 1000 },
         bounds: {
           gracePeriodSeconds: 2,
           retryRatio: 0.2,
--- a/packages/gateway/test/request_path_test.ts
+++ b/packages/gateway/test/request_path_test.ts
@@ -1,6 +1,6 @@
 import t from "tap";
 import { Fixture } from "./fixture.ts";
-import { event, sealed, stream } from "./stand_in_server.ts";
+import { event, rawHead, sealed, stream } from "./stand_in_server.ts";
 
 t.test("a request is forwarded as it is, with the system's own headers", async (t) => {
   const fixture = await Fixture.ready();
@@ -42,6 +42,8 @@
   t.equal((await fixture.call("/calls/", { headers: wrong })).status, 401);
   const long = { method: "POST", body: "x".repeat(2000) };
   t.equal((await fixture.call("/calls/", long)).status, 413);
+  const head = { "x-long": "x".repeat(16_400) };
+  t.equal((await fixture.call("/calls/", { headers: head })).status, 431);
   t.equal(fixture.servers.flatMap(({ received }) => received).length, 0);
   await fixture.stop();
 });
@@ -121,10 +123,9 @@
   const fixture = await Fixture.ready();
   for (const server of fixture.servers) {
     server.answer = (_response, received, socket) => {
-      const name = String(received.headers["x-request"]);
       socket.write(
-        `HTTP/1.1 200 OK\r\nConnection: close\r\nX-Request: ${name}\r\n` +
-          "X-Seal: sealed\r\n\r\nhalf",
+        rawHead(received) +
+          "\r\nhalf",
       );
       setTimeout(() => socket.resetAndDestroy(), 30);
     };
@@ -140,10 +141,9 @@
   const fixture = await Fixture.ready();
   for (const server of fixture.servers) {
     server.answer = (_response, received, socket) => {
-      const name = String(received.headers["x-request"]);
       socket.write(
-        `HTTP/1.1 200 OK\r\nConnection: close\r\nX-Request: ${name}\r\n` +
-          "X-Seal: sealed\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        rawHead(received) +
+          "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
       );
       setTimeout(() => socket.end(), 30);
     };
@@ -157,10 +157,9 @@
   const fixture = await Fixture.ready();
   for (const server of fixture.servers) {
     server.answer = (_response, received, socket) => {
-      const name = String(received.headers["x-request"]);
       socket.end(
-        `HTTP/1.1 200 OK\r\nConnection: close\r\nX-Request: ${name}\r\n` +
-          "X-Seal: sealed\r\nTransfer-Encoding: chunked\r\n\r\n" +
+        rawHead(received) +
+          "Transfer-Encoding: chunked\r\n\r\n" +
           "5\r\nwhole\r\n0\r\n\r\n",
       );
     };
@@ -177,10 +176,9 @@
   const fixture = await Fixture.ready();
   for (const server of fixture.servers) {
     server.answer = (_response, received, socket) => {
-      const name = String(received.headers["x-request"]);
       socket.end(
-        `HTTP/1.1 200 OK\r\nConnection: close\r\nX-Request: ${name}\r\n` +
-          "X-Seal: sealed\r\n\r\npart or whole",
+        rawHead(received) +
+          "\r\npart or whole",
       );
     };
   }
--- a/packages/gateway/test/stand_in_server.ts
+++ b/packages/gateway/test/stand_in_server.ts
@@ -82,3 +82,10 @@
 export function event(id: number): string {
   return `id: ${id}\ndata: piece ${id}\n\n`;
 }
+
+/** The start of an answer as bytes, on a connection that is to close after it. */
+export function rawHead(received: Received): string {
+  const name = String(received.headers["x-request"]);
+  return `HTTP/1.1 200 OK\r\nConnection: close\r\nX-Request: ${name}\r\n` +
+    "X-Seal: sealed\r\n";
+}
