--- a/packages/daemon/src/common/end_to_end_headers.ts
+++ b/packages/daemon/src/common/end_to_end_headers.ts
@@ -1,20 +1,7 @@
 /** Headers that pass through, and those that end at a connection. @module */
+import { CONNECTION_HEADERS } from "@sycamorepulley/protocol";
 import type { Headers } from "@sycamorepulley/protocol";
 
-/** Headers that concern one connection only (RFC 9110, section 7.6.1). */
-const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
-  "connection",
-  "keep-alive",
-  "proxy-authenticate",
-  "proxy-authorization",
-  "proxy-connection",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
-  "expect",
-]);
-
 /** `headers` without those of the connection or named in `except`. */
 export function endToEndHeaders(
   headers: Record<string, string | string[] | undefined>,
--- a/packages/gateway/src/front/forwarded_headers.ts
+++ b/packages/gateway/src/front/forwarded_headers.ts
@@ -1,17 +1,9 @@
 /** Which headers go on to the other side. @module */
+import { CONNECTION_HEADERS } from "@sycamorepulley/protocol";
 
-/** Headers that concern one connection only (RFC 9110, section 7.6.1). */
-const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
-  "connection",
-  "keep-alive",
-  "proxy-authenticate",
-  "proxy-authorization",
-  "proxy-connection",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
-  "expect",
+/** A body's length is stated anew by whoever sends it on. */
+const DROPPED: ReadonlySet<string> = new Set([
+  ...CONNECTION_HEADERS,
   "content-length",
 ]);
 
@@ -30,7 +22,7 @@
   for (let index = 0; index + 1 < raw.length; index += 2) {
     const name = raw[index]!;
     const lower = name.toLowerCase();
-    if (CONNECTION_HEADERS.has(lower) || dropped.has(lower)) continue;
+    if (DROPPED.has(lower) || dropped.has(lower)) continue;
     if (named.has(lower) && !kept.has(lower)) continue;
     forwarded.push(name, raw[index + 1]!);
   }
@@ -47,7 +39,7 @@
   const kept: Record<string, string | string[]> = {};
   for (const [name, value] of Object.entries(headers)) {
     if (value === undefined || named.has(name)) continue;
-    if (CONNECTION_HEADERS.has(name)) continue;
+    if (DROPPED.has(name)) continue;
     kept[name] = value;
   }
   return kept;
--- /dev/null
+++ b/packages/protocol/src/connection_headers.ts
@@ -0,0 +1,15 @@
+/** HTTP headers that end at a connection. @module */
+
+/** Headers that concern one connection only (RFC 9110, section 7.6.1). */
+export const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "expect",
+]);
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -1,5 +1,6 @@
 /** The processes' own protocol: messages, frames and links. @module */
 export * from "./messages.ts";
+export { CONNECTION_HEADERS } from "./connection_headers.ts";
 export {
   encodeFrame,
   FRAME_HEADER_BYTES,
