Bundle the state machine library; the program needed node_modules beside it

Cause: robot3's wrapper loads it by require, which the bundler leaves as it is. One wrapper serves both state machines now.

--- a/deploy/build.js
+++ b/deploy/build.js
@@ -1,6 +1,6 @@
 /**
- * Bundles each role into one file: a bundle starts faster and takes less memory
- * than several hundred modules.
+ * Bundles each role into one file below `target/`, or the folder that is named:
+ * a bundle starts faster and takes less memory than several hundred modules.
  * @module
  */
 import { build } from "esbuild";
@@ -36,10 +36,27 @@
   },
 };
 
+/**
+ * Takes the state machine library into the bundle. Its wrapper loads it by
+ * `require`, which a bundler does not follow: the program then ended at its
+ * start wherever `node_modules` was not beside it.
+ */
+const withStateMachines = {
+  name: "state-machines",
+  setup({ onLoad }) {
+    onLoad({ filter: /[/\\]lifecycle[/\\]robot\.ts$/ }, () => ({
+      contents: 'export * as robot from "robot3";',
+      resolveDir: "packages/decisions",
+    }));
+  },
+};
+
+const [outdir = "target"] = process.argv.slice(2);
+
 await build({
-  plugins: [withoutWeb],
+  plugins: [withoutWeb, withStateMachines],
   entryPoints: { gateway: "platform/src/main.ts" },
-  outdir: "target",
+  outdir,
   outExtension: { ".js": ".mjs" },
   bundle: true,
   platform: "node",
--- a/packages/decisions/src/moves/move_machine.ts
+++ b/packages/decisions/src/moves/move_machine.ts
@@ -1,11 +1,8 @@
 /** The phases of a move and what leads from one to the next. @module */
-import { createRequire } from "node:module";
+import { robot } from "../lifecycle/robot.ts";
 import type { MovePhase } from "./move_record.ts";
 
-const load = createRequire(import.meta.url);
-const { createMachine, interpret, state, transition } = load(
-  "robot3",
-) as typeof import("robot3");
+const { createMachine, interpret, state, transition } = robot;
 
 /** What may happen to a move. */
 export type MoveEvent = "start" | "raise" | "finish" | "takeBack";
