Learn from pauses how much an engine may read at a time

Cause: prompts are read between the tokens of all answers beside them. Ruled out: the number of requests at the engine.

Change: each server has a learned limit of prompt tokens being read. Test fails with the limit taken out.

--- a/packages/decisions/src/dispatch/ask_queue.ts
+++ b/packages/decisions/src/dispatch/ask_queue.ts
@@ -22,8 +22,11 @@
   }
 }
 
-/** Asks passed over in one search before it ends: a bound on its time. */
-const MOST_PASSED_OVER = 16;
+/**
+ * Asks passed over in one search before it ends: a bound on its time. A burst has
+ * 30 to 60 waiting, and long prompts in front find no room at slow servers.
+ */
+const MOST_PASSED_OVER = 40;
 
 /** Weight of the order of arrival among asks of one millisecond. */
 const SEQUENCE_WEIGHT = 1e-9;
--- a/packages/decisions/src/dispatch/desk.ts
+++ b/packages/decisions/src/dispatch/desk.ts
@@ -8,6 +8,7 @@
 import { OrganisationQuotas } from "../quotas/mod.ts";
 import type { Quota, QuotaLeeway } from "../quotas/mod.ts";
 import type { Ask, AskVerdict, RunEnd } from "./ask.ts";
+import type { AnswerPace } from "./server_room.ts";
 import { ServiceDesk } from "./service_desk.ts";
 
 /** Ends after which the quota's charge is taken back. */
@@ -113,13 +114,8 @@
   }
 
   /** See {@link ServiceDesk.restAnswered}. */
-  restAnswered(
-    id: string,
-    tokens: number,
-    measured: number,
-    now: number,
-  ): void {
-    this.#deskOf(id)?.restAnswered(id, tokens, measured, now);
+  restAnswered(id: string, pace: AnswerPace, now: number): void {
+    this.#deskOf(id)?.restAnswered(id, pace, now);
   }
 
   /** See {@link ServiceDesk.ended}. */
--- a/packages/decisions/src/dispatch/mod.ts
+++ b/packages/decisions/src/dispatch/mod.ts
@@ -2,4 +2,5 @@
 export type { Ask, AskRefusal, AskVerdict, RunEnd } from "./ask.ts";
 export { Desk } from "./desk.ts";
 export type { ServiceLoad } from "./desk.ts";
+export type { AnswerPace } from "./server_room.ts";
 export { ServiceDesk } from "./service_desk.ts";
--- a/packages/decisions/src/dispatch/server_room.ts
+++ b/packages/decisions/src/dispatch/server_room.ts
@@ -3,6 +3,7 @@
 import type { Cost } from "../queueing/mod.ts";
 import type { Ask } from "./ask.ts";
 import { nominalFirst, nominalRest, Pace } from "./pace.ts";
+import { ReadingLimit } from "./reading_limit.ts";
 
 /**
  * Milliseconds of prompts that a server may have to read at a time. Prompts are
@@ -25,13 +26,29 @@
 /** Paces of a whole service, for servers that nothing is known of. */
 export type ServicePaces = { first: number; rest: number };
 
-type Run = { entry: string; cost: Cost; unread: boolean };
+/** Of the part that an answer had beyond its first token. */
+export type AnswerPace = {
+  tokens: number;
+  /** Milliseconds that they took. */
+  measured: number;
+  /** Longest pause between two events, over the longest that is accepted. */
+  pausePart: number;
+};
+
+type Run = {
+  entry: string;
+  cost: Cost;
+  unread: boolean;
+  /** Most prompt tokens that the server had to read at a time meanwhile. */
+  mostUnread: number;
+};
 
 /** One server's runs, by ask. */
 export class ServerRoom {
   record: ServerRecord;
   readonly #first = new Pace();
   readonly #rest = new Pace();
+  readonly #reading = new ReadingLimit();
   readonly #runs = new Map<string, Run>();
   #unreadTokens = 0;
   #downUntil = -Infinity;
@@ -47,12 +64,31 @@
     return this.#runs.size;
   }
 
-  /** Whether the server may be given the ask; `part`: see `GroupParts`. */
-  admits(ask: Ask, part: number, paces: ServicePaces, now: number): boolean {
+  /** Prompt tokens that it may have to read at a time. */
+  get readingLimit(): number {
+    return this.#reading.tokens;
+  }
+
+  /** Whether a further request may run; `part`: see `GroupParts`. */
+  hasPlace(part: number): boolean {
+    return this.#runs.size < this.#largest(part);
+  }
+
+  /**
+   * Whether the server may be given the ask. `largestLimit`: the largest reading
+   * limit of the service's servers.
+   */
+  admits(
+    ask: Ask,
+    view: { part: number; paces: ServicePaces; largestLimit: number },
+    now: number,
+  ): boolean {
+    const { part, paces, largestLimit } = view;
     if (!this.#reachable(ask.entry, now)) return false;
-    if (this.#runs.size >= this.#largest(part)) return false;
+    if (!this.hasPlace(part)) return false;
     const { cost } = ask;
     if (cost.promptTokens === 0) return true;
+    if (!this.#mayRead(cost.promptTokens, largestLimit)) return false;
     const rest = this.#rest.ratio(now, paces.rest) * nominalRest(cost);
     const slow = this.#rest.ratio(now, paces.rest) > paces.rest;
     if (slow && rest > LONGEST_RUN_PART * (ask.endsAt - now)) return false;
@@ -77,9 +113,13 @@
   }
 
   started(ask: Ask): void {
-    const unread = ask.cost.promptTokens > 0;
-    this.#runs.set(ask.id, { entry: ask.entry, cost: ask.cost, unread });
-    if (unread) this.#unreadTokens += ask.cost.promptTokens;
+    const { entry, cost } = ask;
+    const unread = cost.promptTokens > 0;
+    if (unread) this.#unreadTokens += cost.promptTokens;
+    this.#runs.set(ask.id, { entry, cost, unread, mostUnread: 0 });
+    for (const run of this.#runs.values()) {
+      run.mostUnread = Math.max(run.mostUnread, this.#unreadTokens);
+    }
   }
 
   /** The first answer came, `measured` milliseconds after the request was sent. */
@@ -92,10 +132,15 @@
     return run.cost;
   }
 
-  /** `tokens` came in `measured` milliseconds after the first. */
-  restAnswered(tokens: number, measured: number, now: number): void {
+  /** All after the first token of an answer came. */
+  restAnswered(id: string, pace: AnswerPace, now: number): void {
+    const { tokens, measured, pausePart } = pace;
     const cost = { promptTokens: 1, outputTokens: tokens };
     this.#rest.observe(measured, nominalRest(cost), now);
+    const run = this.#runs.get(id);
+    if (run !== undefined) {
+      this.#reading.observe(pausePart, run.mostUnread, now);
+    }
   }
 
   ended(id: string): boolean {
@@ -132,6 +177,12 @@
     if (this.#unreachableFrom.size > 1) this.refusedConnection(now);
   }
 
+  /** Prompts beyond every server's limit go to one that can take most. */
+  #mayRead(tokens: number, largestLimit: number): boolean {
+    if (this.#unreadTokens + tokens <= this.#reading.tokens) return true;
+    return this.#unreadTokens === 0 && this.#reading.tokens >= largestLimit;
+  }
+
   #reachable(entry: string, now: number): boolean {
     if (now < this.#downUntil) return false;
     return now >= (this.#unreachableFrom.get(entry) ?? -Infinity);
--- a/packages/decisions/src/dispatch/service_desk.ts
+++ b/packages/decisions/src/dispatch/service_desk.ts
@@ -20,7 +20,7 @@
 import { nominalFirst, nominalRest, Pace } from "./pace.ts";
 import { ReturningCallers } from "./returning_callers.ts";
 import { ServerRoom } from "./server_room.ts";
-import type { ServicePaces } from "./server_room.ts";
+import type { AnswerPace, ServicePaces } from "./server_room.ts";
 
 /**
  * Milliseconds that a server of another data centre must be faster by, to be
@@ -41,6 +41,13 @@
 const SHORTEST_RETRY = 1500;
 const RETRY_SPREAD = 2000;
 
+/** What a choice among a service's servers goes by, worked out once for all. */
+type ServiceView = {
+  part: number;
+  paces: ServicePaces;
+  largestLimit: number;
+};
+
 type Granted = { ask: Ask; server: string };
 
 /** Grants servers of one service. Verdicts are drawn by `verdicts`. */
@@ -147,18 +154,13 @@
     this.#ejection.succeeded(granted.server, now, measured / nominal);
   }
 
-  /** After the first, `tokens` came in `measured` milliseconds. */
-  restAnswered(
-    id: string,
-    tokens: number,
-    measured: number,
-    now: number,
-  ): void {
+  /** All after the first token of an answer came; call it before `ended`. */
+  restAnswered(id: string, pace: AnswerPace, now: number): void {
     const granted = this.#granted.get(id);
-    if (granted === undefined || tokens <= 0) return;
-    this.#rooms.get(granted.server)?.restAnswered(tokens, measured, now);
-    const cost = { promptTokens: 1, outputTokens: tokens };
-    this.#rest.observe(measured, nominalRest(cost), now);
+    if (granted === undefined || pace.tokens <= 0) return;
+    this.#rooms.get(granted.server)?.restAnswered(id, pace, now);
+    const cost = { promptTokens: 1, outputTokens: pace.tokens };
+    this.#rest.observe(pace.measured, nominalRest(cost), now);
   }
 
   /** States how a granted request ended. */
@@ -195,10 +197,16 @@
   }
 
   #grantNext(now: number): AskVerdict | undefined {
-    const paces = this.#paces(now);
+    const rooms = [...this.#rooms.values()];
+    if (!rooms.some((room) => room.hasPlace(this.#part))) return undefined;
+    const view = {
+      part: this.#part,
+      paces: this.#paces(now),
+      largestLimit: Math.max(...rooms.map((room) => room.readingLimit)),
+    };
     let server: string | undefined;
     const waiting = this.#queue.take((ask) => {
-      server = this.#choose(ask, paces, now);
+      server = this.#choose(ask, view, now);
       return server !== undefined;
     });
     if (waiting === undefined || server === undefined) return undefined;
@@ -211,12 +219,13 @@
   }
 
   /** The server with room that is expected to be done soonest. */
-  #choose(ask: Ask, paces: ServicePaces, now: number): string | undefined {
+  #choose(ask: Ask, view: ServiceView, now: number): string | undefined {
+    const { paces } = view;
     let best: string | undefined;
     let bestScore = Infinity;
     for (const [name, room] of this.#rooms) {
       if (ask.avoid.includes(name)) continue;
-      if (!room.admits(ask, this.#part, paces, now)) continue;
+      if (!room.admits(ask, view, now)) continue;
       if (!this.#ejection.allowed(name, now)) continue;
       const near = room.record.dataCentre === ask.dataCentre;
       const score = room.expectedFirst(ask.cost, paces, now) +
--- a/packages/decisions/test/service_desk_test.ts
+++ b/packages/decisions/test/service_desk_test.ts
@@ -161,7 +161,8 @@
     if (verdict?.kind !== "grant") return t.fail("not granted");
     const slow = verdict.server.startsWith("slow");
     desk.firstAnswer(one.id, slow ? 150 : 80, count);
-    desk.restAnswered(one.id, 100, slow ? 1500 : 250, count);
+    const measured = slow ? 1500 : 250;
+    desk.restAnswered(one.id, { tokens: 100, measured, pausePart: 0 }, count);
     desk.ended(one.id, "answered", count);
   }
   const servers: string[] = [];
@@ -175,6 +176,47 @@
   t.end();
 });
 
+t.test("long prompts keep off servers whose answers they stop", (t) => {
+  // A slow engine reads a long prompt in between the tokens of all answers
+  // beside it: their events come half a second apart, and eleven callers count
+  // their answers as late. The fast engine beside it reads the same unnoticed.
+  const desk = new ServiceDesk();
+  desk.setServers([server("slow", { slots: 9 }), server("fast", { slots: 9 })]);
+  const cost = { promptTokens: 9000, outputTokens: 100 };
+  const long = (now: number) =>
+    ask({ cost, arrived: now, goalAt: now + 5000, lapsesAt: now + 9000 });
+  for (let now = 0; now < 12_000; now += 300) {
+    desk.ask(long(now), now);
+    desk.ask(long(now), now);
+    for (const verdict of desk.verdicts(now)) {
+      if (verdict.kind !== "grant") return t.fail("not granted");
+      const slow = verdict.server.startsWith("slow");
+      const pausePart = slow ? 2 : 0.3;
+      desk.firstAnswer(verdict.ask.id, 150, now);
+      const pace = { tokens: 100, measured: 400, pausePart };
+      desk.restAnswered(verdict.ask.id, pace, now);
+      desk.ended(verdict.ask.id, "answered", now);
+    }
+  }
+  const servers: string[] = [];
+  for (const one of [long(12_000), long(12_000), long(12_000)]) {
+    desk.ask(one, 12_000);
+  }
+  const short = { promptTokens: 600, outputTokens: 100 };
+  for (let count = 0; count < 9; count++) {
+    desk.ask(ask({ cost: short, arrived: 12_000 }), 12_000);
+  }
+  for (const verdict of desk.verdicts(12_000)) {
+    if (verdict.kind !== "grant") continue;
+    const size = verdict.ask.cost.promptTokens === 9000 ? "long" : "short";
+    servers.push(`${size} at ${verdict.server}`);
+  }
+  t.notOk(servers.includes("long at slow@1"));
+  t.ok(servers.includes("long at fast@1"));
+  t.ok(servers.includes("short at slow@1"), "which it serves in time");
+  t.end();
+});
+
 t.test("a request that every server was tried for is refused at once", (t) => {
   const desk = new ServiceDesk();
   desk.setServers([server("x")]);
--- a/packages/gateway/src/peers/granter.ts
+++ b/packages/gateway/src/peers/granter.ts
@@ -9,6 +9,7 @@
  */
 import { Desk, grantingEntry, groupParts } from "@sycamorepulley/decisions";
 import type {
+  AnswerPace,
   Ask,
   AskVerdict,
   GroupParts,
@@ -27,6 +28,8 @@
 import type { AskMessage, PeerMessage } from "./messages.ts";
 import type { Peers } from "./peers.ts";
 
+const NO_ANSWER: AnswerPace = { tokens: 0, measured: 0, pausePart: 0 };
+
 /** What is asked for one request, with times of this entry's clock. */
 export type GrantRequest = Omit<Ask, "id" | "entry" | "excess">;
 
@@ -160,23 +163,17 @@
     this.#peers().send(this.#granting, { type: "first_answer", id, measured });
   }
 
-  /** After the first, `tokens` came in `measured` milliseconds. */
-  ended(id: string, end: RunEnd, tokens = 0, measured = 0): void {
+  /** `pace`: how the answer came after its first token, if it did. */
+  ended(id: string, end: RunEnd, pace: AnswerPace = NO_ANSWER): void {
     if (!this.#held.delete(id)) return;
     if (this.#granting === this.#instance) {
       const now = this.#clock();
-      this.#desk.restAnswered(id, tokens, measured, now);
+      this.#desk.restAnswered(id, pace, now);
       this.#desk.ended(id, end, now);
       this.pump();
       return;
     }
-    this.#peers().send(this.#granting, {
-      type: "ended",
-      id,
-      end,
-      tokens,
-      measured,
-    });
+    this.#peers().send(this.#granting, { type: "ended", id, end, ...pace });
   }
 
   /** Takes a peer's message about granting; false for any other. */
@@ -197,12 +194,7 @@
         break;
       case "ended":
         this.#foreign.delete(message.id);
-        this.#desk.restAnswered(
-          message.id,
-          message.tokens,
-          message.measured,
-          now,
-        );
+        this.#desk.restAnswered(message.id, message, now);
         this.#desk.ended(message.id, message.end, now);
         break;
       case "grant":
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -81,9 +81,11 @@
   v.object({
     type: v.literal("ended"),
     id: text,
-    /** Tokens after the first, and how long they took. */
+    /** Tokens after the first, how long they took, and their longest pause. */
     tokens: count,
     measured: duration,
+    /** Over the longest that is accepted. */
+    pausePart: v.optional(v.pipe(v.number(), v.finite()), 0),
     end: v.picklist([
       "answered",
       "failed",
--- a/packages/gateway/src/request/answer_progress.ts
+++ b/packages/gateway/src/request/answer_progress.ts
@@ -1,9 +1,8 @@
 /** How far the answer to one request has come, over all servers tried. @module */
 
-/** Tokens after the first event, and the milliseconds that they took. */
-export type Decoded = { tokens: number; measured: number };
+import type { AnswerPace } from "@sycamorepulley/decisions";
 
-const NOTHING: Decoded = { tokens: 0, measured: 0 };
+const NOTHING: AnswerPace = { tokens: 0, measured: 0, pausePart: 0 };
 
 /** Times are those of the clock that the caller passes. */
 export class AnswerProgress {
@@ -28,12 +27,24 @@
     this.longestPause = Math.max(this.longestPause, pause);
   }
 
-  /** What a server's pace is learned from; nothing where several had a part. */
-  decoded(servers: number, tokensPerEvent: number, now: number): Decoded {
+  /**
+   * What a server's pace is learned from; nothing where several had a part.
+   * `acceptedPause` in milliseconds, if the route states one.
+   */
+  pace(
+    servers: number,
+    stream: { tokensPerEvent: number; acceptedPause: number | undefined },
+    now: number,
+  ): AnswerPace {
     const events = Math.max(0, this.events - 1);
     if (events === 0 || servers > 1 || this.firstAt === undefined) {
       return NOTHING;
     }
-    return { tokens: events * tokensPerEvent, measured: now - this.firstAt };
+    const { tokensPerEvent, acceptedPause } = stream;
+    return {
+      tokens: events * tokensPerEvent,
+      measured: now - this.firstAt,
+      pausePart: this.longestPause / (acceptedPause ?? Infinity),
+    };
   }
 }
--- a/packages/gateway/src/request/request_task.ts
+++ b/packages/gateway/src/request/request_task.ts
@@ -269,13 +269,13 @@
   ): void {
     const { granter, pool, inForce, clock } = this.#context;
     const { services } = inForce()?.configuration ?? {};
-    const { tokens, measured } = this.#progress.decoded(
-      this.#sent,
-      services?.get(this.#resolved.service)?.tokensPerEvent ?? 1,
-      clock(),
-    );
+    const { route, service } = this.#resolved;
+    const pace = this.#progress.pace(this.#sent, {
+      tokensPerEvent: services?.get(service)?.tokensPerEvent ?? 1,
+      acceptedPause: route.longestPause,
+    }, clock());
     const runEnd = this.#sawDark ? "broken" : runEndOf(end);
-    granter.ended(ask, runEnd, tokens, measured);
+    granter.ended(ask, runEnd, pace);
     switch (end.kind) {
       case "stream":
         pool.give(server, channel);
