Hold requests for a moment while an entry starts

Cause: callers connect as soon as a restarted process listens, up to 0.25 s before it has read its configuration. Test fails without: 503 at once.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -29,6 +29,7 @@
 import { follow } from "./state/follow.ts";
 import { Membership } from "./state/membership.ts";
 import type { RecordCodec } from "./state/records.ts";
+import { StartGate } from "./state/start_gate.ts";
 
 /** Milliseconds between looks at what time alone changes in the queues. */
 const PUMP_EVERY = 10;
@@ -80,6 +81,7 @@
   readonly #front: Front;
   readonly #pages: StatusPages;
   readonly #desk: RequestDesk;
+  readonly #gate = new StartGate();
   readonly #stopped = new AbortController();
   readonly #timers: NodeJS.Timeout[] = [];
   readonly #servers = new Map<string, ServerRecord>();
@@ -144,6 +146,7 @@
         metrics: this.#metrics,
         granter: this.#granter,
         pool: this.#pool,
+        ready: this.#gate.opened,
         inForce: () => this.#state.inForce,
         current: () => !this.#state.storeLost || this.#peers.heard().length > 0,
         server: (name) => this.#usable(name),
@@ -178,6 +181,7 @@
       readiness: await this.#pages.listen(readiness, metrics),
       front: await this.#front.listen(settings.front),
     };
+    this.#gate.started();
     this.#every(HEARTBEAT_EVERY, () => this.#tick());
     this.#every(PUMP_EVERY, () => this.#granter.pump());
     this.#every(
@@ -261,11 +265,16 @@
   }
 
   #ready(): boolean {
-    return this.#lifecycle.state === "ready" &&
-      this.#state.inForce !== undefined && this.#state.serversKnown;
+    return this.#lifecycle.state === "ready" && this.#informed();
+  }
+
+  /** Knows the configuration and the servers, from whichever source. */
+  #informed(): boolean {
+    return this.#state.inForce !== undefined && this.#state.serversKnown;
   }
 
   #changed(what: "configuration" | "servers" | "members"): void {
+    if (this.#informed()) this.#gate.open();
     if (what === "configuration") {
       const inForce = this.#state.inForce!;
       this.#front.limit(inForce.configuration.limits);
@@ -338,6 +347,7 @@
   #close(): void {
     this.#lifecycle.apply("drained");
     this.#stopped.abort();
+    this.#gate.open();
     for (const timer of this.#timers) clearInterval(timer);
     this.#peers.close();
     this.#pages.close();
--- a/packages/gateway/src/request/request_context.ts
+++ b/packages/gateway/src/request/request_context.ts
@@ -17,6 +17,8 @@
   metrics: GatewayMetrics;
   granter: Granter;
   pool: ChannelPool;
+  /** Resolves when requests may be resolved: at once but at a start. */
+  ready: Promise<void>;
   inForce: () => ConfigurationInForce | undefined;
   /** False when what is known may be out of date. */
   current: () => boolean;
--- a/packages/gateway/src/request/request_desk.ts
+++ b/packages/gateway/src/request/request_desk.ts
@@ -53,7 +53,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { clock, inForce, random, metrics } = this.#context;
+    const { clock, inForce, random, metrics, ready } = this.#context;
     const call = this.#reader.read(request, clock());
     const caller = new Caller(request, response);
     const limits = inForce()?.configuration.limits;
@@ -65,6 +65,7 @@
       }
       return;
     }
+    await ready;
     if (caller.left) return;
     if (limits !== undefined && headSize(request) > limits.headerBytes) {
       this.#refuse(response, call, "head_too_large");
--- a/packages/gateway/test/lifecycle_test.ts
+++ b/packages/gateway/test/lifecycle_test.ts
@@ -26,6 +26,18 @@
   await fixture.stop();
 });
 
+t.test("a request that comes while an entry starts is held for a moment", async (t) => {
+  // All entries lost power. Their callers connect as soon as a process listens,
+  // a quarter of a second before it has read its configuration; all were refused
+  // at once, and each had one retry.
+  const fixture = await Fixture.start();
+  const seen = fixture.call("/calls/");
+  await new Promise((resolve) => setTimeout(resolve, 200));
+  fixture.store.put("configuration", configuration(1));
+  t.equal((await seen).status, 200);
+  await fixture.stop();
+});
+
 t.test("a new version is in force at once, through a compaction too", async (t) => {
   const fixture = await Fixture.ready();
   const added = route({ name: "added", prefix: "/added/" });
