--- a/packages/decisions/src/dispatch/service_desk.ts
+++ b/packages/decisions/src/dispatch/service_desk.ts
@@ -38,10 +38,13 @@
 const RETRY_WITHOUT_SERVER = 300;
 /**
  * Milliseconds to come back after a refusal for lack of room: bursts last 2.5 to
- * 5 s. Spread, so that those refused together don't return together.
+ * 5 s, and who comes back within one is refused for good. Callers wait a third of
+ * their time left at most. Spread over the upper half of it, so that those refused
+ * together don't return together.
  */
-const SHORTEST_RETRY = 1500;
-const RETRY_SPREAD = 2000;
+const LONGEST_RETRY = 5000;
+const LONGEST_RETRY_PART = 1 / 3;
+const RETRY_SPREAD_PART = 0.5;
 
 /** What a choice among a service's servers goes by, worked out once for all. */
 type ServiceView = {
@@ -312,10 +315,9 @@
 
   #refusal(ask: Ask, reason: AskRefusal, now: number): AskVerdict {
     this.#returning.refused(ask.fingerprint, now);
-    const spread = (ask.spread * RETRY_SPREAD) | 0;
     const retryAfter = reason === "no_server"
       ? RETRY_WITHOUT_SERVER
-      : SHORTEST_RETRY + spread;
+      : retryAfterBurst(ask, now);
     return { kind: "refuse", ask, reason, retryAfter };
   }
 
@@ -336,3 +338,11 @@
     }
   }
 }
+
+function retryAfterBurst(ask: Ask, now: number): number {
+  const longest = Math.min(
+    LONGEST_RETRY,
+    Math.max(0, ask.endsAt - now) * LONGEST_RETRY_PART,
+  );
+  return longest * (1 - RETRY_SPREAD_PART * ask.spread);
+}
--- a/packages/decisions/test/service_desk_test.ts
+++ b/packages/decisions/test/service_desk_test.ts
@@ -148,6 +148,24 @@
   t.end();
 });
 
+t.test("a refused caller is sent back after the burst, within its patience", (t) => {
+  // Bursts last up to five seconds. Sent back after 1.5 to 3.5 s, a caller came
+  // into the same one, was refused again and had no retry left. It waits for a
+  // third of its time left at most, so a longer time would not be kept.
+  const refusalOf = (endsAt: number, spread: number): number => {
+    const desk = new ServiceDesk();
+    desk.setServers([server("x", { slots: 1 })]);
+    desk.ask(ask({ goalAt: -1, lapsesAt: -1, endsAt, spread }), 0);
+    const [verdict] = desk.verdicts(0);
+    return verdict?.kind === "refuse" ? verdict.retryAfter : NaN;
+  };
+  t.equal(refusalOf(12_000, 0), 4000);
+  t.equal(refusalOf(12_000, 1), 2000);
+  t.equal(refusalOf(3000, 0), 1000);
+  t.equal(refusalOf(60_000, 0), 5000);
+  t.end();
+});
+
 t.test("a caller that comes back goes before late ones of its tier", (t) => {
   // A second refusal is a caller's last: it has one retry.
   const desk = new ServiceDesk();
