--- /dev/null
+++ b/packages/decisions/src/dispatch/service_rooms.ts
@@ -0,0 +1,204 @@
+/**
+ * All servers of one service: what each runs, how fast each is, which are left
+ * out, and which one a request goes to.
+ * @module
+ */
+import { incarnationOf } from "../discovery/mod.ts";
+import type { ServerRecord } from "../discovery/mod.ts";
+import { Ejection } from "../ejection/mod.ts";
+import type { Ask, RunEnd } from "./ask.ts";
+import { nominalFirst, nominalRest, Pace } from "./pace.ts";
+import { ServerRoom } from "./server_room.ts";
+import type { AnswerPace, ServicePaces } from "./server_room.ts";
+
+/**
+ * Milliseconds that a server of another data centre must be faster by, to be
+ * preferred. Bytes between data centres have a price.
+ */
+const DISTANCE_PENALTY = 60;
+/**
+ * Part of an answer's expected time after its first token that counts in the
+ * choice: a place at a fast server is free again sooner.
+ */
+const REST_WEIGHT = 0.1;
+
+/** What a choice goes by, worked out once for all that wait. */
+export type ServiceView = {
+  part: number;
+  paces: ServicePaces;
+  /** Largest reading limit of the servers, in tokens. */
+  largestLimit: number;
+};
+
+/** A granted ask and its server. */
+export type Granted = { ask: Ask; server: string };
+
+/** Rooms by the start of the server. */
+export class ServiceRooms {
+  readonly #rooms = new Map<string, ServerRoom>();
+  readonly #ejection = new Ejection();
+  readonly #first = new Pace();
+  readonly #rest = new Pace();
+  #part = 1;
+
+  get size(): number {
+    return this.#rooms.size;
+  }
+
+  /** Requests that all servers run at once. */
+  get places(): number {
+    let places = 0;
+    for (const room of this.#rooms.values()) places += room.record.slots;
+    return places;
+  }
+
+  /** Those places that this group of entries uses. */
+  get ownPlaces(): number {
+    return this.places * this.#part;
+  }
+
+  has(server: string): boolean {
+    return this.#rooms.has(server);
+  }
+
+  /** True when a server could run one more. */
+  hasPlace(): boolean {
+    for (const room of this.#rooms.values()) {
+      if (room.hasPlace(this.#part)) return true;
+    }
+    return false;
+  }
+
+  /** Takes over which servers may be sent work. */
+  setServers(records: readonly ServerRecord[]): void {
+    const keep = new Set(records.map(incarnationOf));
+    for (const name of [...this.#rooms.keys()]) {
+      if (keep.has(name)) continue;
+      this.#rooms.delete(name);
+      this.#ejection.remove(name);
+    }
+    for (const record of records) {
+      const name = incarnationOf(record);
+      const room = this.#rooms.get(name);
+      if (room !== undefined) {
+        room.record = record;
+        continue;
+      }
+      this.#rooms.set(name, new ServerRoom(record));
+      this.#ejection.add(name);
+    }
+  }
+
+  /** The part of each server's room that this group of entries uses. */
+  setPart(part: number): void {
+    this.#part = part;
+  }
+
+  view(now: number): ServiceView {
+    let largestLimit = 0;
+    for (const room of this.#rooms.values()) {
+      largestLimit = Math.max(largestLimit, room.readingLimit);
+    }
+    return { part: this.#part, paces: this.#paces(now), largestLimit };
+  }
+
+  /** The server with room that is expected to be done soonest. */
+  choose(ask: Ask, view: ServiceView, now: number): string | undefined {
+    const { paces } = view;
+    let best: string | undefined;
+    let bestScore = Infinity;
+    for (const [name, room] of this.#rooms) {
+      if (ask.avoid.includes(name)) continue;
+      if (!room.admits(ask, view, now)) continue;
+      if (!this.#ejection.allowed(name, now)) continue;
+      const near = room.record.dataCentre === ask.dataCentre;
+      const score = room.expectedFirst(ask.cost, paces, now) +
+        REST_WEIGHT * room.expectedRest(ask.cost, paces, now) +
+        (near ? 0 : DISTANCE_PENALTY);
+      if (score < bestScore) {
+        bestScore = score;
+        best = name;
+      }
+    }
+    return best;
+  }
+
+  started({ ask, server }: Granted, now: number): void {
+    this.#rooms.get(server)?.started(ask);
+    this.#ejection.started(server, now);
+  }
+
+  /** A run that another entry granted; false if its server is unknown. */
+  adopted({ ask, server }: Granted): boolean {
+    const room = this.#rooms.get(server);
+    room?.started(ask);
+    return room !== undefined;
+  }
+
+  /** The first answer came `measured` milliseconds after the request was sent. */
+  firstAnswer({ ask, server }: Granted, measured: number, now: number): void {
+    const room = this.#rooms.get(server);
+    const cost = room?.firstAnswer(ask.id, measured, now);
+    if (cost === undefined) return;
+    const nominal = nominalFirst(cost);
+    this.#first.observe(measured, nominal, now);
+    this.#ejection.succeeded(server, now, measured / nominal);
+  }
+
+  /** All after the first token of an answer came; call it before `ended`. */
+  restAnswered({ ask, server }: Granted, pace: AnswerPace, now: number): void {
+    this.#rooms.get(server)?.restAnswered(ask.id, pace, now);
+    const cost = { promptTokens: 1, outputTokens: pace.tokens };
+    this.#rest.observe(pace.measured, nominalRest(cost), now);
+  }
+
+  /** The run is over, without a judgement of its server. */
+  released({ ask, server }: Granted): void {
+    this.#rooms.get(server)?.ended(ask.id);
+  }
+
+  /** The run is over; `end` tells of its server. */
+  ended(granted: Granted, end: RunEnd, now: number): void {
+    const { ask, server } = granted;
+    const room = this.#rooms.get(server);
+    if (room === undefined) return;
+    room.ended(ask.id);
+    switch (end) {
+      case "connection_refused":
+      case "misdirected":
+        room.notThere(now);
+        return;
+      case "connection_timeout":
+        room.silentTo(ask.entry, now);
+        return;
+      case "failed":
+      case "broken":
+        this.#ejection.failed(server, "error", now);
+        return;
+      default:
+    }
+  }
+
+  /** An entry is gone, and with it its connections to servers. */
+  forgetEntry(entry: string): void {
+    for (const room of this.#rooms.values()) room.forgetEntry(entry);
+  }
+
+  /** Milliseconds to the ask's first answer at a server of middling speed. */
+  expectedFirst(ask: Ask, now: number): number {
+    return this.#paces(now).first * nominalFirst(ask.cost);
+  }
+
+  /** Milliseconds for which the ask is expected to take a place. */
+  expectedTime(ask: Ask, now: number): number {
+    const { first, rest } = this.#paces(now);
+    return first * nominalFirst(ask.cost) + rest * nominalRest(ask.cost);
+  }
+
+  #paces(now: number): ServicePaces {
+    return {
+      first: this.#first.ratio(now, 1),
+      rest: this.#rest.ratio(now, 1),
+    };
+  }
+}
