--- a/packages/decisions/src/dispatch/desk.ts
+++ b/packages/decisions/src/dispatch/desk.ts
@@ -65,6 +65,11 @@
     }
   }
 
+  /** See {@link OrganisationQuotas.setLeeway}. */
+  setLeeway(leeway: QuotaLeeway): void {
+    this.#quotas.setLeeway(leeway);
+  }
+
   /** Takes over quotas, and the group's parts. */
   setShares(
     quotas: ReadonlyMap<string, Quota>,
--- a/packages/decisions/src/quotas/organisation_quotas.ts
+++ b/packages/decisions/src/quotas/organisation_quotas.ts
@@ -54,12 +54,17 @@
 /** Buckets by organisation; see the module. */
 export class OrganisationQuotas {
   readonly #buckets = new Map<string, Buckets>();
-  readonly #leeway: QuotaLeeway;
+  #leeway: QuotaLeeway;
 
   constructor(leeway: QuotaLeeway) {
     this.#leeway = leeway;
   }
 
+  /** Takes over what operators accept; in force with the next `configure`. */
+  setLeeway(leeway: QuotaLeeway): void {
+    this.#leeway = leeway;
+  }
+
   /** Takes over the quotas in force and this group's part of them, up to 1. */
   configure(
     quotas: ReadonlyMap<string, Quota>,
--- a/packages/decisions/test/organisation_quotas_test.ts
+++ b/packages/decisions/test/organisation_quotas_test.ts
@@ -117,3 +117,16 @@
   t.ok(dropped.quota <= 0.2 * dropped.room + 1e-9);
   t.end();
 });
+
+t.test("a changed leeway is held to from the next configuration on", (t) => {
+  const quotas = new OrganisationQuotas({ ...LEEWAY, slack: 100_000 });
+  quotas.configure(QUOTAS, 1, 0);
+  quotas.setLeeway(LEEWAY);
+  quotas.configure(QUOTAS, 1, 0);
+  let used = 0;
+  for (let now = 0; now < LEEWAY.window; now += 10) {
+    if (quotas.charge("hot", 200, now).allowed) used += 200;
+  }
+  t.ok(used <= ACCEPTED, `${used} of ${ACCEPTED}`);
+  t.end();
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,23 +8,27 @@
 import { incarnationOf, ProcessLifecycle } from "@sycamorepulley/decisions";
 import type { ServerRecord } from "@sycamorepulley/decisions";
 import type { MetadataStore } from "@sycamorepulley/store";
+import type { Result } from "true-myth/result";
 import { ChannelPool } from "./backend/channel_pool.ts";
 import { CallReader } from "./front/call.ts";
 import { Front } from "./front/front.ts";
+import { GatewayPeerEvents } from "./gateway_peer_events.ts";
 import type { HeaderNames } from "./front/header_names.ts";
 import { StatusPages } from "./front/status_pages.ts";
 import { EventLog, OutputSink } from "./observe/event_log.ts";
 import type { LineSink } from "./observe/event_log.ts";
 import { GatewayMetrics } from "./observe/metrics.ts";
 import { Granter } from "./peers/granter.ts";
-import { HEARTBEAT_EVERY, PeerEvents, Peers } from "./peers/peers.ts";
+import { HEARTBEAT_EVERY, Peers } from "./peers/peers.ts";
 import type { PeerMessage } from "./peers/messages.ts";
 import type { PeerStanding } from "./peers/peer_link.ts";
 import { StateSharing } from "./peers/state_sharing.ts";
 import { randomSource } from "./random.ts";
 import { RequestDesk } from "./request/request_desk.ts";
 import { retryBudgets } from "./request/retry_budgets.ts";
+import { leewayOf } from "./settings.ts";
 import type { GatewaySettings } from "./settings.ts";
+import { settingsAfterReload } from "./settings_reload.ts";
 import { FleetState } from "./state/fleet_state.ts";
 import { follow } from "./state/follow.ts";
 import { Membership } from "./state/membership.ts";
@@ -59,7 +63,7 @@
 
 /** See the module. */
 export class Gateway {
-  readonly #settings: GatewaySettings;
+  #settings: GatewaySettings;
   readonly #store: MetadataStore;
   readonly #codec: RecordCodec;
   readonly #lifecycle = new ProcessLifecycle();
@@ -113,18 +117,14 @@
       clock,
       log,
       peers: () => this.#peers,
-      leeway: {
-        window: settings.bounds.quotaWindowSeconds * 1000,
-        overage: settings.bounds.quotaOverage,
-        slack: settings.bounds.quotaSlack,
-      },
+      leeway: leewayOf(settings.bounds),
     });
     this.#peers = new Peers({
       instance,
       incarnation,
       own: settings.peers,
       seeds: settings.seeds,
-      events: new Events(this),
+      events: new GatewayPeerEvents(this),
       log,
       clock,
     });
@@ -151,7 +151,7 @@
         current: () => !this.#state.storeLost || this.#peers.heard().length > 0,
         server: (name) => this.#usable(name),
         retryBudget: retryBudgets(
-          settings,
+          () => this.#settings.bounds,
           () => this.#state.members.size,
         ),
       },
@@ -202,8 +202,14 @@
     return this.#settings;
   }
 
-  /** Says in the log what a reload of the settings came to. */
-  reloaded(changed: boolean, detail: string): void {
+  /** See {@link settingsAfterReload}. */
+  reload(read: Result<GatewaySettings, string>): void {
+    const { settings, changed, detail } = settingsAfterReload(
+      this.#settings,
+      read,
+    );
+    this.#settings = settings;
+    if (changed) this.#granter.setLeeway(leewayOf(settings.bounds));
     this.#log.write({ event: "reloaded", changed, detail });
   }
 
@@ -355,28 +361,3 @@
     this.#pool.close();
   }
 }
-
-class Events extends PeerEvents {
-  readonly #gateway: Gateway;
-
-  constructor(gateway: Gateway) {
-    super();
-    this.#gateway = gateway;
-  }
-
-  override received(peer: string, message: PeerMessage): void {
-    this.#gateway.received(peer, message);
-  }
-
-  override joined(): void {
-    this.#gateway.joined();
-  }
-
-  override lost(peer: string): void {
-    this.#gateway.lost(peer);
-  }
-
-  override standing(): PeerStanding {
-    return this.#gateway.standing();
-  }
-}
--- a/packages/gateway/src/peers/granter.ts
+++ b/packages/gateway/src/peers/granter.ts
@@ -92,6 +92,11 @@
     this.#desk.setShares(quotas, this.#parts, this.#clock());
   }
 
+  setLeeway(leeway: QuotaLeeway): void {
+    this.#desk.setLeeway(leeway);
+    this.setQuotas(this.#quotas);
+  }
+
   /** Works out anew who grants; `leaving`: this entry no longer does. */
   regroup(
     options: {
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,4 +1,5 @@
 /** Settings of one gateway process, checked before anything starts. @module */
+import type { QuotaLeeway } from "@sycamorepulley/decisions";
 import * as v from "valibot";
 
 const port = v.pipe(v.number(), v.integer(), v.minValue(0), v.maxValue(65535));
@@ -45,7 +46,19 @@
   }),
 });
 
+/** What may change while the process runs. */
+export type GatewayBounds = GatewaySettings["bounds"];
+
 /** A host and a port. */
 export type Address = v.InferOutput<typeof address>;
 /** See {@link gatewaySettingsSchema}. */
 export type GatewaySettings = v.InferOutput<typeof gatewaySettingsSchema>;
+
+/** What is accepted beyond a quota, as the settings state it. */
+export function leewayOf(bounds: GatewayBounds): QuotaLeeway {
+  return {
+    window: bounds.quotaWindowSeconds * 1000,
+    overage: bounds.quotaOverage,
+    slack: bounds.quotaSlack,
+  };
+}
--- a/packages/gateway/test/lifecycle_test.ts
+++ b/packages/gateway/test/lifecycle_test.ts
@@ -1,6 +1,7 @@
 import { connect } from "node:net";
 import { MemoryMetadataStore } from "@sycamorepulley/store";
 import t from "tap";
+import { Result } from "true-myth/result";
 import { configuration, Fixture, record, route } from "./fixture.ts";
 import { event, stream } from "./stand_in_server.ts";
 
@@ -38,6 +39,25 @@
   await fixture.stop();
 });
 
+t.test("changed bounds are taken over, an unreadable file isn't", async (t) => {
+  // Operators change what they accept beyond a quota. Until the process was
+  // restarted it went by the old figures, although its log said "reloaded".
+  const fixture = await Fixture.ready();
+  const { gateway } = fixture;
+  const { settings } = gateway;
+  gateway.reload(Result.err("line 3: InvalidSymbol"));
+  t.equal(gateway.settings, settings);
+  const bounds = { ...settings.bounds, quotaOverage: 0, quotaSlack: 0 };
+  gateway.reload(Result.ok({ ...settings, instance: "other", bounds }));
+  t.same(gateway.settings, { ...settings, bounds });
+  const logged = fixture.events.filter(({ message }) => message === "reloaded");
+  t.match(logged.map(({ context }) => context), [
+    { changed: false, detail: "line 3: InvalidSymbol" },
+    { changed: true, detail: "the rest needs a restart" },
+  ]);
+  await fixture.stop();
+});
+
 t.test("a new version is in force at once, through a compaction too", async (t) => {
   const fixture = await Fixture.ready();
   const added = route({ name: "added", prefix: "/added/" });
