--- a/packages/gateway/src/request/request_desk.ts
+++ b/packages/gateway/src/request/request_desk.ts
@@ -67,9 +67,11 @@
       return;
     }
     await ready;
-    // A process that was short of processor time reads a request and the end of
-    // its connection, long there, in one go. Without a turn in between the request
-    // was sent on first: 4 reached servers up to 1.8 s after their callers left.
+    // A process that was short of processor time reads a request whose caller has
+    // left long ago, and the end of its connection only after the next poll. Sent
+    // on in between, 4 reached servers up to 1.8 s after their callers left. The
+    // first turn ends this poll's callbacks, the second comes after the next poll.
+    await nextTurn();
     await nextTurn();
     if (caller.left) return;
     if (limits !== undefined && headSize(request) > limits.headerBytes) {
--- a/packages/gateway/test/request_path_test.ts
+++ b/packages/gateway/test/request_path_test.ts
@@ -295,7 +295,8 @@
   // up meanwhile; then it reads their requests, with the ends of their connections
   // right behind, and sent each to a server before it read the end.
   const fixture = await Fixture.ready();
-  await fixture.call("/calls/");
+  // Leaves a connection to each server, on which a request is sent at once.
+  await Promise.all([1, 2, 3, 4, 5, 6].map(() => fixture.call("/calls/")));
   const socket = connect(fixture.ports.front, "127.0.0.1");
   await new Promise((resolve) => socket.once("connect", resolve));
   socket.end(
@@ -305,7 +306,7 @@
   await new Promise((resolve) => setTimeout(resolve, 200));
   const targets = fixture.servers.flatMap(({ received }) => received)
     .map(({ target }) => target);
-  t.same(targets, ["/calls/"]);
+  t.notOk(targets.includes("/calls/late"));
   await fixture.stop();
 });
 
