--- /dev/null
+++ b/packages/decisions/test/asks.ts
@@ -0,0 +1,52 @@
+import type { Ask, AskVerdict, ServiceDesk } from "../src/mod.ts";
+
+let number = 0;
+/** An ask of tests, changed where one needs it. */
+export function ask(changes: Partial<Ask> = {}): Ask {
+  number++;
+  const arrived = changes.arrived ?? 0;
+  return {
+    id: `ask-${number}`,
+    entry: "entry-1",
+    service: "assistant",
+    tierRank: 0,
+    organisation: "firm",
+    dataCentre: "a",
+    cost: { promptTokens: 600, outputTokens: 200 },
+    charge: 800,
+    excess: false,
+    arrived,
+    goalAt: arrived + 600,
+    lapsesAt: arrived + 2000,
+    endsAt: arrived + 12_000,
+    fingerprint: `print-${number}`,
+    spread: 0.5,
+    avoid: [],
+    ...changes,
+  };
+}
+
+/** Ids of the asks that were granted, in order. */
+export function granted(verdicts: AskVerdict[]): string[] {
+  return verdicts.filter(({ kind }) => kind === "grant")
+    .map(({ ask }) => ask.id);
+}
+
+/** Serves `asks` one at a time from 0 on, each in 10 ms; gives the order. */
+export function orderOf(
+  desk: ServiceDesk,
+  running: Ask,
+  asks: Ask[],
+): string[] {
+  for (const one of asks) desk.ask(one, 0);
+  const order: string[] = [];
+  let last = running.id;
+  for (let now = 10; order.length < asks.length; now += 10) {
+    desk.ended(last, "answered", now);
+    const [next] = granted(desk.verdicts(now));
+    if (next === undefined) break;
+    order.push(next);
+    last = next;
+  }
+  return order;
+}
