Order a tier's requests by their route's rank too, and by what their reading costs

Cause: organisations carry a rank here, nearly all the same, and it replaces the route's. The three kinds of generation of one service fell into one tier, ordered by time alone and with their sizes averaged together: in a burst the longest, which the operators rank first, were refused and the least important nearly all served.

Change: the route's rank is a second key (factor 5 a rank, the users' sheets have 3.3 to 7.6 between neighbours); sizes are averaged by tier and route rank; the time of an ask counts what its prompt's reading takes from the answers beside it.

--- a/packages/decisions/src/dispatch/answer_value.ts
+++ b/packages/decisions/src/dispatch/answer_value.ts
@@ -24,14 +24,14 @@
 
 /** Learns the mean size of each tier's answers. */
 export class AnswerValue {
-  readonly #means = new Map<number, Mean>();
+  readonly #means = new Map<string, Mean>();
 
   /** 1 for an answer of the tier's mean size; takes it into the mean. */
-  observe(tierRank: number, cost: Cost): number {
+  observe(kind: string, cost: Cost): number {
     const size = sizeOf(cost);
     if (size === 0) return 1;
-    const mean = this.#means.get(tierRank) ?? { size: 0, count: 0 };
-    this.#means.set(tierRank, mean);
+    const mean = this.#means.get(kind) ?? { size: 0, count: 0 };
+    this.#means.set(kind, mean);
     mean.count = Math.min(FIRST_SIZES, mean.count + 1);
     mean.size += (size - mean.size) / mean.count;
     const value = LEAST_VALUE + VALUE_PER_SIZE * size / mean.size;
--- a/packages/decisions/src/dispatch/ask.ts
+++ b/packages/decisions/src/dispatch/ask.ts
@@ -12,6 +12,8 @@
   entry: string;
   service: string;
   tierRank: number;
+  /** Of the route, among requests of one tier; 0 is the most urgent. */
+  routeRank: number;
   /** Empty where the route is open to all. */
   organisation: string;
   dataCentre: string;
--- a/packages/decisions/src/dispatch/ask_value.ts
+++ b/packages/decisions/src/dispatch/ask_value.ts
@@ -11,13 +11,15 @@
  * @module
  */
 import type { Ask } from "./ask.ts";
-import { nominalRunTime } from "./pace.ts";
+import { nominalUse } from "./pace.ts";
 
 /**
  * Times more that a tier's answer is worth than one of the next tier. Operators
  * state only the order; the users' sheets have factors of 3.3 to 7.6.
  */
 const TIER_FACTOR = 25;
+/** The same between routes of one tier. */
+const ROUTE_FACTOR = 5;
 /** What an answer is worth that comes too late, beside one on time. */
 const LATE_PART = 0.02;
 /**
@@ -47,9 +49,9 @@
   standing: AskStanding,
   value: number,
 ): number {
-  const time = nominalRunTime(ask.cost);
   const part = PARTS[standing] * value;
-  const key = time * TIER_FACTOR ** ask.tierRank / part;
+  const rank = TIER_FACTOR ** ask.tierRank * ROUTE_FACTOR ** ask.routeRank;
+  const key = nominalUse(ask.cost) * rank / part;
   return key + ask.arrived * ARRIVAL_WEIGHT;
 }
 
--- a/packages/decisions/src/dispatch/pace.ts
+++ b/packages/decisions/src/dispatch/pace.ts
@@ -18,6 +18,8 @@
 const PROMPT_TOKENS_PER_MILLISECOND = 100;
 /** Milliseconds for each token of an answer, before anything is learned. */
 const TIME_PER_TOKEN = 4;
+/** Answers that a prompt's reading delays. */
+const DELAYED_BY_READING = 12;
 /** Milliseconds of a plain call, before anything is learned. */
 const PLAIN_CALL = 40;
 /** Weight of the newest observation: about the last ten count. */
@@ -45,6 +47,15 @@
   return nominalFirst(cost) + nominalRest(cost);
 }
 
+/**
+ * Milliseconds of places that an answer takes up, likewise. A prompt is read in
+ * between the tokens of all answers beside it, and delays each of them.
+ */
+export function nominalUse(cost: Cost): number {
+  const reading = cost.promptTokens / PROMPT_TOKENS_PER_MILLISECOND;
+  return nominalRunTime(cost) + reading * DELAYED_BY_READING;
+}
+
 /** Measured over nominal times of one server, or of a whole service. */
 export class Pace {
   #ratio: number | undefined;
--- a/packages/decisions/src/dispatch/service_desk.ts
+++ b/packages/decisions/src/dispatch/service_desk.ts
@@ -163,7 +163,10 @@
   }
 
   #waitingOf(ask: Ask, now: number): WaitingAsk {
-    const value = this.#value.observe(ask.tierRank, ask.cost);
+    const value = this.#value.observe(
+      `${ask.tierRank}.${ask.routeRank}`,
+      ask.cost,
+    );
     const latestStart = ask.goalAt - this.#rooms.expectedFirst(ask, now);
     const { lapsesAt } = ask;
     if (ask.excess) {
--- a/packages/decisions/test/asks.ts
+++ b/packages/decisions/test/asks.ts
@@ -10,6 +10,7 @@
     entry: "entry-1",
     service: "assistant",
     tierRank: 0,
+    routeRank: 0,
     organisation: "firm",
     dataCentre: "a",
     cost: { promptTokens: 600, outputTokens: 200 },
--- a/packages/decisions/test/burst_test.ts
+++ b/packages/decisions/test/burst_test.ts
@@ -58,6 +58,7 @@
     entry: "entry",
     service: "assistant",
     tierRank: 1,
+    routeRank: 0,
     organisation: "firm",
     dataCentre: "a",
     cost: { promptTokens: 600, outputTokens },
--- a/packages/gateway/src/peers/ask_message.ts
+++ b/packages/gateway/src/peers/ask_message.ts
@@ -13,6 +13,7 @@
     id: ask.id,
     service: ask.service,
     tierRank: ask.tierRank,
+    routeRank: ask.routeRank,
     organisation: ask.organisation,
     dataCentre: ask.dataCentre,
     promptTokens: ask.cost.promptTokens,
@@ -36,6 +37,7 @@
     entry,
     service: message.service,
     tierRank: message.tierRank,
+    routeRank: message.routeRank,
     organisation: message.organisation,
     dataCentre: message.dataCentre,
     cost: {
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -15,6 +15,7 @@
   id: text,
   service: text,
   tierRank: count,
+  routeRank: v.optional(count, 0),
   organisation: text,
   dataCentre: text,
   promptTokens: count,
--- a/packages/gateway/src/request/request_task.ts
+++ b/packages/gateway/src/request/request_task.ts
@@ -136,8 +136,8 @@
     grant: number,
   ): Promise<{ id: string; server: ServerRecord } | undefined> {
     const { granter, clock, server } = this.#context;
-    const { route, service, organisation, tierRank, cost, charge } =
-      this.#resolved;
+    const { route, service, organisation, cost, charge } = this.#resolved;
+    const { tierRank, routeRank } = this.#resolved;
     const asked = clock();
     const { lastEvent } = this.#progress;
     const from = lastEvent === undefined ? this.#call.arrived : asked;
@@ -145,6 +145,7 @@
       service,
       organisation,
       tierRank,
+      routeRank,
       cost,
       charge,
       dataCentre: this.#context.dataCentre,
--- a/packages/gateway/src/request/resolve_call.ts
+++ b/packages/gateway/src/request/resolve_call.ts
@@ -15,6 +15,8 @@
   /** Empty where the route asks for no credential. */
   organisation: string;
   tierRank: number;
+  /** Orders requests of one tier; 0 where the tier is the route's own. */
+  routeRank: number;
   cost: Cost;
   /** Tokens that the quota is charged. */
   charge: number;
@@ -59,6 +61,7 @@
     service,
     organisation: known?.name ?? "",
     tierRank: known?.tierRank ?? route.tierRank,
+    routeRank: known?.tierRank === undefined ? 0 : route.tierRank,
     cost: tokens === undefined ? PLAIN_CALL : {
       promptTokens: tokens.promptTokens,
       outputTokens: Math.min(stated, Math.round(expected)),
--- a/packages/gateway/test/request_task_test.ts
+++ b/packages/gateway/test/request_task_test.ts
@@ -58,6 +58,7 @@
     service: "calls",
     organisation: "",
     tierRank: 0,
+    routeRank: 0,
     cost: { promptTokens: 0, outputTokens: 1 },
     charge: 0,
     limitAt: 1000,
