Charge an organisation's quota for what is granted, not for what waits

Cause: the quota was charged as a request arrived and given back when it was refused.

Requests beyond the stated rate, but within what operators accept, no longer come last: nearly all of them are owed, and they are ordered by worth as the others.

--- a/packages/decisions/src/dispatch/ask.ts
+++ b/packages/decisions/src/dispatch/ask.ts
@@ -21,8 +21,6 @@
   cost: Cost;
   /** What the organisation's quota is charged, in tokens. */
   charge: number;
-  /** Beyond its organisation's quota; set by whoever grants. */
-  excess: boolean;
   arrived: number;
   /** Instant by which the first answer is on time. */
   goalAt: number;
--- a/packages/decisions/src/dispatch/ask_queue.ts
+++ b/packages/decisions/src/dispatch/ask_queue.ts
@@ -28,11 +28,8 @@
   }
 }
 
-/**
- * Asks passed over in one search before it ends: a bound on its time. A burst has
- * 30 to 60 waiting, and long prompts in front find no room at slow servers.
- */
-const MOST_PASSED_OVER = 40;
+/** What becomes of an ask that is looked at. */
+export type Look = "taken" | "passed_over" | "stop";
 
 /** Weight of the order of arrival among asks of one millisecond. */
 const SEQUENCE_WEIGHT = 1e-9;
@@ -62,25 +59,22 @@
   }
 
   /**
-   * Removes the first ask that `admits`. Those before it that find no room are
-   * passed over, so that a place that fits only others is not left idle.
+   * Looks at the asks in order until `look` says to stop, and removes those that
+   * it takes. Those that find no room are passed over, so that a place that fits
+   * only others is not left idle.
    */
-  take(admits: (ask: Ask) => boolean): WaitingAsk | undefined {
+  sweep(look: (waiting: WaitingAsk) => Look): void {
     const passed: WaitingAsk[] = [];
-    let found: WaitingAsk | undefined;
-    while (passed.length < MOST_PASSED_OVER) {
+    for (;;) {
       const head = this.#heap.peek();
       if (head === undefined) break;
+      const result = look(head);
+      if (result === "stop") break;
       this.#heap.remove(head);
-      if (admits(head.ask)) {
-        this.#byId.delete(head.ask.id);
-        found = head;
-        break;
-      }
-      passed.push(head);
+      if (result === "taken") this.#byId.delete(head.ask.id);
+      else passed.push(head);
     }
     for (const waiting of passed) this.#heap.push(waiting);
-    return found;
   }
 
   /** Those whose standing ends by `now`. */
--- a/packages/decisions/src/dispatch/ask_value.ts
+++ b/packages/decisions/src/dispatch/ask_value.ts
@@ -31,14 +31,10 @@
 /** Weight of arrival in the order of equal asks: first come, first served. */
 const ARRIVAL_WEIGHT = 1e-6;
 
-/** What work beyond a quota is worth: it takes places that nobody else wants. */
-const EXCESS_PART = 0.001;
-
 /**
- * Whether an ask can be on time, whether its caller was refused before, and
- * whether it is beyond its quota.
+ * Whether an ask can be on time, and whether its caller was refused before.
  */
-export type AskStanding = "timely" | "returned" | "late" | "excess";
+export type AskStanding = "timely" | "returned" | "late";
 
 /**
  * Sorts asks: the smallest is served first. `value`: of the answer, beside the
@@ -59,5 +55,4 @@
   timely: 1,
   returned: RETURNED_PART,
   late: LATE_PART,
-  excess: EXCESS_PART,
 };
--- a/packages/decisions/src/dispatch/desk.ts
+++ b/packages/decisions/src/dispatch/desk.ts
@@ -88,24 +88,22 @@
 
   /** Queues an ask, or turns it away at once. */
   ask(ask: Ask, now: number): AskVerdict | undefined {
-    const quota = this.#quotas.charge(ask.organisation, ask.charge, now);
-    if (!quota.allowed) {
+    const wait = this.#quotas.waitFor(ask.organisation, ask.charge, now);
+    if (now + wait > ask.lapsesAt) {
       const soonest = SOONEST_RETRY * (1 + ask.spread);
-      const retryAfter = Math.max(quota.retryAfter, soonest);
+      const retryAfter = Math.max(wait, soonest);
       return { kind: "refuse", ask, reason: "quota", retryAfter };
     }
-    ask.excess = quota.excess;
     const verdict = this.#service(ask.service).ask(ask, now);
     if (verdict === undefined) this.#asks.set(ask.id, ask);
-    else this.#quotas.refund(ask.organisation, ask.charge);
     return verdict;
   }
 
   /** The request did not run: it no longer waits, or its grant went unused. */
   withdraw(ask: Ask): void {
     if (!this.#asks.delete(ask.id)) return;
-    this.#services.get(ask.service)?.withdraw(ask.id);
-    this.#quotas.refund(ask.organisation, ask.charge);
+    const granted = this.#services.get(ask.service)?.withdraw(ask.id) ?? false;
+    if (granted) this.#quotas.refund(ask.organisation, ask.charge);
   }
 
   /** Counts a run that another entry granted before. */
@@ -149,9 +147,7 @@
       verdicts.push(...desk.verdicts(now));
     }
     for (const verdict of verdicts) {
-      if (verdict.kind === "grant") continue;
-      this.#asks.delete(verdict.ask.id);
-      this.#quotas.refund(verdict.ask.organisation, verdict.ask.charge);
+      if (verdict.kind === "refuse") this.#asks.delete(verdict.ask.id);
     }
     return verdicts;
   }
@@ -175,7 +171,7 @@
   #service(name: string): ServiceDesk {
     let desk = this.#services.get(name);
     if (desk === undefined) {
-      desk = new ServiceDesk();
+      desk = new ServiceDesk(this.#quotas);
       desk.setPart(this.#part);
       this.#services.set(name, desk);
     }
--- a/packages/decisions/src/dispatch/service_desk.ts
+++ b/packages/decisions/src/dispatch/service_desk.ts
@@ -13,6 +13,8 @@
  * @module
  */
 import type { ServerRecord } from "../discovery/mod.ts";
+import { OrganisationQuotas } from "../quotas/mod.ts";
+import type { QuotaLeeway } from "../quotas/mod.ts";
 import { AnswerValue } from "./answer_value.ts";
 import type { Ask, AskRefusal, AskVerdict, RunEnd } from "./ask.ts";
 import { AskQueue, WaitingAsk } from "./ask_queue.ts";
@@ -33,6 +35,14 @@
 const LONGEST_RETRY = 5000;
 const LONGEST_RETRY_PART = 1 / 3;
 const RETRY_SPREAD_PART = 0.5;
+const NO_LEEWAY: QuotaLeeway = { window: 1000, overage: 0, slack: 0 };
+
+/**
+ * Asks that find no room in one sweep before it ends: a bound on its time. A
+ * burst has 30 to 60 waiting, and long prompts in front find no room at slow
+ * servers.
+ */
+const MOST_PASSED_OVER = 40;
 
 /** Grants servers of one service. Verdicts are drawn by `verdicts`. */
 export class ServiceDesk {
@@ -42,6 +52,12 @@
   readonly #queue = new AskQueue();
   readonly #granted = new Map<string, Granted>();
   readonly #returning = new ReturningCallers();
+  readonly #quotas: OrganisationQuotas;
+
+  /** `quotas` are charged for what is granted; none if absent. */
+  constructor(quotas = new OrganisationQuotas(NO_LEEWAY)) {
+    this.#quotas = quotas;
+  }
 
   get waiting(): number {
     return this.#queue.size;
@@ -86,13 +102,14 @@
     return undefined;
   }
 
-  /** Takes an ask back, or states that its grant was not used. */
-  withdraw(id: string): void {
+  /** Takes an ask back; true if it was granted and the grant not used. */
+  withdraw(id: string): boolean {
     this.#queue.remove(id);
     const granted = this.#granted.get(id);
-    if (granted === undefined) return;
+    if (granted === undefined) return false;
     this.#granted.delete(id);
     this.#rooms.released(granted);
+    return true;
   }
 
   /** Counts a run that another entry granted before. */
@@ -137,24 +154,34 @@
   /** Everything that can be decided now. */
   verdicts(now: number): AskVerdict[] {
     const verdicts = this.#changes(now);
-    while (this.#queue.size > 0) {
-      const grant = this.#grantNext(now);
-      if (grant === undefined) break;
-      verdicts.push(grant);
-    }
+    if (this.#queue.size === 0 || !this.#rooms.hasPlace()) return verdicts;
+    this.#grantWaiting(verdicts, now);
     return verdicts;
   }
 
-  #grantNext(now: number): AskVerdict | undefined {
-    if (!this.#rooms.hasPlace()) return undefined;
+  /** One sweep is enough: places and quotas only become fewer in it. */
+  #grantWaiting(verdicts: AskVerdict[], now: number): void {
     const view = this.#rooms.view(now);
-    let server: string | undefined;
-    const waiting = this.#queue.take((ask) => {
-      server = this.#rooms.choose(ask, view, now);
-      return server !== undefined;
+    let passedOver = 0;
+    this.#queue.sweep(({ ask }) => {
+      if (!this.#rooms.hasPlace() || passedOver >= MOST_PASSED_OVER) {
+        return "stop";
+      }
+      if (!this.#quotas.allows(ask.organisation, ask.charge, now)) {
+        return "passed_over";
+      }
+      const server = this.#rooms.choose(ask, view, now);
+      if (server === undefined) {
+        passedOver++;
+        return "passed_over";
+      }
+      verdicts.push(this.#grant(ask, server, now));
+      return "taken";
     });
-    if (waiting === undefined || server === undefined) return undefined;
-    const { ask } = waiting;
+  }
+
+  #grant(ask: Ask, server: string, now: number): AskVerdict {
+    this.#quotas.charge(ask.organisation, ask.charge, now);
     const granted = { ask, server };
     this.#granted.set(ask.id, granted);
     this.#rooms.started(granted, now);
@@ -169,10 +196,6 @@
     );
     const latestStart = ask.goalAt - this.#rooms.expectedFirst(ask, now);
     const { lapsesAt } = ask;
-    if (ask.excess) {
-      const changesAt = Math.max(now, latestStart);
-      return new WaitingAsk(ask, { standing: "excess", changesAt, value });
-    }
     if (this.#returning.returns(ask.fingerprint, now)) {
       const standing = "returned";
       return new WaitingAsk(ask, { standing, changesAt: lapsesAt, value });
@@ -192,12 +215,8 @@
     for (const waiting of this.#queue.due(now)) {
       const { ask } = waiting;
       this.#queue.remove(ask.id);
-      if (waiting.standing === "excess") {
-        verdicts.push(this.#refusal(ask, "quota", now));
-        continue;
-      }
       if (ask.lapsesAt <= now) {
-        verdicts.push(this.#refusal(ask, "expired", now));
+        verdicts.push(this.#refusal(ask, this.#lapseReason(ask, now), now));
         continue;
       }
       this.#becomeLate(waiting, now, verdicts);
@@ -205,6 +224,11 @@
     return verdicts;
   }
 
+  #lapseReason(ask: Ask, now: number): AskRefusal {
+    const allowed = this.#quotas.allows(ask.organisation, ask.charge, now);
+    return allowed ? "expired" : "quota";
+  }
+
   #becomeLate(waiting: WaitingAsk, now: number, verdicts: AskVerdict[]): void {
     const { ask, value } = waiting;
     const late = new WaitingAsk(ask, {
--- a/packages/decisions/src/quotas/mod.ts
+++ b/packages/decisions/src/quotas/mod.ts
@@ -1,8 +1,4 @@
 /** Rates that organisations are held to. @module */
 export { OrganisationQuotas } from "./organisation_quotas.ts";
-export type {
-  Quota,
-  QuotaLeeway,
-  QuotaVerdict,
-} from "./organisation_quotas.ts";
+export type { Quota, QuotaLeeway } from "./organisation_quotas.ts";
 export { TokenBucket } from "./token_bucket.ts";
--- a/packages/decisions/src/quotas/organisation_quotas.ts
+++ b/packages/decisions/src/quotas/organisation_quotas.ts
@@ -25,15 +25,6 @@
  */
 export type QuotaLeeway = { window: number; overage: number; slack: number };
 
-/**
- * Whether work may be charged, and in how many ms it may otherwise. `excess`: it
- * is beyond the quota and within what is accepted beyond; it takes no room from
- * work within its quota.
- */
-export type QuotaVerdict =
-  | { allowed: true; excess: boolean }
-  | { allowed: false; retryAfter: number };
-
 /** Part of what is accepted that is used: requests on their way count later. */
 const USED_PART = 0.95;
 /** Part of that which is let through as a burst; the rest is the rate. */
@@ -44,16 +35,9 @@
  */
 const TAKE_OVER_PART = 0.1;
 
-type Buckets = {
-  /** Rate and burst as stated. */
-  stated: TokenBucket;
-  /** All that is accepted. */
-  accepted: TokenBucket;
-};
-
 /** Buckets by organisation; see the module. */
 export class OrganisationQuotas {
-  readonly #buckets = new Map<string, Buckets>();
+  readonly #buckets = new Map<string, TokenBucket>();
   #leeway: QuotaLeeway;
 
   constructor(leeway: QuotaLeeway) {
@@ -81,42 +65,40 @@
 
   /** Begins to hold quotas that another entry held until now. */
   takeOver(now: number): void {
-    for (const { accepted } of this.#buckets.values()) {
-      accepted.lowerTo(TAKE_OVER_PART, now);
+    for (const bucket of this.#buckets.values()) {
+      bucket.lowerTo(TAKE_OVER_PART, now);
     }
   }
 
-  /** Charges `tokens` to the organisation, or says when to come back. */
-  charge(organisation: string, tokens: number, now: number): QuotaVerdict {
-    const buckets = this.#buckets.get(organisation);
-    if (buckets === undefined) return { allowed: true, excess: false };
-    const { stated, accepted } = buckets;
-    if (accepted.take(tokens, now)) {
-      return { allowed: true, excess: !stated.take(tokens, now) };
-    }
-    return { allowed: false, retryAfter: accepted.waitFor(tokens, now) };
+  /** True if `tokens` can be charged to the organisation now. */
+  allows(organisation: string, tokens: number, now: number): boolean {
+    return this.waitFor(organisation, tokens, now) <= 0;
+  }
+
+  /** Milliseconds until `tokens` can be charged, if nothing else is. */
+  waitFor(organisation: string, tokens: number, now: number): number {
+    return this.#buckets.get(organisation)?.waitFor(tokens, now) ?? 0;
+  }
+
+  /** Charges `tokens` to the organisation; false if it may not use them now. */
+  charge(organisation: string, tokens: number, now: number): boolean {
+    return this.#buckets.get(organisation)?.take(tokens, now) ?? true;
   }
 
   /** Takes a charge back for work that did not run. */
   refund(organisation: string, tokens: number): void {
-    this.#buckets.get(organisation)?.accepted.giveBack(tokens);
+    this.#buckets.get(organisation)?.giveBack(tokens);
   }
 
   #configure(name: string, quota: Quota, part: number, now: number): void {
-    const rate = quota.ratePerSecond * part;
-    const burst = quota.burst * part;
-    const bounds = this.#bounds(quota, part);
-    const buckets = this.#buckets.get(name);
-    if (buckets !== undefined) {
-      buckets.stated.configure(rate, burst, now);
-      buckets.accepted.configure(bounds.rate, bounds.burst, now);
+    const { rate, burst } = this.#bounds(quota, part);
+    const bucket = this.#buckets.get(name);
+    if (bucket !== undefined) {
+      bucket.configure(rate, burst, now);
       return;
     }
-    const balance = bounds.burst * TAKE_OVER_PART;
-    this.#buckets.set(name, {
-      stated: new TokenBucket(rate, burst, now),
-      accepted: new TokenBucket(bounds.rate, bounds.burst, now, balance),
-    });
+    const balance = burst * TAKE_OVER_PART;
+    this.#buckets.set(name, new TokenBucket(rate, burst, now, balance));
   }
 
   #bounds(quota: Quota, part: number): { rate: number; burst: number } {
--- a/packages/gateway/src/peers/ask_message.ts
+++ b/packages/gateway/src/peers/ask_message.ts
@@ -45,7 +45,6 @@
       outputTokens: message.outputTokens,
     },
     charge: message.charge,
-    excess: false,
     arrived: now - message.age,
     goalAt: now + message.goalIn,
     lapsesAt: now + message.lapsesIn,
--- a/packages/gateway/src/peers/granter.ts
+++ b/packages/gateway/src/peers/granter.ts
@@ -31,7 +31,7 @@
 const NO_ANSWER: AnswerPace = { tokens: 0, measured: 0, pausePart: 0 };
 
 /** What is asked for one request, with times of this entry's clock. */
-export type GrantRequest = Omit<Ask, "id" | "entry" | "excess">;
+export type GrantRequest = Omit<Ask, "id" | "entry">;
 
 /** An ask under way. */
 export type AskHandle = { id: string; answer: Promise<GrantAnswer> };
@@ -138,7 +138,6 @@
       ...request,
       id,
       entry: this.#instance,
-      excess: false,
     };
     const answer = new Promise<GrantAnswer>((resolve) => {
       this.#held.set(id, new HeldAsk(ask, resolve));
