Listen for as long as a stopping entry lives; bound the waiting to a quarter of the caller's time

Entries that all leave also granted each for itself, with the whole of every quota.

Change: an entry listens until it ends. It ends once nothing runs and others take callers.

A request now waits for a quarter of its caller's time at most.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,6 +24,7 @@
 import type { PeerStanding } from "./peers/peer_link.ts";
 import { StateSharing } from "./peers/state_sharing.ts";
 import { randomSource } from "./random.ts";
+import { Closing } from "./request/closing.ts";
 import { RequestDesk } from "./request/request_desk.ts";
 import { retryBudgets } from "./request/retry_budgets.ts";
 import { leewayOf } from "./settings.ts";
@@ -46,6 +47,15 @@
  * the balancer asks once a second and believes the second refusal.
  */
 const KEEP_LISTENING = 3000;
+/**
+ * Milliseconds for which another entry has to be there before this one stops
+ * listening: the balancer asks it once a second whether it is ready.
+ */
+const TAKEN_UP_AFTER = 1500;
+/** Milliseconds without a request after which nobody needs this entry. */
+const UNUSED_AFTER = 500;
+/** Milliseconds before its end at which an entry stops listening in any case. */
+const CLOSE_BEFORE = 200;
 /** Milliseconds before the process would be killed at which it ends itself. */
 const GRACE_MARGIN = 400;
 /** What a platform gives to a gateway. */
@@ -86,6 +96,7 @@
   readonly #pages: StatusPages;
   readonly #desk: RequestDesk;
   readonly #gate = new StartGate();
+  readonly #closing = new Closing();
   readonly #stopped = new AbortController();
   readonly #timers: NodeJS.Timeout[] = [];
   readonly #servers = new Map<string, ServerRecord>();
@@ -147,6 +158,7 @@
         granter: this.#granter,
         pool: this.#pool,
         ready: this.#gate.opened,
+        closing: this.#closing,
         inForce: () => this.#state.inForce,
         current: () => !this.#state.storeLost || this.#peers.heard().length > 0,
         server: (name) => this.#usable(name),
@@ -230,7 +242,7 @@
     this.#regroup();
     this.#peers.announce();
     void this.#membership.leave();
-    await sleep(Math.min(KEEP_LISTENING, gracePeriod / 2));
+    await this.#keepListening(endAt);
     this.#front.stopListening();
     while (this.#desk.active > 0 && this.#clock() < endAt) {
       await sleep(20);
@@ -240,6 +252,31 @@
     this.#close();
   }
 
+  /**
+   * Resolves once nothing runs here and callers can go elsewhere or don't come
+   * any more, or when the process is about to end. Until then it listens: where
+   * other entries take callers, the balancer sends none here.
+   */
+  async #keepListening(endAt: number): Promise<void> {
+    const allTakenUntil = this.#clock() +
+      Math.min(KEEP_LISTENING, this.#settings.bounds.gracePeriodSeconds * 500);
+    const alone = this.#peers.staying().length === 0;
+    let othersSince = alone ? Infinity : -Infinity;
+    let usedAt = this.#clock();
+    for (;;) {
+      await sleep(20);
+      const now = this.#clock();
+      if (this.#peers.staying().length === 0) othersSince = Infinity;
+      else othersSince = Math.min(othersSince, now);
+      if (this.#desk.active > 0) usedAt = now;
+      if (now < allTakenUntil) continue;
+      this.#closing.begin(endAt);
+      const replaced = now - othersSince >= TAKEN_UP_AFTER && usedAt < now;
+      const unused = now - usedAt >= UNUSED_AFTER;
+      if (replaced || unused || now >= endAt - CLOSE_BEFORE) return;
+    }
+  }
+
   received(peer: string, message: PeerMessage): void {
     if (!this.#granter.received(peer, message)) {
       this.#sharing.received(peer, message);
--- a/packages/gateway/src/peers/granter.ts
+++ b/packages/gateway/src/peers/granter.ts
@@ -113,7 +113,10 @@
     const { heard, staying, counted, listed, leaving } = options;
     const group = new Set([...heard, this.#instance]);
     const parts = groupParts({ group, counted, listed });
-    const able = leaving ? staying : [...staying, this.#instance];
+    const able = leaving ? [...staying] : [...staying, this.#instance];
+    // Entries that all leave at once have to go on as one group: each for itself
+    // would use the whole of every quota.
+    if (able.length === 0) able.push(...group);
     const granting = grantingEntry(able) ?? this.#instance;
     const { room, quota } = this.#parts;
     if (parts.room !== room || parts.quota !== quota) {
--- /dev/null
+++ b/packages/gateway/src/request/closing.ts
@@ -0,0 +1,44 @@
+/**
+ * What an entry that stops still takes once its usual time for that is over.
+ *
+ * Load pattern: all entries are restarted one after the other, faster than their
+ * longest streams end. Each closed its listener 3 s after it was told to stop and
+ * lived on for its streams, so that for some seconds nobody listened and callers
+ * found no connection. An entry now listens for as long as it lives: what surely
+ * ends before its process does is served, and all else is told truly that it has
+ * not run.
+ * @module
+ */
+import { LongestStreams } from "@sycamorepulley/decisions";
+import type { ResolvedCall } from "./resolve_call.ts";
+
+/** Milliseconds before the process's end by which all that it takes has ended. */
+const MARGIN = 300;
+/** Milliseconds from the end of a process until its successor takes callers. */
+const RESTART_TIME = 1000;
+
+/** See the module; instants are those of the process's clock. */
+export class Closing {
+  readonly streams = new LongestStreams();
+  #endAt: number | undefined;
+
+  /** From now on only what ends by `endAt` is taken. */
+  begin(endAt: number): void {
+    this.#endAt = endAt;
+  }
+
+  /** Latest instant at which a server may be sent the request. */
+  latestStart(resolved: ResolvedCall): number {
+    if (this.#endAt === undefined) return Infinity;
+    const endAt = this.#endAt - MARGIN;
+    if (resolved.limitAt <= endAt) return Infinity;
+    const { cost } = resolved;
+    const bounded = cost.promptTokens > 0;
+    return bounded ? endAt - this.streams.longest(cost) : -Infinity;
+  }
+
+  /** Milliseconds until the successor of this process takes callers. */
+  retryAfter(now: number): number {
+    return Math.max(0, (this.#endAt ?? now) - now) + RESTART_TIME;
+  }
+}
--- a/packages/gateway/src/request/patience.ts
+++ b/packages/gateway/src/request/patience.ts
@@ -24,16 +24,23 @@
 const SILENT_PAUSES = 4;
 const LEAST_SILENCE = 400;
 
+/**
+ * Part of a caller's time that its request waits for a place at most: refused
+ * then, it can come back and still be answered whole.
+ */
+const LONGEST_WAIT_PART = 0.25;
+
 /** Instant after which a place is of no use; `from`: its caller heard something. */
 export function lapseOf(resolved: ResolvedCall, from: number): number {
   const { route, limitAt } = resolved;
+  const longest = from + (limitAt - from) * LONGEST_WAIT_PART;
   if (route.repeatability !== "streaming") return limitAt - LEAST_TIME_LEFT;
   const patience = Math.max(
     STREAM_PATIENCE,
     STREAM_PATIENCE_GOALS * route.goal,
     STREAM_PATIENCE_PAUSES * (route.longestPause ?? 0),
   );
-  return Math.min(limitAt, from + patience - FIRST_EVENT_RESERVE);
+  return Math.min(longest, from + patience - FIRST_EVENT_RESERVE);
 }
 
 /** Silences that a request of the route waits for. */
--- a/packages/gateway/src/request/reply.ts
+++ b/packages/gateway/src/request/reply.ts
@@ -13,6 +13,7 @@
   | "no_server"
   | "expired"
   | "not_run"
+  | "stopping"
   | "time_up"
   | "broken";
 
@@ -28,6 +29,7 @@
   no_server: 503,
   expired: 503,
   not_run: 503,
+  stopping: 503,
   time_up: 503,
   broken: 503,
 };
--- a/packages/gateway/src/request/request_context.ts
+++ b/packages/gateway/src/request/request_context.ts
@@ -6,6 +6,7 @@
 import type { GatewayMetrics } from "../observe/metrics.ts";
 import type { Granter } from "../peers/granter.ts";
 import type { ConfigurationInForce } from "../state/gateway_configuration.ts";
+import type { Closing } from "./closing.ts";
 
 /** Shared by all requests of one process. */
 export type RequestContext = {
@@ -24,5 +25,6 @@
   current: () => boolean;
   /** The server as it is registered now; `undefined` once it may not be used. */
   server: (incarnation: string) => ServerRecord | undefined;
+  closing: Closing;
   retryBudget: (service: string) => RetryBudget;
 };
--- a/packages/gateway/src/request/request_desk.ts
+++ b/packages/gateway/src/request/request_desk.ts
@@ -83,6 +83,13 @@
       this.#refuse(response, call, resolved.error);
       return;
     }
+    const { closing } = this.#context;
+    if (clock() > closing.latestStart(resolved.value)) {
+      const left = resolved.value.limitAt - clock();
+      const retryAfter = Math.min(closing.retryAfter(clock()), left / 3);
+      this.#refuse(response, call, "stopping", retryAfter);
+      return;
+    }
     const { service, route } = resolved.value;
     metrics.requests.inc({ service, route: route.name });
     const task = new RequestTask({
@@ -96,14 +103,20 @@
     await task.run();
   }
 
-  #refuse(response: ServerResponse, call: Call, reason: ReplyReason): void {
+  /** `retryAfter` in milliseconds. */
+  #refuse(
+    response: ServerResponse,
+    call: Call,
+    reason: ReplyReason,
+    retryAfter = RETRY_WHILE_STARTING,
+  ): void {
     const { metrics, log, clock, current, inForce } = this.#context;
     // What is missing here may be in a newer version that can't be reached.
     const stale = !current() &&
       (reason === "no_route" || reason === "bad_credential");
     const known = stale ? "no_configuration" : reason;
     const status = statusOf(known, false);
-    reply(response, status, known, RETRY_WHILE_STARTING);
+    reply(response, status, known, retryAfter);
     metrics.refusals.inc({ service: "", reason: known });
     log.write({
       event: "refused",
@@ -111,7 +124,7 @@
       status,
       reason: known,
       waited: Math.round(clock() - call.arrived),
-      retryAfter: RETRY_WHILE_STARTING,
+      retryAfter: Math.round(retryAfter),
       version: inForce()?.configuration.version ?? 0,
     });
   }
--- a/packages/gateway/src/request/request_task.ts
+++ b/packages/gateway/src/request/request_task.ts
@@ -151,7 +151,10 @@
       dataCentre: this.#context.dataCentre,
       arrived: this.#call.arrived,
       goalAt: this.#call.arrived + route.goal,
-      lapsesAt: lapseOf(this.#resolved, from),
+      lapsesAt: Math.min(
+        lapseOf(this.#resolved, from),
+        this.#context.closing.latestStart(this.#resolved),
+      ),
       endsAt: this.#resolved.limitAt,
       fingerprint: this.#fingerprint,
       spread: this.#context.random(),
@@ -250,6 +253,10 @@
     });
     const end = await exchange.done;
     watch?.end();
+    if (end.kind === "stream") {
+      const { streams } = this.#context.closing;
+      streams.observe(this.#resolved.cost, clock() - sentAt);
+    }
     this.#stop = undefined;
     const dark = !exchange.heard && clock() - sentAt > DARK_AFTER;
     this.#sawDark = end.kind === "aborted" && dark;
--- a/packages/gateway/test/lifecycle_test.ts
+++ b/packages/gateway/test/lifecycle_test.ts
@@ -3,7 +3,7 @@
 import t from "tap";
 import { Result } from "true-myth/result";
 import { configuration, Fixture, record, route } from "./fixture.ts";
-import { event, stream } from "./stand_in_server.ts";
+import { event, sealed, stream } from "./stand_in_server.ts";
 
 async function until(
   check: () => Promise<boolean> | boolean,
@@ -240,6 +240,69 @@
   for (const server of fixture.servers) server.stop();
 });
 
+t.test("entries that all stop go on listening, and take what ends in time", async (t) => {
+  // All entries are restarted one after the other. Each closed its listener and
+  // lived on for its longest stream, so that for seconds callers found nobody to
+  // connect to: 1,168 tries of one day. Now a short call is served, and what may
+  // not end before the process does is told truly that it has not run.
+  const fixture = await Fixture.ready();
+  for (const server of fixture.servers) {
+    server.answer = (response, received) => {
+      if (received.target !== "/stream/long") {
+        sealed(response, received).end("ok");
+        return;
+      }
+      stream(response, received).write(event(1));
+      setTimeout(() => response.end(event(2)), 1400);
+    };
+  }
+  const long = fixture.call("/stream/long", { method: "POST" });
+  await until(() => fixture.servers.some(({ received }) => received.length));
+  const stopped = fixture.gateway.stop();
+  await new Promise((resolve) => setTimeout(resolve, 1050));
+  const soon = { "x-time-left": "150" };
+  t.equal((await fixture.call("/once/", { headers: soon })).status, 200);
+  const refused = await fixture.call("/stream/short", { method: "POST" });
+  t.equal(refused.status, 503);
+  t.match(refused.body, "stopping");
+  t.ok(Number(refused.headers["retry-after"]) > 0.3, "after the restart");
+  t.equal(refused.headers.connection, "close");
+  t.ok((await long).whole);
+  await stopped;
+  const targets = fixture.servers.flatMap(({ received }) => received)
+    .map(({ target }) => target);
+  t.same(targets.sort(), ["/once/", "/stream/long"]);
+  for (const server of fixture.servers) server.stop();
+});
+
+t.test("an entry that stops while another takes callers ends with its streams", async (t) => {
+  // Nobody needs it any more. Listening on to the end of its grace period, it was
+  // back seconds later than it could be.
+  const store = new MemoryMetadataStore();
+  store.put("configuration", configuration(1));
+  const first = await Fixture.start({ store, instance: "entry-1" });
+  const { servers } = first;
+  const second = await Fixture.start({ store, instance: "entry-2", servers });
+  for (const server of servers) {
+    server.answer = (response, received) => {
+      stream(response, received).write(event(1));
+      setTimeout(() => response.end(event(2)), 700);
+    };
+  }
+  await new Promise((resolve) => setTimeout(resolve, 1000));
+  const long = first.call("/stream/long", { method: "POST" });
+  await until(() => servers.some(({ received }) => received.length));
+  let stopped = false;
+  void first.gateway.stop().then(() => stopped = true);
+  await new Promise((resolve) => setTimeout(resolve, 500));
+  t.notOk(stopped);
+  t.ok((await long).whole);
+  await new Promise((resolve) => setTimeout(resolve, 600));
+  t.ok(stopped, "before its grace period of 1.6 s is over");
+  await t.rejects(first.call("/calls/"), { code: "ECONNREFUSED" });
+  await second.stop();
+});
+
 t.test("an entry that starts anew uses its share of the quotas at once", async (t) => {
   // All entries lose power. Each starts while its name is still registered, so
   // that the others count it, and has not registered itself yet. Taken for one
--- a/packages/gateway/test/request_task_test.ts
+++ b/packages/gateway/test/request_task_test.ts
@@ -3,6 +3,7 @@
 import type { Call } from "../src/front/call.ts";
 import type { Caller } from "../src/request/caller.ts";
 import type { RequestContext } from "../src/request/request_context.ts";
+import { Closing } from "../src/request/closing.ts";
 import { RequestTask } from "../src/request/request_task.ts";
 import { route } from "./fixture.ts";
 
@@ -33,6 +34,7 @@
       waited: { observe: () => {} },
       refusals: { inc: () => {} },
     },
+    closing: new Closing(),
     granter: {
       ask: () => {
         const grant = { kind: "grant", server: "s1@1", by: "entry-1" };
