Say in a refusal's line for whom and by what it was decided

Change: the granting entry sends what it saw with the refusal (free places, waiting requests, ms until the quota allows it); the line has it, with the entry that decided, the organisation, the tier and the route's rank. Volume is bounded as before.

--- a/packages/decisions/src/dispatch/ask.ts
+++ b/packages/decisions/src/dispatch/ask.ts
@@ -39,10 +39,25 @@
 /** Why an ask was turned away; none of them has run for it. */
 export type AskRefusal = "quota" | "overload" | "no_server" | "expired";
 
+/** What the entry that refuses an ask saw, to explain it afterwards. */
+export type RefusalInputs = {
+  /** Free places of the service's servers, and asks that wait for them. */
+  free: number;
+  waiting: number;
+  /** Milliseconds until the organisation's quota allows the ask. */
+  quotaWait: number;
+};
+
 /** What became of an ask. */
 export type AskVerdict =
   | { kind: "grant"; ask: Ask; server: string }
-  | { kind: "refuse"; ask: Ask; reason: AskRefusal; retryAfter: number };
+  | {
+    kind: "refuse";
+    ask: Ask;
+    reason: AskRefusal;
+    retryAfter: number;
+    seen: RefusalInputs;
+  };
 
 /** How a granted request ended at its server. */
 export type RunEnd =
--- a/packages/decisions/src/dispatch/desk.ts
+++ b/packages/decisions/src/dispatch/desk.ts
@@ -92,7 +92,8 @@
     if (now + wait > ask.lapsesAt) {
       const soonest = SOONEST_RETRY * (1 + ask.spread);
       const retryAfter = Math.max(wait, soonest);
-      return { kind: "refuse", ask, reason: "quota", retryAfter };
+      const seen = this.#service(ask.service).seen(ask, now);
+      return { kind: "refuse", ask, reason: "quota", retryAfter, seen };
     }
     const verdict = this.#service(ask.service).ask(ask, now);
     if (verdict === undefined) this.#asks.set(ask.id, ask);
--- a/packages/decisions/src/dispatch/mod.ts
+++ b/packages/decisions/src/dispatch/mod.ts
@@ -1,5 +1,11 @@
 /** Which backend server a request is sent to, and when. @module */
-export type { Ask, AskRefusal, AskVerdict, RunEnd } from "./ask.ts";
+export type {
+  Ask,
+  AskRefusal,
+  AskVerdict,
+  RefusalInputs,
+  RunEnd,
+} from "./ask.ts";
 export { Desk } from "./desk.ts";
 export type { ServiceLoad } from "./desk.ts";
 export type { AnswerPace } from "./server_room.ts";
--- a/packages/decisions/src/dispatch/service_desk.ts
+++ b/packages/decisions/src/dispatch/service_desk.ts
@@ -16,7 +16,13 @@
 import { OrganisationQuotas } from "../quotas/mod.ts";
 import type { QuotaLeeway } from "../quotas/mod.ts";
 import { AnswerValue } from "./answer_value.ts";
-import type { Ask, AskRefusal, AskVerdict, RunEnd } from "./ask.ts";
+import type {
+  Ask,
+  AskRefusal,
+  AskVerdict,
+  RefusalInputs,
+  RunEnd,
+} from "./ask.ts";
 import { AskQueue, WaitingAsk } from "./ask_queue.ts";
 import { GrantRate } from "./grant_rate.ts";
 import { ReturningCallers } from "./returning_callers.ts";
@@ -253,7 +259,23 @@
     const retryAfter = reason === "no_server"
       ? RETRY_WITHOUT_SERVER
       : retryAfterBurst(ask, now);
-    return { kind: "refuse", ask, reason, retryAfter };
+    return {
+      kind: "refuse",
+      ask,
+      reason,
+      retryAfter,
+      seen: this.seen(ask, now),
+    };
+  }
+
+  /** What a refusal goes by. */
+  seen(ask: Ask, now: number): RefusalInputs {
+    const { organisation, charge } = ask;
+    return {
+      free: this.#rooms.freePlaces,
+      waiting: this.#queue.size,
+      quotaWait: this.#quotas.waitFor(organisation, charge, now),
+    };
   }
 }
 
--- a/packages/decisions/src/dispatch/service_rooms.ts
+++ b/packages/decisions/src/dispatch/service_rooms.ts
@@ -57,6 +57,13 @@
     return places;
   }
 
+  /** Places where nothing runs, of servers that may be unreachable too. */
+  get freePlaces(): number {
+    let running = 0;
+    for (const room of this.#rooms.values()) running += room.running;
+    return Math.max(0, this.places - running);
+  }
+
   /** Those places that this group of entries uses. */
   get ownPlaces(): number {
     return this.places * this.#part;
--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -58,6 +58,15 @@
     waited: number;
     retryAfter: number;
     version: number;
+    /** Empty where the request was refused before it was placed. */
+    organisation?: string;
+    tierRank?: number;
+    routeRank?: number;
+    /** The entry that decided, and what it saw; see `RefusalInputs`. */
+    by?: string;
+    free?: number;
+    waiting?: number;
+    quotaWait?: number;
   }
   | {
     event: "retried";
--- a/packages/gateway/src/peers/granter.ts
+++ b/packages/gateway/src/peers/granter.ts
@@ -219,6 +219,11 @@
           kind: "refuse",
           reason: message.reason,
           retryAfter: message.retryAfter,
+          seen: {
+            free: message.free,
+            waiting: message.waiting,
+            quotaWait: message.quotaWait,
+          },
           by: peer,
         });
         return true;
@@ -319,12 +324,13 @@
       return;
     }
     this.#foreign.delete(ask.id);
-    const { reason, retryAfter } = verdict;
+    const { reason, retryAfter, seen } = verdict;
     this.#peers().send(ask.entry, {
       type: "refuse",
       id: ask.id,
       reason,
       retryAfter,
+      ...seen,
     });
   }
 
@@ -348,6 +354,6 @@
   if (verdict.kind === "grant") {
     return { kind: "grant", server: verdict.server, by };
   }
-  const { reason, retryAfter } = verdict;
-  return { kind: "refuse", reason, retryAfter, by };
+  const { reason, retryAfter, seen } = verdict;
+  return { kind: "refuse", reason, retryAfter, seen, by };
 }
--- a/packages/gateway/src/peers/held_ask.ts
+++ b/packages/gateway/src/peers/held_ask.ts
@@ -1,10 +1,16 @@
 /** An ask of this entry, and the answer that its request waits for. @module */
-import type { Ask, AskRefusal } from "@sycamorepulley/decisions";
+import type { Ask, AskRefusal, RefusalInputs } from "@sycamorepulley/decisions";
 
 /** What a request is told; `by` is the entry that decided. */
 export type GrantAnswer =
   | { kind: "grant"; server: string; by: string }
-  | { kind: "refuse"; reason: AskRefusal; retryAfter: number; by: string };
+  | {
+    kind: "refuse";
+    reason: AskRefusal;
+    retryAfter: number;
+    seen: RefusalInputs;
+    by: string;
+  };
 
 /** An ask until its request has ended. */
 export class HeldAsk {
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -106,6 +106,10 @@
     id: text,
     reason: v.picklist(["quota", "overload", "no_server", "expired"]),
     retryAfter: duration,
+    /** What the sender saw; see `RefusalInputs`. */
+    free: v.optional(count, 0),
+    waiting: v.optional(count, 0),
+    quotaWait: v.optional(duration, 0),
   }),
 ]);
 /** See {@link peerMessageSchema}. */
--- a/packages/gateway/src/request/request_report.ts
+++ b/packages/gateway/src/request/request_report.ts
@@ -1,5 +1,5 @@
 /** What is logged and counted of one request. @module */
-import type { ServerRecord } from "@sycamorepulley/decisions";
+import type { RefusalInputs, ServerRecord } from "@sycamorepulley/decisions";
 import type { Call } from "../front/call.ts";
 import type { AnswerProgress } from "./answer_progress.ts";
 import type { ReplyReason } from "./reply.ts";
@@ -54,10 +54,17 @@
 
   refused(
     reason: ReplyReason,
-    answer: { status: number; retryAfter: number; mayHaveRun: boolean },
+    answer: {
+      status: number;
+      retryAfter: number;
+      mayHaveRun: boolean;
+      /** Where an entry that grants refused it. */
+      decided?: { by: string; seen: RefusalInputs };
+    },
   ): void {
     const { metrics, log } = this.#context;
-    const { service } = this.#resolved;
+    const { service, organisation, tierRank, routeRank } = this.#resolved;
+    const { decided } = answer;
     if (answer.mayHaveRun) metrics.failures.inc({ service, reason });
     else metrics.refusals.inc({ service, reason });
     log.write({
@@ -68,6 +75,15 @@
       waited: this.#age(),
       retryAfter: Math.round(answer.retryAfter),
       version: this.#version,
+      organisation,
+      tierRank,
+      routeRank,
+      ...(decided && {
+        by: decided.by,
+        free: decided.seen.free,
+        waiting: decided.seen.waiting,
+        quotaWait: Math.round(decided.seen.quotaWait),
+      }),
     });
   }
 
--- a/packages/gateway/src/request/request_task.ts
+++ b/packages/gateway/src/request/request_task.ts
@@ -8,7 +8,11 @@
  * @module
  */
 import { incarnationOf, mayRepeat } from "@sycamorepulley/decisions";
-import type { RunEnd, ServerRecord } from "@sycamorepulley/decisions";
+import type {
+  RefusalInputs,
+  RunEnd,
+  ServerRecord,
+} from "@sycamorepulley/decisions";
 import type { Channel } from "../backend/channel.ts";
 import type { Call } from "../front/call.ts";
 import type { GrantAnswer } from "../peers/held_ask.ts";
@@ -166,7 +170,7 @@
       return undefined;
     }
     if (verdict.kind === "refuse") {
-      this.#giveUp(verdict.reason, verdict.retryAfter);
+      this.#giveUp(verdict.reason, verdict.retryAfter, verdict);
       return undefined;
     }
     const record = server(verdict.server);
@@ -370,7 +374,11 @@
     return true;
   }
 
-  #giveUp(reason: ReplyReason, retryAfter?: number): void {
+  #giveUp(
+    reason: ReplyReason,
+    retryAfter?: number,
+    decided?: { by: string; seen: RefusalInputs },
+  ): void {
     if (this.#caller.left || this.#final) return;
     if (this.#caller.begun) {
       this.#cut(undefined, reason);
@@ -387,6 +395,7 @@
       status,
       retryAfter: wait ?? 0,
       mayHaveRun: this.#mayHaveRun,
+      ...(decided && { decided }),
     });
   }
 
