--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,7 +4,6 @@
  */
 import { randomBytes } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { setTimeout as sleep } from "node:timers/promises";
 import { incarnationOf, ProcessLifecycle } from "@sycamorepulley/decisions";
 import type { ServerRecord } from "@sycamorepulley/decisions";
 import type { MetadataStore } from "@sycamorepulley/store";
@@ -12,6 +11,7 @@
 import { ChannelPool } from "./backend/channel_pool.ts";
 import { CallReader } from "./front/call.ts";
 import { Front } from "./front/front.ts";
+import { GracefulStop } from "./graceful_stop.ts";
 import { GatewayPeerEvents } from "./gateway_peer_events.ts";
 import type { HeaderNames } from "./front/header_names.ts";
 import { StatusPages } from "./front/status_pages.ts";
@@ -42,22 +42,6 @@
 const LOAD_EVERY = 1000;
 /** Milliseconds between looks at idle connections. */
 const SWEEP_EVERY = 1000;
-/**
- * Milliseconds for which connections are still taken after a request to stop:
- * the balancer asks once a second and believes the second refusal.
- */
-const KEEP_LISTENING = 3000;
-/**
- * Milliseconds for which another entry has to be there before this one stops
- * listening: the balancer asks it once a second whether it is ready.
- */
-const TAKEN_UP_AFTER = 1500;
-/** Milliseconds without a request after which nobody needs this entry. */
-const UNUSED_AFTER = 500;
-/** Milliseconds before its end at which an entry stops listening in any case. */
-const CLOSE_BEFORE = 200;
-/** Milliseconds before the process would be killed at which it ends itself. */
-const GRACE_MARGIN = 400;
 /** What a platform gives to a gateway. */
 export type GatewayParts = {
   settings: GatewaySettings;
@@ -237,50 +221,28 @@
   async stop(): Promise<void> {
     if (!this.#lifecycle.apply("stop")) return;
     const gracePeriod = this.#settings.bounds.gracePeriodSeconds * 1000;
-    const endAt = this.#clock() + gracePeriod - GRACE_MARGIN;
     this.#log.write({
       event: "stopping",
       active: this.#desk.active,
       grace: gracePeriod,
     });
+    const stop = new GracefulStop({
+      front: this.#front,
+      desk: this.#desk,
+      peers: this.#peers,
+      closing: this.#closing,
+      clock: this.#clock,
+      gracePeriod,
+    });
     this.#front.startClosing();
     this.#regroup();
     this.#peers.announce();
     void this.#membership.leave();
-    await this.#keepListening(endAt);
-    this.#front.stopListening();
-    while (this.#desk.active > 0 && this.#clock() < endAt) {
-      await sleep(20);
-      this.#front.closeIdle();
-    }
+    await stop.finish();
     this.#log.write({ event: "stopped", cut: this.#desk.active });
     this.#close();
   }
 
-  /**
-   * Resolves once nothing runs here and callers can go elsewhere or don't come
-   * any more, or when the process is about to end. Until then it listens: where
-   * other entries take callers, the balancer sends none here.
-   */
-  async #keepListening(endAt: number): Promise<void> {
-    const allTakenUntil = this.#clock() +
-      Math.min(KEEP_LISTENING, this.#settings.bounds.gracePeriodSeconds * 500);
-    let othersSince = this.#peers.anyStaying() ? -Infinity : Infinity;
-    let usedAt = this.#clock();
-    for (;;) {
-      await sleep(20);
-      const now = this.#clock();
-      if (!this.#peers.anyStaying()) othersSince = Infinity;
-      else othersSince = Math.min(othersSince, now);
-      if (this.#desk.active > 0) usedAt = now;
-      if (now < allTakenUntil) continue;
-      this.#closing.begin(endAt);
-      const replaced = now - othersSince >= TAKEN_UP_AFTER && usedAt < now;
-      const unused = now - usedAt >= UNUSED_AFTER;
-      if (replaced || unused || now >= endAt - CLOSE_BEFORE) return;
-    }
-  }
-
   received(peer: string, message: PeerMessage): void {
     if (!this.#granter.received(peer, message)) {
       this.#sharing.received(peer, message);
