Take a long quiet watch for no outage of the store

An answer of the store after more than 1.5 s without one counted as the end of an outage, and a record that vanishes around one is kept for 2 s. Since watches take turns up to 16 s, any quiet time looked like an outage; with 2 s it could already.

Change: an outage needs a failed call, and the renewals of the entry's lease, once a second, tell as well whether the store answers.

The test of records that lapse in an outage said nothing of a failed call; it states one now, as an outage has, and a new test holds that quiet alone is none. It fails without the change.

--- a/packages/decisions/src/discovery/server_directory.ts
+++ b/packages/decisions/src/discovery/server_directory.ts
@@ -23,8 +23,8 @@
  */
 const REGISTER_AGAIN_WITHIN = 2000;
 /**
- * Milliseconds of silence of the store that count as an outage. Reads are
- * answered within a watch's wait of one second.
+ * Milliseconds without an answer of the store, with a failed call among them, that
+ * count as an outage. Leases are renewed once a second.
  */
 const OUTAGE_AFTER = 1500;
 
@@ -34,6 +34,8 @@
   /** Ids that vanished around an outage, with the time at which they are dropped. */
   readonly #lapsed = new Map<string, number>();
   #heardAt: number | undefined;
+  /** A call to the store has failed since it answered last. */
+  #failed = false;
   #outageEndedAt = -Infinity;
   #revision = 0;
   /** The last to start at each address; `undefined` after a change. */
@@ -44,11 +46,21 @@
     return this.#revision;
   }
 
-  /** States that the store answered; notices the end of an outage. */
+  /**
+   * States that the store answered; notices the end of an outage. A watch that had
+   * nothing to tell for long is none: taken for one, the server whose leaving it
+   * told of was still sent requests for two seconds.
+   */
   heard(now: number): void {
     const silence = now - (this.#heardAt ?? now);
-    if (silence > OUTAGE_AFTER) this.#outageEndedAt = now;
+    if (this.#failed && silence > OUTAGE_AFTER) this.#outageEndedAt = now;
     this.#heardAt = now;
+    this.#failed = false;
+  }
+
+  /** States that a call to the store failed. */
+  failed(): void {
+    this.#failed = true;
   }
 
   /** Replaces all records by what a complete read found. */
--- a/packages/decisions/test/server_directory_test.ts
+++ b/packages/decisions/test/server_directory_test.ts
@@ -16,6 +16,23 @@
   t.end();
 });
 
+t.test("a watch without news for long is no outage", (t) => {
+  // Nothing changes for six seconds, and watches wait as long. Then a server
+  // leaves: its record is removed. Taken for the end of an outage, the record was
+  // kept for two seconds, and the server got requests 2.1 s after it had left.
+  const directory = new ServerDirectory();
+  directory.heard(0);
+  directory.replace([server("x"), server("y")], 5, 0);
+  directory.heard(6000);
+  directory.remove("x", 6000);
+  t.same(ids(directory, 6000), ["y"]);
+  directory.failed();
+  directory.heard(7000);
+  directory.remove("y", 7000);
+  t.same(ids(directory, 7000), [], "one failed call is none either");
+  t.end();
+});
+
 t.test("records that lapse in an outage are kept until servers are back", (t) => {
   // The store is away for some seconds and leases run out meanwhile. On its
   // return the records are missing although all servers live: dropping them
@@ -23,6 +40,7 @@
   const directory = new ServerDirectory();
   directory.heard(0);
   directory.replace([server("x"), server("y")], 5, 0);
+  directory.failed();
   directory.heard(6000);
   directory.replace([], 9, 6000);
   t.same(ids(directory, 7900), ["x", "y"]);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -129,6 +129,7 @@
       instance,
       log,
       clock,
+      health: this.#state,
     });
     this.#desk = new RequestDesk({
       reader: new CallReader(names),
--- a/packages/gateway/src/state/fleet_state.ts
+++ b/packages/gateway/src/state/fleet_state.ts
@@ -219,6 +219,7 @@
 
   /** A call to the store failed. */
   storeFailed(error: PlatformError): void {
+    this.directory.failed();
     const silence = this.#clock() - this.#storeHeardAt;
     if (this.#storeLost || silence < STORE_LOST_AFTER) return;
     this.#storeLost = true;
--- a/packages/gateway/src/state/membership.ts
+++ b/packages/gateway/src/state/membership.ts
@@ -5,7 +5,7 @@
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import { COUNTED_FOR } from "@sycamorepulley/decisions";
-import type { MetadataStore } from "@sycamorepulley/store";
+import type { MetadataStore, PlatformError } from "@sycamorepulley/store";
 import type { EventLog } from "../observe/event_log.ts";
 import type { Address } from "../settings.ts";
 import type { Member } from "./fleet_state.ts";
@@ -20,12 +20,19 @@
 const RENEW_EVERY = 1000;
 const RETRY_AFTER = 400;
 
+/** Takes in whether the store answers the calls about this entry's lease. */
+export abstract class StoreHealth {
+  abstract storeHeard(): void;
+  abstract storeFailed(error: PlatformError): void;
+}
+
 /** Keeps the entry registered until {@link Membership.leave}. */
 export class Membership {
   readonly #store: MetadataStore;
   readonly #instance: string;
   readonly #log: EventLog;
   readonly #clock: () => number;
+  readonly #health: StoreHealth;
   readonly #stop = new AbortController();
   #lease: number | undefined;
   #registered = false;
@@ -37,8 +44,10 @@
       instance: string;
       log: EventLog;
       clock: () => number;
+      health: StoreHealth;
     },
   ) {
+    this.#health = options.health;
     this.#store = options.store;
     this.#instance = options.instance;
     this.#log = options.log;
@@ -100,7 +109,11 @@
   async #renew(): Promise<boolean> {
     const startedAt = this.#clock();
     const renewed = await this.#store.renewLease(this.#lease ?? 0);
-    if (renewed.isErr) return false;
+    if (renewed.isErr) {
+      this.#health.storeFailed(renewed.error);
+      return false;
+    }
+    this.#health.storeHeard();
     if (renewed.value) {
       this.#validUntil = startedAt + LEASE_DURATION;
       return true;
