--- a/packages/decisions/src/dispatch/reading_limit.ts
+++ b/packages/decisions/src/dispatch/reading_limit.ts
@@ -3,10 +3,9 @@
  *
  * Load pattern: engines that differ by a factor of five and read prompts in
  * between the tokens of all answers beside them. What a fast engine reads without
- * anybody noticing stops every answer of a slow one: with a fixed bound 70 to 90
- * of 100 answers of ten events or more at the slowest engines had a pause longer
- * than their callers accept, against none at the fastest. The pauses themselves
- * tell what a server can take, so the bound is learned from them, and a slow
+ * anybody noticing stops every answer of a slow one: with a fixed bound most of
+ * its longer answers had a pause that their callers don't accept. The pauses
+ * themselves tell what a server can take, so the bound is learned from them, and a slow
  * server is left with short prompts, which it serves in time.
  * @module
  */
--- a/packages/decisions/src/dispatch/service_desk.ts
+++ b/packages/decisions/src/dispatch/service_desk.ts
@@ -8,8 +8,7 @@
  * it runs at once, and what waits here can be ordered, sent elsewhere or refused
  * early. The order is that of `ask_value.ts`; a request is turned away, and told
  * when to come back, once it can't be on time and is out of reach of that order.
- * Turned away on arrival, by what came in the last two seconds, some went for
- * whom a place was free within their goal: 71 of 100 were served, 74 without.
+ * Turned away on arrival, some went for whom a place was free within their goal.
  * @module
  */
 import type { ServerRecord } from "../discovery/mod.ts";
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -278,3 +278,14 @@
   };
   return JSON.stringify(record);
 }
+
+/** Waits for at most three seconds until `check` holds. */
+export async function until(
+  check: () => Promise<boolean> | boolean,
+): Promise<boolean> {
+  for (let count = 0; count < 150; count++) {
+    if (await check()) return true;
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  return false;
+}
--- a/packages/gateway/test/request_path_test.ts
+++ b/packages/gateway/test/request_path_test.ts
@@ -341,25 +341,3 @@
   }
   await fixture.stop();
 });
-
-t.test("a refusal's line says for whom and by what it was decided", async (t) => {
-  // A firm was told 429 in a busy minute. The line named neither the firm, nor
-  // whether a place was free, nor what its quota stood at: the on-call engineer
-  // could not tell a quota that is too low from servers that were full.
-  const fixture = await Fixture.ready();
-  const headers = { "x-tokens": "90000,10" };
-  const seen = await fixture.call("/stream/", { method: "POST", headers });
-  t.equal(seen.status, 429);
-  const line = fixture.events.find(({ message }) => message === "refused");
-  t.match(line?.context, {
-    reason: "quota",
-    organisation: "firm",
-    tierRank: 0,
-    routeRank: 0,
-    by: "entry-1",
-    waiting: 0,
-  });
-  t.ok(Number(line?.context["free"]) > 0);
-  t.ok(Number(line?.context["quotaWait"]) > 0);
-  await fixture.stop();
-});
