--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -123,7 +123,7 @@
       log,
       clock,
     });
-    this.#sharing = new StateSharing(this.#state, this.#peers);
+    this.#sharing = new StateSharing(this.#state, this.#peers, log);
     this.#membership = new Membership({
       store,
       instance,
@@ -174,6 +174,7 @@
       ...followers,
       state: this.#state,
       signal,
+      clock: this.#clock,
       group: () => this.#peers.watchGroup(),
     });
     void this.#membership.run({ ...settings.peers, port: peers });
@@ -339,8 +340,9 @@
 
   #logLoad(): void {
     const { parts } = this.#granter;
+    const fleet = this.#state.countedMembers().size;
     for (const load of this.#granter.loads()) {
-      this.#log.write({ event: "load", ...load, ...parts });
+      this.#log.write({ event: "load", ...load, ...parts, fleet });
     }
   }
 
--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -27,6 +27,26 @@
     change: string;
     revision: number;
   }
+  | {
+    event: "store_call_failed";
+    step: string;
+    /** What was read or followed; empty for calls about the entry's lease. */
+    prefix: string;
+    reason: string;
+    detail: string;
+    /** From its sending until it was given up. */
+    time: number;
+  }
+  /** A peer was asked for newer state, or was sent it. */
+  | { event: "state_requested"; state: string; from: string; revision: number }
+  | {
+    event: "state_sent";
+    state: string;
+    to: string;
+    revision: number;
+    /** Characters of the configuration, or records of servers. */
+    size: number;
+  }
   | {
     event: "dependency_lost";
     dependency: string;
@@ -49,6 +69,9 @@
     by: string;
     version: number;
     attempt: number;
+    organisation: string;
+    /** Tokens that its quota is charged. */
+    charge: number;
   }
   | {
     event: "refused";
@@ -106,5 +129,7 @@
     granted: number;
     room: number;
     quota: number;
+    /** Entries that the group counts in the fleet, itself included. */
+    fleet: number;
   }
   | { event: "omitted"; of: string; lines: number };
--- a/packages/gateway/src/peers/peer_link.ts
+++ b/packages/gateway/src/peers/peer_link.ts
@@ -23,6 +23,8 @@
   heardAt: number;
   instance: string | undefined;
   incarnation = "";
+  /** Why this side closed it; empty while it did not. */
+  closedFor = "";
   standing: PeerStanding | undefined;
 
   constructor(socket: Socket, now: number) {
@@ -46,7 +48,8 @@
     return this.#link.receive();
   }
 
-  close(): void {
+  close(reason: string): void {
+    this.closedFor = reason;
     this.#link.close();
   }
 }
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -124,7 +124,7 @@
   tick(members: ReadonlyMap<string, Member>): void {
     const now = this.#clock();
     for (const link of [...this.#links.values(), ...this.#unnamed]) {
-      if (now - link.heardAt > SILENT_AFTER) link.close();
+      if (now - link.heardAt > SILENT_AFTER) link.close("silent");
     }
     this.announce();
     for (const [name, member] of members) {
@@ -145,8 +145,8 @@
 
   close(): void {
     this.#server?.close();
-    for (const link of this.#links.values()) link.close();
-    for (const link of this.#unnamed) link.close();
+    for (const link of this.#links.values()) link.close("stopped");
+    for (const link of this.#unnamed) link.close("stopped");
   }
 
   #dial(address: Address, now: number): void {
@@ -181,7 +181,7 @@
   }
 
   async #serve(link: PeerLink): Promise<void> {
-    let reason = "closed";
+    let reason = "closed by the peer";
     try {
       for await (const message of link.messages()) {
         link.heardAt = this.#clock();
@@ -197,7 +197,7 @@
     this.#log.write({
       event: "dependency_lost",
       dependency: `entry ${name}`,
-      detail: reason,
+      detail: link.closedFor || reason,
       silence: Math.round(this.#clock() - link.heardAt),
     });
     this.#events.lost(name);
@@ -225,13 +225,13 @@
     if (before?.incarnation === incarnation) {
       // Both sides dialled, as at a start by seeds: one link is enough.
       link.instance = undefined;
-      link.close();
+      link.close("second link");
       return;
     }
     this.#links.set(instance, link);
     if (before !== undefined) {
       // A restarted peer connects before its old link is found dead.
-      before.close();
+      before.close("replaced");
       this.#events.lost(instance);
     }
     this.#log.write({
--- a/packages/gateway/src/peers/state_sharing.ts
+++ b/packages/gateway/src/peers/state_sharing.ts
@@ -4,6 +4,7 @@
  * leaving servers from their peers.
  * @module
  */
+import type { EventLog } from "../observe/event_log.ts";
 import type { FleetState } from "../state/fleet_state.ts";
 import type { PeerMessage } from "./messages.ts";
 import type { PeerStanding } from "./peer_link.ts";
@@ -13,10 +14,12 @@
 export class StateSharing {
   readonly #state: FleetState;
   readonly #peers: Peers;
+  readonly #log: EventLog;
 
-  constructor(state: FleetState, peers: Peers) {
+  constructor(state: FleetState, peers: Peers, log: EventLog) {
     this.#state = state;
     this.#peers = peers;
+    this.#log = log;
   }
 
   /** Takes a message about state; does nothing with any other. */
@@ -26,20 +29,13 @@
         this.#compare(peer, message);
         return;
       case "pull_configuration":
-        this.#peers.send(peer, {
-          type: "configuration",
-          ...this.#state.published,
-        });
+        this.#sendConfiguration(peer);
         return;
       case "configuration":
         this.#state.adopt(message.value, message.revision, peer);
         return;
       case "pull_servers":
-        this.#peers.send(peer, {
-          type: "servers",
-          revision: this.#state.directory.revision,
-          records: this.#state.directory.all(),
-        });
+        this.#sendServers(peer);
         return;
       case "servers":
         this.#state.adoptServers(message.records, message.revision, peer);
@@ -50,10 +46,37 @@
 
   #compare(peer: string, standing: PeerStanding): void {
     if (standing.configurationRevision > this.#state.published.revision) {
+      this.#requested("configuration", peer, standing.configurationRevision);
       this.#peers.send(peer, { type: "pull_configuration" });
     }
     if (this.#state.behind(standing.serverRevision)) {
+      this.#requested("servers", peer, standing.serverRevision);
       this.#peers.send(peer, { type: "pull_servers" });
     }
   }
+
+  #sendConfiguration(to: string): void {
+    const { revision, value } = this.#state.published;
+    this.#sent("configuration", to, { revision, size: value.length });
+    this.#peers.send(to, { type: "configuration", revision, value });
+  }
+
+  #sendServers(to: string): void {
+    const { revision } = this.#state.directory;
+    const records = this.#state.directory.all();
+    this.#sent("servers", to, { revision, size: records.length });
+    this.#peers.send(to, { type: "servers", revision, records });
+  }
+
+  #requested(state: string, from: string, revision: number): void {
+    this.#log.write({ event: "state_requested", state, from, revision });
+  }
+
+  #sent(
+    state: string,
+    to: string,
+    what: { revision: number; size: number },
+  ): void {
+    this.#log.write({ event: "state_sent", state, to, ...what });
+  }
 }
--- a/packages/gateway/src/request/request_report.ts
+++ b/packages/gateway/src/request/request_report.ts
@@ -24,7 +24,7 @@
     grant: { waited: number; by: string; attempt: number },
   ): void {
     const { metrics, log } = this.#context;
-    const { service, route } = this.#resolved;
+    const { service, route, organisation, charge } = this.#resolved;
     const waited = Math.round(grant.waited);
     const labels = { service, route: route.name };
     metrics.waited.observe(labels, waited / 1000);
@@ -36,6 +36,8 @@
       by: grant.by,
       version: this.#version,
       attempt: grant.attempt,
+      organisation,
+      charge,
     });
   }
 
--- a/packages/gateway/src/state/fleet_state.ts
+++ b/packages/gateway/src/state/fleet_state.ts
@@ -6,13 +6,10 @@
  */
 import { COUNTED_FOR, ServerDirectory } from "@sycamorepulley/decisions";
 import type { ServerRecord } from "@sycamorepulley/decisions";
-import type {
-  ItemChange,
-  PlatformError,
-  StoredItem,
-} from "@sycamorepulley/store";
+import type { ItemChange, StoredItem } from "@sycamorepulley/store";
 import type { EventLog } from "../observe/event_log.ts";
 import { ConfigurationInForce } from "./gateway_configuration.ts";
+import type { FailedCall } from "./membership.ts";
 import type { PrefixListener } from "./prefix_follower.ts";
 import type { RecordCodec } from "./records.ts";
 import { StateListener } from "./state_listener.ts";
@@ -150,7 +147,7 @@
 
   /** Listens to the configuration's key. */
   configurationListener(): PrefixListener {
-    return new StateListener(this, {
+    return new StateListener(this, this.#codec.configurationKey, {
       snapshot: (items) => items.forEach((item) => this.#configuration(item)),
       change: (change) => {
         if (change.kind === "written") this.#configuration(change.item);
@@ -160,7 +157,7 @@
 
   /** Listens to the backend servers' keys. */
   serverListener(): PrefixListener {
-    return new StateListener(this, {
+    return new StateListener(this, this.#codec.serverPrefix, {
       snapshot: (items, asOf) => {
         const records = items.map((item) => this.#server(item))
           .filter((record) => record !== undefined);
@@ -186,7 +183,7 @@
         this.members.set(item.key.slice(prefix.length), member);
       }
     };
-    return new StateListener(this, {
+    return new StateListener(this, prefix, {
       snapshot: (items) => {
         for (const name of this.members.keys()) this.#depart(name);
         this.members.clear();
@@ -218,8 +215,16 @@
   }
 
   /** A call to the store failed. */
-  storeFailed(error: PlatformError): void {
+  storeFailed({ error, prefix, time }: FailedCall): void {
     this.directory.failed();
+    this.#log.write({
+      event: "store_call_failed",
+      step: error.step,
+      prefix,
+      reason: error.reason,
+      detail: error.detail,
+      time: Math.round(time),
+    });
     const silence = this.#clock() - this.#storeHeardAt;
     if (this.#storeLost || silence < STORE_LOST_AFTER) return;
     this.#storeLost = true;
--- a/packages/gateway/src/state/follow.ts
+++ b/packages/gateway/src/state/follow.ts
@@ -25,11 +25,12 @@
     codec: RecordCodec;
     state: FleetState;
     signal: AbortSignal;
+    clock: () => number;
     /** Entries that are heard, and tell what they read. */
     group: () => WatchGroup;
   },
 ): void {
-  const { store, codec, state, signal, group } = options;
+  const { store, codec, state, signal, clock, group } = options;
   const start = (
     prefix: string,
     listener: PrefixListener,
@@ -37,7 +38,8 @@
   ) => {
     const turns = new WatchTurns(shortest);
     const wait = () => turns.next(group());
-    void new PrefixFollower({ store, prefix, listener, wait }).run(signal);
+    const follower = { store, prefix, listener, wait, clock };
+    void new PrefixFollower(follower).run(signal);
   };
   start(codec.configurationKey, state.configurationListener(), WATCH_WAIT);
   start(codec.serverPrefix, state.serverListener(), WATCH_WAIT);
--- a/packages/gateway/src/state/membership.ts
+++ b/packages/gateway/src/state/membership.ts
@@ -20,10 +20,19 @@
 const RENEW_EVERY = 1000;
 const RETRY_AFTER = 400;
 
+/** A call to the store that failed. */
+export type FailedCall = {
+  error: PlatformError;
+  /** What was read or followed; empty for calls about the entry's lease. */
+  prefix: string;
+  /** Milliseconds from its sending until it was given up. */
+  time: number;
+};
+
 /** Takes in whether the store answers the calls about this entry's lease. */
 export abstract class StoreHealth {
   abstract storeHeard(): void;
-  abstract storeFailed(error: PlatformError): void;
+  abstract storeFailed(call: FailedCall): void;
 }
 
 /** Keeps the entry registered until {@link Membership.leave}. */
@@ -88,7 +97,7 @@
   async #register(member: Member): Promise<boolean> {
     const startedAt = this.#clock();
     const lease = await this.#store.grantLease(LEASE_DURATION);
-    if (lease.isErr) return false;
+    if (lease.isErr) return this.#failed(lease.error, startedAt);
     this.#lease = lease.value;
     const written = await this.#store.transact({
       expected: [],
@@ -99,7 +108,8 @@
       }],
       removals: [],
     });
-    if (written.isErr || written.value.kind !== "committed") return false;
+    if (written.isErr) return this.#failed(written.error, startedAt);
+    if (written.value.kind !== "committed") return false;
     this.#registered = true;
     this.#validUntil = startedAt + LEASE_DURATION;
     this.#log.write({ event: "registered", lease: lease.value });
@@ -109,10 +119,7 @@
   async #renew(): Promise<boolean> {
     const startedAt = this.#clock();
     const renewed = await this.#store.renewLease(this.#lease ?? 0);
-    if (renewed.isErr) {
-      this.#health.storeFailed(renewed.error);
-      return false;
-    }
+    if (renewed.isErr) return this.#failed(renewed.error, startedAt);
     this.#health.storeHeard();
     if (renewed.value) {
       this.#validUntil = startedAt + LEASE_DURATION;
@@ -122,4 +129,10 @@
     this.#log.write({ event: "registration_lapsed", lease: this.#lease ?? 0 });
     return false;
   }
+
+  #failed(error: PlatformError, startedAt: number): false {
+    const time = this.#clock() - startedAt;
+    this.#health.storeFailed({ error, prefix: "", time });
+    return false;
+  }
 }
--- a/packages/gateway/src/state/prefix_follower.ts
+++ b/packages/gateway/src/state/prefix_follower.ts
@@ -26,7 +26,8 @@
   abstract changes(changes: readonly ItemChange[], asOf: number): void;
   /** The store answered. */
   abstract heard(): void;
-  abstract failed(error: PlatformError): void;
+  /** A call failed, `time` milliseconds after it was sent. */
+  abstract failed(error: PlatformError, time: number): void;
 }
 
 /** Runs until its signal is aborted. */
@@ -35,6 +36,7 @@
   readonly #prefix: string;
   readonly #listener: PrefixListener;
   readonly #wait: () => number;
+  readonly #clock: () => number;
 
   constructor(
     options: {
@@ -43,18 +45,21 @@
       listener: PrefixListener;
       /** Milliseconds that the store holds a watch; bounds a silent connection. */
       wait: () => number;
+      clock: () => number;
     },
   ) {
     this.#store = options.store;
     this.#prefix = options.prefix;
     this.#listener = options.listener;
     this.#wait = options.wait;
+    this.#clock = options.clock;
   }
 
   async run(signal: AbortSignal): Promise<void> {
     let revision: number | undefined;
     let backoff = FIRST_BACKOFF;
     while (!signal.aborted) {
+      const startedAt = this.#clock();
       const next = revision === undefined
         ? await this.#readAll()
         : await this.#watch(revision);
@@ -63,7 +68,7 @@
         backoff = FIRST_BACKOFF;
         continue;
       }
-      this.#listener.failed(next.error);
+      this.#listener.failed(next.error, this.#clock() - startedAt);
       await sleep(backoff, undefined, { signal }).catch(() => {});
       backoff = Math.min(LONGEST_BACKOFF, backoff * 2);
     }
--- a/packages/gateway/src/state/state_listener.ts
+++ b/packages/gateway/src/state/state_listener.ts
@@ -17,11 +17,13 @@
 /** Listens to one prefix of the store, and notes whether it answers. */
 export class StateListener extends PrefixListener {
   readonly #state: FleetState;
+  readonly #prefix: string;
   readonly #actions: ListenerActions;
 
-  constructor(state: FleetState, actions: ListenerActions) {
+  constructor(state: FleetState, prefix: string, actions: ListenerActions) {
     super();
     this.#state = state;
+    this.#prefix = prefix;
     this.#actions = actions;
   }
 
@@ -38,7 +40,7 @@
     this.#state.storeHeard();
   }
 
-  override failed(error: PlatformError): void {
-    this.#state.storeFailed(error);
+  override failed(error: PlatformError, time: number): void {
+    this.#state.storeFailed({ error, prefix: this.#prefix, time });
   }
 }
--- /dev/null
+++ b/packages/gateway/test/state_lines_test.ts
@@ -0,0 +1,38 @@
+import { MemoryMetadataStore } from "@sycamorepulley/store";
+import t from "tap";
+import { configuration, Fixture, until } from "./fixture.ts";
+
+t.test("a grant's line says whose quota is charged, and how much", async (t) => {
+  const fixture = await Fixture.ready();
+  await fixture.call("/calls/", { headers: { "x-tokens": "90,10" } });
+  const line = fixture.events.find(({ message }) => message === "granted");
+  t.match(line?.context, { organisation: "firm", charge: 100 });
+  await fixture.stop();
+});
+
+t.test("lines tell of calls to the store that failed, and of state asked for", async (t) => {
+  const store = new MemoryMetadataStore();
+  store.put("configuration", configuration(1));
+  const first = await Fixture.start({ store, instance: "entry-1" });
+  await first.untilReady();
+  const cut = new MemoryMetadataStore();
+  cut.down = true;
+  const second = await Fixture.start({
+    store: cut,
+    servers: first.servers,
+    instance: "entry-2",
+    seeds: [{ host: "127.0.0.1", port: first.ports.peers }],
+  });
+  t.ok(await until(async () => await second.readiness() === 200));
+  const lines = (name: string) =>
+    second.events.filter(({ message }) => message === name)
+      .map(({ context }) => context);
+  const failed = lines("store_call_failed")
+    .find(({ prefix }) => prefix === "configuration");
+  t.match(failed, { step: "read page", reason: "unreachable", time: Number });
+  const asked = lines("state_requested")
+    .find(({ state }) => state === "configuration");
+  t.match(asked, { from: "entry-1" });
+  t.ok(lines("state_sent").some(({ size }) => Number(size) > 100));
+  await Promise.all([first.stop(), second.gateway.stop()]);
+});
