Make calls that wait for the store anew when it stops answering, and when it answers again

Cause: a call that an outage swallows is never answered, and a watch was waited out for the time the store was asked to hold it and 0.7 s more, however often the store had answered other calls since.

Now one place knows whether the store answers. When that changes, every watch that waits is given up and sent again, and pauses end; while calls fail, watches are short.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -34,6 +34,7 @@
 import { follow } from "./state/follow.ts";
 import { Membership } from "./state/membership.ts";
 import type { RecordCodec } from "./state/records.ts";
+import { StoreContact } from "./state/store_contact.ts";
 import { StartGate } from "./state/start_gate.ts";
 
 /** Milliseconds between looks at what time alone changes in the queues. */
@@ -70,6 +71,7 @@
   readonly #clock = () => performance.now();
   readonly #log: EventLog;
   readonly #metrics = new GatewayMetrics();
+  readonly #contact: StoreContact;
   readonly #state: FleetState;
   readonly #pool: ChannelPool;
   readonly #granter: Granter;
@@ -99,10 +101,12 @@
       clock,
     });
     const log = this.#log;
+    this.#contact = new StoreContact({ log, clock });
     this.#state = new FleetState({
       codec,
       log,
       clock,
+      contact: this.#contact,
       changed: (what) => this.#changed(what),
     });
     this.#pool = new ChannelPool(clock);
@@ -129,7 +133,7 @@
       instance,
       log,
       clock,
-      health: this.#state,
+      contact: this.#contact,
     });
     this.#desk = new RequestDesk({
       reader: new CallReader(names),
@@ -145,7 +149,7 @@
         ready: this.#gate.opened,
         closing: this.#closing,
         inForce: () => this.#state.inForce,
-        current: () => !this.#state.storeLost || this.#peers.heard().length > 0,
+        current: () => !this.#contact.lost || this.#peers.heard().length > 0,
         server: (name) => this.#usable(name),
         retryBudget: retryBudgets(
           () => this.#settings.bounds,
@@ -173,6 +177,7 @@
     follow({
       ...followers,
       state: this.#state,
+      contact: this.#contact,
       signal,
       clock: this.#clock,
       group: () => this.#peers.watchGroup(),
--- a/packages/gateway/src/state/fleet_state.ts
+++ b/packages/gateway/src/state/fleet_state.ts
@@ -9,13 +9,11 @@
 import type { ItemChange, StoredItem } from "@sycamorepulley/store";
 import type { EventLog } from "../observe/event_log.ts";
 import { ConfigurationInForce } from "./gateway_configuration.ts";
-import type { FailedCall } from "./membership.ts";
 import type { PrefixListener } from "./prefix_follower.ts";
 import type { RecordCodec } from "./records.ts";
 import { StateListener } from "./state_listener.ts";
+import type { StoreContact } from "./store_contact.ts";
 
-/** Milliseconds of failed calls after which the store counts as lost. */
-const STORE_LOST_AFTER = 1000;
 /** Milliseconds a peer may know newer servers before they are asked for. */
 const BEHIND_FOR = 250;
 
@@ -40,8 +38,6 @@
   readonly #changed: StateChanged;
   #inForce: ConfigurationInForce | undefined;
   #published: PublishedText = { revision: 0, value: "" };
-  #storeHeardAt: number;
-  #storeLost = false;
   #serversKnown = false;
   #behindSince: number | undefined;
   /** Entries that are registered no more, and until when they are counted. */
@@ -52,6 +48,7 @@
       codec: RecordCodec;
       log: EventLog;
       clock: () => number;
+      contact: StoreContact;
       changed: StateChanged;
     },
   ) {
@@ -59,7 +56,7 @@
     this.#log = options.log;
     this.#clock = options.clock;
     this.#changed = options.changed;
-    this.#storeHeardAt = options.clock();
+    options.contact.listen(this.directory);
   }
 
   get inForce(): ConfigurationInForce | undefined {
@@ -75,10 +72,6 @@
     return this.#serversKnown;
   }
 
-  get storeLost(): boolean {
-    return this.#storeLost;
-  }
-
   /** Adopts a newer configuration; older ones and unreadable ones change nothing. */
   adopt(value: string, revision: number, from: string): void {
     if (revision <= this.#published.revision) return;
@@ -147,7 +140,7 @@
 
   /** Listens to the configuration's key. */
   configurationListener(): PrefixListener {
-    return new StateListener(this, this.#codec.configurationKey, {
+    return new StateListener({
       snapshot: (items) => items.forEach((item) => this.#configuration(item)),
       change: (change) => {
         if (change.kind === "written") this.#configuration(change.item);
@@ -157,7 +150,7 @@
 
   /** Listens to the backend servers' keys. */
   serverListener(): PrefixListener {
-    return new StateListener(this, this.#codec.serverPrefix, {
+    return new StateListener({
       snapshot: (items, asOf) => {
         const records = items.map((item) => this.#server(item))
           .filter((record) => record !== undefined);
@@ -183,7 +176,7 @@
         this.members.set(item.key.slice(prefix.length), member);
       }
     };
-    return new StateListener(this, prefix, {
+    return new StateListener({
       snapshot: (items) => {
         for (const name of this.members.keys()) this.#depart(name);
         this.members.clear();
@@ -204,38 +197,6 @@
     });
   }
 
-  /** The store answered. */
-  storeHeard(): void {
-    const now = this.#clock();
-    this.directory.heard(now);
-    this.#storeHeardAt = now;
-    if (!this.#storeLost) return;
-    this.#storeLost = false;
-    this.#log.write({ event: "dependency_regained", dependency: "store" });
-  }
-
-  /** A call to the store failed. */
-  storeFailed({ error, prefix, time }: FailedCall): void {
-    this.directory.failed();
-    this.#log.write({
-      event: "store_call_failed",
-      step: error.step,
-      prefix,
-      reason: error.reason,
-      detail: error.detail,
-      time: Math.round(time),
-    });
-    const silence = this.#clock() - this.#storeHeardAt;
-    if (this.#storeLost || silence < STORE_LOST_AFTER) return;
-    this.#storeLost = true;
-    this.#log.write({
-      event: "dependency_lost",
-      dependency: "store",
-      detail: `${error.step}: ${error.reason}: ${error.detail}`,
-      silence: Math.round(silence),
-    });
-  }
-
   #depart(name: string): void {
     this.#departed.set(name, this.#clock() + COUNTED_FOR);
   }
--- a/packages/gateway/src/state/follow.ts
+++ b/packages/gateway/src/state/follow.ts
@@ -8,6 +8,7 @@
 import { PrefixFollower } from "./prefix_follower.ts";
 import type { PrefixListener } from "./prefix_follower.ts";
 import type { RecordCodec } from "./records.ts";
+import type { StoreContact } from "./store_contact.ts";
 
 /**
  * Milliseconds that the store holds a watch of the first entry in turn. Each call
@@ -24,13 +25,14 @@
     store: MetadataStore;
     codec: RecordCodec;
     state: FleetState;
+    contact: StoreContact;
     signal: AbortSignal;
     clock: () => number;
     /** Entries that are heard, and tell what they read. */
     group: () => WatchGroup;
   },
 ): void {
-  const { store, codec, state, signal, clock, group } = options;
+  const { store, codec, state, contact, signal, clock, group } = options;
   const start = (
     prefix: string,
     listener: PrefixListener,
@@ -38,7 +40,7 @@
   ) => {
     const turns = new WatchTurns(shortest);
     const wait = () => turns.next(group());
-    const follower = { store, prefix, listener, wait, clock };
+    const follower = { store, prefix, listener, contact, wait, clock };
     void new PrefixFollower(follower).run(signal);
   };
   start(codec.configurationKey, state.configurationListener(), WATCH_WAIT);
--- a/packages/gateway/src/state/membership.ts
+++ b/packages/gateway/src/state/membership.ts
@@ -9,6 +9,7 @@
 import type { EventLog } from "../observe/event_log.ts";
 import type { Address } from "../settings.ts";
 import type { Member } from "./fleet_state.ts";
+import type { StoreContact } from "./store_contact.ts";
 
 /** Prefix of the keys under which entries register. */
 export const MEMBER_PREFIX = "sycamorepulley/entries/";
@@ -20,28 +21,13 @@
 const RENEW_EVERY = 1000;
 const RETRY_AFTER = 400;
 
-/** A call to the store that failed. */
-export type FailedCall = {
-  error: PlatformError;
-  /** What was read or followed; empty for calls about the entry's lease. */
-  prefix: string;
-  /** Milliseconds from its sending until it was given up. */
-  time: number;
-};
-
-/** Takes in whether the store answers the calls about this entry's lease. */
-export abstract class StoreHealth {
-  abstract storeHeard(): void;
-  abstract storeFailed(call: FailedCall): void;
-}
-
 /** Keeps the entry registered until {@link Membership.leave}. */
 export class Membership {
   readonly #store: MetadataStore;
   readonly #instance: string;
   readonly #log: EventLog;
   readonly #clock: () => number;
-  readonly #health: StoreHealth;
+  readonly #contact: StoreContact;
   readonly #stop = new AbortController();
   #lease: number | undefined;
   #registered = false;
@@ -53,10 +39,10 @@
       instance: string;
       log: EventLog;
       clock: () => number;
-      health: StoreHealth;
+      contact: StoreContact;
     },
   ) {
-    this.#health = options.health;
+    this.#contact = options.contact;
     this.#store = options.store;
     this.#instance = options.instance;
     this.#log = options.log;
@@ -83,7 +69,8 @@
         ? await this.#renew()
         : await this.#register(member);
       const pause = kept ? RENEW_EVERY : RETRY_AFTER;
-      await sleep(pause, undefined, { signal }).catch(() => {});
+      const either = AbortSignal.any([signal, this.#contact.turn]);
+      await sleep(pause, undefined, { signal: either }).catch(() => {});
     }
   }
 
@@ -98,6 +85,7 @@
     const startedAt = this.#clock();
     const lease = await this.#store.grantLease(LEASE_DURATION);
     if (lease.isErr) return this.#failed(lease.error, startedAt);
+    this.#contact.heard();
     this.#lease = lease.value;
     const written = await this.#store.transact({
       expected: [],
@@ -109,6 +97,7 @@
       removals: [],
     });
     if (written.isErr) return this.#failed(written.error, startedAt);
+    this.#contact.heard();
     if (written.value.kind !== "committed") return false;
     this.#registered = true;
     this.#validUntil = startedAt + LEASE_DURATION;
@@ -120,7 +109,7 @@
     const startedAt = this.#clock();
     const renewed = await this.#store.renewLease(this.#lease ?? 0);
     if (renewed.isErr) return this.#failed(renewed.error, startedAt);
-    this.#health.storeHeard();
+    this.#contact.heard();
     if (renewed.value) {
       this.#validUntil = startedAt + LEASE_DURATION;
       return true;
@@ -132,7 +121,7 @@
 
   #failed(error: PlatformError, startedAt: number): false {
     const time = this.#clock() - startedAt;
-    this.#health.storeFailed({ error, prefix: "", time });
+    this.#contact.failed({ error, prefix: "", time });
     return false;
   }
 }
--- a/packages/gateway/src/state/prefix_follower.ts
+++ b/packages/gateway/src/state/prefix_follower.ts
@@ -3,8 +3,8 @@
  *
  * Watches are short. A connection may go silent without being closed, and a long
  * watch on it would show nothing for as long: changes of the configuration would
- * be missed. A read without an answer is given up soon and made anew on another
- * connection.
+ * be missed. A call that waits while the store stops answering, or answers again,
+ * may have been lost: it is made anew at once.
  * @module
  */
 import { setTimeout as sleep } from "node:timers/promises";
@@ -15,26 +15,29 @@
 } from "@sycamorepulley/store";
 import type { PlatformError } from "@sycamorepulley/store";
 import { Result } from "true-myth/result";
+import type { StoreContact } from "./store_contact.ts";
 
 /** Milliseconds until a failed read is made again, first and at most. */
 const FIRST_BACKOFF = 100;
 const LONGEST_BACKOFF = 800;
+/** Milliseconds that the store is to hold a watch while it doesn't answer. */
+const FAILING_WAIT = 200;
 
 /** Takes in what the follower reads. `asOf` is the store's revision. */
 export abstract class PrefixListener {
   abstract snapshot(items: readonly StoredItem[], asOf: number): void;
   abstract changes(changes: readonly ItemChange[], asOf: number): void;
-  /** The store answered. */
-  abstract heard(): void;
-  /** A call failed, `time` milliseconds after it was sent. */
-  abstract failed(error: PlatformError, time: number): void;
 }
 
+/** The revision to watch from; none while all has to be read. */
+type Position = number | undefined;
+
 /** Runs until its signal is aborted. */
 export class PrefixFollower {
   readonly #store: MetadataStore;
   readonly #prefix: string;
   readonly #listener: PrefixListener;
+  readonly #contact: StoreContact;
   readonly #wait: () => number;
   readonly #clock: () => number;
 
@@ -43,6 +46,7 @@
       store: MetadataStore;
       prefix: string;
       listener: PrefixListener;
+      contact: StoreContact;
       /** Milliseconds that the store holds a watch; bounds a silent connection. */
       wait: () => number;
       clock: () => number;
@@ -51,37 +55,50 @@
     this.#store = options.store;
     this.#prefix = options.prefix;
     this.#listener = options.listener;
+    this.#contact = options.contact;
     this.#wait = options.wait;
     this.#clock = options.clock;
   }
 
   async run(signal: AbortSignal): Promise<void> {
-    let revision: number | undefined;
+    let position: Position;
     let backoff = FIRST_BACKOFF;
     while (!signal.aborted) {
       const startedAt = this.#clock();
-      const next = revision === undefined
+      const { turn } = this.#contact;
+      const next = position === undefined
         ? await this.#readAll()
-        : await this.#watch(revision);
+        : await this.#watch(position, turn);
       if (next.isOk) {
-        revision = next.value;
+        position = next.value;
         backoff = FIRST_BACKOFF;
         continue;
       }
-      this.#listener.failed(next.error, this.#clock() - startedAt);
-      await sleep(backoff, undefined, { signal }).catch(() => {});
+      if (turn.aborted) continue;
+      this.#contact.failed({
+        error: next.error,
+        prefix: this.#prefix,
+        time: this.#clock() - startedAt,
+      });
+      await this.#pause(backoff, signal);
       backoff = Math.min(LONGEST_BACKOFF, backoff * 2);
     }
   }
 
-  async #readAll(): Promise<Result<number | undefined, PlatformError>> {
+  /** Ends sooner when the store answers another call. */
+  async #pause(duration: number, signal: AbortSignal): Promise<void> {
+    const either = AbortSignal.any([signal, this.#contact.turn]);
+    await sleep(duration, undefined, { signal: either }).catch(() => {});
+  }
+
+  async #readAll(): Promise<Result<Position, PlatformError>> {
     const items: StoredItem[] = [];
     let asOf: number | undefined;
     let after: string | undefined;
     for (;;) {
       const page = await this.#store.readPage(this.#prefix, after);
       if (page.isErr) return Result.err(page.error);
-      this.#listener.heard();
+      this.#contact.heard();
       // Pages are no snapshot: what changed since the first one is watched for.
       asOf ??= page.value.asOf;
       items.push(...page.value.items);
@@ -93,17 +110,19 @@
   }
 
   async #watch(
-    revision: number,
-  ): Promise<Result<number | undefined, PlatformError>> {
+    position: number,
+    turn: AbortSignal,
+  ): Promise<Result<Position, PlatformError>> {
     const batch = await this.#store.watchPrefix({
       prefix: this.#prefix,
-      after: revision,
-      wait: this.#wait(),
+      after: position,
+      wait: this.#contact.failing ? FAILING_WAIT : this.#wait(),
+      signal: turn,
     });
     if (batch.isErr) return Result.err(batch.error);
-    this.#listener.heard();
+    this.#contact.heard();
     if (batch.value.kind === "compacted") return Result.ok(undefined);
     this.#listener.changes(batch.value.changes, batch.value.asOf);
-    return Result.ok(Math.max(revision, batch.value.asOf));
+    return Result.ok(Math.max(position, batch.value.asOf));
   }
 }
--- a/packages/gateway/src/state/state_listener.ts
+++ b/packages/gateway/src/state/state_listener.ts
@@ -1,10 +1,5 @@
 /** From what a follower reads to what is believed. @module */
-import type {
-  ItemChange,
-  PlatformError,
-  StoredItem,
-} from "@sycamorepulley/store";
-import type { FleetState } from "./fleet_state.ts";
+import type { ItemChange, StoredItem } from "@sycamorepulley/store";
 import { PrefixListener } from "./prefix_follower.ts";
 
 /** What to do with what is read. */
@@ -14,16 +9,12 @@
   advanced?: (asOf: number, any: boolean) => void;
 };
 
-/** Listens to one prefix of the store, and notes whether it answers. */
+/** Listens to one prefix of the store. */
 export class StateListener extends PrefixListener {
-  readonly #state: FleetState;
-  readonly #prefix: string;
   readonly #actions: ListenerActions;
 
-  constructor(state: FleetState, prefix: string, actions: ListenerActions) {
+  constructor(actions: ListenerActions) {
     super();
-    this.#state = state;
-    this.#prefix = prefix;
     this.#actions = actions;
   }
 
@@ -35,12 +26,4 @@
     for (const change of changes) this.#actions.change(change);
     this.#actions.advanced?.(asOf, changes.length > 0);
   }
-
-  override heard(): void {
-    this.#state.storeHeard();
-  }
-
-  override failed(error: PlatformError, time: number): void {
-    this.#state.storeFailed({ error, prefix: this.#prefix, time });
-  }
 }
--- a/packages/store/src/http_caller.ts
+++ b/packages/store/src/http_caller.ts
@@ -34,6 +34,8 @@
   body?: string;
   /** Milliseconds the service itself may hold the answer back. */
   wait?: number;
+  /** Gives the call up. */
+  signal?: AbortSignal;
 };
 
 /** A whole answer. */
@@ -112,12 +114,16 @@
   }
 
   async #send(call: HttpCall): Promise<HttpAnswer> {
+    const timeout = AbortSignal.timeout(this.#timeout + (call.wait ?? 0));
+    const signal = call.signal === undefined
+      ? timeout
+      : AbortSignal.any([timeout, call.signal]);
     const answer = await request(this.#url + call.path, {
       dispatcher: this.#agent,
       method: call.method,
       headers: call.headers ?? {},
       body: call.body ?? null,
-      signal: AbortSignal.timeout(this.#timeout + (call.wait ?? 0)),
+      signal,
     });
     const text = await answer.body.text();
     const etag = answer.headers.etag;
--- a/packages/store/src/memory_metadata_store.ts
+++ b/packages/store/src/memory_metadata_store.ts
@@ -8,6 +8,7 @@
   StoredItem,
   Transaction,
   TransactionOutcome,
+  WatchPrefixOptions,
 } from "./metadata_store.ts";
 import type { PlatformError } from "./platform_error.ts";
 
@@ -61,11 +62,11 @@
   }
 
   override async watchPrefix(
-    options: { prefix: string; after: number; wait: number },
+    options: WatchPrefixOptions,
   ): Promise<Result<ChangeBatch, PlatformError>> {
-    const { prefix, after, wait } = options;
+    const { prefix, after, wait, signal } = options;
     for (let waited = 0; waited <= wait; waited += WATCH_SLICE) {
-      if (this.down) return this.#unreachable("watch");
+      if (this.down || signal?.aborted) return this.#unreachable("watch");
       if (after < this.#oldest) return Result.ok({ kind: "compacted" });
       const changes = this.#history.filter((change) =>
         revisionOf(change) > after && keyOf(change).startsWith(prefix)
--- a/packages/store/src/metadata_store.ts
+++ b/packages/store/src/metadata_store.ts
@@ -43,6 +43,15 @@
   | { kind: "conflict" }
   | { kind: "no_lease" };
 
+/** What to watch; `wait` in milliseconds. */
+export type WatchPrefixOptions = {
+  prefix: string;
+  after: number;
+  wait: number;
+  /** Gives the watch up: it then fails as unreachable. */
+  signal?: AbortSignal;
+};
+
 /**
  * A write without an answer may have taken effect, or may still do so: its error
  * says `applied: "unknown"`.
@@ -56,7 +65,7 @@
 
   /** Resolves with the changes after a revision, or with none after `wait` ms. */
   abstract watchPrefix(
-    options: { prefix: string; after: number; wait: number },
+    options: WatchPrefixOptions,
   ): Promise<Result<ChangeBatch, PlatformError>>;
 
   abstract transact(
--- a/packages/store/src/mod.ts
+++ b/packages/store/src/mod.ts
@@ -16,6 +16,7 @@
   StoredItem,
   Transaction,
   TransactionOutcome,
+  WatchPrefixOptions,
 } from "./metadata_store.ts";
 export { HttpCaller } from "./http_caller.ts";
 export type { HttpAnswer, HttpCall } from "./http_caller.ts";
