--- a/packages/configuration/src/poll_schedule.ts
+++ b/packages/configuration/src/poll_schedule.ts
@@ -11,7 +11,11 @@
 
 /** Largest fleet in which everybody watches. */
 const WATCHING_FLEET = 50;
-const WATCH_DURATION = 20_000;
+/**
+ * With a call's timeout and a backoff below the 12 s in which a publish must be
+ * in force: an outage of the service may swallow a watch.
+ */
+const WATCH_DURATION = 7000;
 /** Share of the service's two thousand reads a second given to these polls. */
 const POLLS_PER_SECOND = 150;
 const SHORTEST_INTERVAL = 1000;
--- a/packages/configuration/test/configuration_follower_test.ts
+++ b/packages/configuration/test/configuration_follower_test.ts
@@ -9,6 +9,7 @@
   MANIFEST_KEY,
   pollDelay,
   publish,
+  watchDuration,
 } from "../src/mod.ts";
 import { EXAMPLE, NOW, read } from "./example.ts";
 
@@ -161,3 +162,12 @@
   t.ok(backoff <= 15_000);
   t.end();
 });
+
+t.test("a watch that is never answered ends within the time in force", (t) => {
+  // A call that an outage of the service swallowed must not hide a publish.
+  const callTimeout = 3000;
+  const backoff = pollDelay({ fleetSize: 50, failures: 1, random: 1 });
+  const longest = watchDuration(50) + callTimeout + backoff;
+  t.ok(longest < 12_000, `${longest} ms`);
+  t.end();
+});
