Deny nobody by a configuration that the store does not confirm

Now an entry denies only while the store answers it, or a peer that has the same revision, and no peer has a newer one; otherwise the caller is told to come back. Heartbeats say whether the store confirms the sender's configuration.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -149,7 +149,7 @@
         ready: this.#gate.opened,
         closing: this.#closing,
         inForce: () => this.#state.inForce,
-        current: () => !this.#contact.lost || this.#peers.heard().length > 0,
+        current: () => this.#sharing.configurationIsNewest(),
         server: (name) => this.#usable(name),
         retryBudget: retryBudgets(
           () => this.#settings.bounds,
@@ -270,6 +270,7 @@
   standing(): PeerStanding {
     return {
       configurationRevision: this.#state.published.revision,
+      configurationConfirmed: this.#state.configurationConfirmed,
       serverRevision: this.#state.directory.revision,
       leaving: this.#lifecycle.state === "leaving",
       processors: processorsOf(this.#settings),
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -57,6 +57,8 @@
   v.object({
     type: v.literal("heartbeat"),
     configurationRevision: count,
+    /** The store has told the sender of it, and answers. */
+    configurationConfirmed: v.optional(v.boolean(), false),
     serverRevision: count,
     /** The sender takes no part in granting any more. */
     leaving: v.boolean(),
--- a/packages/gateway/src/peers/peer_link.ts
+++ b/packages/gateway/src/peers/peer_link.ts
@@ -10,6 +10,8 @@
 /** A peer's last word on itself. */
 export type PeerStanding = {
   configurationRevision: number;
+  /** The store has told it of that revision, and answers. */
+  configurationConfirmed: boolean;
   serverRevision: number;
   leaving: boolean;
   /** Of its instance, in cores. */
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -84,6 +84,12 @@
     }));
   }
 
+  /** What the peers that are heard said of themselves last. */
+  standings(): PeerStanding[] {
+    return [...this.#links.values()].map(({ standing }) => standing)
+      .filter((standing) => standing !== undefined);
+  }
+
   /** This entry's place by name among those that hear each other. */
   watchGroup(): WatchGroup {
     const names = this.heard();
--- a/packages/gateway/src/peers/state_sharing.ts
+++ b/packages/gateway/src/peers/state_sharing.ts
@@ -22,6 +22,24 @@
     this.#log = log;
   }
 
+  /**
+   * True while the configuration known here is certainly the newest: the store
+   * confirms it to this entry or to a peer, and no peer has a newer one.
+   */
+  configurationIsNewest(): boolean {
+    const { revision } = this.#state.published;
+    const standings = this.#peers.standings();
+    const newer = standings.some((standing) =>
+      standing.configurationRevision > revision
+    );
+    if (newer) return false;
+    return this.#state.configurationConfirmed ||
+      standings.some((standing) =>
+        standing.configurationConfirmed &&
+        standing.configurationRevision === revision
+      );
+  }
+
   /** Takes a message about state; does nothing with any other. */
   received(peer: string, message: PeerMessage): void {
     switch (message.type) {
--- a/packages/gateway/src/state/fleet_state.ts
+++ b/packages/gateway/src/state/fleet_state.ts
@@ -38,6 +38,7 @@
   readonly #changed: StateChanged;
   #inForce: ConfigurationInForce | undefined;
   #published: PublishedText = { revision: 0, value: "" };
+  #configurationConfirmed = false;
   #serversKnown = false;
   #behindSince: number | undefined;
   /** Entries that are registered no more, and until when they are counted. */
@@ -57,6 +58,10 @@
     this.#clock = options.clock;
     this.#changed = options.changed;
     options.contact.listen(this.directory);
+    options.contact.listen({
+      heard: () => {},
+      failed: () => this.#configurationConfirmed = false,
+    });
   }
 
   get inForce(): ConfigurationInForce | undefined {
@@ -67,6 +72,11 @@
     return this.#published;
   }
 
+  /** True while no call to the store has failed since it last told of it. */
+  get configurationConfirmed(): boolean {
+    return this.#configurationConfirmed;
+  }
+
   /** False until servers were read once, from the store or a peer. */
   get serversKnown(): boolean {
     return this.#serversKnown;
@@ -141,10 +151,14 @@
   /** Listens to the configuration's key. */
   configurationListener(): PrefixListener {
     return new StateListener({
-      snapshot: (items) => items.forEach((item) => this.#configuration(item)),
+      snapshot: (items) => {
+        items.forEach((item) => this.#configuration(item));
+        this.#configurationConfirmed = true;
+      },
       change: (change) => {
         if (change.kind === "written") this.#configuration(change.item);
       },
+      advanced: () => this.#configurationConfirmed = true,
     });
   }
 
--- a/packages/gateway/src/state/store_contact.ts
+++ b/packages/gateway/src/state/store_contact.ts
@@ -48,11 +48,6 @@
     return this.#failing;
   }
 
-  /** True after calls have failed for a while. */
-  get lost(): boolean {
-    return this.#lost;
-  }
-
   /** Aborted when the store stops answering, and when it answers again. */
   get turn(): AbortSignal {
     return this.#turn.signal;
--- a/packages/gateway/test/lifecycle_test.ts
+++ b/packages/gateway/test/lifecycle_test.ts
@@ -176,3 +176,28 @@
   t.match(load?.context, { room: 0.5, quota: 0.5 });
   await fixture.stop();
 });
+
+t.test("entries that can't reach the store deny nobody what it may allow", async (t) => {
+  // A credential added while the store is away is unknown to the whole group.
+  const store = new MemoryMetadataStore();
+  store.put("configuration", configuration(1));
+  const first = await Fixture.start({ store, instance: "entry-1" });
+  const { servers } = first;
+  const second = await Fixture.start({ store, instance: "entry-2", servers });
+  const linked = () =>
+    second.events.some(({ context }) =>
+      context["dependency"] === "entry entry-2"
+    );
+  t.ok(await until(linked));
+  const denied = async () => {
+    const headers = { "x-credential": "added later" };
+    return (await first.call("/calls/", { headers })).status;
+  };
+  t.equal(await denied(), 401);
+  store.down = true;
+  t.ok(await until(async () => await denied() === 503));
+  t.equal((await first.call("/calls/")).status, 200);
+  store.down = false;
+  t.ok(await until(async () => await denied() === 401));
+  await Promise.all([first.stop(), second.gateway.stop()]);
+});
