--- /dev/null
+++ b/packages/gateway/test/state_transfer_test.ts
@@ -0,0 +1,53 @@
+import { MemoryMetadataStore } from "@sycamorepulley/store";
+import t from "tap";
+import { configuration, Fixture, route, until } from "./fixture.ts";
+import { ThinLink } from "./thin_link.ts";
+
+const LARGE = Array.from(
+  { length: 4000 },
+  (_, index) =>
+    route({ name: `route-${index}`, prefix: `/large-${index * 7919}/` }),
+);
+
+t.test("an entry on a thin link is sent one copy of a newer configuration", async (t) => {
+  // Every heartbeat of a newer version asked for all of it, of each peer.
+  const store = new MemoryMetadataStore();
+  store.put("configuration", configuration(1));
+  const first = await Fixture.start({ store, instance: "entry-1" });
+  const { servers } = first;
+  const entries = [first];
+  for (const instance of ["entry-2", "entry-3", "entry-4"]) {
+    entries.push(await Fixture.start({ store, instance, servers }));
+  }
+  const away = new MemoryMetadataStore();
+  away.down = true;
+  const behind = await Fixture.start({
+    store: away,
+    servers,
+    instance: "entry-9",
+  });
+  const link = new ThinLink(900_000, () => behind.ports.peers);
+  const member = {
+    instance: "entry-9",
+    host: "127.0.0.1",
+    port: await link.start(),
+  };
+  store.put("sycamorepulley/entries/entry-9", JSON.stringify(member));
+  t.ok(await until(async () => await behind.readiness() === 200));
+  const lost = () =>
+    behind.events.filter(({ message }) => message === "dependency_lost").length;
+  const lostBefore = lost();
+  const before = link.relayed;
+  const large = configuration(2, LARGE);
+  store.put("configuration", large);
+  const path = "/large-0/";
+  t.ok(await until(async () => (await behind.call(path)).status === 200));
+  // What was sent beside it is on its way still.
+  await new Promise((resolve) => setTimeout(resolve, 1000));
+  const copies = (link.relayed - before) / large.length;
+  t.ok(copies < 1.5, `${copies.toFixed(2)} copies`);
+  t.equal(lost() - lostBefore, 0, "links to peers that were lost meanwhile");
+  await Promise.all([...entries, behind].map(({ gateway }) => gateway.stop()));
+  for (const server of servers) server.stop();
+  link.stop();
+});
--- /dev/null
+++ b/packages/gateway/test/thin_link.ts
@@ -0,0 +1,66 @@
+import { connect, createServer } from "node:net";
+import type { AddressInfo, Server, Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+
+/** Bytes that are on their way on one connection at most. */
+const WINDOW = 64 * 1024;
+
+/** Relays connections to one port; all that goes there shares its bandwidth. */
+export class ThinLink {
+  /** Bytes that reached the other end. */
+  relayed = 0;
+  readonly #bytesPerSecond: number;
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+  #freeAt = 0;
+
+  constructor(bytesPerSecond: number, port: () => number) {
+    this.#bytesPerSecond = bytesPerSecond;
+    this.#server = createServer((near) => {
+      const far = connect({ host: "127.0.0.1", port: port() });
+      for (const socket of [near, far]) {
+        this.#sockets.add(socket);
+        socket.on("error", () => {});
+      }
+      near.on("close", () => far.destroy());
+      far.on("close", () => near.destroy());
+      far.pipe(near);
+      void this.#relay(near, far);
+    });
+  }
+
+  async start(): Promise<number> {
+    await new Promise<void>((resolve) =>
+      this.#server.listen(0, "127.0.0.1", () => resolve())
+    );
+    return (this.#server.address() as AddressInfo).port;
+  }
+
+  stop(): void {
+    this.#server.close();
+    for (const socket of this.#sockets) socket.destroy();
+  }
+
+  async #relay(near: Socket, far: Socket): Promise<void> {
+    const chunks = near[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
+    for (;;) {
+      const next = await chunks.next().catch(() => undefined);
+      if (next === undefined || next.done) return;
+      for (let from = 0; from < next.value.length; from += WINDOW) {
+        const part = next.value.subarray(from, from + WINDOW);
+        await this.#turn(part.length);
+        if (!far.writable) return;
+        far.write(part);
+        this.relayed += part.length;
+      }
+    }
+  }
+
+  /** Waits until so many bytes have passed after those before them. */
+  async #turn(bytes: number): Promise<void> {
+    const now = performance.now();
+    this.#freeAt = Math.max(now, this.#freeAt) +
+      bytes / this.#bytesPerSecond * 1000;
+    await sleep(this.#freeAt - now);
+  }
+}
