Take state from one peer at a time, in small compressed parts, once the store has had time to tell of it

Cause: whoever has a newer configuration says so five times a second and at once. An entry that was behind asked for all of it each time, of each peer. Its link of 7 Mbit/s needs a second for one copy; six peers had it after 0.15 s. The copies crowded out heartbeats (227 links lost in a second), which made the entries dial and ask anew, and callers' connections. The processor was 2 to 13 % busy; adopting the configuration is not what took the time. Servers' records went the same way.

Now a peer is asked only after it has been ahead for 250 ms, one at a time, for 32 KB at a time, and another one when nothing comes for 0.7 s or the link is lost. State is sent compressed, once for all that ask. When a peer was quicker, the store's own answer is given up: the watch goes on from the newer revision.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -33,6 +33,7 @@
 import { FleetState } from "./state/fleet_state.ts";
 import { follow } from "./state/follow.ts";
 import { Membership } from "./state/membership.ts";
+import type { PrefixFollower } from "./state/prefix_follower.ts";
 import type { RecordCodec } from "./state/records.ts";
 import { StoreContact } from "./state/store_contact.ts";
 import { StartGate } from "./state/start_gate.ts";
@@ -77,6 +78,7 @@
   readonly #granter: Granter;
   readonly #peers: Peers;
   readonly #sharing: StateSharing;
+  #configuration: PrefixFollower | undefined;
   readonly #membership: Membership;
   readonly #front: Front;
   readonly #pages: StatusPages;
@@ -95,6 +97,7 @@
     const { instance } = settings;
     const incarnation = randomBytes(6).toString("hex");
     const clock = this.#clock;
+    const random = randomSource();
     this.#log = new EventLog({
       instance,
       sink: parts.sink ?? new OutputSink(),
@@ -127,7 +130,13 @@
       log,
       clock,
     });
-    this.#sharing = new StateSharing(this.#state, this.#peers, log);
+    this.#sharing = new StateSharing({
+      state: this.#state,
+      peers: this.#peers,
+      log,
+      clock,
+      random,
+    });
     this.#membership = new Membership({
       store,
       instance,
@@ -141,7 +150,7 @@
         names,
         dataCentre: settings.dataCentre,
         clock,
-        random: randomSource(),
+        random,
         log,
         metrics: this.#metrics,
         granter: this.#granter,
@@ -174,7 +183,7 @@
     const peers = await this.#peers.listen();
     const { signal } = this.#stopped;
     const followers = { store: this.#store, codec: this.#codec };
-    follow({
+    this.#configuration = follow({
       ...followers,
       state: this.#state,
       contact: this.#contact,
@@ -258,6 +267,7 @@
 
   lost(peer: string): void {
     this.#granter.lost(peer);
+    this.#sharing.lost(peer);
     this.#metrics.dependencies.inc({ dependency: "peer", change: "lost" });
     this.#regroup();
   }
@@ -298,6 +308,7 @@
       this.#front.limit(inForce.configuration.limits);
       this.#granter.setQuotas(inForce.quotas);
       this.#metrics.configurationVersion.set(inForce.configuration.version);
+      this.#configuration?.reached(this.#state.published.revision);
       this.#peers.announce();
     } else if (what === "servers") {
       this.#useServers();
@@ -322,6 +333,7 @@
 
   #tick(): void {
     this.#peers.tick(this.#state.members);
+    this.#sharing.tick();
     // Records that lapsed in an outage are dropped by time alone.
     this.#useServers();
     this.#regroup();
--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -44,9 +44,16 @@
     state: string;
     to: string;
     revision: number;
-    /** Characters of the configuration, or records of servers. */
+    /** Bytes as they are sent. */
     size: number;
   }
+  | {
+    event: "state_unreadable";
+    state: string;
+    from: string;
+    revision: number;
+    detail: string;
+  }
   | {
     event: "dependency_lost";
     dependency: string;
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -34,7 +34,8 @@
 /** See {@link askMessageSchema}. */
 export type AskMessage = v.InferOutput<typeof askMessageSchema>;
 
-const serverSchema = v.object({
+/** A backend server, as peers tell of it. */
+export const serverSchema = v.object({
   id: text,
   startedAt: v.number(),
   service: text,
@@ -46,6 +47,10 @@
   draining: v.boolean(),
 });
 
+const stateName = v.picklist(["configuration", "servers"]);
+/** What entries pass on to each other of the store. */
+export type StateName = v.InferOutput<typeof stateName>;
+
 /** Everything that entries say to each other. */
 export const peerMessageSchema = v.variant("type", [
   v.object({
@@ -67,17 +72,21 @@
     /** The store lists the sender. */
     listed: v.boolean(),
   }),
-  v.object({ type: v.literal("pull_configuration") }),
+  /** Asks for a part of a state that the receiver said it has. */
   v.object({
-    type: v.literal("configuration"),
+    type: v.literal("pull_state"),
+    state: stateName,
     revision: count,
-    value: v.string(),
+    offset: count,
   }),
-  v.object({ type: v.literal("pull_servers") }),
+  /** `bytes` from `offset` on, of `total`, compressed. */
   v.object({
-    type: v.literal("servers"),
+    type: v.literal("state_part"),
+    state: stateName,
     revision: count,
-    records: v.array(serverSchema),
+    offset: count,
+    total: count,
+    bytes: v.instance(Uint8Array<ArrayBufferLike>),
   }),
   askMessageSchema,
   /** The request no longer waits, or did not use its grant. */
--- a/packages/gateway/src/state/fleet_state.ts
+++ b/packages/gateway/src/state/fleet_state.ts
@@ -14,9 +14,6 @@
 import { StateListener } from "./state_listener.ts";
 import type { StoreContact } from "./store_contact.ts";
 
-/** Milliseconds a peer may know newer servers before they are asked for. */
-const BEHIND_FOR = 250;
-
 /** Another entry's address for its peers. */
 export type Member = { instance: string; host: string; port: number };
 
@@ -40,7 +37,6 @@
   #published: PublishedText = { revision: 0, value: "" };
   #configurationConfirmed = false;
   #serversKnown = false;
-  #behindSince: number | undefined;
   /** Entries that are registered no more, and until when they are counted. */
   readonly #departed = new Map<string, number>();
 
@@ -82,9 +78,12 @@
     return this.#serversKnown;
   }
 
-  /** Adopts a newer configuration; older ones and unreadable ones change nothing. */
-  adopt(value: string, revision: number, from: string): void {
-    if (revision <= this.#published.revision) return;
+  /**
+   * Adopts a newer configuration; older ones and unreadable ones change nothing.
+   * False for one that can't be read.
+   */
+  adopt(value: string, revision: number, from: string): boolean {
+    if (revision <= this.#published.revision) return true;
     const decoded = this.#codec.configuration(value);
     if (decoded.isErr) {
       this.#log.write({
@@ -93,7 +92,7 @@
         from,
         detail: decoded.error,
       });
-      return;
+      return false;
     }
     this.#published = { revision, value };
     this.#inForce = new ConfigurationInForce(decoded.value);
@@ -104,6 +103,7 @@
       from,
     });
     this.#changed("configuration");
+    return true;
   }
 
   /** Takes over a peer's servers if they are newer than what is known here. */
@@ -133,21 +133,6 @@
     return new Set([...this.members.keys(), ...this.#departed.keys()]);
   }
 
-  /**
-   * Whether to ask a peer for its servers. A peer whose watch was answered a
-   * moment earlier is no reason; a store that answers others only is one.
-   */
-  behind(serverRevision: number): boolean {
-    if (!this.#serversKnown) return serverRevision > 0;
-    const now = this.#clock();
-    if (serverRevision <= this.directory.revision) {
-      this.#behindSince = undefined;
-      return false;
-    }
-    this.#behindSince ??= now;
-    return now - this.#behindSince > BEHIND_FOR;
-  }
-
   /** Listens to the configuration's key. */
   configurationListener(): PrefixListener {
     return new StateListener({
--- a/packages/gateway/src/state/follow.ts
+++ b/packages/gateway/src/state/follow.ts
@@ -19,7 +19,10 @@
 /** The same for entries, whose peers are heard directly as well. */
 const MEMBER_WATCH_WAIT = 5000;
 
-/** Follows configuration, backend servers and entries until the signal. */
+/**
+ * Follows configuration, backend servers and entries until the signal. The result
+ * is the follower of the configuration.
+ */
 export function follow(
   options: {
     store: MetadataStore;
@@ -31,7 +34,7 @@
     /** Entries that are heard, and tell what they read. */
     group: () => WatchGroup;
   },
-): void {
+): PrefixFollower {
   const { store, codec, state, contact, signal, clock, group } = options;
   const start = (
     prefix: string,
@@ -40,11 +43,18 @@
   ) => {
     const turns = new WatchTurns(shortest);
     const wait = () => turns.next(group());
-    const follower = { store, prefix, listener, contact, wait, clock };
-    void new PrefixFollower(follower).run(signal);
+    const parts = { store, prefix, listener, contact, wait, clock };
+    const follower = new PrefixFollower(parts);
+    void follower.run(signal);
+    return follower;
   };
-  start(codec.configurationKey, state.configurationListener(), WATCH_WAIT);
+  const configuration = start(
+    codec.configurationKey,
+    state.configurationListener(),
+    WATCH_WAIT,
+  );
   start(codec.serverPrefix, state.serverListener(), WATCH_WAIT);
   const members = state.memberListener(MEMBER_PREFIX, decodeMember);
   start(MEMBER_PREFIX, members, MEMBER_WATCH_WAIT);
+  return configuration;
 }
--- a/packages/gateway/src/state/prefix_follower.ts
+++ b/packages/gateway/src/state/prefix_follower.ts
@@ -40,6 +40,9 @@
   readonly #contact: StoreContact;
   readonly #wait: () => number;
   readonly #clock: () => number;
+  #attempt = new AbortController();
+  /** Revision up to which all is known from elsewhere. */
+  #reached: Position;
 
   constructor(
     options: {
@@ -60,21 +63,31 @@
     this.#clock = options.clock;
   }
 
+  /**
+   * States that all up to `revision` is known from elsewhere: a call under way
+   * for less is given up, which matters where its answer fills a thin link.
+   */
+  reached(revision: number): void {
+    if (revision <= (this.#reached ?? 0)) return;
+    this.#reached = revision;
+    this.#attempt.abort();
+  }
+
   async run(signal: AbortSignal): Promise<void> {
     let position: Position;
     let backoff = FIRST_BACKOFF;
     while (!signal.aborted) {
       const startedAt = this.#clock();
-      const { turn } = this.#contact;
-      const next = position === undefined
-        ? await this.#readAll()
-        : await this.#watch(position, turn);
+      const attempt = new AbortController();
+      this.#attempt = attempt;
+      const next = await this.#call(position, attempt);
       if (next.isOk) {
-        position = next.value;
+        position = this.#ahead(next.value);
         backoff = FIRST_BACKOFF;
         continue;
       }
-      if (turn.aborted) continue;
+      position = this.#ahead(position);
+      if (attempt.signal.aborted) continue;
       this.#contact.failed({
         error: next.error,
         prefix: this.#prefix,
@@ -85,18 +98,43 @@
     }
   }
 
+  /** One call; given up when the store's answering changes. */
+  async #call(
+    position: Position,
+    attempt: AbortController,
+  ): Promise<Result<Position, PlatformError>> {
+    const { turn } = this.#contact;
+    const giveUp = () => attempt.abort();
+    turn.addEventListener("abort", giveUp);
+    const next = position === undefined
+      ? await this.#readAll(attempt.signal)
+      : await this.#watch(position, attempt.signal);
+    turn.removeEventListener("abort", giveUp);
+    return next;
+  }
+
+  /** The position after what came from elsewhere, which counts once. */
+  #ahead(position: Position): Position {
+    const reached = this.#reached;
+    this.#reached = undefined;
+    if (reached === undefined) return position;
+    return Math.max(position ?? 0, reached);
+  }
+
   /** Ends sooner when the store answers another call. */
   async #pause(duration: number, signal: AbortSignal): Promise<void> {
     const either = AbortSignal.any([signal, this.#contact.turn]);
     await sleep(duration, undefined, { signal: either }).catch(() => {});
   }
 
-  async #readAll(): Promise<Result<Position, PlatformError>> {
+  async #readAll(
+    signal: AbortSignal,
+  ): Promise<Result<Position, PlatformError>> {
     const items: StoredItem[] = [];
     let asOf: number | undefined;
     let after: string | undefined;
     for (;;) {
-      const page = await this.#store.readPage(this.#prefix, after);
+      const page = await this.#store.readPage(this.#prefix, after, signal);
       if (page.isErr) return Result.err(page.error);
       this.#contact.heard();
       // Pages are no snapshot: what changed since the first one is watched for.
@@ -111,13 +149,13 @@
 
   async #watch(
     position: number,
-    turn: AbortSignal,
+    signal: AbortSignal,
   ): Promise<Result<Position, PlatformError>> {
     const batch = await this.#store.watchPrefix({
       prefix: this.#prefix,
       after: position,
       wait: this.#contact.failing ? FAILING_WAIT : this.#wait(),
-      signal: turn,
+      signal,
     });
     if (batch.isErr) return Result.err(batch.error);
     this.#contact.heard();
--- a/packages/store/src/metadata_store.ts
+++ b/packages/store/src/metadata_store.ts
@@ -57,10 +57,11 @@
  * says `applied: "unknown"`.
  */
 export abstract class MetadataStore {
-  /** Keys below `prefix` that follow `after`, in order. */
+  /** Keys below `prefix` that follow `after`, in order; `signal` gives it up. */
   abstract readPage(
     prefix: string,
     after?: string,
+    signal?: AbortSignal,
   ): Promise<Result<ItemPage, PlatformError>>;
 
   /** Resolves with the changes after a revision, or with none after `wait` ms. */
