--- a/packages/store/src/http_caller.ts
+++ b/packages/store/src/http_caller.ts
@@ -6,6 +6,7 @@
  */
 import { Result } from "true-myth/result";
 import { Agent, request } from "undici";
+import { AnswerTimer } from "./answer_timer.ts";
 import type { CallBudget } from "./call_budget.ts";
 import type { PlatformError, PlatformErrorReason } from "./platform_error.ts";
 
@@ -17,7 +18,7 @@
 export type HttpServiceOptions = {
   /** Base address, such as `http://127.0.0.1:7100`. */
   url: string;
-  /** Milliseconds until an unanswered call fails. */
+  /** Milliseconds until a call fails whose answer does not begin, or stops. */
   timeout?: number;
   /** Absent: unlimited, as for the operator's command line. */
   budget?: CallBudget;
@@ -114,23 +115,37 @@
   }
 
   async #send(call: HttpCall): Promise<HttpAnswer> {
-    const timeout = AbortSignal.timeout(this.#timeout + (call.wait ?? 0));
-    const signal = call.signal === undefined
-      ? timeout
-      : AbortSignal.any([timeout, call.signal]);
+    const timer = new AnswerTimer({
+      first: this.#timeout + (call.wait ?? 0),
+      between: this.#timeout,
+      ...(call.signal && { signal: call.signal }),
+    });
+    try {
+      return await this.#exchange(call, timer);
+    } finally {
+      timer.end();
+    }
+  }
+
+  async #exchange(call: HttpCall, timer: AnswerTimer): Promise<HttpAnswer> {
     const answer = await request(this.#url + call.path, {
       dispatcher: this.#agent,
       method: call.method,
       headers: call.headers ?? {},
       body: call.body ?? null,
-      signal,
+      signal: timer.signal,
     });
-    const text = await answer.body.text();
+    const parts: Buffer[] = [];
+    timer.heard();
+    for await (const part of answer.body) {
+      timer.heard();
+      parts.push(part);
+    }
     const etag = answer.headers.etag;
     return {
       status: answer.statusCode,
       etag: typeof etag === "string" ? etag : "",
-      text,
+      text: Buffer.concat(parts).toString("utf8"),
     };
   }
 
