--- /dev/null
+++ b/packages/gateway/test/divided_quota_test.ts
@@ -0,0 +1,80 @@
+import { MemoryMetadataStore } from "@sycamorepulley/store";
+import t from "tap";
+import { configuration, Fixture, until } from "./fixture.ts";
+import { sealed } from "./stand_in_server.ts";
+import type { StandInServer } from "./stand_in_server.ts";
+import { StoreView } from "./store_view.ts";
+
+/** Seconds. */
+const WINDOW = 2;
+/** By the fixture's quota of 1000 a second, its burst of 1000 and its bounds. */
+const ACCEPTED = (WINDOW * 1000 + 1000) * 1.1 + 100;
+const TOKENS = 100;
+
+/** Times at which requests ran. */
+function runsOf(servers: readonly StandInServer[]): number[] {
+  const runs: number[] = [];
+  for (const server of servers) {
+    server.answer = (response, received) => {
+      runs.push(performance.now());
+      sealed(response, received).end("ok");
+    };
+  }
+  return runs;
+}
+
+function largestWindow(runs: readonly number[]): number {
+  const inside = runs.map((from) =>
+    runs.filter((at) => at >= from && at < from + WINDOW * 1000).length
+  );
+  return Math.max(...inside) * TOKENS;
+}
+
+/** Sends far more than the quota allows for a while. */
+async function press(entry: Fixture, until: number): Promise<void> {
+  while (performance.now() < until) {
+    const headers = { "x-tokens": `${TOKENS - 10},10` };
+    void entry.call("/calls/", { headers });
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+}
+
+t.test("an entry that starts while the granting one is not registered adds no quota", async (t) => {
+  // Shares of entries that hear each other in part were counted twice.
+  const store = new MemoryMetadataStore();
+  store.put("configuration", configuration(1));
+  const views = new Map<string, StoreView>();
+  const start = (instance: string, servers?: Fixture["servers"]) => {
+    const view = new StoreView(store);
+    views.set(instance, view);
+    const shared = servers === undefined ? {} : { servers };
+    const quotaWindow = WINDOW;
+    return Fixture.start({ store, view, instance, quotaWindow, ...shared });
+  };
+  const first = await start("entry-1");
+  const { servers } = first;
+  const entries = [first];
+  for (const instance of ["entry-2", "entry-3"]) {
+    entries.push(await start(instance, servers));
+  }
+  const grouped = () =>
+    entries.at(-1)!.events.filter(({ message, context }) =>
+      message === "group_changed" && context["size"] === 3
+    );
+  t.ok(await until(() => grouped().length > 0));
+  await new Promise((resolve) => setTimeout(resolve, 500));
+  const granting = String(grouped().at(-1)?.context["granting"]);
+  views.get(granting)!.turnedAway = true;
+  store.remove(`sycamorepulley/entries/${granting}`);
+  await new Promise((resolve) => setTimeout(resolve, 200));
+  entries.push(await start("entry-4", servers));
+  await entries.at(-1)!.untilReady();
+  const runs = runsOf(servers);
+  const end = performance.now() + 2 * WINDOW * 1000;
+  await Promise.all(entries.map((entry) => press(entry, end)));
+  const most = largestWindow(runs);
+  t.ok(most <= ACCEPTED, `${most} tokens, ${ACCEPTED} are accepted`);
+  t.ok(most > ACCEPTED * 0.75, `${most} tokens, ${ACCEPTED} are accepted`);
+  await Promise.all(entries.map(({ gateway }) => gateway.stop()));
+  for (const server of servers) server.stop();
+});
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -2,6 +2,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Route, ServerRecord } from "@sycamorepulley/decisions";
 import { MemoryMetadataStore } from "@sycamorepulley/store";
+import type { MetadataStore } from "@sycamorepulley/store";
 import { Result } from "true-myth/result";
 import { Gateway, LineSink, RecordCodec } from "../src/mod.ts";
 import type {
@@ -140,6 +141,10 @@
   static async start(
     options: {
       store?: MemoryMetadataStore;
+      /** What the gateway sees of the store, if not all. */
+      view?: MetadataStore;
+      /** Seconds over which quotas are counted. */
+      quotaWindow?: number;
       servers?: [StandInServer, StandInServer];
       instance?: string;
       seeds?: { host: string; port: number }[];
@@ -165,12 +170,12 @@
           retryRatio: 0.2,
           retrySlack: 50,
           retryWindowSeconds: 10,
-          quotaWindowSeconds: 8,
+          quotaWindowSeconds: options.quotaWindow ?? 8,
           quotaOverage: 0.1,
           quotaSlack: 100,
         },
       },
-      store,
+      store: options.view ?? store,
       codec: new JsonRecords(),
       names: NAMES,
       sink,
