Grant from the shares of those that ask, not of those that are heard

Cause: an entry worked out its part of the quotas from whom it hears. The store turned two of five entries away until their registrations had run out; one of them, edge-lj-c-1, granted. edge-lj-b-2 was killed and started anew, read that three entries were registered, heard three, all of whom asked edge-lj-c-1, and granted for itself with the whole of every quota, beside 0.8 of it there, for two seconds at least (lines of load of both, 6 ms apart). Either mistake alone does it: to count who asks another one, and to take the fleet for smaller than it is.

Now each entry says whom it asks, and whoever grants uses the shares of those that ask it over the most shares that it or a peer counts. Entries tell each other whom they know when a link is new, so that one which is not registered is dialled and counted. Shares of entries that were dropped stay reserved for as long as these may use them. A part that is taken over brings a tenth of its burst, once in a window: balances no longer grow while others grant. Of two links of one pair both sides keep the same one.

--- a/packages/decisions/src/dispatch/desk.ts
+++ b/packages/decisions/src/dispatch/desk.ts
@@ -81,11 +81,6 @@
     for (const desk of this.#services.values()) desk.setPart(parts.room);
   }
 
-  /** Begins to grant for a group that another entry granted for until now. */
-  takeOver(now: number): void {
-    this.#quotas.takeOver(now);
-  }
-
   /** Queues an ask, or turns it away at once. */
   ask(ask: Ask, now: number): AskVerdict | undefined {
     const wait = this.#quotas.waitFor(ask.organisation, ask.charge, now);
--- a/packages/decisions/src/fleet/entry_group.ts
+++ b/packages/decisions/src/fleet/entry_group.ts
@@ -1,25 +1,17 @@
 /**
  * Who grants for whom among the entries, and which part of what all entries
- * share a group of them may use.
+ * share the one that grants may use.
  *
  * Entries that hear each other are a group; one of them, the same in the eyes of
- * each, grants for all, so that there is one queue in front of all engines. When
- * the fleet is divided each group goes on by itself. Its part is its size over
- * that of the fleet, so that the groups together never use more than the whole.
+ * each, grants for all, so that there is one queue in front of all engines.
+ * Hearing is not always mutual: an entry may be heard by two others that do not
+ * hear each other, and count in the groups of both. But it asks one of them only.
+ * So whoever grants uses the shares of those that ask it, and all parts together
+ * never are more than the whole.
  * @module
  */
 import { hashText } from "../placement/hash_text.ts";
-
-/**
- * Part of its share of the quotas that a group uses once the others have dropped
- * it from the fleet and use that share as well. Quotas allow a tenth beyond.
- */
-const DROPPED_PART = 0.2;
-/**
- * Milliseconds for which an entry that is registered no more is still counted:
- * longer than any window of quotas (8 s), and than a restart.
- */
-export const COUNTED_FOR = 10_000;
+import { DROPPED_PART } from "./entry_roll.ts";
 
 /** An entry that may grant, and what its instance can carry. */
 export type AbleEntry = {
@@ -51,17 +43,25 @@
   return hash === otherHash ? one.name < other.name : hash > otherHash;
 }
 
+/** An entry that is heard, or this one. */
+export type PresentEntry = {
+  name: string;
+  /** The others certainly count it. */
+  listed: boolean;
+  /** It asks this entry, and nobody else, for servers. */
+  asks: boolean;
+};
+
 /** What {@link groupParts} goes by. */
 export type GroupView = {
-  /** Entries that hear each other, this one included. */
-  group: ReadonlySet<string>;
-  /** Entries registered in the store now or until a moment ago. */
-  counted: ReadonlySet<string>;
-  /** Some entry of the group is still counted by the others. */
-  listed: boolean;
+  present: readonly PresentEntry[];
+  /** What is left to each entry that is known; see `EntryRoll.shares`. */
+  shares: ReadonlyMap<string, number>;
+  /** The most shares that a peer counts. */
+  stated: number;
 };
 
-/** Parts, above 0 and up to 1, of what all entries share. */
+/** Parts, up to 1, of what all entries share. */
 export type GroupParts = {
   /** Of servers' places: too much of it costs time only. */
   room: number;
@@ -69,14 +69,38 @@
   quota: number;
 };
 
-/** The group's parts; see the module. */
-export function groupParts(view: GroupView): GroupParts {
-  let others = 0;
-  for (const name of view.counted) {
-    if (!view.group.has(name)) others++;
+/** Shares that all entries have together, as far as this one knows. */
+export function sharesOfFleet(view: Omit<GroupView, "stated">): number {
+  const shares = new Map(view.shares);
+  for (const entry of view.present) {
+    const known = shares.get(entry.name) ?? 0;
+    shares.set(entry.name, Math.max(known, ownShare(entry)));
   }
-  const size = view.group.size;
-  const room = size / (size + others);
-  const alone = others === 0 || view.listed;
-  return { room, quota: alone ? room : room * DROPPED_PART };
+  return sum(shares.values());
+}
+
+/** The parts that this entry grants from; see the module. */
+export function groupParts(view: GroupView): GroupParts {
+  const { present, shares, stated } = view;
+  const asking = present.filter(({ asks }) => asks);
+  const full = [...shares].filter(([, share]) => share === 1)
+    .map(([name]) => name);
+  const counted = new Set([...full, ...asking.map(({ name }) => name)]);
+  const fleet = Math.max(sharesOfFleet(view), stated);
+  const used = sum(asking.map(ownShare));
+  return {
+    room: counted.size === 0 ? 0 : asking.length / counted.size,
+    quota: fleet === 0 ? 0 : used / fleet,
+  };
+}
+
+/** What an entry goes by: its share, or a part of it once it was dropped. */
+function ownShare({ listed }: PresentEntry): number {
+  return listed ? 1 : DROPPED_PART;
+}
+
+function sum(values: Iterable<number>): number {
+  let total = 0;
+  for (const value of values) total += value;
+  return total;
 }
--- a/packages/decisions/src/quotas/organisation_quotas.ts
+++ b/packages/decisions/src/quotas/organisation_quotas.ts
@@ -1,11 +1,10 @@
 /**
- * Quotas of organisations, held by whoever grants for a group of entries that
- * hear each other.
+ * Quotas of organisations, held by whoever grants for a group of entries.
  *
  * Answers the organisation that sends many times its usual: without a quota it
  * takes the room of all others. The quota is over all entries, also over those
- * that can't hear each other, so each group uses only its part of it: the parts
- * of all groups add up to one, and no agreement is needed while the fleet is
+ * that can't hear each other, so whoever grants uses only its part of it: the
+ * parts add up to one at most, and no agreement is needed while the fleet is
  * divided.
  *
  * What operators accept in a window is let through mostly as a rate and only a
@@ -30,14 +29,21 @@
 /** Part of that which is let through as a burst; the rest is the rate. */
 const BURST_PART = 0.1;
 /**
- * Part of the burst that whoever takes over begins with: whoever granted before
- * may have let a whole burst through a moment ago.
+ * Part of a burst that comes with a part of the quota: whoever had that part may
+ * have let a whole burst through a moment ago.
  */
 const TAKE_OVER_PART = 0.1;
 
+/** What one organisation may use here. */
+type Held = {
+  bucket: TokenBucket;
+  /** What may still come with parts that are taken over, in any window. */
+  takeOvers: TokenBucket;
+};
+
 /** Buckets by organisation; see the module. */
 export class OrganisationQuotas {
-  readonly #buckets = new Map<string, TokenBucket>();
+  readonly #held = new Map<string, Held>();
   #leeway: QuotaLeeway;
 
   constructor(leeway: QuotaLeeway) {
@@ -55,50 +61,53 @@
     part: number,
     now: number,
   ): void {
-    for (const name of [...this.#buckets.keys()]) {
-      if (!quotas.has(name)) this.#buckets.delete(name);
+    for (const name of [...this.#held.keys()]) {
+      if (!quotas.has(name)) this.#held.delete(name);
     }
     for (const [name, quota] of quotas) {
       this.#configure(name, quota, part, now);
     }
   }
 
-  /** Begins to hold quotas that another entry held until now. */
-  takeOver(now: number): void {
-    for (const bucket of this.#buckets.values()) {
-      bucket.lowerTo(TAKE_OVER_PART, now);
-    }
-  }
-
   /** True if `tokens` can be charged to the organisation now. */
   allows(organisation: string, tokens: number, now: number): boolean {
-    return this.waitFor(organisation, tokens, now) <= 0;
+    const held = this.#held.get(organisation);
+    return held?.bucket.allows(tokens, now) ?? true;
   }
 
-  /** Milliseconds until `tokens` can be charged, if nothing else is. */
+  /** Milliseconds until `tokens` can be charged; see {@link TokenBucket}. */
   waitFor(organisation: string, tokens: number, now: number): number {
-    return this.#buckets.get(organisation)?.waitFor(tokens, now) ?? 0;
+    return this.#held.get(organisation)?.bucket.waitFor(tokens, now) ?? 0;
   }
 
   /** Charges `tokens` to the organisation; false if it may not use them now. */
   charge(organisation: string, tokens: number, now: number): boolean {
-    return this.#buckets.get(organisation)?.take(tokens, now) ?? true;
+    return this.#held.get(organisation)?.bucket.take(tokens, now) ?? true;
   }
 
   /** Takes a charge back for work that did not run. */
   refund(organisation: string, tokens: number): void {
-    this.#buckets.get(organisation)?.giveBack(tokens);
+    this.#held.get(organisation)?.bucket.giveBack(tokens);
   }
 
   #configure(name: string, quota: Quota, part: number, now: number): void {
-    const { rate, burst } = this.#bounds(quota, part);
-    const bucket = this.#buckets.get(name);
-    if (bucket !== undefined) {
-      bucket.configure(rate, burst, now);
-      return;
+    const whole = this.#bounds(quota, 1);
+    const largest = whole.burst * TAKE_OVER_PART;
+    const gain = largest / this.#leeway.window * 1000;
+    let held = this.#held.get(name);
+    if (held === undefined) {
+      held = {
+        bucket: new TokenBucket(0, 0, now),
+        takeOvers: new TokenBucket(gain, largest, now),
+      };
+      this.#held.set(name, held);
     }
-    const balance = burst * TAKE_OVER_PART;
-    this.#buckets.set(name, new TokenBucket(rate, burst, now, balance));
+    const { bucket, takeOvers } = held;
+    const { rate, burst } = this.#bounds(quota, part);
+    const gained = Math.max(0, burst - bucket.burst);
+    takeOvers.configure(gain, largest, now);
+    bucket.configure(rate, burst, now);
+    bucket.giveBack(takeOvers.takeUpTo(gained * TAKE_OVER_PART, now));
   }
 
   #bounds(quota: Quota, part: number): { rate: number; burst: number } {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,7 +4,11 @@
  */
 import { randomBytes } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { incarnationOf, ProcessLifecycle } from "@sycamorepulley/decisions";
+import {
+  incarnationOf,
+  ProcessLifecycle,
+  sharesOfFleet,
+} from "@sycamorepulley/decisions";
 import type { ServerRecord } from "@sycamorepulley/decisions";
 import type { MetadataStore } from "@sycamorepulley/store";
 import type { Result } from "true-myth/result";
@@ -19,6 +23,7 @@
 import type { LineSink } from "./observe/event_log.ts";
 import { GatewayMetrics } from "./observe/metrics.ts";
 import { Granter } from "./peers/granter.ts";
+import type { FleetView } from "./peers/granter.ts";
 import { HEARTBEAT_EVERY, Peers } from "./peers/peers.ts";
 import type { PeerMessage } from "./peers/messages.ts";
 import type { PeerStanding } from "./peers/peer_link.ts";
@@ -260,9 +265,12 @@
   }
 
   received(peer: string, message: PeerMessage): void {
-    if (!this.#granter.received(peer, message)) {
-      this.#sharing.received(peer, message);
+    if (this.#granter.received(peer, message)) return;
+    if (message.type === "members") this.#state.told(message.members);
+    if (message.type === "heartbeat" && message.leaving) {
+      this.#state.roll.leaves(peer);
     }
+    this.#sharing.received(peer, message);
   }
 
   lost(peer: string): void {
@@ -272,8 +280,14 @@
     this.#regroup();
   }
 
-  joined(): void {
+  joined(peer: string): void {
     this.#metrics.dependencies.inc({ dependency: "peer", change: "regained" });
+    this.#peers.send(peer, { type: "members", members: this.#state.known() });
+    this.#regroup();
+  }
+
+  /** Another entry asks whom it did not ask before. */
+  regrouped(): void {
     this.#regroup();
   }
 
@@ -282,12 +296,35 @@
       configurationRevision: this.#state.published.revision,
       configurationConfirmed: this.#state.configurationConfirmed,
       serverRevision: this.#state.directory.revision,
-      leaving: this.#lifecycle.state === "leaving",
+      leaving: this.#leaving,
+      processors: processorsOf(this.#settings),
+      listed: this.#counted(),
+      asks: this.#granter.granting,
+      shares: this.#shares(),
+    };
+  }
+
+  get #leaving(): boolean {
+    return this.#lifecycle.state === "leaving";
+  }
+
+  #self(): FleetView["self"] {
+    return {
+      name: this.#settings.instance,
       processors: processorsOf(this.#settings),
+      leaving: this.#leaving,
       listed: this.#counted(),
     };
   }
 
+  /** Shares that all entries have together, as far as this one knows. */
+  #shares(): number {
+    const present = [...this.#peers.entries(), this.#self()]
+      .map(({ name, listed }) => ({ name, listed, asks: false }));
+    const shares = this.#state.roll.shares(this.#clock());
+    return sharesOfFleet({ present, shares });
+  }
+
   #serve(request: IncomingMessage, response: ServerResponse): void {
     void this.#desk.serve(request, response);
   }
@@ -296,9 +333,10 @@
     return this.#lifecycle.state === "ready" && this.#informed();
   }
 
-  /** Knows the configuration and the servers, from whichever source. */
+  /** Knows configuration, servers and entries, from whichever source. */
   #informed(): boolean {
-    return this.#state.inForce !== undefined && this.#state.serversKnown;
+    const { inForce, serversKnown, membersKnown } = this.#state;
+    return inForce !== undefined && serversKnown && membersKnown;
   }
 
   #changed(what: "configuration" | "servers" | "members"): void {
@@ -332,7 +370,7 @@
   }
 
   #tick(): void {
-    this.#peers.tick(this.#state.members);
+    this.#peers.tick(this.#state.members, this.#state.unregistered());
     this.#sharing.tick();
     // Records that lapsed in an outage are dropped by time alone.
     this.#useServers();
@@ -345,20 +383,18 @@
   }
 
   #regroup(): void {
-    const counted = this.#state.countedMembers();
-    const leaving = this.#lifecycle.state === "leaving";
+    const standings = this.#peers.standings();
     this.#granter.regroup({
       peers: this.#peers.entries(),
-      processors: processorsOf(this.#settings),
-      counted,
-      listed: this.#counted() || this.#peers.anyListed(),
-      leaving,
+      self: this.#self(),
+      shares: this.#state.roll.shares(this.#clock()),
+      stated: Math.max(0, ...standings.map(({ shares }) => shares)),
     });
   }
 
   #logLoad(): void {
     const { parts } = this.#granter;
-    const fleet = this.#state.countedMembers().size;
+    const fleet = Math.round(this.#shares() * 10) / 10;
     for (const load of this.#granter.loads()) {
       this.#log.write({ event: "load", ...load, ...parts, fleet });
     }
--- a/packages/gateway/src/gateway_peer_events.ts
+++ b/packages/gateway/src/gateway_peer_events.ts
@@ -17,8 +17,12 @@
     this.#gateway.received(peer, message);
   }
 
-  override joined(): void {
-    this.#gateway.joined();
+  override joined(peer: string): void {
+    this.#gateway.joined(peer);
+  }
+
+  override regrouped(): void {
+    this.#gateway.regrouped();
   }
 
   override lost(peer: string): void {
--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -136,7 +136,7 @@
     granted: number;
     room: number;
     quota: number;
-    /** Entries that the group counts in the fleet, itself included. */
+    /** Shares that all entries have together, as this one counts them. */
     fleet: number;
   }
   | { event: "omitted"; of: string; lines: number };
--- a/packages/gateway/src/peers/granter.ts
+++ b/packages/gateway/src/peers/granter.ts
@@ -33,6 +33,16 @@
 /** What is asked for one request, with times of this entry's clock. */
 export type GrantRequest = Omit<Ask, "id" | "entry">;
 
+/** The fleet as this entry sees it. */
+export type FleetView = {
+  peers: readonly PeerEntry[];
+  /** This entry, but for whom it asks. */
+  self: Omit<PeerEntry, "asks">;
+  /** See `GroupView`. */
+  shares: ReadonlyMap<string, number>;
+  stated: number;
+};
+
 /** An ask under way. */
 export type AskHandle = { id: string; answer: Promise<GrantAnswer> };
 
@@ -99,42 +109,47 @@
     this.setQuotas(this.#quotas);
   }
 
-  /** Works out anew who grants; `leaving`: this entry no longer does. */
-  regroup(
-    options: {
-      peers: readonly PeerEntry[];
-      /** Of this entry's instance, in cores. */
-      processors: number;
-      counted: ReadonlySet<string>;
-      listed: boolean;
-      leaving: boolean;
-    },
-  ): void {
-    const { peers, processors, counted, listed, leaving } = options;
-    const entries = [...peers, { name: this.#instance, processors, leaving }];
-    const group = new Set(entries.map(({ name }) => name));
-    const parts = groupParts({ group, counted, listed });
+  /** The entry that this one asks for servers; it may be itself. */
+  get granting(): string {
+    return this.#granting;
+  }
+
+  /** Works out anew who grants, and from which parts this entry does. */
+  regroup(view: FleetView): void {
+    const { peers, self, shares, stated } = view;
+    const entries: PeerEntry[] = [...peers, { ...self, asks: undefined }];
     const staying = entries.filter((entry) => !entry.leaving);
     // Entries that all leave at once have to go on as one group: each for itself
     // would use the whole of every quota.
     const able = staying.length > 0 ? staying : entries;
     const granting = grantingEntry(able) ?? this.#instance;
-    const { room, quota } = this.#parts;
-    if (parts.room !== room || parts.quota !== quota) {
-      this.#parts = parts;
-      this.#desk.setShares(this.#quotas, parts, this.#clock());
-    }
+    const present = entries.map(({ name, listed, asks }) => ({
+      name,
+      listed,
+      asks: this.#instance ===
+        (name === this.#instance ? granting : asks),
+    }));
+    this.#useParts(groupParts({ present, shares, stated }));
     if (granting === this.#granting) return;
+    const { room, quota } = this.#parts;
     this.#log.write({
       event: "group_changed",
       granting,
-      size: group.size,
-      room: Math.round(parts.room * 1000) / 1000,
-      quota: Math.round(parts.quota * 1000) / 1000,
+      size: entries.length,
+      room: Math.round(room * 1000) / 1000,
+      quota: Math.round(quota * 1000) / 1000,
     });
     this.#moveTo(granting);
   }
 
+  #useParts(parts: GroupParts): void {
+    const { room, quota } = this.#parts;
+    if (parts.room === room && parts.quota === quota) return;
+    this.#parts = parts;
+    this.#desk.setShares(this.#quotas, parts, this.#clock());
+    this.#pumpSoon();
+  }
+
   /** Asks for a server. The ask lives until `withdraw` or `ended`. */
   ask(request: GrantRequest): AskHandle {
     const id = `${this.#incarnation}.${++this.#number}`;
@@ -278,7 +293,9 @@
     const before = this.#granting;
     this.#granting = granting;
     const now = this.#clock();
-    if (granting === this.#instance) this.#desk.takeOver(now);
+    // Before any ask: whoever grants has only the shares of those that it knows
+    // to ask it.
+    this.#peers().announce();
     if (before === this.#instance) this.#forgetForeign();
     for (const { ask, server } of this.#held.values()) {
       // Left where they were, they would take places there for ever.
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -67,11 +67,27 @@
     serverRevision: count,
     /** The sender takes no part in granting any more. */
     leaving: v.boolean(),
+    /** The entry that the sender asks for servers; it may be itself. */
+    asks: text,
+    /** Shares that all entries have together, as the sender counts them. */
+    shares: duration,
     /** Of the sender's instance, in cores. */
     processors: v.optional(v.pipe(v.number(), v.finite()), 1),
     /** The store lists the sender. */
     listed: v.boolean(),
   }),
+  /** The entries that the sender knows, sent when a link is new. */
+  v.object({
+    type: v.literal("members"),
+    members: v.array(
+      v.object({
+        instance: text,
+        host: text,
+        port: count,
+        countedFor: duration,
+      }),
+    ),
+  }),
   /** Asks for a part of a state that the receiver said it has. */
   v.object({
     type: v.literal("pull_state"),
--- a/packages/gateway/src/peers/peer_link.ts
+++ b/packages/gateway/src/peers/peer_link.ts
@@ -14,6 +14,10 @@
   configurationConfirmed: boolean;
   serverRevision: number;
   leaving: boolean;
+  /** The entry that it asks for servers. */
+  asks: string;
+  /** Shares that all entries have together, as it counts them. */
+  shares: number;
   /** Of its instance, in cores. */
   processors: number;
   listed: boolean;
@@ -22,6 +26,8 @@
 /** See the module. */
 export class PeerLink {
   readonly #link: Link<PeerMessage>;
+  /** This side opened it. */
+  readonly dialled: boolean;
   heardAt: number;
   instance: string | undefined;
   incarnation = "";
@@ -29,7 +35,8 @@
   closedFor = "";
   standing: PeerStanding | undefined;
 
-  constructor(socket: Socket, now: number) {
+  constructor(socket: Socket, dialled: boolean, now: number) {
+    this.dialled = dialled;
     this.heardAt = now;
     this.#link = new Link<PeerMessage>({
       socket,
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -25,13 +25,20 @@
 const DIAL_TIMEOUT = 500;
 
 /** Another entry, as a group counts it. */
-export type PeerEntry = AbleEntry & { leaving: boolean };
+export type PeerEntry = AbleEntry & {
+  leaving: boolean;
+  listed: boolean;
+  /** The entry that it asks for servers; none before it has said so. */
+  asks: string | undefined;
+};
 
 /** What the owner of the links does with them. */
 export abstract class PeerEvents {
   abstract received(peer: string, message: PeerMessage): void;
   /** A peer is heard for the first time, or again. */
   abstract joined(peer: string): void;
+  /** A peer asks another entry than before. */
+  abstract regrouped(): void;
   abstract lost(peer: string): void;
   abstract standing(): PeerStanding;
 }
@@ -81,6 +88,8 @@
       name,
       processors: standing?.processors ?? 0,
       leaving: standing?.leaving ?? false,
+      listed: standing?.listed ?? false,
+      asks: standing?.asks,
     }));
   }
 
@@ -102,13 +111,8 @@
     return this.entries().some(({ leaving }) => !leaving);
   }
 
-  /** True when a peer that is heard is listed in the store. */
-  anyListed(): boolean {
-    return [...this.#links.values()].some((link) => link.standing?.listed);
-  }
-
   listen(): Promise<number> {
-    this.#server = createServer((socket) => this.#adopt(socket));
+    this.#server = createServer((socket) => this.#adopt(socket, false));
     return listen(this.#server, this.#own);
   }
 
@@ -126,8 +130,14 @@
     }
   }
 
-  /** Heartbeats, closing of silent links, dialling of missing ones. */
-  tick(members: ReadonlyMap<string, Member>): void {
+  /**
+   * Heartbeats, closing of silent links, dialling of missing ones. `unregistered`
+   * entries may not know of this one.
+   */
+  tick(
+    members: ReadonlyMap<string, Member>,
+    unregistered: ReadonlyMap<string, Member>,
+  ): void {
     const now = this.#clock();
     for (const link of [...this.#links.values(), ...this.#unnamed]) {
       if (now - link.heardAt > SILENT_AFTER) link.close("silent");
@@ -138,6 +148,10 @@
       if (name <= this.#instance || this.#links.has(name)) continue;
       this.#dial(member, now);
     }
+    for (const [name, member] of unregistered) {
+      if (name === this.#instance || this.#links.has(name)) continue;
+      this.#dial(member, now);
+    }
     if (members.size > 1) return;
     for (const seed of this.#seeds) {
       const known = [...members.values()].some((member) =>
@@ -170,12 +184,12 @@
     socket.once("connect", () => {
       socket.setTimeout(0);
       socket.off("error", giveUp);
-      this.#adopt(socket);
+      this.#adopt(socket, true);
     });
   }
 
-  #adopt(socket: Socket): void {
-    const link = new PeerLink(socket, this.#clock());
+  #adopt(socket: Socket, dialled: boolean): void {
+    const link = new PeerLink(socket, dialled, this.#clock());
     this.#unnamed.add(link);
     link.send({
       type: "hello",
@@ -218,7 +232,9 @@
     if (name === undefined) return;
     if (message.type === "heartbeat") {
       const { type: _type, ...standing } = message;
+      const before = link.standing;
       link.standing = standing;
+      if (before?.asks !== standing.asks) this.#events.regrouped();
     }
     this.#events.received(name, message);
   }
@@ -229,9 +245,7 @@
     this.#unnamed.delete(link);
     const before = this.#links.get(instance);
     if (before?.incarnation === incarnation) {
-      // Both sides dialled, as at a start by seeds: one link is enough.
-      link.instance = undefined;
-      link.close("second link");
+      this.#keepOne(instance, before, link);
       return;
     }
     this.#links.set(instance, link);
@@ -246,4 +260,15 @@
     });
     this.#events.joined(instance);
   }
+
+  /** Both sides dialled: both keep the link that the first by name opened. */
+  #keepOne(instance: string, before: PeerLink, link: PeerLink): void {
+    const first = this.#instance < instance;
+    const kept = link.dialled === first ? link : before;
+    const other = kept === link ? before : link;
+    this.#links.set(instance, kept);
+    kept.standing ??= other.standing;
+    other.instance = undefined;
+    other.close("second link");
+  }
 }
--- a/packages/gateway/src/state/fleet_state.ts
+++ b/packages/gateway/src/state/fleet_state.ts
@@ -4,7 +4,7 @@
  * only ever moves forward.
  * @module
  */
-import { COUNTED_FOR, ServerDirectory } from "@sycamorepulley/decisions";
+import { EntryRoll, ServerDirectory } from "@sycamorepulley/decisions";
 import type { ServerRecord } from "@sycamorepulley/decisions";
 import type { ItemChange, StoredItem } from "@sycamorepulley/store";
 import type { EventLog } from "../observe/event_log.ts";
@@ -17,6 +17,9 @@
 /** Another entry's address for its peers. */
 export type Member = { instance: string; host: string; port: number };
 
+/** An entry, and for how many milliseconds more a peer counts it. */
+export type KnownMember = Member & { countedFor: number };
+
 /** The configuration's stored text, for peers that can't reach the store. */
 export type PublishedText = { revision: number; value: string };
 
@@ -28,7 +31,11 @@
 /** See the module. */
 export class FleetState {
   readonly directory = new ServerDirectory();
+  /** Entries that are registered. */
   readonly members = new Map<string, Member>();
+  readonly roll = new EntryRoll();
+  /** Where entries are that are registered no more, or never were here. */
+  readonly #unregistered = new Map<string, Member>();
   readonly #codec: RecordCodec;
   readonly #log: EventLog;
   readonly #clock: () => number;
@@ -37,8 +44,7 @@
   #published: PublishedText = { revision: 0, value: "" };
   #configurationConfirmed = false;
   #serversKnown = false;
-  /** Entries that are registered no more, and until when they are counted. */
-  readonly #departed = new Map<string, number>();
+  #membersKnown = false;
 
   constructor(
     options: {
@@ -78,6 +84,11 @@
     return this.#serversKnown;
   }
 
+  /** False until the store or a peer has told which entries there are. */
+  get membersKnown(): boolean {
+    return this.#membersKnown;
+  }
+
   /**
    * Adopts a newer configuration; older ones and unreadable ones change nothing.
    * False for one that can't be read.
@@ -124,13 +135,37 @@
     this.#changed("servers");
   }
 
-  /** Entries that are registered, or were until a moment ago. */
-  countedMembers(): Set<string> {
+  /** Entries that are not registered and may live on. */
+  unregistered(): Map<string, Member> {
+    const shares = this.roll.shares(this.#clock());
+    for (const name of this.#unregistered.keys()) {
+      if (!shares.has(name) || this.members.has(name)) {
+        this.#unregistered.delete(name);
+      }
+    }
+    return this.#unregistered;
+  }
+
+  /** What a peer is told of the entries; see {@link FleetState.told}. */
+  known(): KnownMember[] {
+    const members = new Map([...this.unregistered(), ...this.members]);
+    const times = this.roll.countedFor(this.#clock());
+    return [...members].map(([name, member]) => ({
+      ...member,
+      countedFor: times.get(name) ?? 0,
+    }));
+  }
+
+  /** Takes over what a peer knows of the entries. */
+  told(members: readonly KnownMember[]): void {
     const now = this.#clock();
-    for (const [name, until] of this.#departed) {
-      if (until <= now || this.members.has(name)) this.#departed.delete(name);
+    for (const { countedFor, ...member } of members) {
+      if (this.members.has(member.instance)) continue;
+      this.roll.told(member.instance, countedFor, now);
+      this.#unregistered.set(member.instance, member);
     }
-    return new Set([...this.members.keys(), ...this.#departed.keys()]);
+    this.#membersKnown = true;
+    this.#changed("members");
   }
 
   /** Listens to the configuration's key. */
@@ -171,24 +206,25 @@
   ): PrefixListener {
     const put = (item: StoredItem) => {
       const member = decode(item.value);
-      if (member !== undefined) {
-        this.members.set(item.key.slice(prefix.length), member);
-      }
+      if (member === undefined) return;
+      const name = item.key.slice(prefix.length);
+      this.members.set(name, member);
+      this.roll.registered(name);
     };
     return new StateListener({
       snapshot: (items) => {
-        for (const name of this.members.keys()) this.#depart(name);
+        for (const [name, member] of this.members) {
+          this.#unregistered.set(name, member);
+        }
         this.members.clear();
         items.forEach(put);
+        this.roll.replace(this.members.keys(), this.#clock());
+        this.#membersKnown = true;
         this.#changed("members");
       },
       change: (change) => {
         if (change.kind === "written") put(change.item);
-        else {
-          const name = change.key.slice(prefix.length);
-          this.members.delete(name);
-          this.#depart(name);
-        }
+        else this.#lapsed(change.key.slice(prefix.length));
       },
       advanced: (_asOf, any) => {
         if (any) this.#changed("members");
@@ -196,8 +232,11 @@
     });
   }
 
-  #depart(name: string): void {
-    this.#departed.set(name, this.#clock() + COUNTED_FOR);
+  #lapsed(name: string): void {
+    const member = this.members.get(name);
+    if (member !== undefined) this.#unregistered.set(name, member);
+    this.members.delete(name);
+    this.roll.lapsed(name, this.#clock());
   }
 
   #configuration(item: StoredItem): void {
