Leave a charge where it is when its request's entry asks another one

Moving now releases what it leaves: the place is free, the charge stands. The test failed before (a second request was granted at once in place of one that ran) and passes.

--- a/packages/decisions/src/dispatch/desk.ts
+++ b/packages/decisions/src/dispatch/desk.ts
@@ -97,9 +97,20 @@
 
   /** The request did not run: it no longer waits, or its grant went unused. */
   withdraw(ask: Ask): void {
-    if (!this.#asks.delete(ask.id)) return;
-    const granted = this.#services.get(ask.service)?.withdraw(ask.id) ?? false;
-    if (granted) this.#quotas.refund(ask.organisation, ask.charge);
+    if (this.#remove(ask)) {
+      this.#quotas.refund(ask.organisation, ask.charge);
+    }
+  }
+
+  /** Another entry counts the ask from now on; what it was charged stands. */
+  release(ask: Ask): void {
+    this.#remove(ask);
+  }
+
+  /** True if the ask was granted. */
+  #remove(ask: Ask): boolean {
+    if (!this.#asks.delete(ask.id)) return false;
+    return this.#services.get(ask.service)?.withdraw(ask.id) ?? false;
   }
 
   /** Counts a run that another entry granted before. */
--- a/packages/gateway/src/peers/granter.ts
+++ b/packages/gateway/src/peers/granter.ts
@@ -208,12 +208,12 @@
       case "ask":
         this.#askedBy(peer, message, now);
         break;
-      case "withdraw": {
-        const ask = this.#foreign.get(message.id);
-        this.#foreign.delete(message.id);
-        if (ask !== undefined) this.#desk.withdraw(ask);
+      case "withdraw":
+        this.#takeBack(message.id, (ask) => this.#desk.withdraw(ask));
+        break;
+      case "release":
+        this.#takeBack(message.id, (ask) => this.#desk.release(ask));
         break;
-      }
       case "first_answer":
         this.#desk.firstAnswer(message.id, message.measured, now);
         break;
@@ -299,8 +299,8 @@
     if (before === this.#instance) this.#forgetForeign();
     for (const { ask, server } of this.#held.values()) {
       // Left where they were, they would take places there for ever.
-      if (before === this.#instance) this.#desk.withdraw(ask);
-      else this.#peers().send(before, { type: "withdraw", id: ask.id });
+      if (before === this.#instance) this.#desk.release(ask);
+      else this.#peers().send(before, { type: "release", id: ask.id });
       if (granting !== this.#instance) {
         this.#peers().send(granting, messageOf(ask, now, server));
       } else if (server !== undefined) {
@@ -314,7 +314,7 @@
 
   /** Their entries ask whoever grants now. */
   #forgetForeign(): void {
-    for (const ask of this.#foreign.values()) this.#desk.withdraw(ask);
+    for (const ask of this.#foreign.values()) this.#desk.release(ask);
     this.#foreign.clear();
   }
 
@@ -329,6 +329,12 @@
     if (verdict !== undefined) this.#deliver(verdict);
   }
 
+  #takeBack(id: string, how: (ask: Ask) => void): void {
+    const ask = this.#foreign.get(id);
+    this.#foreign.delete(id);
+    if (ask !== undefined) how(ask);
+  }
+
   #deliver(verdict: AskVerdict): void {
     const { ask } = verdict;
     if (ask.entry === this.#instance) {
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -107,6 +107,8 @@
   askMessageSchema,
   /** The request no longer waits, or did not use its grant. */
   v.object({ type: v.literal("withdraw"), id: text }),
+  /** The sender asks another entry from now on; what was granted may run. */
+  v.object({ type: v.literal("release"), id: text }),
   v.object({ type: v.literal("first_answer"), id: text, measured: duration }),
   v.object({
     type: v.literal("ended"),
--- /dev/null
+++ b/packages/gateway/test/granter_test.ts
@@ -0,0 +1,87 @@
+import type { Ask, ServerRecord } from "@sycamorepulley/decisions";
+import t from "tap";
+import { EventLog, LineSink } from "../src/mod.ts";
+import { Granter } from "../src/peers/granter.ts";
+import type { FleetView } from "../src/peers/granter.ts";
+import type { PeerEntry, Peers } from "../src/peers/peers.ts";
+import { record } from "./fixture.ts";
+
+class Unheard extends LineSink {
+  override push(): boolean {
+    return true;
+  }
+}
+
+/** Granters that hear each other at once. */
+class Wire {
+  readonly #granters = new Map<string, Granter>();
+
+  granter(instance: string): Granter {
+    const peers = {
+      announce: () => {},
+      send: (to: string, message: Parameters<Granter["received"]>[1]) =>
+        this.#granters.get(to)?.received(instance, message),
+    };
+    const clock = () => 0;
+    const granter = new Granter({
+      instance,
+      incarnation: instance,
+      clock,
+      log: new EventLog({ instance, sink: new Unheard(), clock }),
+      peers: () => peers as unknown as Peers,
+      leeway: { window: 8000, overage: 0, slack: 0 },
+    });
+    granter.setServers([JSON.parse(record("s", 1)) as ServerRecord]);
+    this.#granters.set(instance, granter);
+    return granter;
+  }
+}
+
+function entry(name: string, processors: number, asks: string): PeerEntry {
+  return { name, processors, asks, listed: true, leaving: false };
+}
+
+function view(self: PeerEntry, peers: readonly PeerEntry[]): FleetView {
+  const names = [self, ...peers].map(({ name }) => name);
+  const shares = new Map(names.map((name) => [name, 1]));
+  return { self, peers, shares, stated: 0 };
+}
+
+const REQUEST: Omit<Ask, "id" | "entry"> = {
+  service: "calls",
+  organisation: "firm",
+  tierRank: 0,
+  routeRank: 0,
+  cost: { promptTokens: 0, outputTokens: 1 },
+  charge: 70,
+  dataCentre: "a",
+  arrived: 0,
+  goalAt: 500,
+  lapsesAt: 2000,
+  endsAt: 2000,
+  fingerprint: "print",
+  spread: 0.5,
+  avoid: [],
+};
+
+t.test("what runs stays charged when its entry asks another one", async (t) => {
+  // Given back, the charge let a second request run in its place.
+  const wire = new Wire();
+  const asking = wire.granter("a");
+  const granting = wire.granter("x");
+  const quotas = new Map([["firm", { ratePerSecond: 1000, burst: 1000 }]]);
+  const [a, x] = [entry("a", 1, "x"), entry("x", 2, "x")];
+  granting.setQuotas(quotas);
+  granting.regroup(view(x, [a]));
+  asking.regroup(view(a, [x]));
+  const first = asking.ask(REQUEST);
+  granting.pump();
+  t.match(await first.answer, { kind: "grant", by: "x" });
+  asking.regroup(view(a, [x, entry("y", 3, "y")]));
+  const second = granting.ask(REQUEST);
+  granting.pump();
+  const undecided = new Promise((resolve) =>
+    setTimeout(() => resolve("waits"), 50)
+  );
+  t.equal(await Promise.race([second.answer, undecided]), "waits");
+});
