Let an entry's part of the resends follow the size of the fleet

Now the budget is divided at each resend by the shares that quotas go by; a balance never grows by that. The test failed before (the whole budget with ten entries known) and passes.

--- a/packages/decisions/src/retries/mod.ts
+++ b/packages/decisions/src/retries/mod.ts
@@ -1,3 +1,4 @@
 /** Repeated placements: how many and when. @module */
 export { backoff } from "./backoff.ts";
 export { RetryBudget } from "./retry_budget.ts";
+export type { RetryBudgetOptions } from "./retry_budget.ts";
--- a/packages/decisions/src/retries/retry_budget.ts
+++ b/packages/decisions/src/retries/retry_budget.ts
@@ -19,28 +19,34 @@
 const FREE_PER_SECOND = 2;
 const LARGEST_BALANCE = 50;
 
+/** What a budget lets through. */
+export type RetryBudgetOptions = {
+  /** Retries earned by each success. */
+  share?: number | undefined;
+  freePerSecond?: number | undefined;
+  largest?: number | undefined;
+};
+
 /** A token bucket filled by successes. */
 export class RetryBudget {
-  readonly #share: number;
-  readonly #freePerSecond: number;
-  readonly #largest: number;
+  #share = SHARE_OF_SUCCESSES;
+  #freePerSecond = FREE_PER_SECOND;
+  #largest = LARGEST_BALANCE;
   #balance: number;
   #filledAt = -Infinity;
 
-  constructor(
-    options: {
-      /** Retries earned by each success. */
-      share?: number | undefined;
-      freePerSecond?: number | undefined;
-      largest?: number | undefined;
-    } = {},
-  ) {
-    this.#share = options.share ?? SHARE_OF_SUCCESSES;
-    this.#freePerSecond = options.freePerSecond ?? FREE_PER_SECOND;
-    this.#largest = options.largest ?? LARGEST_BALANCE;
+  constructor(options: RetryBudgetOptions = {}) {
+    this.#use(options);
     this.#balance = this.#largest;
   }
 
+  /** Changes the bounds from `now` on; a balance above the largest is lost. */
+  configure(options: RetryBudgetOptions, now: number): void {
+    this.#fill(now);
+    this.#use(options);
+    this.#balance = Math.min(this.#balance, this.#largest);
+  }
+
   /** Takes one retry; false when the budget is spent. */
   allow(now: number): boolean {
     this.#fill(now);
@@ -55,6 +61,12 @@
     this.#deposit(this.#share);
   }
 
+  #use(options: RetryBudgetOptions): void {
+    this.#share = options.share ?? SHARE_OF_SUCCESSES;
+    this.#freePerSecond = options.freePerSecond ?? FREE_PER_SECOND;
+    this.#largest = options.largest ?? LARGEST_BALANCE;
+  }
+
   #fill(now: number): void {
     const elapsed = now - this.#filledAt;
     if (elapsed <= 0) return;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -165,9 +165,9 @@
         inForce: () => this.#state.inForce,
         current: () => this.#sharing.configurationIsNewest(),
         server: (name) => this.#usable(name),
-        retryBudget: retryBudgets(
+        takeResend: retryBudgets(
           () => this.#settings.bounds,
-          () => this.#state.members.size,
+          () => this.#shares(),
         ),
       },
     });
--- a/packages/gateway/src/request/request_context.ts
+++ b/packages/gateway/src/request/request_context.ts
@@ -1,5 +1,5 @@
 /** What every request task works with. @module */
-import type { RetryBudget, ServerRecord } from "@sycamorepulley/decisions";
+import type { ServerRecord } from "@sycamorepulley/decisions";
 import type { ChannelPool } from "../backend/channel_pool.ts";
 import type { HeaderNames } from "../front/header_names.ts";
 import type { EventLog } from "../observe/event_log.ts";
@@ -7,6 +7,7 @@
 import type { Granter } from "../peers/granter.ts";
 import type { ConfigurationInForce } from "../state/gateway_configuration.ts";
 import type { Closing } from "./closing.ts";
+import type { TakeResend } from "./retry_budgets.ts";
 
 /** Shared by all requests of one process. */
 export type RequestContext = {
@@ -26,5 +27,5 @@
   /** The server as it is registered now; `undefined` once it may not be used. */
   server: (incarnation: string) => ServerRecord | undefined;
   closing: Closing;
-  retryBudget: (service: string) => RetryBudget;
+  takeResend: TakeResend;
 };
--- a/packages/gateway/src/request/request_task.ts
+++ b/packages/gateway/src/request/request_task.ts
@@ -367,9 +367,9 @@
 
   /** Takes a resend from the service's budget; false when it is spent. */
   #takeRetry(server: ServerRecord, reason: string): boolean {
-    const { retryBudget, clock } = this.#context;
+    const { takeResend, clock } = this.#context;
     const { service } = this.#resolved;
-    if (!retryBudget(service).allow(clock())) return false;
+    if (!takeResend(service, clock())) return false;
     this.#report.retried(server, reason, this.#sent);
     return true;
   }
--- a/packages/gateway/src/request/retry_budgets.ts
+++ b/packages/gateway/src/request/retry_budgets.ts
@@ -1,34 +1,36 @@
 /** This entry's part of the resends that a service allows. @module */
 import { RetryBudget } from "@sycamorepulley/decisions";
+import type { RetryBudgetOptions } from "@sycamorepulley/decisions";
 import type { GatewayBounds } from "../settings.ts";
 
 /** Part of the fleet's resends that is used: others may count otherwise. */
 const RETRY_PART = 0.6;
 
-/** One budget a service, made when it is first asked for or its bounds change. */
+/** Takes a resend of the service; false when its budget is spent. */
+export type TakeResend = (service: string, now: number) => boolean;
+
+/** One budget a service, by the bounds and the number of entries at each time. */
 export function retryBudgets(
   bounds: () => GatewayBounds,
   entries: () => number,
-): (service: string) => RetryBudget {
+): TakeResend {
   const budgets = new Map<string, RetryBudget>();
-  let used = bounds();
-  return (service) => {
-    if (used !== bounds()) budgets.clear();
-    used = bounds();
+  return (service, now) => {
+    const options = optionsOf(bounds(), Math.max(1, entries()));
     const known = budgets.get(service);
-    if (known !== undefined) return known;
-    const budget = newBudget(used, Math.max(1, entries()));
+    known?.configure(options, now);
+    const budget = known ?? new RetryBudget(options);
     budgets.set(service, budget);
-    return budget;
+    return budget.allow(now);
   };
 }
 
-function newBudget(bounds: GatewayBounds, entries: number): RetryBudget {
+function optionsOf(bounds: GatewayBounds, entries: number): RetryBudgetOptions {
   const { retryRatio, retrySlack, retryWindowSeconds } = bounds;
   const largest = retrySlack * RETRY_PART / entries;
-  return new RetryBudget({
+  return {
     share: retryRatio * RETRY_PART,
     freePerSecond: largest / 2 / retryWindowSeconds,
     largest: Math.max(2, largest / 2),
-  });
+  };
 }
