--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,15 +4,12 @@
  */
 import { randomBytes } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import {
-  incarnationOf,
-  ProcessLifecycle,
-  sharesOfFleet,
-} from "@sycamorepulley/decisions";
-import type { ServerRecord } from "@sycamorepulley/decisions";
+import { ProcessLifecycle } from "@sycamorepulley/decisions";
 import type { MetadataStore } from "@sycamorepulley/store";
 import type { Result } from "true-myth/result";
 import { ChannelPool } from "./backend/channel_pool.ts";
+import { ServersInUse } from "./backend/servers_in_use.ts";
+import { FleetStanding } from "./fleet_standing.ts";
 import { CallReader } from "./front/call.ts";
 import { Front } from "./front/front.ts";
 import { GracefulStop } from "./graceful_stop.ts";
@@ -23,7 +20,6 @@
 import type { LineSink } from "./observe/event_log.ts";
 import { GatewayMetrics } from "./observe/metrics.ts";
 import { Granter } from "./peers/granter.ts";
-import type { FleetView } from "./peers/granter.ts";
 import { HEARTBEAT_EVERY, Peers } from "./peers/peers.ts";
 import type { PeerMessage } from "./peers/messages.ts";
 import type { PeerStanding } from "./peers/peer_link.ts";
@@ -32,7 +28,7 @@
 import { Closing } from "./request/closing.ts";
 import { RequestDesk } from "./request/request_desk.ts";
 import { retryBudgets } from "./request/retry_budgets.ts";
-import { leewayOf, processorsOf } from "./settings.ts";
+import { leewayOf } from "./settings.ts";
 import type { GatewaySettings } from "./settings.ts";
 import { settingsAfterReload } from "./settings_reload.ts";
 import { FleetState } from "./state/fleet_state.ts";
@@ -85,6 +81,8 @@
   readonly #sharing: StateSharing;
   #configuration: PrefixFollower | undefined;
   readonly #membership: Membership;
+  readonly #standing: FleetStanding;
+  readonly #servers: ServersInUse;
   readonly #front: Front;
   readonly #pages: StatusPages;
   readonly #desk: RequestDesk;
@@ -92,7 +90,6 @@
   readonly #closing = new Closing();
   readonly #stopped = new AbortController();
   readonly #timers: NodeJS.Timeout[] = [];
-  readonly #servers = new Map<string, ServerRecord>();
 
   constructor(parts: GatewayParts) {
     const { settings, store, codec, names } = parts;
@@ -149,6 +146,16 @@
       clock,
       contact: this.#contact,
     });
+    this.#standing = new FleetStanding({
+      settings: () => this.#settings,
+      leaving: () => this.#lifecycle.state === "leaving",
+      state: this.#state,
+      peers: this.#peers,
+      granter: this.#granter,
+      membership: this.#membership,
+      clock,
+    });
+    this.#servers = new ServersInUse(this.#state.directory);
     this.#desk = new RequestDesk({
       reader: new CallReader(names),
       context: {
@@ -164,10 +171,10 @@
         closing: this.#closing,
         inForce: () => this.#state.inForce,
         current: () => this.#sharing.configurationIsNewest(),
-        server: (name) => this.#usable(name),
+        server: (name) => this.#servers.find(name),
         takeResend: retryBudgets(
           () => this.#settings.bounds,
-          () => this.#shares(),
+          () => this.#standing.shares(),
         ),
       },
     });
@@ -208,7 +215,7 @@
     this.#every(PUMP_EVERY, () => this.#granter.pump());
     this.#every(
       SWEEP_EVERY,
-      () => this.#pool.sweep([...this.#servers.values()]),
+      () => this.#pool.sweep(this.#servers.all()),
     );
     this.#every(LOAD_EVERY, () => this.#logLoad());
     this.#lifecycle.apply("started");
@@ -256,7 +263,7 @@
       gracePeriod,
     });
     this.#front.startClosing();
-    this.#regroup();
+    this.#standing.regroup();
     this.#peers.announce();
     void this.#membership.leave();
     await stop.finish();
@@ -277,52 +284,22 @@
     this.#granter.lost(peer);
     this.#sharing.lost(peer);
     this.#metrics.dependencies.inc({ dependency: "peer", change: "lost" });
-    this.#regroup();
+    this.#standing.regroup();
   }
 
   joined(peer: string): void {
     this.#metrics.dependencies.inc({ dependency: "peer", change: "regained" });
     this.#peers.send(peer, { type: "members", members: this.#state.known() });
-    this.#regroup();
+    this.#standing.regroup();
   }
 
   /** Another entry asks whom it did not ask before. */
   regrouped(): void {
-    this.#regroup();
+    this.#standing.regroup();
   }
 
   standing(): PeerStanding {
-    return {
-      configurationRevision: this.#state.published.revision,
-      configurationConfirmed: this.#state.configurationConfirmed,
-      serverRevision: this.#state.directory.revision,
-      leaving: this.#leaving,
-      processors: processorsOf(this.#settings),
-      listed: this.#counted(),
-      asks: this.#granter.granting,
-      shares: this.#shares(),
-    };
-  }
-
-  get #leaving(): boolean {
-    return this.#lifecycle.state === "leaving";
-  }
-
-  #self(): FleetView["self"] {
-    return {
-      name: this.#settings.instance,
-      processors: processorsOf(this.#settings),
-      leaving: this.#leaving,
-      listed: this.#counted(),
-    };
-  }
-
-  /** Shares that all entries have together, as far as this one knows. */
-  #shares(): number {
-    const present = [...this.#peers.entries(), this.#self()]
-      .map(({ name, listed }) => ({ name, listed, asks: false }));
-    const shares = this.#state.roll.shares(this.#clock());
-    return sharesOfFleet({ present, shares });
+    return this.#standing.toTell();
   }
 
   #serve(request: IncomingMessage, response: ServerResponse): void {
@@ -351,22 +328,12 @@
     } else if (what === "servers") {
       this.#useServers();
     } else {
-      this.#regroup();
+      this.#standing.regroup();
     }
   }
 
   #useServers(): void {
-    const usable = this.#state.directory.usable(this.#clock());
-    this.#servers.clear();
-    for (const record of usable) {
-      this.#servers.set(incarnationOf(record), record);
-    }
-    this.#granter.setServers(usable);
-  }
-
-  #usable(name: string): ServerRecord | undefined {
-    const record = this.#servers.get(name);
-    return record && this.#state.directory.mayUse(record) ? record : undefined;
+    this.#granter.setServers(this.#servers.refresh(this.#clock()));
   }
 
   #tick(): void {
@@ -374,27 +341,12 @@
     this.#sharing.tick();
     // Records that lapsed in an outage are dropped by time alone.
     this.#useServers();
-    this.#regroup();
-  }
-
-  #counted(): boolean {
-    const named = this.#state.members.has(this.#settings.instance);
-    return this.#membership.counted(this.#clock(), named);
-  }
-
-  #regroup(): void {
-    const standings = this.#peers.standings();
-    this.#granter.regroup({
-      peers: this.#peers.entries(),
-      self: this.#self(),
-      shares: this.#state.roll.shares(this.#clock()),
-      stated: Math.max(0, ...standings.map(({ shares }) => shares)),
-    });
+    this.#standing.regroup();
   }
 
   #logLoad(): void {
     const { parts } = this.#granter;
-    const fleet = Math.round(this.#shares() * 10) / 10;
+    const fleet = Math.round(this.#standing.shares() * 10) / 10;
     for (const load of this.#granter.loads()) {
       this.#log.write({ event: "load", ...load, ...parts, fleet });
     }
--- /dev/null
+++ b/packages/gateway/src/peers/granting.ts
@@ -0,0 +1,227 @@
+/**
+ * What this entry grants: to itself, and to the entries that ask it.
+ *
+ * All of it is soft. When the granting entry is lost, each entry asks the next
+ * one anew for what waits and tells it what runs; nothing of it is stored.
+ * @module
+ */
+import { Desk } from "@sycamorepulley/decisions";
+import type {
+  AnswerPace,
+  Ask,
+  AskVerdict,
+  GroupParts,
+  Quota,
+  QuotaLeeway,
+  RunEnd,
+  ServerRecord,
+  ServiceLoad,
+} from "@sycamorepulley/decisions";
+import { askOf } from "./ask_message.ts";
+import type { GrantAnswer } from "./held_ask.ts";
+import type { AskMessage, PeerMessage } from "./messages.ts";
+import type { Peers } from "./peers.ts";
+
+/** See the module. */
+export class Granting {
+  readonly #instance: string;
+  readonly #clock: () => number;
+  readonly #peers: () => Peers;
+  readonly #answered: (id: string, answer: GrantAnswer) => void;
+  readonly #desk: Desk;
+  /** Asks of other entries that wait or run here. */
+  readonly #foreign = new Map<string, Ask>();
+  #parts: GroupParts = { room: 1, quota: 1 };
+  #quotas: ReadonlyMap<string, Quota> = new Map();
+  /** A pump is due at the end of this turn. */
+  #pumping = false;
+
+  constructor(
+    options: {
+      instance: string;
+      clock: () => number;
+      peers: () => Peers;
+      leeway: QuotaLeeway;
+      /** Takes the answer to an ask of this entry. */
+      answered: (id: string, answer: GrantAnswer) => void;
+    },
+  ) {
+    this.#instance = options.instance;
+    this.#clock = options.clock;
+    this.#peers = options.peers;
+    this.#answered = options.answered;
+    this.#desk = new Desk(options.leeway);
+  }
+
+  /** The parts of all room and quotas that are granted from here. */
+  get parts(): GroupParts {
+    return this.#parts;
+  }
+
+  /** How full each service is; empty while nobody asks this entry. */
+  loads(): ServiceLoad[] {
+    return this.#parts.room === 0 ? [] : this.#desk.loads(this.#clock());
+  }
+
+  setServers(records: readonly ServerRecord[]): void {
+    this.#desk.setServers(records);
+    this.#pumpSoon();
+  }
+
+  setQuotas(quotas: ReadonlyMap<string, Quota>): void {
+    this.#quotas = quotas;
+    this.#desk.setShares(quotas, this.#parts, this.#clock());
+  }
+
+  setLeeway(leeway: QuotaLeeway): void {
+    this.#desk.setLeeway(leeway);
+    this.setQuotas(this.#quotas);
+  }
+
+  setParts(parts: GroupParts): void {
+    const { room, quota } = this.#parts;
+    if (parts.room === room && parts.quota === quota) return;
+    this.#parts = parts;
+    this.#desk.setShares(this.#quotas, parts, this.#clock());
+    this.#pumpSoon();
+  }
+
+  ask(ask: Ask): void {
+    const verdict = this.#desk.ask(ask, this.#clock());
+    if (verdict !== undefined) this.#deliver(verdict);
+    this.#pumpSoon();
+  }
+
+  /** See {@link Desk.withdraw}. */
+  withdraw(ask: Ask): void {
+    this.#desk.withdraw(ask);
+    this.#pumpSoon();
+  }
+
+  /** See {@link Desk.release}. */
+  release(ask: Ask): void {
+    this.#desk.release(ask);
+    this.#pumpSoon();
+  }
+
+  /** Counts a run that another entry granted before. */
+  adopt(ask: Ask, server: string): void {
+    this.#desk.adopt(ask, server);
+    this.#pumpSoon();
+  }
+
+  firstAnswer(id: string, measured: number): void {
+    this.#desk.firstAnswer(id, measured, this.#clock());
+    this.#pumpSoon();
+  }
+
+  ended(id: string, end: RunEnd, pace: AnswerPace): void {
+    const now = this.#clock();
+    this.#desk.restAnswered(id, pace, now);
+    this.#desk.ended(id, end, now);
+    this.#pumpSoon();
+  }
+
+  /** Takes a peer's message about its asks; false for any other. */
+  received(peer: string, message: PeerMessage): boolean {
+    switch (message.type) {
+      case "ask":
+        this.#askedBy(peer, message);
+        return true;
+      case "withdraw":
+        this.#takeBack(message.id, (ask) => this.withdraw(ask));
+        return true;
+      case "release":
+        this.#takeBack(message.id, (ask) => this.release(ask));
+        return true;
+      case "first_answer":
+        this.firstAnswer(message.id, message.measured);
+        return true;
+      case "ended":
+        this.#foreign.delete(message.id);
+        this.ended(message.id, message.end, message);
+        return true;
+      default:
+        return false;
+    }
+  }
+
+  /** A peer is gone, with its connections to backend servers. */
+  lost(peer: string): void {
+    for (const [id, ask] of this.#foreign) {
+      if (ask.entry === peer) this.#foreign.delete(id);
+    }
+    this.#desk.forgetEntry(peer);
+    this.#pumpSoon();
+  }
+
+  /** Lets go of what others asked: their entries ask whoever grants now. */
+  releaseForeign(): void {
+    for (const ask of this.#foreign.values()) this.#desk.release(ask);
+    this.#foreign.clear();
+  }
+
+  /** Hands out all that can be decided now. */
+  pump(): void {
+    for (const verdict of this.#desk.verdicts(this.#clock())) {
+      this.#deliver(verdict);
+    }
+  }
+
+  /**
+   * The same once for all that this turn of the event loop brings. Done for each
+   * message, all that waits and all servers were looked through each time, by a
+   * granting entry that read its callers 1.3 s late after a restart.
+   */
+  #pumpSoon(): void {
+    if (this.#pumping) return;
+    this.#pumping = true;
+    setImmediate(() => {
+      this.#pumping = false;
+      this.pump();
+    });
+  }
+
+  #askedBy(peer: string, message: AskMessage): void {
+    const ask = askOf(message, peer, this.#clock());
+    this.#foreign.set(ask.id, ask);
+    if (message.runsAt === undefined) this.ask(ask);
+    else this.adopt(ask, message.runsAt);
+  }
+
+  #takeBack(id: string, how: (ask: Ask) => void): void {
+    const ask = this.#foreign.get(id);
+    this.#foreign.delete(id);
+    if (ask !== undefined) how(ask);
+  }
+
+  #deliver(verdict: AskVerdict): void {
+    const { ask } = verdict;
+    if (ask.entry === this.#instance) {
+      this.#answered(ask.id, ownAnswer(verdict, this.#instance));
+      return;
+    }
+    if (verdict.kind === "grant") {
+      const { server } = verdict;
+      this.#peers().send(ask.entry, { type: "grant", id: ask.id, server });
+      return;
+    }
+    this.#foreign.delete(ask.id);
+    const { reason, retryAfter, seen } = verdict;
+    this.#peers().send(ask.entry, {
+      type: "refuse",
+      id: ask.id,
+      reason,
+      retryAfter,
+      ...seen,
+    });
+  }
+}
+
+function ownAnswer(verdict: AskVerdict, by: string): GrantAnswer {
+  if (verdict.kind === "grant") {
+    return { kind: "grant", server: verdict.server, by };
+  }
+  const { reason, retryAfter, seen } = verdict;
+  return { kind: "refuse", reason, retryAfter, seen, by };
+}
