Decide what others asked of an entry also when it asks another one itself

Where two entries don't hear each other, a third may ask one that asks the other. When that one moved, it dropped what others had asked of it without a word, and their callers waited until their time was up. Such asks are now decided where they were asked, from the shares of those that ask; entries that move let go of their own. The test failed before (undecided) and passes.

--- a/packages/gateway/src/peers/granter.ts
+++ b/packages/gateway/src/peers/granter.ts
@@ -215,7 +215,6 @@
     // Before any ask: whoever grants has only the shares of those that it knows
     // to ask it.
     this.#peers().announce();
-    if (before === this.#instance) this.#own.releaseForeign();
     for (const { ask, server } of this.#held.values()) {
       // Left where they were, they would take places there for ever.
       if (before === this.#instance) this.#own.release(ask);
--- a/packages/gateway/src/peers/granting.ts
+++ b/packages/gateway/src/peers/granting.ts
@@ -155,12 +155,6 @@
     this.#pumpSoon();
   }
 
-  /** Lets go of what others asked: their entries ask whoever grants now. */
-  releaseForeign(): void {
-    for (const ask of this.#foreign.values()) this.#desk.release(ask);
-    this.#foreign.clear();
-  }
-
   /** Hands out all that can be decided now. */
   pump(): void {
     for (const verdict of this.#desk.verdicts(this.#clock())) {
--- a/packages/gateway/test/granter_test.ts
+++ b/packages/gateway/test/granter_test.ts
@@ -85,3 +85,23 @@
   );
   t.equal(await Promise.race([second.answer, undecided]), "waits");
 });
+
+t.test("an ask is decided by whom it was asked of, whomever that one asks", async (t) => {
+  // Dropped without a word, it held its caller until the time was up.
+  const wire = new Wire();
+  const asking = wire.granter("a");
+  const granting = wire.granter("x");
+  const [a, x] = [entry("a", 1, "x"), entry("x", 2, "x")];
+  granting.regroup(view(x, [a]));
+  asking.regroup(view(a, [x]));
+  const running = [1, 2, 3, 4].map(() => asking.ask(REQUEST));
+  granting.pump();
+  const { answer } = asking.ask(REQUEST);
+  granting.regroup(view(entry("x", 2, "y"), [a, entry("y", 3, "y")]));
+  for (const { id } of running) asking.ended(id, "answered");
+  granting.pump();
+  const undecided = new Promise((resolve) =>
+    setTimeout(() => resolve("undecided"), 50)
+  );
+  t.match(await Promise.race([answer, undecided]), { kind: "grant", by: "x" });
+});
