Catch up before a watch waits again

Each entry sent its watch again at once, from where it had been. The store takes such a watch and says only at its end, or at the next change, that the history is gone: 2 to 10 s later. A first watch of 200 ms was given up, as a renewal had been answered meanwhile and made all watches begin anew.

Now the first watch after a call that failed or was given up asks the store to wait for nothing, so it tells at once what there is, or that all has to be read. The stand-in store tells of a compaction as late as the platform does. The test failed before (the first watch after a cut waits 2000 ms) and passes.

--- a/packages/gateway/src/state/prefix_follower.ts
+++ b/packages/gateway/src/state/prefix_follower.ts
@@ -4,7 +4,9 @@
  * Watches are short. A connection may go silent without being closed, and a long
  * watch on it would show nothing for as long: changes of the configuration would
  * be missed. A call that waits while the store stops answering, or answers again,
- * may have been lost: it is made anew at once.
+ * may have been lost: it is made anew at once. What was missed meanwhile, or that
+ * the history of it is gone, the store may tell only at the end of a watch, so
+ * the first one after a call that ended early waits for nothing.
  * @module
  */
 import { setTimeout as sleep } from "node:timers/promises";
@@ -20,8 +22,8 @@
 /** Milliseconds until a failed read is made again, first and at most. */
 const FIRST_BACKOFF = 100;
 const LONGEST_BACKOFF = 800;
-/** Milliseconds that the store is to hold a watch while it doesn't answer. */
-const FAILING_WAIT = 200;
+/** Milliseconds that the store is to hold a watch that catches up. */
+const CATCH_UP_WAIT = 1;
 
 /** Takes in what the follower reads. `asOf` is the store's revision. */
 export abstract class PrefixListener {
@@ -41,6 +43,8 @@
   readonly #wait: () => number;
   readonly #clock: () => number;
   #attempt = new AbortController();
+  /** The last call ended early. */
+  #behind = false;
   /** Revision up to which all is known from elsewhere. */
   #reached: Position;
 
@@ -84,8 +88,10 @@
       if (next.isOk) {
         position = this.#ahead(next.value);
         backoff = FIRST_BACKOFF;
+        this.#behind = false;
         continue;
       }
+      this.#behind = true;
       position = this.#ahead(position);
       if (attempt.signal.aborted) continue;
       this.#contact.failed({
@@ -154,7 +160,7 @@
     const batch = await this.#store.watchPrefix({
       prefix: this.#prefix,
       after: position,
-      wait: this.#contact.failing ? FAILING_WAIT : this.#wait(),
+      wait: this.#behind ? CATCH_UP_WAIT : this.#wait(),
       signal,
     });
     if (batch.isErr) return Result.err(batch.error);
--- a/packages/gateway/src/state/store_contact.ts
+++ b/packages/gateway/src/state/store_contact.ts
@@ -43,11 +43,6 @@
     this.#heardAt = options.clock();
   }
 
-  /** True from a failed call until the next answer. */
-  get failing(): boolean {
-    return this.#failing;
-  }
-
   /** Aborted when the store stops answering, and when it answers again. */
   get turn(): AbortSignal {
     return this.#turn.signal;
--- a/packages/gateway/test/lifecycle_test.ts
+++ b/packages/gateway/test/lifecycle_test.ts
@@ -1,4 +1,5 @@
 import { MemoryMetadataStore } from "@sycamorepulley/store";
+import type { WatchPrefixOptions } from "@sycamorepulley/store";
 import t from "tap";
 import { Result } from "true-myth/result";
 import { configuration, Fixture, record, route, until } from "./fixture.ts";
@@ -210,3 +211,30 @@
   t.ok(await until(async () => await denied() === 401));
   await Promise.all([first.stop(), second.gateway.stop()]);
 });
+
+t.test("after a cut no watch waits before it has caught up", async (t) => {
+  // The store forgot its history and told so only at the end of the next watch.
+  const waits: number[] = [];
+  class Spied extends MemoryMetadataStore {
+    override watchPrefix(options: WatchPrefixOptions) {
+      if (options.prefix === "configuration") waits.push(options.wait);
+      return super.watchPrefix(options);
+    }
+  }
+  const store = new Spied();
+  store.put("configuration", configuration(1));
+  const fixture = await Fixture.start({ store });
+  await fixture.untilReady();
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  store.deaf = true;
+  store.put("configuration", configuration(2, [route({ prefix: "/new/" })]));
+  store.compact();
+  store.deaf = false;
+  const before = waits.length;
+  store.cut();
+  const served = async () => (await fixture.call("/new/")).status === 200;
+  t.ok(await until(served));
+  const [first = Infinity] = waits.slice(before);
+  t.ok(first < 100, `the first watch waits ${first} ms`);
+  await fixture.stop();
+});
--- a/packages/store/src/memory_metadata_store.ts
+++ b/packages/store/src/memory_metadata_store.ts
@@ -23,11 +23,15 @@
 export class MemoryMetadataStore extends MetadataStore {
   /** While true, every call fails as unreachable. */
   down = false;
+  /** While true, no watch is told of a change. */
+  deaf = false;
   readonly #items = new Map<string, Held>();
   readonly #history: ItemChange[] = [];
   readonly #leases = new Set<number>();
   #revision = 1;
   #oldest = 1;
+  /** Counts the times that all waiting watches were cut. */
+  #cuts = 0;
 
   /** Writes a key as an operator or a server does. */
   put(key: string, value: string): void {
@@ -41,7 +45,15 @@
     this.#history.push({ kind: "removed", key, revision: this.#revision });
   }
 
-  /** Forgets the history: watches from before it are told to read anew. */
+  /** Cuts the watches that wait. */
+  cut(): void {
+    this.#cuts++;
+  }
+
+  /**
+   * Forgets the history: watches from before it are told to read anew, once
+   * something below their prefix has changed or their wait is over.
+   */
   compact(): void {
     this.#oldest = this.#revision;
     this.#history.length = 0;
@@ -65,18 +77,28 @@
     options: WatchPrefixOptions,
   ): Promise<Result<ChangeBatch, PlatformError>> {
     const { prefix, after, wait, signal } = options;
+    const cuts = this.#cuts;
     for (let waited = 0; waited <= wait; waited += WATCH_SLICE) {
-      if (this.down || signal?.aborted) return this.#unreachable("watch");
-      if (after < this.#oldest) return Result.ok({ kind: "compacted" });
-      const changes = this.#history.filter((change) =>
-        revisionOf(change) > after && keyOf(change).startsWith(prefix)
-      );
-      if (changes.length > 0) {
-        return Result.ok({ kind: "changes", changes, asOf: this.#revision });
-      }
+      const lost = this.down || signal?.aborted || cuts !== this.#cuts;
+      if (lost) return this.#unreachable("watch");
+      const changes = this.#changesBelow(prefix, after);
+      if (changes.length > 0) return Result.ok(this.#told(changes, after));
       await new Promise((resolve) => setTimeout(resolve, WATCH_SLICE));
     }
-    return Result.ok({ kind: "changes", changes: [], asOf: this.#revision });
+    return Result.ok(this.#told([], after));
+  }
+
+  #changesBelow(prefix: string, after: number): ItemChange[] {
+    if (this.deaf) return [];
+    return this.#history.filter((change) =>
+      revisionOf(change) > after && keyOf(change).startsWith(prefix)
+    );
+  }
+
+  #told(changes: ItemChange[], after: number): ChangeBatch {
+    return after < this.#oldest
+      ? { kind: "compacted" }
+      : { kind: "changes", changes, asOf: this.#revision };
   }
 
   override transact(
