--- a/packages/daemon/src/common/configuration_keeper.ts
+++ b/packages/daemon/src/common/configuration_keeper.ts
@@ -15,6 +15,9 @@
 /** A peer to which configuration messages can be sent. */
 export type ConfigurationPeer = { send: (message: Message) => void };
 
+/** Milliseconds until another peer is asked in place of one that is silent. */
+const ASK_AGAIN_AFTER = 2000;
+
 /** Options of {@link ConfigurationKeeper}. */
 export type ConfigurationKeeperOptions = {
   store: KeyValueStore;
@@ -29,6 +32,8 @@
   readonly #follower: ConfigurationFollower;
   readonly #options: ConfigurationKeeperOptions;
   #index: ConfigurationIndex | undefined;
+  /** A peer was asked then and has not answered. */
+  #askedAt = -Infinity;
 
   constructor(options: ConfigurationKeeperOptions) {
     this.#options = options;
@@ -60,9 +65,14 @@
     return this.#follower.run(signal);
   }
 
-  /** A peer said what it has in force; a newer set is asked for. */
-  peerHas(peer: ConfigurationPeer, revision: number): void {
+  /**
+   * A peer said at `now`, in milliseconds, what it has in force. A newer set is
+   * asked for, of one peer at a time: many have it at once, and it is large.
+   */
+  peerHas(peer: ConfigurationPeer, revision: number, now: number): void {
     if (revision <= this.revision) return;
+    if (now - this.#askedAt < ASK_AGAIN_AFTER) return;
+    this.#askedAt = now;
     peer.send({ type: "pullConfiguration", revision: this.revision });
   }
 
@@ -71,6 +81,7 @@
     if (message.type === "pullConfiguration") {
       this.#answer(peer, message.revision);
     } else if (message.type === "configuration") {
+      this.#askedAt = -Infinity;
       this.#follower.offer(message.text);
     }
   }
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -71,7 +71,7 @@
       metrics: parts.metrics,
       log: parts.log,
       onPeerRevision: (session, revision) =>
-        parts.configuration.peerHas(session, revision),
+        parts.configuration.peerHas(session, revision, monotonicNow()),
       onOtherMessage: (session, message) => this.hear(session, message),
     });
     this.moves = new EntryMoves({
--- a/packages/daemon/src/entry/peer_connection.ts
+++ b/packages/daemon/src/entry/peer_connection.ts
@@ -5,6 +5,7 @@
  */
 import { LinkError } from "@sycamorepulley/protocol";
 import type { Message, OpenLink } from "@sycamorepulley/protocol";
+import { monotonicNow } from "../common/clock.ts";
 import type { ConfigurationKeeper } from "../common/configuration_keeper.ts";
 
 /** Hears one peer for as long as its link lasts. */
@@ -24,7 +25,8 @@
     configuration: ConfigurationKeeper,
     hear: (peer: PeerConnection, message: Message) => void,
   ): Promise<LinkError | undefined> {
-    configuration.peerHas(this, this.#open.peerHello.configurationRevision);
+    const { configurationRevision } = this.#open.peerHello;
+    configuration.peerHas(this, configurationRevision, monotonicNow());
     try {
       for await (const message of this.#open.messages) {
         hear(this, message);
--- a/packages/daemon/src/sidecar/start_sidecar.ts
+++ b/packages/daemon/src/sidecar/start_sidecar.ts
@@ -51,7 +51,8 @@
     sequence += 1;
     const connection = new EntryConnection({ open, sequence });
     sidecar.connected(connection);
-    configuration.peerHas(connection, connection.peerRevision);
+    const { peerRevision } = connection;
+    configuration.peerHas(connection, peerRevision, monotonicNow());
     return connection.run(sidecar);
   };
   const protocol = await startProtocolServer({
@@ -142,7 +143,12 @@
     onServed: (served, now) => estimates.observe(served, now),
     onOtherMessage: (connection, message) => {
       if (message.type === "heartbeat") {
-        configuration.peerHas(connection, message.configurationRevision);
+        const { configurationRevision } = message;
+        configuration.peerHas(
+          connection,
+          configurationRevision,
+          monotonicNow(),
+        );
         connection.send({
           type: "heartbeat",
           configurationRevision: configuration.revision,
