Ask once more over a new link to the entry that grants

Since entries also dial those that are not registered, two may dial each other at the same moment more often than at a start by seeds. Both keep the same link, but one may have asked over the other already, and a peer that restarts before its old link is found dead had the same effect: the asks were gone, and their callers waited until their time was up. They are now sent again when the link to the granting entry is new; an ask that is known there stays as it is. The test fails without the second sending.

--- a/packages/decisions/src/dispatch/desk.ts
+++ b/packages/decisions/src/dispatch/desk.ts
@@ -81,8 +81,9 @@
     for (const desk of this.#services.values()) desk.setPart(parts.room);
   }
 
-  /** Queues an ask, or turns it away at once. */
+  /** Queues an ask, or turns it away at once; one that is known stays as it is. */
   ask(ask: Ask, now: number): AskVerdict | undefined {
+    if (this.#asks.has(ask.id)) return undefined;
     const wait = this.#quotas.waitFor(ask.organisation, ask.charge, now);
     if (now + wait > ask.lapsesAt) {
       const soonest = SOONEST_RETRY * (1 + ask.spread);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -290,6 +290,7 @@
   joined(peer: string): void {
     this.#metrics.dependencies.inc({ dependency: "peer", change: "regained" });
     this.#peers.send(peer, { type: "members", members: this.#state.known() });
+    this.#granter.joined(peer);
     this.#standing.regroup();
   }
 
--- a/packages/gateway/src/peers/granter.ts
+++ b/packages/gateway/src/peers/granter.ts
@@ -191,6 +191,14 @@
     this.#own.lost(peer);
   }
 
+  /** A new link to a peer: what it was told before may be lost. */
+  joined(peer: string): void {
+    if (peer !== this.#granting) return;
+    for (const { ask, server } of this.#held.values()) {
+      this.#tell(messageOf(ask, this.#clock(), server));
+    }
+  }
+
   /** Hands out all that can be decided now. */
   pump(): void {
     this.#own.pump();
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -270,5 +270,9 @@
     kept.standing ??= other.standing;
     other.instance = undefined;
     other.close("second link");
+    if (kept === before) return;
+    // What was on its way over the first one is gone with it.
+    this.#events.lost(instance);
+    this.#events.joined(instance);
   }
 }
--- a/packages/gateway/test/granter_test.ts
+++ b/packages/gateway/test/granter_test.ts
@@ -105,3 +105,26 @@
   );
   t.match(await Promise.race([answer, undecided]), { kind: "grant", by: "x" });
 });
+
+t.test("asks go once more over a new link to the entry that grants", async (t) => {
+  // A link was replaced, and what had been asked over the old one held its callers.
+  const wire = new Wire();
+  const asking = wire.granter("a");
+  const granting = wire.granter("x");
+  const [a, x] = [entry("a", 1, "x"), entry("x", 2, "x")];
+  granting.regroup(view(x, [a]));
+  asking.regroup(view(a, [x]));
+  const running = [1, 2, 3, 4].map(() => asking.ask(REQUEST));
+  granting.pump();
+  const { answer } = asking.ask(REQUEST);
+  granting.lost("a");
+  asking.lost("x");
+  asking.joined("x");
+  granting.pump();
+  for (const { id } of running) asking.ended(id, "answered");
+  granting.pump();
+  const undecided = new Promise((resolve) =>
+    setTimeout(() => resolve("undecided"), 50)
+  );
+  t.match(await Promise.race([answer, undecided]), { kind: "grant", by: "x" });
+});
