--- a/packages/decisions/src/fleet/state_pull.ts
+++ b/packages/decisions/src/fleet/state_pull.ts
@@ -111,7 +111,8 @@
       this.#transfer = anew;
       return this.received(peer, part, now);
     }
-    if (offset !== transfer.offset) return { kind: "ignored" };
+    const next = offset === transfer.offset && bytes.length > 0;
+    if (!next) return { kind: "ignored" };
     transfer.parts.push(bytes);
     transfer.offset += bytes.length;
     transfer.askedAt = now;
--- a/packages/decisions/test/state_pull_test.ts
+++ b/packages/decisions/test/state_pull_test.ts
@@ -46,6 +46,8 @@
     request: { peer, revision: 5, offset: 10 },
   });
   t.equal(pull.received(peer, { ...part, offset: 0 }, 310).kind, "ignored");
+  const empty = { ...part, offset: 10, bytes: PART.subarray(0, 0) };
+  t.equal(pull.received(peer, empty, 310).kind, "ignored");
   t.equal(pull.received("z", { ...part, offset: 10 }, 310).kind, "ignored");
   t.equal(pull.next(4, 900, 0), undefined, "it makes progress");
   t.equal(pull.received(peer, { ...part, offset: 10 }, 950).kind, "ask");
