Send a request that its server is silent on to no more servers than its route allows

Found by reading: whether a silent server may be left for another one was decided before it was counted, so that each request could reach one server more than its route's maximum (BUDGET).

Now the server is counted first. The test failed before (two servers received a request that may reach one) and passes. What a caller is told in the end stands in a module of its own, behaviour unchanged.

--- a/packages/gateway/src/request/request_task.ts
+++ b/packages/gateway/src/request/request_task.ts
@@ -8,11 +8,7 @@
  * @module
  */
 import { incarnationOf, mayRepeat } from "@sycamorepulley/decisions";
-import type {
-  RefusalInputs,
-  RunEnd,
-  ServerRecord,
-} from "@sycamorepulley/decisions";
+import type { RunEnd, ServerRecord } from "@sycamorepulley/decisions";
 import type { Channel } from "../backend/channel.ts";
 import type { Call } from "../front/call.ts";
 import type { GrantAnswer } from "../peers/held_ask.ts";
@@ -21,8 +17,9 @@
 import type { Caller } from "./caller.ts";
 import { Exchange } from "./exchange.ts";
 import type { ExchangeEnd } from "./exchange.ts";
+import { FinalAnswer } from "./final_answer.ts";
+import type { GivenUp } from "./final_answer.ts";
 import { lapseOf, LEAST_TIME_LEFT, silenceLimits } from "./patience.ts";
-import { statusOf } from "./reply.ts";
 import type { ReplyReason } from "./reply.ts";
 import type { RequestContext } from "./request_context.ts";
 import { RequestReport } from "./request_report.ts";
@@ -49,6 +46,7 @@
   readonly #body: Buffer | undefined;
   readonly #fingerprint: string;
   readonly #report: RequestReport;
+  readonly #answer: FinalAnswer;
   readonly #progress = new AnswerProgress();
   readonly #avoid: string[] = [];
   /** Servers that something was written to and that may have run it. */
@@ -60,8 +58,6 @@
   #retryTaken = false;
   /** The caller left a server that had said nothing for long. */
   #sawDark = false;
-  /** The caller has its final answer, or none is owed any more. */
-  #final = false;
 
   constructor(
     options: {
@@ -79,6 +75,7 @@
     this.#body = options.body;
     const { context, call, resolved } = options;
     this.#report = new RequestReport(context, call, resolved);
+    this.#answer = new FinalAnswer(options.caller, this.#report);
     this.#fingerprint = fingerprintOf(
       options.call,
       options.body,
@@ -123,10 +120,9 @@
 
   /** True when the caller has left or the time is up; the latter is answered. */
   #over(): boolean {
-    if (this.#final) return true;
+    if (this.#answer.given) return true;
     if (this.#caller.left) {
-      this.#final = true;
-      this.#report.left(this.#sent > 0 ? "sent" : "waiting");
+      this.#answer.left(this.#sent > 0 ? "sent" : "waiting");
       return true;
     }
     const left = this.#resolved.limitAt - this.#context.clock();
@@ -238,10 +234,10 @@
         },
       },
     });
-    const watch = this.#watch(server, exchange);
     this.#stop = () => exchange.abort();
     this.#sent++;
     this.#mayHaveRun = true;
+    const watch = this.#watch(server, exchange);
     exchange.start({
       method: this.#call.method,
       target: this.#call.target,
@@ -297,9 +293,7 @@
     switch (end.kind) {
       case "stream":
         pool.give(server, channel);
-        this.#final = true;
-        this.#caller.end(end.unframed);
-        this.#report.answered(server, 200, this.#progress);
+        this.#answer.stream(server, end.unframed, this.#progress);
         return;
       case "plain":
         pool.give(server, channel);
@@ -334,13 +328,7 @@
       this.#avoid.push(incarnationOf(server));
       return;
     }
-    if (this.#caller.begun) {
-      this.#cut(server, `status ${end.head.status} to a resumed stream`);
-      return;
-    }
-    this.#final = true;
-    this.#caller.answer(end.head, end.body);
-    this.#report.answered(server, end.head.status, this.#progress);
+    this.#answer.plain(server, end, this.#progress);
   }
 
   #broken(server: ServerRecord, detail: string): void {
@@ -349,7 +337,7 @@
       return;
     }
     if (this.#mayTryAnother() && this.#takeRetry(server, "broken")) return;
-    if (this.#caller.begun) this.#cut(server, detail);
+    if (this.#caller.begun) this.#answer.cut(server, detail);
     else this.#giveUp("broken");
   }
 
@@ -377,34 +365,17 @@
   #giveUp(
     reason: ReplyReason,
     retryAfter?: number,
-    decided?: { by: string; seen: RefusalInputs },
+    decided?: GivenUp["decided"],
   ): void {
-    if (this.#caller.left || this.#final) return;
-    if (this.#caller.begun) {
-      this.#cut(undefined, reason);
-      return;
-    }
-    this.#final = true;
-    const status = statusOf(reason, this.#mayHaveRun);
-    const left = this.#resolved.limitAt - this.#context.clock();
-    const wait = retryAfter === undefined
-      ? undefined
-      : Math.min(retryAfter, Math.max(0, left / 3));
-    this.#caller.refuse(status, reason, wait);
-    this.#report.refused(reason, {
-      status,
-      retryAfter: wait ?? 0,
+    this.#answer.giveUp({
+      reason,
       mayHaveRun: this.#mayHaveRun,
-      ...(decided && { decided }),
+      left: this.#resolved.limitAt - this.#context.clock(),
+      retryAfter,
+      decided,
     });
   }
 
-  #cut(server: ServerRecord | undefined, reason: string): void {
-    this.#final = true;
-    this.#caller.cut();
-    this.#report.cut(server, reason);
-  }
-
   /** The answer, or `undefined` once the caller left or the time was up. */
   #orStopped(answer: Promise<GrantAnswer>): Promise<GrantAnswer | undefined> {
     return new Promise((resolve) => {
