--- a/packages/gateway/src/request/request_task.ts
+++ b/packages/gateway/src/request/request_task.ts
@@ -8,23 +8,22 @@
  * @module
  */
 import { incarnationOf, mayRepeat } from "@sycamorepulley/decisions";
-import type { RunEnd, ServerRecord } from "@sycamorepulley/decisions";
-import type { Channel } from "../backend/channel.ts";
+import type { ServerRecord } from "@sycamorepulley/decisions";
 import type { Call } from "../front/call.ts";
 import type { GrantAnswer } from "../peers/held_ask.ts";
 import { AnswerProgress } from "./answer_progress.ts";
-import { backendHeaders, fingerprintOf } from "./backend_headers.ts";
+import { fingerprintOf } from "./backend_headers.ts";
 import type { Caller } from "./caller.ts";
-import { Exchange } from "./exchange.ts";
 import type { ExchangeEnd } from "./exchange.ts";
 import { FinalAnswer } from "./final_answer.ts";
 import type { GivenUp } from "./final_answer.ts";
-import { lapseOf, LEAST_TIME_LEFT, silenceLimits } from "./patience.ts";
+import { lapseOf, LEAST_TIME_LEFT } from "./patience.ts";
 import type { ReplyReason } from "./reply.ts";
 import type { RequestContext } from "./request_context.ts";
 import { RequestReport } from "./request_report.ts";
 import type { ResolvedCall } from "./resolve_call.ts";
-import { SilenceWatch } from "./silence_watch.ts";
+import { ServerTry } from "./server_try.ts";
+import type { TriedAt, TryEnd } from "./server_try.ts";
 
 /**
  * Grants that one request may use up, whatever became of them. A refused connect
@@ -34,8 +33,6 @@
 const MOST_GRANTS = 20;
 /** Milliseconds after which a refused caller may come back, if nothing is known. */
 const DEFAULT_RETRY_AFTER = 300;
-/** Milliseconds without a first part that tell of a dark server. */
-const DARK_AFTER = 1500;
 
 /** See the module. */
 export class RequestTask {
@@ -56,8 +53,6 @@
   #timeUp = false;
   /** The resend after a silence is paid for already. */
   #retryTaken = false;
-  /** The caller left a server that had said nothing for long. */
-  #sawDark = false;
 
   constructor(
     options: {
@@ -200,8 +195,8 @@
       pool.give(server, channel.value);
       return;
     }
-    const end = await this.#exchange(ask, server, channel.value);
-    this.#settle(ask, server, channel.value, end);
+    const at = { ask, server, channel: channel.value };
+    this.#settle(at, await this.#try(at));
   }
 
   #gone(incarnation: string): boolean {
@@ -210,77 +205,33 @@
     return true;
   }
 
-  async #exchange(
-    ask: string,
-    server: ServerRecord,
-    channel: Channel,
-  ): Promise<ExchangeEnd> {
-    const { clock, granter, names } = this.#context;
-    const sentAt = clock();
-    const exchange = new Exchange({
-      names,
-      request: this.#call.request,
-      channel,
-      first: () => {
-        this.#progress.first(clock());
-        granter.firstAnswer(ask, clock() - sentAt);
-      },
-      sink: {
-        begin: (head) => this.#caller.begin(head),
-        events: (events, lastId) => {
-          this.#progress.passed(lastId, clock());
-          watch?.heard();
-          this.#caller.events(events);
-        },
-      },
-    });
-    this.#stop = () => exchange.abort();
+  async #try(at: TriedAt): Promise<TryEnd> {
+    const context = this.#context;
+    const attempt = new ServerTry({
+      context,
+      call: this.#call,
+      resolved: this.#resolved,
+      caller: this.#caller,
+      body: this.#body,
+      progress: this.#progress,
+    }, at);
+    this.#stop = () => attempt.abort();
     this.#sent++;
     this.#mayHaveRun = true;
-    const watch = this.#watch(server, exchange);
-    exchange.start({
-      method: this.#call.method,
-      target: this.#call.target,
-      headers: backendHeaders({
-        names,
-        call: this.#call,
-        resolved: this.#resolved,
-        server,
-        lastEvent: this.#progress.lastEvent,
-        now: sentAt,
-      }),
-      body: this.#body,
-    });
-    const end = await exchange.done;
-    watch?.end();
-    if (end.kind === "stream") {
-      const { streams } = this.#context.closing;
-      streams.observe(this.#resolved.cost, clock() - sentAt);
-    }
+    const end = await attempt.run(
+      this.#mayTryAnother() ? () => this.#leaveSilent(at.server) : undefined,
+    );
     this.#stop = undefined;
-    const dark = !exchange.heard && clock() - sentAt > DARK_AFTER;
-    this.#sawDark = end.kind === "aborted" && dark;
     return end;
   }
 
-  /** Watches an exchange whose request may go on at another server. */
-  #watch(server: ServerRecord, exchange: Exchange): SilenceWatch | undefined {
-    if (!this.#mayTryAnother()) return undefined;
-    const limits = silenceLimits(this.#resolved.route);
-    return new SilenceWatch(limits, () => {
-      if (!this.#takeRetry(server, "silent")) return false;
-      this.#retryTaken = true;
-      exchange.giveUp("silent");
-      return true;
-    });
+  /** True if the request goes on elsewhere while its server is silent. */
+  #leaveSilent(server: ServerRecord): boolean {
+    this.#retryTaken = this.#takeRetry(server, "silent");
+    return this.#retryTaken;
   }
 
-  #settle(
-    ask: string,
-    server: ServerRecord,
-    channel: Channel,
-    end: ExchangeEnd,
-  ): void {
+  #settle({ ask, server, channel }: TriedAt, { end, runEnd }: TryEnd): void {
     const { granter, pool, inForce, clock } = this.#context;
     const { services } = inForce()?.configuration ?? {};
     const { route, service } = this.#resolved;
@@ -288,7 +239,6 @@
       tokensPerEvent: services?.get(service)?.tokensPerEvent ?? 1,
       acceptedPause: route.longestPause,
     }, clock());
-    const runEnd = this.#sawDark ? "broken" : runEndOf(end);
     granter.ended(ask, runEnd, pace);
     switch (end.kind) {
       case "stream":
@@ -388,18 +338,3 @@
     });
   }
 }
-
-function runEndOf(end: ExchangeEnd): RunEnd {
-  switch (end.kind) {
-    case "stream":
-      return "answered";
-    case "plain":
-      return end.head.status >= 500 ? "failed" : "answered";
-    case "not_run":
-      return end.misdirected ? "misdirected" : "not_run";
-    case "broken":
-      return "broken";
-    case "aborted":
-      return "abandoned";
-  }
-}
