--- a/packages/decisions/src/discovery/server_directory.ts
+++ b/packages/decisions/src/discovery/server_directory.ts
@@ -1,17 +1,14 @@
 /**
  * Which backend servers may be sent work, from the store's records of them.
  *
- * Answers outages of the store: records are bound to leases and may lapse while
- * the store is away, although their servers live on. Dropping them all would
- * refuse every request of a healthy service. So a record that vanishes around an
- * outage is kept until its server has had the time to register again, and a
- * record that vanishes in quiet times is dropped at once, since its server is
- * gone or leaving.
+ * Records are bound to leases and may lapse while the store is away, although
+ * their servers live on. So a record that vanishes around an outage is kept until
+ * its server has had the time to register again; one that vanishes in quiet times
+ * is dropped at once, since its server is gone or leaving.
  *
- * Also answers servers that crash and are back under another id before their old
- * record has lapsed, some seconds later: whoever starts last at an address is the
- * only one there. Sent to the old id, each request met the new server, which
- * rejects what is not meant for it: 92 in a second were refused for it.
+ * A server that crashes may be back at its address under another id before its
+ * old record has lapsed. Whoever started last at an address is the only one there;
+ * it would reject what is meant for the one before.
  * @module
  */
 import { incarnationOf } from "./server_record.ts";
@@ -48,8 +45,7 @@
 
   /**
    * States that the store answered; notices the end of an outage. A watch that had
-   * nothing to tell for long is none: taken for one, the server whose leaving it
-   * told of was still sent requests for two seconds.
+   * nothing to tell for long is none.
    */
   heard(now: number): void {
     const silence = now - (this.#heardAt ?? now);
--- a/packages/decisions/src/dispatch/answer_value.ts
+++ b/packages/decisions/src/dispatch/answer_value.ts
@@ -1,9 +1,9 @@
 /**
  * What one answer is worth beside others of its tier, by its size.
  *
- * Answers the burst in which not all of a tier can be served: a plan of 40,000
- * tokens is worth several short ones to the users, and takes as much longer.
- * Ordered by time alone, the largest of each tier were never served then.
+ * In a burst not all of a tier can be served. A large answer is worth several
+ * short ones and takes as much longer: by time alone the largest of each tier
+ * would never be served then.
  * @module
  */
 import type { Cost } from "../queueing/mod.ts";
--- a/packages/decisions/src/dispatch/ask_value.ts
+++ b/packages/decisions/src/dispatch/ask_value.ts
@@ -1,21 +1,19 @@
 /**
  * How much is gained by serving an ask, for the time that it takes up a place.
  *
- * Load pattern: twice as many requests as places, for some seconds. Places are
- * what is short, and answers differ by a factor of a hundred in how long they
- * hold one. Serving in order of arrival spends most of the places on the few
- * longest answers; serving what gains most for its time serves nearly all of the
- * others. A tier is worth a fixed factor more than the next, so that a long
- * answer of a high tier may wait behind short ones of the next, and an answer
- * that is late already is worth a part of one that can still be on time.
+ * In a burst places are short, and answers differ widely in how long they hold
+ * one: order of arrival spends most places on the few longest answers. A tier is
+ * worth a fixed factor more than the next, so a long answer of a high tier may
+ * wait behind short ones of the next. A late answer is worth a part of one that
+ * can still be on time.
  * @module
  */
 import type { Ask } from "./ask.ts";
 import { nominalUse } from "./pace.ts";
 
 /**
- * Times more that a tier's answer is worth than one of the next tier. Operators
- * state only the order; the users' sheets have factors of 3.3 to 7.6.
+ * Times more that a tier's answer is worth than one of the next tier: operators
+ * state only the order.
  */
 const TIER_FACTOR = 25;
 /** The same between routes of one tier. */
@@ -24,8 +22,7 @@
 const LATE_PART = 0.02;
 /**
  * The same for a caller that was refused before and has come back as told: a
- * second refusal helps nobody, and ends its tries. Its answer is late, and worth
- * a tenth; that it is not sent away for good counts three times as much.
+ * second refusal ends its tries.
  */
 const RETURNED_PART = 0.4;
 /** Weight of arrival in the order of equal asks: first come, first served. */
--- a/packages/decisions/src/dispatch/grant_rate.ts
+++ b/packages/decisions/src/dispatch/grant_rate.ts
@@ -2,9 +2,8 @@
  * Whether a service takes in more than its places allow, and which asks are then
  * beyond its reach.
  *
- * Load pattern: a burst of twice the usual for some seconds. An ask that all
- * places will go past while its caller waits is better told so at once, with the
- * time to come back, than held until its caller leaves.
+ * An ask that all places will go past while its caller waits is better told so at
+ * once, with the time to come back, than held until its caller leaves.
  * @module
  */
 
--- a/packages/decisions/src/dispatch/pace.ts
+++ b/packages/decisions/src/dispatch/pace.ts
@@ -2,9 +2,8 @@
  * How long servers of unlike speed take: to their first answer, and for each
  * token after it.
  *
- * Answers a fleet whose engines differ by a factor of five: counting requests
- * alone gives the slowest as many as the fastest, their prompts come late and
- * long answers never end there within the time that callers have. Paces are
+ * Engines differ widely in speed: by the count of requests alone the slowest get
+ * as many as the fastest, and long answers don't end there in time. Paces are
  * learned from answers, so that no figure of any engine is set. What was learned
  * of a server that is not sent anything fades, or one bad answer would shut it
  * out for good.
--- a/packages/decisions/src/dispatch/reading_limit.ts
+++ b/packages/decisions/src/dispatch/reading_limit.ts
@@ -1,12 +1,10 @@
 /**
  * How many prompt tokens a server may be given to read at a time.
  *
- * Load pattern: engines that differ by a factor of five and read prompts in
- * between the tokens of all answers beside them. What a fast engine reads without
- * anybody noticing stops every answer of a slow one: with a fixed bound most of
- * its longer answers had a pause that their callers don't accept. The pauses
- * themselves tell what a server can take, so the bound is learned from them, and a slow
- * server is left with short prompts, which it serves in time.
+ * Engines read prompts in between the tokens of all answers beside them, and
+ * differ widely in speed: what a fast one reads without anybody noticing stops
+ * every answer of a slow one. The pauses tell what a server can take, so the bound
+ * is learned from them, and a slow server is left with short prompts.
  * @module
  */
 
--- a/packages/decisions/src/dispatch/service_desk.ts
+++ b/packages/decisions/src/dispatch/service_desk.ts
@@ -2,13 +2,11 @@
  * The one queue in front of all backend servers of a service: who waits, who is
  * sent where, who is turned away.
  *
- * Load pattern: engines of unlike speed that batch a dozen requests, know no
- * priorities and admit in order of arrival; bursts of twice the usual. Whatever
- * is sent to an engine waits there beyond any control, so no more is sent than
- * it runs at once, and what waits here can be ordered, sent elsewhere or refused
- * early. The order is that of `ask_value.ts`; a request is turned away, and told
- * when to come back, once it can't be on time and is out of reach of that order.
- * Turned away on arrival, some went for whom a place was free within their goal.
+ * Engines know no priorities and admit in order of arrival: what is sent to one
+ * waits there beyond any control. So no more is sent than it runs at once, and
+ * what waits here can be ordered, sent elsewhere or refused early. The order is
+ * that of `ask_value.ts`; a request is refused, and told when to come back, once
+ * it can't be on time and is out of reach of that order.
  * @module
  */
 import type { ServerRecord } from "../discovery/mod.ts";
@@ -32,9 +30,9 @@
 /** Milliseconds to come back that are asked of a caller while there is no server. */
 const RETRY_WITHOUT_SERVER = 300;
 /**
- * Milliseconds to come back after a refusal for lack of room: bursts last 2.5 to
- * 5 s, and who comes back within one is refused for good. Callers wait a third of
- * their time left at most. Spread over the upper half of it, so that those refused
+ * Milliseconds to come back after a refusal for lack of room: longer than a burst,
+ * as who comes back within one is refused for good. Callers wait a third of their
+ * time left at most. Spread over the upper half of it, so that those refused
  * together don't return together.
  */
 const LONGEST_RETRY = 5000;
@@ -42,11 +40,7 @@
 const RETRY_SPREAD_PART = 0.5;
 const NO_LEEWAY: QuotaLeeway = { window: 1000, overage: 0, slack: 0 };
 
-/**
- * Asks that find no room in one sweep before it ends: a bound on its time. A
- * burst has 30 to 60 waiting, and long prompts in front find no room at slow
- * servers.
- */
+/** Asks that find no room in one sweep before it ends: a bound on its time. */
 const MOST_PASSED_OVER = 40;
 
 /** Grants servers of one service. Verdicts are drawn by `verdicts`. */
@@ -241,7 +235,7 @@
       value,
     });
     // Just after a start expected times are high, since the process itself is
-    // slow: by them alone callers were refused while places were free.
+    // slow; they are no reason to refuse while a place is free.
     if (!this.#rooms.hasPlace() && this.#beyondReach(late.key, now)) {
       verdicts.push(this.#refusal(ask, "overload", now));
       return;
--- a/packages/decisions/src/dispatch/service_rooms.ts
+++ b/packages/decisions/src/dispatch/service_rooms.ts
@@ -28,10 +28,7 @@
   paces: ServicePaces;
   /** Largest reading limit of the servers, in tokens. */
   largestLimit: number;
-  /**
-   * Servers with a free place. Under load these are few of many: looked through
-   * for every ask that waits, all servers took most of the granting entry's time.
-   */
+  /** Servers with a free place: under load few of many. */
   free: Map<string, ServerRoom>;
 };
 
--- a/packages/decisions/src/fleet/entry_group.ts
+++ b/packages/decisions/src/fleet/entry_group.ts
@@ -22,9 +22,8 @@
 
 /**
  * The entry that grants for the group: the same one whoever of it asks. It is the
- * one with the most processor time. Instances differ by a factor of five: where
- * the hash alone chose, a burst of 3,000 requests a second made a weak one answer
- * seconds late, and callers of every service gave up on it and came again.
+ * one with the most processor time, as instances differ widely and all requests of
+ * the group pass it; a hash decides among equals.
  */
 export function grantingEntry(able: readonly AbleEntry[]): string | undefined {
   let best: AbleEntry | undefined;
--- a/packages/decisions/src/fleet/state_pull.ts
+++ b/packages/decisions/src/fleet/state_pull.ts
@@ -1,12 +1,11 @@
 /**
  * Which peer an entry asks for newer state, and for which part of it.
  *
- * Load pattern: a configuration of a megabyte is written, and twenty peers say
- * several times a second that they have it, to entries whose links carry it in a
- * second. Asked each time, all peers send all of it at once, and neither callers
- * nor heartbeats get through. So state comes from one peer at a time and in small
- * parts, the next one asked for when one has come, and only after the store has
- * had the time to tell of it.
+ * A configuration may take a link a second, and all peers say several times a
+ * second that they have it. Sent by all of them at once, neither callers nor
+ * heartbeats would get through. So state comes from one peer at a time and in
+ * small parts, the next one asked for when one has come, and only after the store
+ * has had the time to tell of it.
  * @module
  */
 
--- a/packages/decisions/src/quotas/organisation_quotas.ts
+++ b/packages/decisions/src/quotas/organisation_quotas.ts
@@ -1,16 +1,14 @@
 /**
  * Quotas of organisations, held by whoever grants for a group of entries.
  *
- * Answers the organisation that sends many times its usual: without a quota it
- * takes the room of all others. The quota is over all entries, also over those
- * that can't hear each other, so whoever grants uses only its part of it: the
- * parts add up to one at most, and no agreement is needed while the fleet is
- * divided.
+ * An organisation that sends many times its usual would take the room of all
+ * others. Its quota is over all entries, also over those that can't hear each
+ * other, so whoever grants uses only its part of it: the parts add up to one at
+ * most, and no agreement is needed while the fleet is divided.
  *
  * What operators accept in a window is let through mostly as a rate and only a
- * little as a burst. A window that may be used up at once was tried: an
- * organisation that did so was then refused for the rest of it (4,123 refusals
- * against 2,323 in the same traffic).
+ * little as a burst: an organisation that used all of it at once would be refused
+ * for the rest of the window.
  * @module
  */
 import { TokenBucket } from "./token_bucket.ts";
--- a/packages/gateway/src/peers/granting.ts
+++ b/packages/gateway/src/peers/granting.ts
@@ -162,11 +162,7 @@
     }
   }
 
-  /**
-   * The same once for all that this turn of the event loop brings. Done for each
-   * message, all that waits and all servers were looked through each time, by a
-   * granting entry that read its callers 1.3 s late after a restart.
-   */
+  /** The same once for all that this turn of the event loop brings. */
   #pumpSoon(): void {
     if (this.#pumping) return;
     this.#pumping = true;
--- a/packages/gateway/src/request/closing.ts
+++ b/packages/gateway/src/request/closing.ts
@@ -1,12 +1,10 @@
 /**
  * What an entry that stops still takes once its usual time for that is over.
  *
- * Load pattern: all entries are restarted one after the other, faster than their
- * longest streams end. Each closed its listener 3 s after it was told to stop and
- * lived on for its streams, so that for some seconds nobody listened and callers
- * found no connection. An entry now listens for as long as it lives: what surely
- * ends before its process does is served, and all else is told truly that it has
- * not run.
+ * All entries may be restarted one after the other, faster than their longest
+ * streams end. So that somebody listens at any time, an entry listens for as long
+ * as it lives: what surely ends before its process does is served, and all else is
+ * told truly that it has not run.
  * @module
  */
 import { LongestStreams } from "@sycamorepulley/decisions";
--- a/packages/gateway/src/request/request_desk.ts
+++ b/packages/gateway/src/request/request_desk.ts
@@ -67,10 +67,9 @@
       return;
     }
     await ready;
-    // A process that was short of processor time reads a request whose caller has
-    // left long ago, and the end of its connection only after the next poll. Sent
-    // on in between, 4 reached servers up to 1.8 s after their callers left. The
-    // first turn ends this poll's callbacks, the second comes after the next poll.
+    // A process that is short of processor time may read a request whose caller
+    // has left, and the end of its connection only after the next poll. The first
+    // turn ends this poll's callbacks, the second comes after the next poll.
     await nextTurn();
     await nextTurn();
     if (caller.left) return;
--- a/packages/gateway/src/request/request_task.ts
+++ b/packages/gateway/src/request/request_task.ts
@@ -183,8 +183,7 @@
     const strict = !mayRepeat(this.#resolved.route);
     const channel = await pool.take(server, strict);
     if (channel.isErr) {
-      // Nothing reached the server, so no resend is spent. Spent on connects, the
-      // budget was gone when the requests that a server rejects needed it.
+      // Nothing reached the server, so no resend is spent.
       granter.ended(ask, channel.error);
       this.#avoid.push(incarnation);
       this.#report.retried(server, channel.error, this.#sent);
--- a/packages/gateway/src/request/resolve_call.ts
+++ b/packages/gateway/src/request/resolve_call.ts
@@ -31,8 +31,8 @@
   | "bad_credential";
 
 /**
- * Tokens of an answer beside the most that its caller allows, where the caller
- * gives no estimate: measured as 0.1 on average over 2,800 answers.
+ * Expected tokens of an answer over the most that its caller allows, where the
+ * caller gives no estimate.
  */
 const EXPECTED_PART = 0.1;
 const PLAIN_CALL: Cost = { promptTokens: 0, outputTokens: 1 };
--- a/packages/gateway/src/state/start_gate.ts
+++ b/packages/gateway/src/state/start_gate.ts
@@ -1,17 +1,12 @@
 /**
  * Holds the requests that reach a process before it knows what to do with them.
  *
- * Callers connect as soon as a restarted process listens, up to 0.25 s before it
- * has read configuration and servers. Refused at once, all who had waited for it
- * (69 in one second) spent their only retry; held for that moment they are
- * served.
+ * Callers connect as soon as a restarted process listens. Refused then, all who
+ * had waited for it would spend their only retry.
  * @module
  */
 
-/**
- * Milliseconds after the start for which requests are held: four times what the
- * two reads took on half a core with all processes starting at once.
- */
+/** Milliseconds after the start for which requests are held. */
 const LONGEST_HOLD = 1000;
 
 /** Opens once, at {@link StartGate.open} or by time. */
