--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -4,12 +4,14 @@
 import { MemoryMetadataStore } from "@sycamorepulley/store";
 import type { MetadataStore } from "@sycamorepulley/store";
 import { Result } from "true-myth/result";
-import { Gateway, LineSink, RecordCodec } from "../src/mod.ts";
+import { Gateway, RecordCodec } from "../src/mod.ts";
 import type {
   GatewayConfiguration,
   GatewayPorts,
   HeaderNames,
 } from "../src/mod.ts";
+import { Recorded } from "./recorded.ts";
+import type { Logged } from "./recorded.ts";
 import { StandInServer } from "./stand_in_server.ts";
 
 const NAMES: HeaderNames = {
@@ -26,18 +28,6 @@
   reserved: ["X-Hold"],
 };
 
-/** A logged event: its name and its inputs. */
-export type Logged = { message: string; context: Record<string, unknown> };
-
-class Recorded extends LineSink {
-  readonly events: Logged[] = [];
-
-  override push(line: string): boolean {
-    this.events.push(JSON.parse(line));
-    return true;
-  }
-}
-
 class JsonRecords extends RecordCodec {
   override readonly configurationKey = "configuration";
   override readonly serverPrefix = "servers/";
@@ -193,6 +183,18 @@
     return fixture;
   }
 
+  /** Starts an entry that the store turns away, and that knows `first`. */
+  static async startTurnedAway(first: Fixture): Promise<Fixture> {
+    const store = new MemoryMetadataStore();
+    store.down = true;
+    return await Fixture.start({
+      store,
+      servers: first.servers,
+      instance: "entry-2",
+      seeds: [{ host: "127.0.0.1", port: first.ports.peers }],
+    });
+  }
+
   async untilReady(): Promise<void> {
     for (let count = 0; count < 200; count++) {
       if (await this.readiness() === 200) return;
--- a/packages/gateway/test/granter_test.ts
+++ b/packages/gateway/test/granter_test.ts
@@ -3,6 +3,7 @@
 import { EventLog, LineSink } from "../src/mod.ts";
 import { Granter } from "../src/peers/granter.ts";
 import type { FleetView } from "../src/peers/granter.ts";
+import type { GrantAnswer } from "../src/peers/held_ask.ts";
 import type { PeerEntry, Peers } from "../src/peers/peers.ts";
 import { record } from "./fixture.ts";
 
@@ -64,67 +65,66 @@
   avoid: [],
 };
 
-t.test("what runs stays charged when its entry asks another one", async (t) => {
-  // Given back, the charge let a second request run in its place.
+/** An entry "a" that asks "x", and "x" which grants. */
+function pair() {
   const wire = new Wire();
   const asking = wire.granter("a");
   const granting = wire.granter("x");
-  const quotas = new Map([["firm", { ratePerSecond: 1000, burst: 1000 }]]);
   const [a, x] = [entry("a", 1, "x"), entry("x", 2, "x")];
-  granting.setQuotas(quotas);
   granting.regroup(view(x, [a]));
   asking.regroup(view(a, [x]));
+  return { asking, granting, a, x };
+}
+
+/** The same with all places taken by "a", which waits for one more. */
+function full() {
+  const entries = pair();
+  const { asking, granting } = entries;
+  const running = [1, 2, 3, 4].map(() => asking.ask(REQUEST));
+  granting.pump();
+  const { answer } = asking.ask(REQUEST);
+  return { ...entries, running, answer };
+}
+
+/** The answer, if it comes at once. */
+function soon(answer: Promise<GrantAnswer>): Promise<GrantAnswer | string> {
+  const undecided = new Promise<string>((resolve) =>
+    setTimeout(() => resolve("undecided"), 50)
+  );
+  return Promise.race([answer, undecided]);
+}
+
+t.test("what runs stays charged when its entry asks another one", async (t) => {
+  // Given back, the charge let a second request run in its place.
+  const { asking, granting, a, x } = pair();
+  const quotas = new Map([["firm", { ratePerSecond: 1000, burst: 1000 }]]);
+  granting.setQuotas(quotas);
   const first = asking.ask(REQUEST);
   granting.pump();
   t.match(await first.answer, { kind: "grant", by: "x" });
   asking.regroup(view(a, [x, entry("y", 3, "y")]));
   const second = granting.ask(REQUEST);
   granting.pump();
-  const undecided = new Promise((resolve) =>
-    setTimeout(() => resolve("waits"), 50)
-  );
-  t.equal(await Promise.race([second.answer, undecided]), "waits");
+  t.equal(await soon(second.answer), "undecided");
 });
 
 t.test("an ask is decided by whom it was asked of, whomever that one asks", async (t) => {
   // Dropped without a word, it held its caller until the time was up.
-  const wire = new Wire();
-  const asking = wire.granter("a");
-  const granting = wire.granter("x");
-  const [a, x] = [entry("a", 1, "x"), entry("x", 2, "x")];
-  granting.regroup(view(x, [a]));
-  asking.regroup(view(a, [x]));
-  const running = [1, 2, 3, 4].map(() => asking.ask(REQUEST));
-  granting.pump();
-  const { answer } = asking.ask(REQUEST);
+  const { asking, granting, a, running, answer } = full();
   granting.regroup(view(entry("x", 2, "y"), [a, entry("y", 3, "y")]));
   for (const { id } of running) asking.ended(id, "answered");
   granting.pump();
-  const undecided = new Promise((resolve) =>
-    setTimeout(() => resolve("undecided"), 50)
-  );
-  t.match(await Promise.race([answer, undecided]), { kind: "grant", by: "x" });
+  t.match(await soon(answer), { kind: "grant", by: "x" });
 });
 
 t.test("asks go once more over a new link to the entry that grants", async (t) => {
   // A link was replaced, and what had been asked over the old one held its callers.
-  const wire = new Wire();
-  const asking = wire.granter("a");
-  const granting = wire.granter("x");
-  const [a, x] = [entry("a", 1, "x"), entry("x", 2, "x")];
-  granting.regroup(view(x, [a]));
-  asking.regroup(view(a, [x]));
-  const running = [1, 2, 3, 4].map(() => asking.ask(REQUEST));
-  granting.pump();
-  const { answer } = asking.ask(REQUEST);
+  const { asking, granting, running, answer } = full();
   granting.lost("a");
   asking.lost("x");
   asking.joined("x");
   granting.pump();
   for (const { id } of running) asking.ended(id, "answered");
   granting.pump();
-  const undecided = new Promise((resolve) =>
-    setTimeout(() => resolve("undecided"), 50)
-  );
-  t.match(await Promise.race([answer, undecided]), { kind: "grant", by: "x" });
+  t.match(await soon(answer), { kind: "grant", by: "x" });
 });
--- a/packages/gateway/test/lifecycle_test.ts
+++ b/packages/gateway/test/lifecycle_test.ts
@@ -78,14 +78,7 @@
   store.put("configuration", configuration(1));
   const first = await Fixture.start({ store, instance: "entry-1" });
   await first.untilReady();
-  const cut = new MemoryMetadataStore();
-  cut.down = true;
-  const second = await Fixture.start({
-    store: cut,
-    servers: first.servers,
-    instance: "entry-2",
-    seeds: [{ host: "127.0.0.1", port: first.ports.peers }],
-  });
+  const second = await Fixture.startTurnedAway(first);
   t.ok(await until(async () => await second.readiness() === 200));
   t.equal((await second.call("/calls/")).status, 200);
   store.put("configuration", configuration(2, [route({ prefix: "/new/" })]));
--- a/packages/gateway/test/state_lines_test.ts
+++ b/packages/gateway/test/state_lines_test.ts
@@ -15,14 +15,7 @@
   store.put("configuration", configuration(1));
   const first = await Fixture.start({ store, instance: "entry-1" });
   await first.untilReady();
-  const cut = new MemoryMetadataStore();
-  cut.down = true;
-  const second = await Fixture.start({
-    store: cut,
-    servers: first.servers,
-    instance: "entry-2",
-    seeds: [{ host: "127.0.0.1", port: first.ports.peers }],
-  });
+  const second = await Fixture.startTurnedAway(first);
   t.ok(await until(async () => await second.readiness() === 200));
   const lines = (name: string) =>
     second.events.filter(({ message }) => message === name)
