Tell peers of entries that are counted or heard only; wait without adding up signals

Read in the code: an entry that died was told of to each new peer, with no time left, and each reserved a part of its share for ten minutes from then on; told in turn, the part was reserved for ever. Pauses joined a signal of the process's whole life with a new one each second, and such joined signals are kept with it; they listen for as long as they wait now.

--- a/packages/decisions/src/fleet/entry_roll.ts
+++ b/packages/decisions/src/fleet/entry_roll.ts
@@ -88,7 +88,9 @@
   #forget(now: number): void {
     for (const [name, until] of this.#departed) {
       const leftFor = this.#leaving.has(name) ? 0 : LEFT_FOR;
-      if (now >= until + leftFor) this.#departed.delete(name);
+      if (now < until + leftFor) continue;
+      this.#departed.delete(name);
+      this.#leaving.delete(name);
     }
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -289,7 +289,8 @@
 
   joined(peer: string): void {
     this.#metrics.dependencies.inc({ dependency: "peer", change: "regained" });
-    this.#peers.send(peer, { type: "members", members: this.#state.known() });
+    const members = this.#state.known(new Set(this.#peers.heard()));
+    this.#peers.send(peer, { type: "members", members });
     this.#granter.joined(peer);
     this.#standing.regroup();
   }
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -7,7 +7,8 @@
 
 const text = v.pipe(v.string(), v.maxLength(512));
 const count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
-const duration = v.pipe(v.number(), v.finite());
+const amount = v.pipe(v.number(), v.finite());
+const duration = amount;
 
 /** An ask, with times relative to its sending; see `Ask`. */
 export const askMessageSchema = v.object({
@@ -70,7 +71,7 @@
     /** The entry that the sender asks for servers; it may be itself. */
     asks: text,
     /** Shares that all entries have together, as the sender counts them. */
-    shares: duration,
+    shares: amount,
     /** Of the sender's instance, in cores. */
     processors: v.optional(v.pipe(v.number(), v.finite()), 1),
     /** The store lists the sender. */
--- a/packages/gateway/src/state/fleet_state.ts
+++ b/packages/gateway/src/state/fleet_state.ts
@@ -146,14 +146,16 @@
     return this.#unregistered;
   }
 
-  /** What a peer is told of the entries; see {@link FleetState.told}. */
-  known(): KnownMember[] {
+  /** What a peer is told of the entries that are counted, or `heard`. */
+  known(heard: ReadonlySet<string>): KnownMember[] {
     const members = new Map([...this.unregistered(), ...this.members]);
     const times = this.roll.countedFor(this.#clock());
     return [...members].map(([name, member]) => ({
       ...member,
       countedFor: times.get(name) ?? 0,
-    }));
+    })).filter(({ instance, countedFor }) =>
+      countedFor > 0 || heard.has(instance)
+    );
   }
 
   /** Takes over what a peer knows of the entries. */
--- a/packages/gateway/src/state/membership.ts
+++ b/packages/gateway/src/state/membership.ts
@@ -3,12 +3,12 @@
  * count it in the fleet.
  * @module
  */
-import { setTimeout as sleep } from "node:timers/promises";
 import { COUNTED_FOR } from "@sycamorepulley/decisions";
 import type { MetadataStore, PlatformError } from "@sycamorepulley/store";
 import type { EventLog } from "../observe/event_log.ts";
 import type { Address } from "../settings.ts";
 import type { Member } from "./fleet_state.ts";
+import { pause } from "./pause.ts";
 import type { StoreContact } from "./store_contact.ts";
 
 /** Prefix of the keys under which entries register. */
@@ -68,9 +68,8 @@
       const kept = this.#registered
         ? await this.#renew()
         : await this.#register(member);
-      const pause = kept ? RENEW_EVERY : RETRY_AFTER;
-      const either = AbortSignal.any([signal, this.#contact.turn]);
-      await sleep(pause, undefined, { signal: either }).catch(() => {});
+      const duration = kept ? RENEW_EVERY : RETRY_AFTER;
+      await pause(duration, signal, this.#contact.turn);
     }
   }
 
--- a/packages/gateway/src/state/prefix_follower.ts
+++ b/packages/gateway/src/state/prefix_follower.ts
@@ -9,7 +9,6 @@
  * the first one after a call that ended early waits for nothing.
  * @module
  */
-import { setTimeout as sleep } from "node:timers/promises";
 import type {
   ItemChange,
   MetadataStore,
@@ -17,6 +16,7 @@
 } from "@sycamorepulley/store";
 import type { PlatformError } from "@sycamorepulley/store";
 import { Result } from "true-myth/result";
+import { pause } from "./pause.ts";
 import type { StoreContact } from "./store_contact.ts";
 
 /** Milliseconds until a failed read is made again, first and at most. */
@@ -99,7 +99,8 @@
         prefix: this.#prefix,
         time: this.#clock() - startedAt,
       });
-      await this.#pause(backoff, signal);
+      // Ends sooner when the store answers another call.
+      await pause(backoff, signal, this.#contact.turn);
       backoff = Math.min(LONGEST_BACKOFF, backoff * 2);
     }
   }
@@ -127,12 +128,6 @@
     return Math.max(position ?? 0, reached);
   }
 
-  /** Ends sooner when the store answers another call. */
-  async #pause(duration: number, signal: AbortSignal): Promise<void> {
-    const either = AbortSignal.any([signal, this.#contact.turn]);
-    await sleep(duration, undefined, { signal: either }).catch(() => {});
-  }
-
   async #readAll(
     signal: AbortSignal,
   ): Promise<Result<Position, PlatformError>> {
