Prevent quota starvation of large requests

When an organisation exceeds its quota, its bucket passes small requests as it refills, so a large request never sees the balance that it needs.

Reserve incoming tokens for the first ask in queue order that finds the balance too low, until it is granted, refused or withdrawn, its entry is gone, or there is no place for it. Other asks are granted only if the balance covers them in addition to the reservation. The token bucket is unchanged, and so is the maximum that a window lets through.

--- a/packages/decisions/src/dispatch/service_desk.ts
+++ b/packages/decisions/src/dispatch/service_desk.ts
@@ -22,6 +22,7 @@
 } from "./ask.ts";
 import { AskQueue, WaitingAsk } from "./ask_queue.ts";
 import { GrantRate } from "./grant_rate.ts";
+import { QuotaReservations } from "./quota_reservations.ts";
 import { ReturningCallers } from "./returning_callers.ts";
 import type { AnswerPace } from "./server_room.ts";
 import { ServiceRooms } from "./service_rooms.ts";
@@ -52,10 +53,12 @@
   readonly #granted = new Map<string, Granted>();
   readonly #returning = new ReturningCallers();
   readonly #quotas: OrganisationQuotas;
+  readonly #quotaReservations: QuotaReservations;
 
   /** `quotas` are charged for what is granted; none if absent. */
   constructor(quotas = new OrganisationQuotas(NO_LEEWAY)) {
     this.#quotas = quotas;
+    this.#quotaReservations = new QuotaReservations(quotas);
   }
 
   get waiting(): number {
@@ -103,7 +106,8 @@
 
   /** Takes an ask back; true if it was granted and the grant not used. */
   withdraw(id: string): boolean {
-    this.#queue.remove(id);
+    const waiting = this.#queue.remove(id);
+    if (waiting !== undefined) this.#quotaReservations.release(waiting.ask);
     const granted = this.#granted.get(id);
     if (granted === undefined) return false;
     this.#granted.delete(id);
@@ -142,7 +146,9 @@
   /** An entry is gone, and with it its connections to servers. */
   forgetEntry(entry: string): void {
     for (const { ask } of [...this.#queue]) {
-      if (ask.entry === entry) this.#queue.remove(ask.id);
+      if (ask.entry !== entry) continue;
+      this.#queue.remove(ask.id);
+      this.#quotaReservations.release(ask);
     }
     for (const [id, { ask }] of this.#granted) {
       if (ask.entry === entry) this.#granted.delete(id);
@@ -166,11 +172,10 @@
       if (view.free.size === 0 || passedOver >= MOST_PASSED_OVER) {
         return "stop";
       }
-      if (!this.#quotas.allows(ask.organisation, ask.charge, now)) {
-        return "passed_over";
-      }
+      if (!this.#quotaReservations.allows(ask, now)) return "passed_over";
       const server = this.#rooms.choose(ask, view, now);
       if (server === undefined) {
+        this.#quotaReservations.release(ask);
         passedOver++;
         return "passed_over";
       }
@@ -181,6 +186,7 @@
 
   #grant(granted: Granted, view: ServiceView, now: number): AskVerdict {
     const { ask, server } = granted;
+    this.#quotaReservations.release(ask);
     this.#quotas.charge(ask.organisation, ask.charge, now);
     this.#granted.set(ask.id, granted);
     this.#rooms.started(granted, view, now);
@@ -249,6 +255,7 @@
 
   #refusal(ask: Ask, reason: AskRefusal, now: number): AskVerdict {
     this.#returning.refused(ask.fingerprint, now);
+    this.#quotaReservations.release(ask);
     const retryAfter = reason === "no_server"
       ? RETRY_WITHOUT_SERVER
       : retryAfterBurst(ask, now);
--- a/packages/decisions/test/virtual_fleet.ts
+++ b/packages/decisions/test/virtual_fleet.ts
@@ -55,7 +55,15 @@
   firstAt: number | undefined;
 };
 
-type Call = { kind: LoadKind; cost: Cost; bornAt: number; returned: boolean };
+/** A caller's request; `outcome` is shared by its retries. */
+export type Call = {
+  kind: LoadKind;
+  cost: Cost;
+  bornAt: number;
+  returned: boolean;
+  /** `served` is true once the answer is complete. */
+  outcome: { served: boolean };
+};
 
 type Engine = {
   name: string;
@@ -75,6 +83,8 @@
   readonly results = new Map<string, LoadResult>();
   /** Every grant: when, for whom and for how many tokens of its quota. */
   readonly grants: { at: number; organisation: string; charge: number }[] = [];
+  /** All requests in order of arrival, without retries. */
+  readonly requests: Call[] = [];
   readonly #desk: Desk;
   readonly #kinds: readonly LoadKind[];
   readonly #engines = new Map<string, Engine>();
@@ -126,7 +136,10 @@
         promptTokens: this.#size(kind.prompt, kind.spread),
         outputTokens: this.#size(kind.output, kind.spread),
       };
-      this.#ask({ kind, cost, bornAt: now, returned: false }, now);
+      const outcome = { served: false };
+      const call = { kind, cost, bornAt: now, returned: false, outcome };
+      this.requests.push(call);
+      this.#ask(call, now);
     }
   }
 
@@ -243,6 +256,7 @@
     this.#desk.ended(ask.id, whole ? "answered" : "abandoned", now);
     this.#calls.delete(ask.id);
     const result = this.results.get(call.kind.name)!;
+    call.outcome.served = whole;
     const inTime = firstAt - call.bornAt <= call.kind.goal;
     if (!whole) result.refused++;
     else if (inTime) result.onTime++;
