Send heartbeats round-robin to bound each entry's cost as the fleet grows

Only grant peers, two entries of which one grants for the other, exchange heartbeats five times a second, unless other messages were sent recently. All other peers are served round-robin, two per round. Each heartbeat states the maximum time until the next one, and the silence timeout follows from that. When the granting entry is silent for 0.4 s, all peers without a message in the last 0.2 s are probed, so that a successor that failed with it is skipped when the granting entry is declared lost at 0.7 s, as before. A new configuration is sent to grant peers immediately, and so by the granting entry to all entries that ask it. A configuration counts as confirmed only by the standing of a grant peer heard in the last 0.7 s, or of another peer whose heartbeat arrived then. On a new link, a peer that has read the member list from the store receives only the unregistered members: sending the whole list over each new link grew with the square of the fleet.

The granting entry still sends to all that ask it.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,7 +4,7 @@
  */
 import { randomBytes } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { ProcessLifecycle } from "@sycamorepulley/decisions";
+import { HEARTBEAT_EVERY, ProcessLifecycle } from "@sycamorepulley/decisions";
 import type { MetadataStore } from "@sycamorepulley/store";
 import type { Result } from "true-myth/result";
 import { ChannelPool } from "./backend/channel_pool.ts";
@@ -20,7 +20,7 @@
 import type { LineSink } from "./observe/event_log.ts";
 import { GatewayMetrics } from "./observe/metrics.ts";
 import { Granter } from "./peers/granter.ts";
-import { HEARTBEAT_EVERY, Peers } from "./peers/peers.ts";
+import { Peers } from "./peers/peers.ts";
 import type { PeerMessage } from "./peers/messages.ts";
 import type { PeerStanding } from "./peers/peer_link.ts";
 import { StateSharing } from "./peers/state_sharing.ts";
@@ -289,8 +289,7 @@
 
   joined(peer: string): void {
     this.#metrics.dependencies.inc({ dependency: "peer", change: "regained" });
-    const members = this.#state.known(new Set(this.#peers.heard()));
-    this.#peers.send(peer, { type: "members", members });
+    this.#sendMembers(peer);
     this.#granter.joined(peer);
     this.#standing.regroup();
   }
@@ -304,6 +303,19 @@
     return this.#standing.toTell();
   }
 
+  /** True once the member list has been read from the store. */
+  knowsMembers(): boolean {
+    return this.#state.membersReadFromStore;
+  }
+
+  #sendMembers(peer: string): void {
+    const heard = new Set(this.#peers.heard());
+    const members = this.#peers.knowsMembers(peer)
+      ? this.#state.knownUnregistered(heard)
+      : this.#state.known(heard);
+    this.#peers.send(peer, { type: "members", members });
+  }
+
   #serve(request: IncomingMessage, response: ServerResponse): void {
     void this.#desk.serve(request, response);
   }
@@ -326,7 +338,7 @@
       this.#granter.setQuotas(inForce.quotas);
       this.#metrics.configurationVersion.set(inForce.configuration.version);
       this.#configuration?.reached(this.#state.published.revision);
-      this.#peers.announce();
+      this.#peers.announce("grantPeers");
     } else if (what === "servers") {
       this.#useServers();
     } else {
--- a/packages/gateway/src/gateway_peer_events.ts
+++ b/packages/gateway/src/gateway_peer_events.ts
@@ -32,4 +32,8 @@
   override standing(): PeerStanding {
     return this.#gateway.standing();
   }
+
+  override knowsMembers(): boolean {
+    return this.#gateway.knowsMembers();
+  }
 }
--- a/packages/gateway/src/peers/granter.ts
+++ b/packages/gateway/src/peers/granter.ts
@@ -31,7 +31,7 @@
 export type FleetView = {
   peers: readonly PeerEntry[];
   /** This entry, but for whom it asks. */
-  self: Omit<PeerEntry, "asks">;
+  self: Omit<PeerEntry, "asks" | "probePending">;
   /** See `GroupView`. */
   shares: ReadonlyMap<string, number>;
   stated: number;
@@ -104,12 +104,17 @@
   /** Works out anew who grants, and from which parts this entry does. */
   regroup(view: FleetView): void {
     const { peers, self, shares, stated } = view;
-    const entries: PeerEntry[] = [...peers, { ...self, asks: undefined }];
+    const entries: PeerEntry[] = [
+      ...peers,
+      { ...self, asks: undefined, probePending: false },
+    ];
     const staying = entries.filter((entry) => !entry.leaving);
     // Entries that all leave at once have to go on as one group: each for itself
     // would use the whole of every quota.
     const able = staying.length > 0 ? staying : entries;
-    const granting = grantingEntry(able) ?? this.#instance;
+    // The successor may have failed together with the previous granting entry.
+    const responsive = able.filter((entry) => !entry.probePending);
+    const granting = grantingEntry(responsive) ?? this.#instance;
     const present = entries.map(({ name, listed, asks }) => {
       const asked = name === this.#instance ? granting : asks;
       return { name, listed, asks: asked === this.#instance };
@@ -222,7 +227,7 @@
     this.#granting = granting;
     // Before any ask: whoever grants has only the shares of those that it knows
     // to ask it.
-    this.#peers().announce();
+    this.#peers().announceTo([before, granting]);
     for (const { ask, server } of this.#held.values()) {
       // Left where they were, they would take places there for ever.
       if (before === this.#instance) this.#own.release(ask);
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -58,8 +58,10 @@
     type: v.literal("hello"),
     instance: text,
     incarnation: text,
+    /** The sender has read the member list from the store. */
+    knowsMembers: v.optional(v.boolean(), false),
   }),
-  /** Sent in fixed intervals and on changes; silence means that the peer is gone. */
+  /** Sent periodically and on changes; a peer that stops sending is lost. */
   v.object({
     type: v.literal("heartbeat"),
     configurationRevision: count,
@@ -76,6 +78,10 @@
     processors: v.optional(v.pipe(v.number(), v.finite()), 1),
     /** The store lists the sender. */
     listed: v.boolean(),
+    /** Maximum milliseconds until the sender's next heartbeat. */
+    interval: v.optional(duration, 200),
+    /** Requests an immediate heartbeat from the receiver. */
+    reply: v.optional(v.boolean(), false),
   }),
   /** The entries that the sender knows, sent when a link is new. */
   v.object({
--- a/packages/gateway/src/peers/peer_link.ts
+++ b/packages/gateway/src/peers/peer_link.ts
@@ -1,5 +1,6 @@
 /** One connection to another entry, dialled or accepted. @module */
 import type { Socket } from "node:net";
+import { HEARTBEAT_EVERY } from "@sycamorepulley/decisions";
 import { Link } from "@sycamorepulley/protocol";
 import { peerMessageSchema } from "./messages.ts";
 import type { PeerMessage } from "./messages.ts";
@@ -23,6 +24,18 @@
   listed: boolean;
 };
 
+/** Content of a heartbeat message; see `peerMessageSchema`. */
+export type Heartbeat = {
+  standing: PeerStanding;
+  interval: number;
+  reply: boolean;
+};
+
+/** Returns a key that is equal for heartbeats with the same content. */
+export function heartbeatKey(standing: PeerStanding, interval: number): string {
+  return JSON.stringify([standing, interval]);
+}
+
 /** See the module. */
 export class PeerLink {
   readonly #link: Link<PeerMessage>;
@@ -34,6 +47,19 @@
   /** Why this side closed it; empty while it did not. */
   closedFor = "";
   standing: PeerStanding | undefined;
+  /** Time at which `standing` was received. */
+  standingReceivedAt = -Infinity;
+  /** Maximum milliseconds until the peer's next heartbeat, as stated by it. */
+  interval = HEARTBEAT_EVERY;
+  /** The peer has read the member list from the store. */
+  knowsMembers = false;
+  /** Time of the last message, and of the last heartbeat, sent to the peer. */
+  sentAt = -Infinity;
+  heartbeatAt = -Infinity;
+  /** Key of the last heartbeat sent; see {@link heartbeatKey}. */
+  heartbeatKey = "";
+  /** Time of the last probe, while it is unanswered. */
+  probedAt: number | undefined;
 
   constructor(socket: Socket, dialled: boolean, now: number) {
     this.dialled = dialled;
@@ -49,10 +75,24 @@
     return this.instance ?? this.#link.peer;
   }
 
-  send(message: PeerMessage): void {
+  send(message: PeerMessage, now: number): void {
+    this.sentAt = now;
     this.#link.send(message);
   }
 
+  sendHeartbeat(heartbeat: Heartbeat, now: number): void {
+    this.heartbeatAt = now;
+    const { standing, interval, reply } = heartbeat;
+    this.heartbeatKey = heartbeatKey(standing, interval);
+    this.send({ type: "heartbeat", ...standing, interval, reply }, now);
+  }
+
+  /** Records the receipt of a message, which also answers a probe. */
+  heard(now: number): void {
+    this.heardAt = now;
+    this.probedAt = undefined;
+  }
+
   messages(): AsyncGenerator<PeerMessage, void> {
     return this.#link.receive();
   }
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -1,25 +1,20 @@
 /**
  * Links to all other entries, and which of them are heard.
- *
- * A link that is silent for a few heartbeats is closed: connections may go
- * silent for good without being reset, and a frozen or unreachable peer must not
- * hold up the requests that wait for its grants.
  * @module
  */
 import { connect, createServer } from "node:net";
 import type { Server, Socket } from "node:net";
+import { SILENT_AFTER } from "@sycamorepulley/decisions";
 import type { AbleEntry, WatchGroup } from "@sycamorepulley/decisions";
 import type { EventLog } from "../observe/event_log.ts";
 import { listen } from "../listen.ts";
 import type { Address } from "../settings.ts";
 import type { Member } from "../state/fleet_state.ts";
 import type { PeerMessage } from "./messages.ts";
+import { Heartbeats } from "./heartbeats.ts";
 import { PeerLink } from "./peer_link.ts";
 import type { PeerStanding } from "./peer_link.ts";
 
-/** Milliseconds between heartbeats: three may be lost before a link is closed. */
-export const HEARTBEAT_EVERY = 200;
-const SILENT_AFTER = 700;
 /** Milliseconds until a failed dial is tried again. */
 const DIAL_AGAIN_AFTER = 500;
 const DIAL_TIMEOUT = 500;
@@ -30,6 +25,8 @@
   listed: boolean;
   /** The entry that it asks for servers; none before it has said so. */
   asks: string | undefined;
+  /** It has not yet answered a probe. */
+  probePending: boolean;
 };
 
 /** What the owner of the links does with them. */
@@ -41,6 +38,8 @@
   abstract regrouped(): void;
   abstract lost(peer: string): void;
   abstract standing(): PeerStanding;
+  /** True once the member list has been read from the store. */
+  abstract knowsMembers(): boolean;
 }
 
 /** Links by the peer's instance name. */
@@ -53,6 +52,7 @@
   readonly #links = new Map<string, PeerLink>();
   readonly #unnamed = new Set<PeerLink>();
   readonly #dialledAt = new Map<string, number>();
+  readonly #heartbeats: Heartbeats;
   readonly #seeds: readonly Address[];
   readonly #own: Address;
   #server: Server | undefined;
@@ -75,6 +75,11 @@
     this.#events = options.events;
     this.#log = options.log;
     this.#clock = options.clock;
+    this.#heartbeats = new Heartbeats({
+      instance: options.instance,
+      links: this.#links,
+      standing: () => options.events.standing(),
+    });
   }
 
   /** Peers that are heard, those that are leaving included: they still ask. */
@@ -84,13 +89,17 @@
 
   /** The same with what each said of itself last. */
   entries(): PeerEntry[] {
-    return [...this.#links].map(([name, { standing }]) => ({
-      name,
-      processors: standing?.processors ?? 0,
-      leaving: standing?.leaving ?? false,
-      listed: standing?.listed ?? false,
-      asks: standing?.asks,
-    }));
+    return [...this.#links].map(([name, link]) => {
+      const { standing } = link;
+      return {
+        name,
+        processors: standing?.processors ?? 0,
+        leaving: standing?.leaving ?? false,
+        listed: standing?.listed ?? false,
+        asks: standing?.asks,
+        probePending: this.#heartbeats.isProbePending(link),
+      };
+    });
   }
 
   /** What the peers that are heard said of themselves last. */
@@ -99,6 +108,16 @@
       .filter((standing) => standing !== undefined);
   }
 
+  /** See {@link Heartbeats.currentStandings}. */
+  currentStandings(): PeerStanding[] {
+    return this.#heartbeats.currentStandings(this.#clock());
+  }
+
+  /** True for a peer that has read the member list from the store. */
+  knowsMembers(peer: string): boolean {
+    return this.#links.get(peer)?.knowsMembers ?? false;
+  }
+
   /** This entry's place by name among those that hear each other. */
   watchGroup(): WatchGroup {
     const names = this.heard();
@@ -118,16 +137,20 @@
 
   send(peer: string, message: PeerMessage): boolean {
     const link = this.#links.get(peer);
-    link?.send(message);
+    link?.send(message, this.#clock());
     return link !== undefined;
   }
 
-  /** Says at once how this entry stands. */
-  announce(): void {
-    const standing = this.#events.standing();
-    for (const link of this.#links.values()) {
-      link.send({ type: "heartbeat", ...standing });
-    }
+  /** Sends a heartbeat immediately, to all peers or to the grant peers only. */
+  announce(to: "all" | "grantPeers" = "all"): void {
+    const now = this.#clock();
+    if (to === "all") this.#heartbeats.announceToAll(now);
+    else this.#heartbeats.announceToGrantPeers(now);
+  }
+
+  /** Sends a heartbeat to the named peers immediately. */
+  announceTo(names: Iterable<string>): void {
+    this.#heartbeats.announceTo(names, this.#clock());
   }
 
   /**
@@ -139,10 +162,8 @@
     unregistered: ReadonlyMap<string, Member>,
   ): void {
     const now = this.#clock();
-    for (const link of [...this.#links.values(), ...this.#unnamed]) {
-      if (now - link.heardAt > SILENT_AFTER) link.close("silent");
-    }
-    this.announce();
+    this.#closeSilent(now);
+    this.#heartbeats.round(now);
     for (const [name, member] of members) {
       // One of the two dials, or each pair would hold two links.
       if (name <= this.#instance || this.#links.has(name)) continue;
@@ -163,6 +184,15 @@
     }
   }
 
+  #closeSilent(now: number): void {
+    for (const link of this.#unnamed) {
+      if (now - link.heardAt > SILENT_AFTER) link.close("silent");
+    }
+    for (const [name, link] of this.#links) {
+      if (this.#heartbeats.isSilent(name, link, now)) link.close("silent");
+    }
+  }
+
   close(): void {
     this.#server?.close();
     for (const link of this.#links.values()) link.close("stopped");
@@ -189,14 +219,17 @@
   }
 
   #adopt(socket: Socket, dialled: boolean): void {
-    const link = new PeerLink(socket, dialled, this.#clock());
+    const now = this.#clock();
+    const link = new PeerLink(socket, dialled, now);
     this.#unnamed.add(link);
+    const knowsMembers = this.#events.knowsMembers();
     link.send({
       type: "hello",
       instance: this.#instance,
       incarnation: this.#incarnation,
-    });
-    link.send({ type: "heartbeat", ...this.#events.standing() });
+      knowsMembers,
+    }, now);
+    this.#heartbeats.sendFirst(link, now);
     void this.#serve(link);
   }
 
@@ -204,7 +237,7 @@
     let reason = "closed by the peer";
     try {
       for await (const message of link.messages()) {
-        link.heardAt = this.#clock();
+        link.heard(this.#clock());
         this.#take(link, message);
       }
     } catch (error) {
@@ -225,15 +258,19 @@
 
   #take(link: PeerLink, message: PeerMessage): void {
     if (message.type === "hello") {
+      link.knowsMembers = message.knowsMembers;
       this.#named(link, message.instance, message.incarnation);
       return;
     }
     const name = link.instance;
     if (name === undefined) return;
     if (message.type === "heartbeat") {
-      const { type: _type, ...standing } = message;
+      const { type: _type, interval, reply, ...standing } = message;
       const before = link.standing;
       link.standing = standing;
+      link.standingReceivedAt = this.#clock();
+      link.interval = interval;
+      if (reply) this.announceTo([name]);
       if (before?.asks !== standing.asks) this.#events.regrouped();
     }
     this.#events.received(name, message);
--- a/packages/gateway/src/peers/state_sharing.ts
+++ b/packages/gateway/src/peers/state_sharing.ts
@@ -64,7 +64,7 @@
     );
     if (newer) return false;
     return this.#state.configurationConfirmed ||
-      standings.some((standing) =>
+      this.#peers.currentStandings().some((standing) =>
         standing.configurationConfirmed &&
         standing.configurationRevision === revision
       );
--- a/packages/gateway/src/state/fleet_state.ts
+++ b/packages/gateway/src/state/fleet_state.ts
@@ -45,6 +45,7 @@
   #configurationConfirmed = false;
   #serversKnown = false;
   #membersKnown = false;
+  #membersReadFromStore = false;
 
   constructor(
     options: {
@@ -89,6 +90,11 @@
     return this.#membersKnown;
   }
 
+  /** True once the member list has been read from the store. */
+  get membersReadFromStore(): boolean {
+    return this.#membersReadFromStore;
+  }
+
   /**
    * Adopts a newer configuration; older ones and unreadable ones change nothing.
    * False for one that can't be read.
@@ -158,6 +164,12 @@
     );
   }
 
+  /** The part of {@link known} that is not registered in the store. */
+  knownUnregistered(heard: ReadonlySet<string>): KnownMember[] {
+    return this.known(heard)
+      .filter(({ instance }) => !this.members.has(instance));
+  }
+
   /** Takes over what a peer knows of the entries. */
   told(members: readonly KnownMember[]): void {
     const now = this.#clock();
@@ -222,6 +234,7 @@
         items.forEach(put);
         this.roll.replace(this.members.keys(), this.#clock());
         this.#membersKnown = true;
+        this.#membersReadFromStore = true;
         this.#changed("members");
       },
       change: (change) => {
--- a/packages/gateway/test/granter_test.ts
+++ b/packages/gateway/test/granter_test.ts
@@ -19,7 +19,7 @@
 
   granter(instance: string): Granter {
     const peers = {
-      announce: () => {},
+      announceTo: () => {},
       send: (to: string, message: Parameters<Granter["received"]>[1]) =>
         this.#granters.get(to)?.received(instance, message),
     };
@@ -39,7 +39,14 @@
 }
 
 function entry(name: string, processors: number, asks: string): PeerEntry {
-  return { name, processors, asks, listed: true, leaving: false };
+  return {
+    name,
+    processors,
+    asks,
+    listed: true,
+    leaving: false,
+    probePending: false,
+  };
 }
 
 function view(self: PeerEntry, peers: readonly PeerEntry[]): FleetView {
