--- a/packages/gateway/src/state/follow.ts
+++ b/packages/gateway/src/state/follow.ts
@@ -39,11 +39,21 @@
   const start = (
     prefix: string,
     listener: PrefixListener,
-    shortest: number,
+    { shortest, coalesces }: { shortest: number; coalesces: boolean },
   ) => {
     const turns = new WatchTurns(shortest);
     const wait = () => turns.next(group());
-    const parts = { store, prefix, listener, contact, wait, clock };
+    const coalescingDelay = () =>
+      coalesces ? turns.coalescingDelay(group()) : 0;
+    const parts = {
+      store,
+      prefix,
+      listener,
+      contact,
+      wait,
+      coalescingDelay,
+      clock,
+    };
     const follower = new PrefixFollower(parts);
     void follower.run(signal);
     return follower;
@@ -51,10 +61,15 @@
   const configuration = start(
     codec.configurationKey,
     state.configurationListener(),
-    WATCH_WAIT,
+    { shortest: WATCH_WAIT, coalesces: false },
   );
-  start(codec.serverPrefix, state.serverListener(), WATCH_WAIT);
-  const members = state.memberListener(MEMBER_PREFIX, decodeMember);
-  start(MEMBER_PREFIX, members, MEMBER_WATCH_WAIT);
+  start(codec.serverPrefix, state.serverListener(), {
+    shortest: WATCH_WAIT,
+    coalesces: true,
+  });
+  start(MEMBER_PREFIX, state.memberListener(MEMBER_PREFIX, decodeMember), {
+    shortest: MEMBER_WATCH_WAIT,
+    coalesces: true,
+  });
   return configuration;
 }
--- a/packages/gateway/src/state/prefix_follower.ts
+++ b/packages/gateway/src/state/prefix_follower.ts
@@ -41,10 +41,13 @@
   readonly #listener: PrefixListener;
   readonly #contact: StoreContact;
   readonly #wait: () => number;
+  readonly #coalescingDelay: () => number;
   readonly #clock: () => number;
   #attempt = new AbortController();
   /** The last call ended early. */
   #behind = false;
+  /** The last watch returned changes. */
+  #changesReceived = false;
   /** Revision up to which all is known from elsewhere. */
   #reached: Position;
 
@@ -56,6 +59,8 @@
       contact: StoreContact;
       /** Milliseconds that the store holds a watch; bounds a silent connection. */
       wait: () => number;
+      /** Milliseconds to delay the next watch after one that returned changes. */
+      coalescingDelay?: () => number;
       clock: () => number;
     },
   ) {
@@ -64,6 +69,7 @@
     this.#listener = options.listener;
     this.#contact = options.contact;
     this.#wait = options.wait;
+    this.#coalescingDelay = options.coalescingDelay ?? (() => 0);
     this.#clock = options.clock;
   }
 
@@ -89,6 +95,7 @@
         position = this.#ahead(next.value);
         backoff = FIRST_BACKOFF;
         this.#behind = false;
+        await this.#delayAfterChanges(signal);
         continue;
       }
       this.#behind = true;
@@ -105,6 +112,12 @@
     }
   }
 
+  async #delayAfterChanges(signal: AbortSignal): Promise<void> {
+    const duration = this.#changesReceived ? this.#coalescingDelay() : 0;
+    this.#changesReceived = false;
+    if (duration > 0) await pause(duration, signal, this.#contact.turn);
+  }
+
   /** One call; given up when the store's answering changes. */
   async #call(
     position: Position,
@@ -161,6 +174,7 @@
     if (batch.isErr) return Result.err(batch.error);
     this.#contact.heard();
     if (batch.value.kind === "compacted") return Result.ok(undefined);
+    this.#changesReceived = batch.value.changes.length > 0;
     this.#listener.changes(batch.value.changes, batch.value.asOf);
     return Result.ok(Math.max(position, batch.value.asOf));
   }
