Test of a refusal's line: make the quota short whenever the call comes

The request is charged more than the whole burst, and a full bucket passes one such request: a quota is full 0.9 s after the entry grants, so the test passed only on a machine that was quick. With a pause of 1.5 s before the call the old test fails with the same four checks (200 for 429). The call is now made twice: the first is refused or leaves a debt, and the second is always refused. The checks are the same.

--- a/packages/gateway/test/refusal_line_test.ts
+++ b/packages/gateway/test/refusal_line_test.ts
@@ -7,9 +7,11 @@
   // could not tell a quota that is too low from servers that were full.
   const fixture = await Fixture.ready();
   const headers = { "x-tokens": "90000,10" };
+  await fixture.call("/stream/", { method: "POST", headers });
   const seen = await fixture.call("/stream/", { method: "POST", headers });
   t.equal(seen.status, 429);
-  const line = fixture.events.find(({ message }) => message === "refused");
+  const line = fixture.events
+    .findLast(({ message }) => message === "refused");
   t.match(line?.context, {
     reason: "quota",
     organisation: "firm",
