--- a/packages/decisions/test/quota_order_test.ts
+++ b/packages/decisions/test/quota_order_test.ts
@@ -1,35 +1,20 @@
 import t from "tap";
 import { Desk } from "../src/mod.ts";
+import { loadKind } from "./load_kind.ts";
 import { serverRecord } from "./server_record.ts";
 import { VirtualFleet } from "./virtual_fleet.ts";
-import type { LoadKind } from "./virtual_fleet.ts";
 
 const LEEWAY = { window: 8000, overage: 0.1, slack: 20_000 };
 const QUOTA = { ratePerSecond: 12_000, burst: 12_000 };
 const ACCEPTED = (8 * QUOTA.ratePerSecond + QUOTA.burst) * 1.1 + LEEWAY.slack;
 
-const kind = (organisation: string, perSecond: number): LoadKind => ({
-  name: organisation,
-  service: "assistant",
-  tierRank: 0,
-  routeRank: 0,
-  organisation,
-  rate: () => perSecond,
-  goal: 600,
-  patience: 2000,
-  deadline: 15_000,
-  prompt: 900,
-  output: 90,
-  spread: 0.9,
-});
-
 function play(seed: number): VirtualFleet {
   const desk = new Desk(LEEWAY);
   desk.setServers(["x", "y"].map((id) => serverRecord(id, { slots: 12 })));
   desk.setShares(new Map([["hot", QUOTA]]), { room: 1, quota: 1 }, 0);
   const fleet = new VirtualFleet({
     desk,
-    kinds: [kind("hot", 60), kind("calm", 6)],
+    kinds: [loadKind("hot", 60), loadKind("calm", 6)],
     speeds: new Map([["x@1", 0.4], ["y@1", 0.4]]),
     seed,
   });
--- a/packages/decisions/test/quota_size_test.ts
+++ b/packages/decisions/test/quota_size_test.ts
@@ -1,26 +1,19 @@
 import t from "tap";
 import { Desk } from "../src/mod.ts";
+import { loadKind } from "./load_kind.ts";
 import { serverRecord } from "./server_record.ts";
 import { VirtualFleet } from "./virtual_fleet.ts";
-import type { Call, LoadKind } from "./virtual_fleet.ts";
+import type { Call } from "./virtual_fleet.ts";
 
 const LEEWAY = { window: 8000, overage: 0.1, slack: 140_000 };
 const QUOTA = { ratePerSecond: 36_000, burst: 36_000 };
 
-const kind = (organisation: string, perSecond: number): LoadKind => ({
-  name: organisation,
-  service: "assistant",
-  tierRank: 0,
-  routeRank: 0,
-  organisation,
-  rate: () => perSecond,
-  goal: 600,
+const SIZES = {
   patience: 1600,
   deadline: 12_000,
   prompt: 2400,
-  output: 90,
   spread: 1.2,
-});
+};
 
 function play(seed: number): VirtualFleet {
   const desk = new Desk(LEEWAY);
@@ -29,7 +22,7 @@
   desk.setShares(new Map([["hot", QUOTA]]), { room: 1, quota: 1 }, 0);
   const fleet = new VirtualFleet({
     desk,
-    kinds: [kind("hot", 60), kind("calm", 6)],
+    kinds: [loadKind("hot", 60, SIZES), loadKind("calm", 6, SIZES)],
     speeds: new Map(names.map((id) => [`${id}@1`, 2])),
     seed,
   });
