Say in a refusal's line how large the request was and how it stood in the queue

Refused requests of one kind could not be split by size, so the hypotheses of the incident on starved large requests could not be told apart. The line has the tokens of the prompt, of the expected answer and of the quota's charge, and whether the request was timely, late, had returned or was never queued. Behaviour unchanged.

--- a/packages/decisions/src/dispatch/ask.ts
+++ b/packages/decisions/src/dispatch/ask.ts
@@ -39,6 +39,11 @@
 /** Why an ask was turned away; none of them has run for it. */
 export type AskRefusal = "quota" | "overload" | "no_server" | "expired";
 
+/**
+ * Whether an ask can be on time, and whether its caller was refused before.
+ */
+export type AskStanding = "timely" | "returned" | "late";
+
 /** What the entry that refuses an ask saw, to explain it afterwards. */
 export type RefusalInputs = {
   /** Free places of the service's servers, and asks that wait for them. */
@@ -46,6 +51,8 @@
   waiting: number;
   /** Milliseconds until the organisation's quota allows the ask. */
   quotaWait: number;
+  /** While it waited; absent if the ask was never queued. */
+  standing?: AskStanding | undefined;
 };
 
 /** What became of an ask. */
--- a/packages/decisions/src/dispatch/ask_queue.ts
+++ b/packages/decisions/src/dispatch/ask_queue.ts
@@ -1,9 +1,8 @@
 /** Asks that wait, in the order of {@link askKey}. @module */
 import { IndexedHeap, OUTSIDE_HEAP } from "../queueing/indexed_heap.ts";
 import type { HeapItem } from "../queueing/indexed_heap.ts";
-import type { Ask } from "./ask.ts";
+import type { Ask, AskStanding } from "./ask.ts";
 import { askKey } from "./ask_value.ts";
-import type { AskStanding } from "./ask_value.ts";
 
 /** One waiting ask; `key` is its place in the order. */
 export class WaitingAsk implements HeapItem {
--- a/packages/decisions/src/dispatch/ask_value.ts
+++ b/packages/decisions/src/dispatch/ask_value.ts
@@ -8,7 +8,7 @@
  * can still be on time.
  * @module
  */
-import type { Ask } from "./ask.ts";
+import type { Ask, AskStanding } from "./ask.ts";
 import { nominalUse } from "./pace.ts";
 
 /**
@@ -28,11 +28,6 @@
 /** Weight of arrival in the order of equal asks: first come, first served. */
 const ARRIVAL_WEIGHT = 1e-6;
 
-/**
- * Whether an ask can be on time, and whether its caller was refused before.
- */
-export type AskStanding = "timely" | "returned" | "late";
-
 /**
  * Sorts asks: the smallest is served first. `value`: of the answer, beside the
  * others of its tier.
--- a/packages/decisions/src/dispatch/service_desk.ts
+++ b/packages/decisions/src/dispatch/service_desk.ts
@@ -16,6 +16,7 @@
 import type {
   Ask,
   AskRefusal,
+  AskStanding,
   AskVerdict,
   RefusalInputs,
   RunEnd,
@@ -220,7 +221,8 @@
     for (const waiting of this.#queue.takeDue(now)) {
       const { ask } = waiting;
       if (ask.lapsesAt <= now) {
-        verdicts.push(this.#refusal(ask, this.#lapseReason(ask, now), now));
+        const reason = this.#lapseReason(ask, now);
+        verdicts.push(this.#refusal(ask, reason, now, waiting.standing));
         continue;
       }
       this.#becomeLate(waiting, now, verdicts);
@@ -243,7 +245,8 @@
     // Just after a start expected times are high, since the process itself is
     // slow; they are no reason to refuse while a place is free.
     if (!this.#rooms.hasPlace() && this.#beyondReach(late.key, now)) {
-      verdicts.push(this.#refusal(ask, "overload", now));
+      const { standing } = waiting;
+      verdicts.push(this.#refusal(ask, "overload", now, standing));
       return;
     }
     this.#queue.push(late);
@@ -253,7 +256,12 @@
     return this.#rate.beyondReach(key, this.#rooms.ownPlaces, now);
   }
 
-  #refusal(ask: Ask, reason: AskRefusal, now: number): AskVerdict {
+  #refusal(
+    ask: Ask,
+    reason: AskRefusal,
+    now: number,
+    standing?: AskStanding,
+  ): AskVerdict {
     this.#returning.refused(ask.fingerprint, now);
     this.#quotaReservations.release(ask);
     const retryAfter = reason === "no_server"
@@ -264,7 +272,7 @@
       ask,
       reason,
       retryAfter,
-      seen: this.seen(ask, now),
+      seen: { ...this.seen(ask, now), standing },
     };
   }
 
--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -97,6 +97,11 @@
     free?: number;
     waiting?: number;
     quotaWait?: number;
+    standing?: string;
+    /** Prompt and expected output tokens, and those that its quota is charged. */
+    promptTokens?: number;
+    outputTokens?: number;
+    charge?: number;
   }
   | {
     event: "retried";
--- a/packages/gateway/src/peers/granter.ts
+++ b/packages/gateway/src/peers/granter.ts
@@ -180,8 +180,9 @@
         });
         return true;
       case "refuse": {
-        const { id, reason, retryAfter, free, waiting, quotaWait } = message;
-        const seen = { free, waiting, quotaWait };
+        const { id, reason, retryAfter } = message;
+        const { free, waiting, quotaWait, standing } = message;
+        const seen = { free, waiting, quotaWait, standing };
         const answer = { reason, retryAfter, seen, by: peer };
         this.#answered(id, { kind: "refuse", ...answer });
         return true;
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -146,6 +146,7 @@
     free: v.optional(count, 0),
     waiting: v.optional(count, 0),
     quotaWait: v.optional(duration, 0),
+    standing: v.optional(v.picklist(["timely", "returned", "late"])),
   }),
 ]);
 /** See {@link peerMessageSchema}. */
--- a/packages/gateway/src/request/request_report.ts
+++ b/packages/gateway/src/request/request_report.ts
@@ -66,6 +66,7 @@
   ): void {
     const { metrics, log } = this.#context;
     const { service, organisation, tierRank, routeRank } = this.#resolved;
+    const { cost, charge } = this.#resolved;
     const { decided } = answer;
     if (answer.mayHaveRun) metrics.failures.inc({ service, reason });
     else metrics.refusals.inc({ service, reason });
@@ -80,11 +81,15 @@
       organisation,
       tierRank,
       routeRank,
+      promptTokens: cost.promptTokens,
+      outputTokens: cost.outputTokens,
+      charge,
       ...(decided && {
         by: decided.by,
         free: decided.seen.free,
         waiting: decided.seen.waiting,
         quotaWait: Math.round(decided.seen.quotaWait),
+        standing: decided.seen.standing ?? "unqueued",
       }),
     });
   }
--- a/packages/gateway/test/refusal_line_test.ts
+++ b/packages/gateway/test/refusal_line_test.ts
@@ -19,6 +19,10 @@
     routeRank: 0,
     by: "entry-1",
     waiting: 0,
+    standing: "unqueued",
+    promptTokens: 90_000,
+    outputTokens: 1,
+    charge: 90_010,
   });
   t.ok(Number(line?.context["free"]) > 0);
   t.ok(Number(line?.context["quotaWait"]) > 0);
