Serve the largest requests of a kind while places are short

Cause: within a tier the queue is ordered by value for the time that a place is taken. A small answer has a third of the value of a mean one for almost no time, and the value of a large one grows more slowly than its time. While more arrives than places allow, the end of that order is never reached.

Count asks and grants of each kind by size class: the largest tenth, the fifth below it, the rest. While a class is granted less than .6 times as often as its kind, its asks are ordered like the kind's granted ones.

--- a/packages/decisions/src/dispatch/answer_value.ts
+++ b/packages/decisions/src/dispatch/answer_value.ts
@@ -39,7 +39,8 @@
   }
 }
 
-function sizeOf(cost: Cost): number {
+/** Tokens that the answer's value goes by; 0 for a plain call. */
+export function sizeOf(cost: Cost): number {
   if (cost.promptTokens === 0) return 0;
   return cost.promptTokens + PROMPT_TOKENS_PER_TOKEN * cost.outputTokens;
 }
--- a/packages/decisions/src/dispatch/ask_queue.ts
+++ b/packages/decisions/src/dispatch/ask_queue.ts
@@ -3,6 +3,7 @@
 import type { HeapItem } from "../queueing/indexed_heap.ts";
 import type { Ask, AskStanding } from "./ask.ts";
 import { askKey } from "./ask_value.ts";
+import type { SizedKind } from "./size_shares.ts";
 
 /** One waiting ask; `key` is its place in the order. */
 export class WaitingAsk implements HeapItem {
@@ -12,17 +13,24 @@
   readonly standing: AskStanding;
   /** Of the answer, beside the others of its tier. */
   readonly value: number;
+  readonly sizedKind: SizedKind;
   key: number;
   heapIndex = OUTSIDE_HEAP;
 
   constructor(
     ask: Ask,
-    place: { standing: AskStanding; changesAt: number; value: number },
+    place: {
+      standing: AskStanding;
+      changesAt: number;
+      value: number;
+      sizedKind: SizedKind;
+    },
   ) {
     this.ask = ask;
     this.standing = place.standing;
     this.changesAt = place.changesAt;
     this.value = place.value;
+    this.sizedKind = place.sizedKind;
     this.key = askKey(ask, place.standing, place.value);
   }
 }
--- a/packages/decisions/src/dispatch/service_desk.ts
+++ b/packages/decisions/src/dispatch/service_desk.ts
@@ -25,9 +25,11 @@
 import { GrantRate } from "./grant_rate.ts";
 import { QuotaReservations } from "./quota_reservations.ts";
 import { ReturningCallers } from "./returning_callers.ts";
+import { nominalUse } from "./pace.ts";
 import type { AnswerPace } from "./server_room.ts";
 import { ServiceRooms } from "./service_rooms.ts";
 import type { Granted, ServiceView } from "./service_rooms.ts";
+import { SizeShares } from "./size_shares.ts";
 
 /** Milliseconds to come back that are asked of a caller while there is no server. */
 const RETRY_WITHOUT_SERVER = 300;
@@ -50,6 +52,7 @@
   readonly #rooms = new ServiceRooms();
   readonly #rate = new GrantRate();
   readonly #value = new AnswerValue();
+  readonly #sizes = new SizeShares();
   readonly #queue = new AskQueue();
   readonly #granted = new Map<string, Granted>();
   readonly #returning = new ReturningCallers();
@@ -169,7 +172,8 @@
   #grantWaiting(verdicts: AskVerdict[], now: number): void {
     const view = this.#rooms.view(now);
     let passedOver = 0;
-    this.#queue.sweep(({ ask }) => {
+    this.#queue.sweep((waiting) => {
+      const { ask } = waiting;
       if (view.free.size === 0 || passedOver >= MOST_PASSED_OVER) {
         return "stop";
       }
@@ -180,6 +184,8 @@
         passedOver++;
         return "passed_over";
       }
+      const { sizedKind, value } = waiting;
+      this.#sizes.granted(sizedKind, nominalUse(ask.cost) / value);
       verdicts.push(this.#grant({ ask, server }, view, now));
       return "taken";
     });
@@ -196,23 +202,17 @@
   }
 
   #waitingOf(ask: Ask, now: number): WaitingAsk {
-    const value = this.#value.observe(
-      `${ask.tierRank}.${ask.routeRank}`,
-      ask.cost,
-    );
+    const { cost, lapsesAt } = ask;
+    const kind = `${ask.tierRank}.${ask.routeRank}`;
+    const returned = this.#returning.returns(ask.fingerprint, now);
+    const sizedKind = this.#sizes.asked(kind, cost, returned);
+    const ownValue = this.#value.observe(kind, cost);
+    const value = this.#sizes.valueOf(sizedKind, cost, ownValue);
     const latestStart = ask.goalAt - this.#rooms.expectedFirst(ask, now);
-    const { lapsesAt } = ask;
-    if (this.#returning.returns(ask.fingerprint, now)) {
-      const standing = "returned";
-      return new WaitingAsk(ask, { standing, changesAt: lapsesAt, value });
-    }
-    return latestStart > now
-      ? new WaitingAsk(ask, {
-        standing: "timely",
-        changesAt: latestStart,
-        value,
-      })
-      : new WaitingAsk(ask, { standing: "late", changesAt: lapsesAt, value });
+    const timely = latestStart > now;
+    const standing = returned ? "returned" : timely ? "timely" : "late";
+    const changesAt = standing === "timely" ? latestStart : lapsesAt;
+    return new WaitingAsk(ask, { standing, changesAt, value, sizedKind });
   }
 
   /** Asks that can't be on time any more, and those nobody waits for. */
@@ -236,11 +236,12 @@
   }
 
   #becomeLate(waiting: WaitingAsk, now: number, verdicts: AskVerdict[]): void {
-    const { ask, value } = waiting;
+    const { ask, value, sizedKind } = waiting;
     const late = new WaitingAsk(ask, {
       standing: "late",
       changesAt: ask.lapsesAt,
       value,
+      sizedKind,
     });
     // Just after a start expected times are high, since the process itself is
     // slow; they are no reason to refuse while a place is free.
