--- /dev/null
+++ b/packages/gateway/test/server_limit_test.ts
@@ -0,0 +1,56 @@
+import { MemoryMetadataStore } from "@sycamorepulley/store";
+import t from "tap";
+import { configuration, Fixture } from "./fixture.ts";
+import { sealed } from "./stand_in_server.ts";
+import type { StandInServer } from "./stand_in_server.ts";
+
+/** Requests a second that the server states. */
+const LIMIT = 4;
+/** Milliseconds of a window, and what is accepted in one. */
+const WINDOW = 2000;
+const ACCEPTED = 1.5 * LIMIT * WINDOW / 1000 + 5;
+/** Milliseconds from the first word until it binds. */
+const GRACE = 500;
+
+/** Times at which a server that states `limit` was sent requests. */
+function limited(server: StandInServer, limit: () => string): number[] {
+  const sent: number[] = [];
+  server.answer = (response, received) => {
+    sent.push(performance.now());
+    sealed(response, received, { "x-server-limit": limit() }).end("ok");
+  };
+  return sent;
+}
+
+function largestWindow(sent: readonly number[]): number {
+  const binding = sent.filter((at) => at > sent[0]! + GRACE);
+  const inside = binding.map((from) =>
+    binding.filter((at) => at >= from && at < from + WINDOW).length
+  );
+  return Math.max(0, ...inside);
+}
+
+async function press(entries: readonly Fixture[], time: number): Promise<void> {
+  const end = performance.now() + time;
+  while (performance.now() < end) {
+    for (const entry of entries) void entry.call("/calls/");
+    await new Promise((resolve) => setTimeout(resolve, 25));
+  }
+}
+
+t.test("a server that states a limit is sent no more by all entries", async (t) => {
+  const store = new MemoryMetadataStore();
+  store.put("configuration", configuration(1));
+  const first = await Fixture.start({ store });
+  const { servers } = first;
+  const second = await Fixture.start({ store, servers, instance: "entry-2" });
+  const entries = [first, second];
+  for (const entry of entries) await entry.untilReady();
+  const sent = limited(servers[0], () => String(LIMIT));
+  await press(entries, 2 * WINDOW + GRACE);
+  const most = largestWindow(sent);
+  t.ok(sent.length > 0);
+  t.ok(most <= ACCEPTED, `${most} requests, ${ACCEPTED} are accepted`);
+  await second.gateway.stop();
+  await first.stop();
+});
