Keep to the request rates that backend servers state

A server in need states in its answers how many requests a second it takes from all entries together.

Cause: no code read the header. Ruled out: entries that keep to it each for itself (all grants are one entry's, at an unchanged rate), and requests that were queued before (every window stays above the limit).

The entry that grants paces each limited server with a token bucket that starts empty and holds a tenth of a second, one request at least. All sends take a token: first ones, resends, resumed streams. Groups of a divided fleet use their part of the limit. Each entry reads limits from answers, tells the entry that it asks, and is told with each grant; a new granting entry is told all that the others know. Of two words the younger holds; only an answer to a request that was sent after the last word ends a limit. A value that is no decimal number is logged and ignored. A limited server counts as fewer places, so callers out of reach are refused at once with a time to come back. Grants say the limit, who heard it and its age; changes have lines of their own, and two gauges show what is in force. The time to come back has a module of its own.

--- a/packages/decisions/src/dispatch/desk.ts
+++ b/packages/decisions/src/dispatch/desk.ts
@@ -7,6 +7,7 @@
 import type { GroupParts } from "../fleet/mod.ts";
 import { OrganisationQuotas } from "../quotas/mod.ts";
 import type { Quota, QuotaLeeway } from "../quotas/mod.ts";
+import { ServerLimits } from "../server_limits/mod.ts";
 import type { Ask, AskVerdict, RunEnd } from "./ask.ts";
 import type { AnswerPace } from "./server_room.ts";
 import { ServiceDesk } from "./service_desk.ts";
@@ -43,9 +44,12 @@
   readonly #quotas: OrganisationQuotas;
   /** Asks that wait or run. */
   readonly #asks = new Map<string, Ask>();
-  #part = 1;
+  readonly #limits: ServerLimits;
+  #parts: GroupParts = { room: 1, quota: 1 };
 
-  constructor(leeway: QuotaLeeway) {
+  /** `limits`: what servers state of what they accept; nothing if absent. */
+  constructor(leeway: QuotaLeeway, limits = new ServerLimits()) {
+    this.#limits = limits;
     this.#quotas = new OrganisationQuotas(leeway);
   }
 
@@ -76,9 +80,9 @@
     parts: GroupParts,
     now: number,
   ): void {
-    this.#part = parts.room;
+    this.#parts = parts;
     this.#quotas.configure(quotas, parts.quota, now);
-    for (const desk of this.#services.values()) desk.setPart(parts.room);
+    for (const desk of this.#services.values()) desk.setParts(parts);
   }
 
   /** Queues an ask, or turns it away at once; one that is known stays as it is. */
@@ -179,8 +183,8 @@
   #service(name: string): ServiceDesk {
     let desk = this.#services.get(name);
     if (desk === undefined) {
-      desk = new ServiceDesk(this.#quotas);
-      desk.setPart(this.#part);
+      desk = new ServiceDesk(this.#quotas, this.#limits);
+      desk.setParts(this.#parts);
       this.#services.set(name, desk);
     }
     return desk;
--- a/packages/decisions/src/dispatch/grant_rate.ts
+++ b/packages/decisions/src/dispatch/grant_rate.ts
@@ -34,6 +34,14 @@
     return this.#granted.length;
   }
 
+  /** Milliseconds for which an ask takes a place, of those that came lately. */
+  meanTime(now: number): number {
+    this.#arrivals = after(this.#arrivals, now - WINDOW, ({ at }) => at);
+    let time = 0;
+    for (const arrival of this.#arrivals) time += arrival.time;
+    return time / Math.max(1, this.#arrivals.length);
+  }
+
   /**
    * True when what arrives and goes before `key` takes up all `places`, at the
    * rate of the last seconds.
--- a/packages/decisions/src/dispatch/server_room.ts
+++ b/packages/decisions/src/dispatch/server_room.ts
@@ -1,6 +1,9 @@
 /** What one backend server runs for the group, and whether it has room. @module */
 import type { ServerRecord } from "../discovery/mod.ts";
+import type { GroupParts } from "../fleet/mod.ts";
 import type { Cost } from "../queueing/mod.ts";
+import { LimitedPace, pacedRate } from "../server_limits/mod.ts";
+import type { ServerLimit } from "../server_limits/mod.ts";
 import type { Ask } from "./ask.ts";
 import { nominalFirst, nominalRest, Pace } from "./pace.ts";
 import { ReadingLimit } from "./reading_limit.ts";
@@ -43,6 +46,13 @@
   mostUnread: number;
 };
 
+/** What an entry may use of a server; see `GroupParts`. */
+export type RoomBounds = {
+  parts: GroupParts;
+  /** What the server accepts from all entries together, if it states it. */
+  limit: ServerLimit | undefined;
+};
+
 /** One server's runs, by ask. */
 export class ServerRoom {
   record: ServerRecord;
@@ -50,6 +60,7 @@
   readonly #rest = new Pace();
   readonly #reading = new ReadingLimit();
   readonly #runs = new Map<string, Run>();
+  #pace: LimitedPace | undefined;
   #unreadTokens = 0;
   #downUntil = -Infinity;
   #backoff = 0;
@@ -69,9 +80,21 @@
     return this.#reading.tokens;
   }
 
-  /** Whether a further request may run; `part`: see `GroupParts`. */
-  hasPlace(part: number): boolean {
-    return this.#runs.size < this.#largest(part);
+  /** Whether a further request may run. */
+  hasPlace(bounds: RoomBounds, now: number): boolean {
+    if (!this.#keepsPace(bounds, now)) return false;
+    return this.#runs.size < this.#largest(bounds.parts.room);
+  }
+
+  /**
+   * Requests that it runs at once; fewer than its slots where its limit starts
+   * fewer within `runTime`, the milliseconds of a request.
+   */
+  places({ parts, limit }: RoomBounds, runTime: number): number {
+    const places = this.record.slots * parts.room;
+    if (limit === undefined) return places;
+    const started = pacedRate(limit.perSecond, parts.quota) * runTime / 1000;
+    return Math.min(places, started);
   }
 
   /**
@@ -80,12 +103,11 @@
    */
   admits(
     ask: Ask,
-    view: { part: number; paces: ServicePaces; largestLimit: number },
+    view: { paces: ServicePaces; largestLimit: number },
     now: number,
   ): boolean {
-    const { part, paces, largestLimit } = view;
+    const { paces, largestLimit } = view;
     if (!this.#reachable(ask.entry, now)) return false;
-    if (!this.hasPlace(part)) return false;
     const { cost } = ask;
     if (cost.promptTokens === 0) return true;
     if (!this.#mayRead(cost.promptTokens, largestLimit)) return false;
@@ -122,6 +144,16 @@
     }
   }
 
+  /** Counts a request that is sent from here under the server's limit. */
+  countSend(now: number): void {
+    this.#pace?.take(now);
+  }
+
+  /** A request that was counted did not reach the server. */
+  uncountSend(): void {
+    this.#pace?.giveBack();
+  }
+
   /** The first answer came, `measured` milliseconds after the request was sent. */
   firstAnswer(id: string, measured: number, now: number): Cost | undefined {
     const run = this.#runs.get(id);
@@ -177,6 +209,16 @@
     if (this.#unreachableFrom.size > 1) this.notThere(now);
   }
 
+  #keepsPace({ parts, limit }: RoomBounds, now: number): boolean {
+    if (limit === undefined) {
+      this.#pace = undefined;
+      return true;
+    }
+    this.#pace ??= new LimitedPace(now);
+    this.#pace.configure(limit.perSecond, parts.quota, now);
+    return this.#pace.allows(now);
+  }
+
   /** Prompts beyond every server's limit go to one that can take most. */
   #mayRead(tokens: number, largestLimit: number): boolean {
     if (this.#unreadTokens + tokens <= this.#reading.tokens) return true;
--- a/packages/decisions/src/dispatch/service_desk.ts
+++ b/packages/decisions/src/dispatch/service_desk.ts
@@ -10,8 +10,10 @@
  * @module
  */
 import type { ServerRecord } from "../discovery/mod.ts";
+import type { GroupParts } from "../fleet/mod.ts";
 import { OrganisationQuotas } from "../quotas/mod.ts";
 import type { QuotaLeeway } from "../quotas/mod.ts";
+import { ServerLimits } from "../server_limits/mod.ts";
 import { AnswerValue } from "./answer_value.ts";
 import type {
   Ask,
@@ -24,6 +26,7 @@
 import { AskQueue, WaitingAsk } from "./ask_queue.ts";
 import { GrantRate } from "./grant_rate.ts";
 import { QuotaReservations } from "./quota_reservations.ts";
+import { retryAfter } from "./retry_after.ts";
 import { ReturningCallers } from "./returning_callers.ts";
 import { nominalUse } from "./pace.ts";
 import type { AnswerPace } from "./server_room.ts";
@@ -31,17 +34,6 @@
 import type { Granted, ServiceView } from "./service_rooms.ts";
 import { SizeShares } from "./size_shares.ts";
 
-/** Milliseconds to come back that are asked of a caller while there is no server. */
-const RETRY_WITHOUT_SERVER = 300;
-/**
- * Milliseconds to come back after a refusal for lack of room: longer than a burst,
- * as who comes back within one is refused for good. Callers wait a third of their
- * time left at most. Spread over the upper half of it, so that those refused
- * together don't return together.
- */
-const LONGEST_RETRY = 5000;
-const LONGEST_RETRY_PART = 1 / 3;
-const RETRY_SPREAD_PART = 0.5;
 const NO_LEEWAY: QuotaLeeway = { window: 1000, overage: 0, slack: 0 };
 
 /** Asks that find no room in one sweep before it ends: a bound on its time. */
@@ -49,7 +41,7 @@
 
 /** Grants servers of one service. Verdicts are drawn by `verdicts`. */
 export class ServiceDesk {
-  readonly #rooms = new ServiceRooms();
+  readonly #rooms: ServiceRooms;
   readonly #rate = new GrantRate();
   readonly #value = new AnswerValue();
   readonly #sizes = new SizeShares();
@@ -59,9 +51,16 @@
   readonly #quotas: OrganisationQuotas;
   readonly #quotaReservations: QuotaReservations;
 
-  /** `quotas` are charged for what is granted; none if absent. */
-  constructor(quotas = new OrganisationQuotas(NO_LEEWAY)) {
+  /**
+   * `quotas` are charged for what is granted, and `limits` are kept to that servers
+   * state; none if absent.
+   */
+  constructor(
+    quotas = new OrganisationQuotas(NO_LEEWAY),
+    limits = new ServerLimits(),
+  ) {
     this.#quotas = quotas;
+    this.#rooms = new ServiceRooms(limits);
     this.#quotaReservations = new QuotaReservations(quotas);
   }
 
@@ -88,9 +87,9 @@
     this.#rooms.setServers(records);
   }
 
-  /** The part of each server's room that this group of entries uses. */
-  setPart(part: number): void {
-    this.#rooms.setPart(part);
+  /** See {@link ServiceRooms.setParts}. */
+  setParts(parts: GroupParts): void {
+    this.#rooms.setParts(parts);
   }
 
   /** Queues an ask, or turns it away at once. */
@@ -163,7 +162,7 @@
   /** Everything that can be decided now. */
   verdicts(now: number): AskVerdict[] {
     const verdicts = now >= this.#queue.changesAt ? this.#changes(now) : [];
-    if (this.#queue.size === 0 || !this.#rooms.hasPlace()) return verdicts;
+    if (this.#queue.size === 0 || !this.#rooms.hasPlace(now)) return verdicts;
     this.#grantWaiting(verdicts, now);
     return verdicts;
   }
@@ -245,7 +244,7 @@
     });
     // Just after a start expected times are high, since the process itself is
     // slow; they are no reason to refuse while a place is free.
-    if (!this.#rooms.hasPlace() && this.#beyondReach(late.key, now)) {
+    if (!this.#rooms.hasPlace(now) && this.#beyondReach(late.key, now)) {
       const { standing } = waiting;
       verdicts.push(this.#refusal(ask, "overload", now, standing));
       return;
@@ -254,7 +253,8 @@
   }
 
   #beyondReach(key: number, now: number): boolean {
-    return this.#rate.beyondReach(key, this.#rooms.ownPlaces, now);
+    const places = this.#rooms.ownPlaces(this.#rate.meanTime(now));
+    return this.#rate.beyondReach(key, places, now);
   }
 
   #refusal(
@@ -265,14 +265,11 @@
   ): AskVerdict {
     this.#returning.refused(ask.fingerprint, now);
     this.#quotaReservations.release(ask);
-    const retryAfter = reason === "no_server"
-      ? RETRY_WITHOUT_SERVER
-      : retryAfterBurst(ask, now);
     return {
       kind: "refuse",
       ask,
       reason,
-      retryAfter,
+      retryAfter: retryAfter(ask, reason, now),
       seen: { ...this.seen(ask, now), standing },
     };
   }
@@ -287,11 +284,3 @@
     };
   }
 }
-
-function retryAfterBurst(ask: Ask, now: number): number {
-  const longest = Math.min(
-    LONGEST_RETRY,
-    Math.max(0, ask.endsAt - now) * LONGEST_RETRY_PART,
-  );
-  return longest * (1 - RETRY_SPREAD_PART * ask.spread);
-}
--- a/packages/decisions/src/dispatch/service_rooms.ts
+++ b/packages/decisions/src/dispatch/service_rooms.ts
@@ -6,10 +6,12 @@
 import { incarnationOf } from "../discovery/mod.ts";
 import type { ServerRecord } from "../discovery/mod.ts";
 import { Ejection } from "../ejection/mod.ts";
+import type { GroupParts } from "../fleet/mod.ts";
+import { ServerLimits } from "../server_limits/mod.ts";
 import type { Ask, RunEnd } from "./ask.ts";
 import { nominalFirst, nominalRest, Pace } from "./pace.ts";
 import { ServerRoom } from "./server_room.ts";
-import type { AnswerPace, ServicePaces } from "./server_room.ts";
+import type { AnswerPace, RoomBounds, ServicePaces } from "./server_room.ts";
 
 /**
  * Milliseconds that a server of another data centre must be faster by, to be
@@ -24,7 +26,6 @@
 
 /** What a choice goes by, worked out once for all that wait. */
 export type ServiceView = {
-  part: number;
   paces: ServicePaces;
   /** Largest reading limit of the servers, in tokens. */
   largestLimit: number;
@@ -41,7 +42,13 @@
   readonly #ejection = new Ejection();
   readonly #first = new Pace();
   readonly #rest = new Pace();
-  #part = 1;
+  readonly #limits: ServerLimits;
+  #parts: GroupParts = { room: 1, quota: 1 };
+
+  /** `limits`: what servers state; nothing if absent. */
+  constructor(limits = new ServerLimits()) {
+    this.#limits = limits;
+  }
 
   get size(): number {
     return this.#rooms.size;
@@ -61,9 +68,16 @@
     return Math.max(0, this.places - running);
   }
 
-  /** Those places that this group of entries uses. */
-  get ownPlaces(): number {
-    return this.places * this.#part;
+  /**
+   * Those places that this group of entries can use. `runTime`: milliseconds of a
+   * request.
+   */
+  ownPlaces(runTime: number): number {
+    let places = 0;
+    for (const [name, room] of this.#rooms) {
+      places += room.places(this.#bounds(name), runTime);
+    }
+    return places;
   }
 
   has(server: string): boolean {
@@ -71,9 +85,9 @@
   }
 
   /** True when a server could run one more. */
-  hasPlace(): boolean {
-    for (const room of this.#rooms.values()) {
-      if (room.hasPlace(this.#part)) return true;
+  hasPlace(now: number): boolean {
+    for (const [name, room] of this.#rooms) {
+      if (room.hasPlace(this.#bounds(name), now)) return true;
     }
     return false;
   }
@@ -98,9 +112,9 @@
     }
   }
 
-  /** The part of each server's room that this group of entries uses. */
-  setPart(part: number): void {
-    this.#part = part;
+  /** The parts of each server's room and limit that this group uses. */
+  setParts(parts: GroupParts): void {
+    this.#parts = parts;
   }
 
   view(now: number): ServiceView {
@@ -108,9 +122,9 @@
     const free = new Map<string, ServerRoom>();
     for (const [name, room] of this.#rooms) {
       largestLimit = Math.max(largestLimit, room.readingLimit);
-      if (room.hasPlace(this.#part)) free.set(name, room);
+      if (room.hasPlace(this.#bounds(name), now)) free.set(name, room);
     }
-    return { part: this.#part, paces: this.#paces(now), largestLimit, free };
+    return { paces: this.#paces(now), largestLimit, free };
   }
 
   /** The server with room that is expected to be done soonest. */
@@ -137,7 +151,9 @@
   started({ ask, server }: Granted, view: ServiceView, now: number): void {
     const room = this.#rooms.get(server);
     room?.started(ask);
-    if (!room?.hasPlace(this.#part)) view.free.delete(server);
+    room?.countSend(now);
+    const bounds = this.#bounds(server);
+    if (!room?.hasPlace(bounds, now)) view.free.delete(server);
     this.#ejection.started(server, now);
   }
 
@@ -178,10 +194,14 @@
     room.ended(ask.id);
     switch (end) {
       case "connection_refused":
+        room.uncountSend();
+        room.notThere(now);
+        return;
       case "misdirected":
         room.notThere(now);
         return;
       case "connection_timeout":
+        room.uncountSend();
         room.silentTo(ask.entry, now);
         return;
       case "failed":
@@ -208,6 +228,10 @@
     return first * nominalFirst(ask.cost) + rest * nominalRest(ask.cost);
   }
 
+  #bounds(server: string): RoomBounds {
+    return { parts: this.#parts, limit: this.#limits.find(server) };
+  }
+
   #paces(now: number): ServicePaces {
     return {
       first: this.#first.ratio(now, 1),
--- a/packages/decisions/src/mod.ts
+++ b/packages/decisions/src/mod.ts
@@ -14,4 +14,5 @@
 export * from "./quotas/mod.ts";
 export * from "./retries/mod.ts";
 export * from "./routing/mod.ts";
+export * from "./server_limits/mod.ts";
 export * from "./suspects/mod.ts";
--- a/packages/gateway/src/front/header_names.ts
+++ b/packages/gateway/src/front/header_names.ts
@@ -13,6 +13,8 @@
   expectedServer: string;
   /** A server's word that it did not run the request. */
   notRun: string;
+  /** A server's word: requests a second that it takes from all entries. */
+  serverLimit: string;
   /** Marks an answer as a server's own. */
   seal: string;
   /** Prompt tokens and most output tokens. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -371,6 +371,13 @@
       this.#metrics.waiting.set({ service }, waiting);
       this.#metrics.running.set({ service }, running);
     }
+    const { serverLimit, serverLimitAge } = this.#metrics;
+    serverLimit.reset();
+    serverLimitAge.reset();
+    for (const { server, limit, age } of this.#granter.limits.ages()) {
+      serverLimit.set({ server, by: limit.by }, limit.perSecond);
+      serverLimitAge.set({ server }, age / 1000);
+    }
   }
 
   #every(interval: number, action: () => void): void {
--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -79,7 +79,27 @@
     organisation: string;
     /** Tokens that its quota is charged. */
     charge: number;
+    /**
+     * Requests a second that the server stated, the entry that heard it, and how
+     * long ago. Absent while it states no limit.
+     */
+    limit?: number;
+    limitBy?: string;
+    limitAge?: number;
   }
+  /** A server states a limit, or another one than before. */
+  | {
+    event: "server_limited";
+    server: string;
+    /** Requests a second, from all entries together. */
+    perSecond: number;
+    /** The entry that heard it, and how long ago. */
+    by: string;
+    age: number;
+  }
+  | { event: "server_limit_ended"; server: string; by: string; age: number }
+  /** No decimal number; what was known before stays in force. */
+  | { event: "server_limit_unreadable"; server: string; value: string }
   | {
     event: "refused";
     request: string;
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -40,6 +40,16 @@
   readonly running = this.#gauge("running", "Requests at backend servers", [
     "service",
   ]);
+  readonly serverLimit = this.#gauge(
+    "server_limit_per_second",
+    "Requests a second that a backend server states",
+    ["server", "by"],
+  );
+  readonly serverLimitAge = this.#gauge(
+    "server_limit_age_seconds",
+    "Time since a stated limit was heard last",
+    ["server"],
+  );
   readonly configurationVersion = this.#gauge(
     "configuration_version",
     "Version of the configuration in force",
--- a/packages/gateway/src/peers/granter.ts
+++ b/packages/gateway/src/peers/granter.ts
@@ -21,6 +21,7 @@
 import type { GrantAnswer } from "./held_ask.ts";
 import type { PeerMessage } from "./messages.ts";
 import type { PeerEntry, Peers } from "./peers.ts";
+import { ServerLimitWords } from "./server_limit_words.ts";
 
 const NO_ANSWER: AnswerPace = { tokens: 0, measured: 0, pausePart: 0 };
 
@@ -48,6 +49,8 @@
   readonly #log: EventLog;
   readonly #peers: () => Peers;
   readonly #own: Granting;
+  /** What servers state of their limits. */
+  readonly limits: ServerLimitWords;
   readonly #held = new Map<string, HeldAsk>();
   #granting: string;
   #number = 0;
@@ -68,8 +71,15 @@
     this.#log = options.log;
     this.#peers = options.peers;
     this.#granting = options.instance;
+    this.limits = new ServerLimitWords({
+      ...options,
+      tell: (message) => {
+        if (!this.#grantsItself) this.#tell(message);
+      },
+    });
     this.#own = new Granting({
       ...options,
+      limits: this.limits,
       answered: (id, answer) => this.#answered(id, answer),
     });
   }
@@ -172,7 +182,13 @@
   /** Takes a peer's message about granting; false for any other. */
   received(peer: string, message: PeerMessage): boolean {
     switch (message.type) {
+      case "server_limit":
+        this.limits.told(message.server, message.word);
+        return true;
       case "grant":
+        if (message.limit !== undefined) {
+          this.limits.told(message.server, message.limit);
+        }
         this.#answered(message.id, {
           kind: "grant",
           server: message.server,
@@ -200,6 +216,7 @@
   /** A new link to a peer: what it was told before may be lost. */
   joined(peer: string): void {
     if (peer !== this.#granting) return;
+    this.limits.tellAll();
     for (const { ask, server } of this.#held.values()) {
       this.#tell(messageOf(ask, this.#clock(), server));
     }
@@ -229,6 +246,7 @@
     // Before any ask: whoever grants has only the shares of those that it knows
     // to ask it.
     this.#peers().announceTo([before, granting]);
+    this.limits.tellAll();
     for (const { ask, server } of this.#held.values()) {
       // Left where they were, they would take places there for ever.
       if (before === this.#instance) this.#own.release(ask);
--- a/packages/gateway/src/peers/granting.ts
+++ b/packages/gateway/src/peers/granting.ts
@@ -21,6 +21,7 @@
 import type { GrantAnswer } from "./held_ask.ts";
 import type { AskMessage, PeerMessage } from "./messages.ts";
 import type { Peers } from "./peers.ts";
+import type { ServerLimitWords } from "./server_limit_words.ts";
 
 /** See the module. */
 export class Granting {
@@ -29,6 +30,7 @@
   readonly #peers: () => Peers;
   readonly #answered: (id: string, answer: GrantAnswer) => void;
   readonly #desk: Desk;
+  readonly #limits: ServerLimitWords;
   /** Asks of other entries that wait or run here. */
   readonly #foreign = new Map<string, Ask>();
   #parts: GroupParts = { room: 1, quota: 1 };
@@ -42,6 +44,7 @@
       clock: () => number;
       peers: () => Peers;
       leeway: QuotaLeeway;
+      limits: ServerLimitWords;
       /** Takes the answer to an ask of this entry. */
       answered: (id: string, answer: GrantAnswer) => void;
     },
@@ -50,7 +53,8 @@
     this.#clock = options.clock;
     this.#peers = options.peers;
     this.#answered = options.answered;
-    this.#desk = new Desk(options.leeway);
+    this.#limits = options.limits;
+    this.#desk = new Desk(options.leeway, options.limits.known);
   }
 
   /** The parts of all room and quotas that are granted from here. */
@@ -193,7 +197,9 @@
     }
     if (verdict.kind === "grant") {
       const { server } = verdict;
-      this.#peers().send(ask.entry, { type: "grant", id: ask.id, server });
+      const limit = this.#limits.inGrant(server);
+      const message = { type: "grant" as const, id: ask.id, server };
+      this.#peers().send(ask.entry, limit ? { ...message, limit } : message);
       return;
     }
     this.#foreign.delete(ask.id);
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -48,6 +48,16 @@
   draining: v.boolean(),
 });
 
+/** See `LimitWord`; sent as an age. */
+const limitWord = v.object({
+  /** Absent where the answer stated none. */
+  perSecond: v.optional(v.pipe(v.number(), v.finite(), v.minValue(0))),
+  by: text,
+  age: duration,
+});
+/** See {@link limitWord}. */
+export type LimitWordMessage = v.InferOutput<typeof limitWord>;
+
 const stateName = v.picklist(["configuration", "servers"]);
 /** What entries pass on to each other of the store. */
 export type StateName = v.InferOutput<typeof stateName>;
@@ -136,7 +146,15 @@
       "abandoned",
     ]),
   }),
-  v.object({ type: v.literal("grant"), id: text, server: text }),
+  v.object({
+    type: v.literal("grant"),
+    id: text,
+    server: text,
+    /** The server's limit in force, if it states one. */
+    limit: v.optional(limitWord),
+  }),
+  /** What an answer of a server said of its limit. */
+  v.object({ type: v.literal("server_limit"), server: text, word: limitWord }),
   v.object({
     type: v.literal("refuse"),
     id: text,
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -53,6 +53,7 @@
   readonly #request: string;
   readonly #sink: StreamSink;
   readonly #channel: Channel;
+  readonly #answered: (head: AnswerHead) => void;
   readonly #first: () => void;
   #finish!: (end: ExchangeEnd) => void;
   #stop: (() => void) | undefined;
@@ -70,6 +71,8 @@
       request: string;
       channel: Channel;
       sink: StreamSink;
+      /** Takes the head of each answer that is the server's own. */
+      answered: (head: AnswerHead) => void;
       /** Called at the first byte that an answer is judged by. */
       first: () => void;
     },
@@ -79,6 +82,7 @@
     this.#request = options.request;
     this.#channel = options.channel;
     this.#sink = options.sink;
+    this.#answered = options.answered;
     this.#first = options.first;
     this.done = new Promise((resolve) => this.#finish = resolve);
   }
@@ -105,6 +109,7 @@
       return;
     }
     this.#head = head;
+    if (head.status !== MISDIRECTED) this.#answered(head);
     const type = String(head.headers["content-type"] ?? "");
     this.#streaming = head.status >= 200 && head.status < 300 &&
       type.startsWith("text/event-stream");
--- a/packages/gateway/src/request/request_report.ts
+++ b/packages/gateway/src/request/request_report.ts
@@ -1,4 +1,5 @@
 /** What is logged and counted of one request. @module */
+import { incarnationOf } from "@sycamorepulley/decisions";
 import type { RefusalInputs, ServerRecord } from "@sycamorepulley/decisions";
 import type { Call } from "../front/call.ts";
 import type { AnswerProgress } from "./answer_progress.ts";
@@ -23,9 +24,10 @@
     server: ServerRecord,
     grant: { waited: number; by: string; attempt: number },
   ): void {
-    const { metrics, log } = this.#context;
+    const { metrics, log, granter, clock } = this.#context;
     const { service, route, organisation, charge } = this.#resolved;
     const waited = Math.round(grant.waited);
+    const limit = granter.limits.known.find(incarnationOf(server));
     const labels = { service, route: route.name };
     metrics.waited.observe(labels, waited / 1000);
     log.write({
@@ -38,6 +40,11 @@
       attempt: grant.attempt,
       organisation,
       charge,
+      ...(limit && {
+        limit: limit.perSecond,
+        limitBy: limit.by,
+        limitAge: Math.round(clock() - limit.heardAt),
+      }),
     });
   }
 
--- a/packages/gateway/src/request/server_try.ts
+++ b/packages/gateway/src/request/server_try.ts
@@ -1,4 +1,5 @@
 /** One try of a request at one backend server, passed on to its caller. @module */
+import { incarnationOf } from "@sycamorepulley/decisions";
 import type { RunEnd, ServerRecord } from "@sycamorepulley/decisions";
 import type { Channel } from "../backend/channel.ts";
 import type { Call } from "../front/call.ts";
@@ -92,11 +93,15 @@
   #newExchange(): Exchange {
     const { context, call, caller, progress } = this.#request;
     const { clock, granter, names } = context;
-    const { ask, channel } = this.#at;
+    const { ask, server, channel } = this.#at;
     return new Exchange({
       names,
       request: call.request,
       channel,
+      answered: ({ headers }) => {
+        const limit = headers[names.serverLimit.toLowerCase()];
+        granter.limits.heard(incarnationOf(server), limit, this.#sentAt);
+      },
       first: () => {
         progress.first(clock());
         granter.firstAnswer(ask, clock() - this.#sentAt);
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -21,6 +21,7 @@
   timeLeft: "X-Time-Left",
   expectedServer: "X-Expected-Server",
   notRun: "X-Not-Run",
+  serverLimit: "X-Server-Limit",
   seal: "X-Seal",
   tokenUsage: "X-Tokens",
   expectedTokens: "X-Expected-Tokens",
--- a/packages/gateway/test/granter_test.ts
+++ b/packages/gateway/test/granter_test.ts
@@ -135,3 +135,16 @@
   granting.pump();
   t.match(await soon(answer), { kind: "grant", by: "x" });
 });
+
+t.test("the next granting entry is told the limits that servers state", (t) => {
+  // It sent a server in need as much as one without a limit.
+  const { asking, granting } = pair();
+  asking.limits.heard("s@1", "2", -10);
+  t.match(granting.limits.known.find("s@1"), { perSecond: 2, by: "a" });
+  const next = asking;
+  granting.limits.heard("t@1", "3", -10);
+  t.equal(next.limits.known.find("t@1"), undefined);
+  granting.regroup(view(entry("x", 2, "a"), [entry("a", 3, "a")]));
+  t.match(next.limits.known.find("t@1"), { perSecond: 3, by: "x" });
+  t.end();
+});
--- a/packages/gateway/test/request_task_test.ts
+++ b/packages/gateway/test/request_task_test.ts
@@ -1,3 +1,4 @@
+import { ServerLimits } from "@sycamorepulley/decisions";
 import type { ServerRecord } from "@sycamorepulley/decisions";
 import t from "tap";
 import type { Call } from "../src/front/call.ts";
@@ -45,6 +46,7 @@
         return { id: "ask-1", answer };
       },
       withdraw: (id: string) => withdrawn.push(id),
+      limits: { known: new ServerLimits() },
     },
     inForce: () => undefined,
     server: () => SERVER,
--- a/packages/gateway/test/server_limit_test.ts
+++ b/packages/gateway/test/server_limit_test.ts
@@ -46,11 +46,49 @@
   const second = await Fixture.start({ store, servers, instance: "entry-2" });
   const entries = [first, second];
   for (const entry of entries) await entry.untilReady();
-  const sent = limited(servers[0], () => String(LIMIT));
+  const sent = servers.map((server) => limited(server, () => String(LIMIT)));
   await press(entries, 2 * WINDOW + GRACE);
-  const most = largestWindow(sent);
-  t.ok(sent.length > 0);
-  t.ok(most <= ACCEPTED, `${most} requests, ${ACCEPTED} are accepted`);
+  for (const most of sent.map(largestWindow)) {
+    t.ok(most <= ACCEPTED, `${most} requests, ${ACCEPTED} are accepted`);
+    t.ok(most > LIMIT, `${most} requests`);
+  }
+  const lines = second.events
+    .filter(({ context }) => context["limit"] !== undefined);
+  t.ok(lines.length > 0);
+  for (const { message, context } of lines) {
+    t.equal(message, "granted");
+    t.equal(context["limit"], LIMIT);
+    t.match(context["limitBy"], /^entry-[12]$/);
+    t.ok(Number(context["limitAge"]) >= 0);
+  }
   await second.gateway.stop();
   await first.stop();
 });
+
+t.test("a limit holds when the entry that grants is lost", async (t) => {
+  const store = new MemoryMetadataStore();
+  store.put("configuration", configuration(1));
+  const first = await Fixture.start({ store });
+  const { servers } = first;
+  const entries = [first];
+  for (const instance of ["entry-2", "entry-3"]) {
+    entries.push(await Fixture.start({ store, servers, instance }));
+  }
+  for (const entry of entries) await entry.untilReady();
+  const sent = servers.map((server) => limited(server, () => String(LIMIT)));
+  await press(entries, WINDOW);
+  const last = entries.at(-1)!.events
+    .findLast(({ message }) => message === "group_changed");
+  const names = ["entry-1", "entry-2", "entry-3"];
+  const lost = names.indexOf(String(last?.context["granting"]));
+  const [granting] = entries.splice(lost, 1);
+  const stopping = granting!.gateway.stop();
+  await press(entries, WINDOW);
+  for (const most of sent.map(largestWindow)) {
+    t.ok(most <= ACCEPTED, `${most} requests, ${ACCEPTED} are accepted`);
+    t.ok(most > LIMIT, `${most} requests`);
+  }
+  await stopping;
+  await Promise.all(entries.map(({ gateway }) => gateway.stop()));
+  for (const server of servers) server.stop();
+});
--- /dev/null
+++ b/packages/gateway/test/server_limit_words_test.ts
@@ -0,0 +1,75 @@
+import t from "tap";
+import { statedLimit } from "../src/peers/stated_limit.ts";
+import { ServerLimitWords } from "../src/peers/server_limit_words.ts";
+import type { PeerMessage } from "../src/peers/messages.ts";
+import { EventLog } from "../src/mod.ts";
+import { Recorded } from "./recorded.ts";
+
+/** The words of one entry, with what it logged and told. */
+function words(instance = "entry-1") {
+  let now = 1000;
+  const clock = () => now;
+  const sink = new Recorded();
+  const told: PeerMessage[] = [];
+  const kept = new ServerLimitWords({
+    instance,
+    clock,
+    log: new EventLog({ instance, sink, clock }),
+    tell: (message) => told.push(message),
+  });
+  const logged = () => sink.events.map(({ message }) => message);
+  return { kept, told, logged, sink, at: (time: number) => now = time };
+}
+
+t.test("a malformed limit is logged and changes nothing", (t) => {
+  const malformed = ["", "-1", "NaN", "1e3", "2,5", "0x10", "Infinity", "1 2"];
+  for (const value of malformed) {
+    t.ok(statedLimit(value).isErr, value);
+  }
+  t.ok(statedLimit(["1", "2"]).isErr);
+  const { kept, told, logged, sink } = words();
+  kept.heard("s@1", "2.5", 900);
+  kept.heard("s@1", "fast", 1500);
+  t.equal(kept.known.find("s@1")?.perSecond, 2.5);
+  t.same(logged(), ["server_limited", "server_limit_unreadable"]);
+  t.match(sink.events.at(-1)?.context, { server: "s@1", value: "fast" });
+  t.equal(told.length, 1);
+  t.end();
+});
+
+t.test("a limit is read with and without a fraction", (t) => {
+  t.equal(statedLimit("2.4").unwrapOr(undefined), 2.4);
+  t.equal(statedLimit(" 0 ").unwrapOr(undefined), 0);
+  t.equal(statedLimit(undefined).unwrapOr(1), undefined);
+  t.end();
+});
+
+t.test("the granting entry is told of each word and of the end", (t) => {
+  const { kept, told, at } = words();
+  kept.heard("s@1", "2", 900);
+  at(1200);
+  kept.heard("s@1", "2", 1100);
+  at(1500);
+  kept.heard("s@1", undefined, 1150);
+  kept.heard("s@1", undefined, 1400);
+  kept.heard("s@1", undefined, 1450);
+  t.match(told, [
+    { type: "server_limit", word: { perSecond: 2, by: "entry-1", age: 0 } },
+    { type: "server_limit", word: { perSecond: 2, by: "entry-1", age: 0 } },
+    { type: "server_limit", word: { by: "entry-1", age: 100 } },
+  ]);
+  t.equal(kept.known.find("s@1"), undefined);
+  t.end();
+});
+
+t.test("a word that is passed on keeps whose it is and grows older", (t) => {
+  const first = words("entry-1");
+  const second = words("entry-2");
+  first.kept.heard("s@1", "2", 900);
+  first.at(1300);
+  second.kept.told("s@1", first.kept.inGrant("s@1")!);
+  t.match(second.kept.known.find("s@1"), { by: "entry-1", heardAt: 700 });
+  second.kept.tellAll();
+  t.match(second.told, [{ word: { perSecond: 2, by: "entry-1", age: 300 } }]);
+  t.end();
+});
