Let emulated servers state a limit in their answers

A fault switch, statedLimit, puts a header of a chosen name on every answer of an emulated engine or plain service. Its value is a number of requests a second, or any text, so that malformed limits can be played.

--- a/packages/emulator/src/faults/faults.ts
+++ b/packages/emulator/src/faults/faults.ts
@@ -9,6 +9,13 @@
   status: v.optional(v.number(), 500),
 });
 
+/** A limit that every answer states. */
+export const statedLimitSchema = v.strictObject({
+  header: v.optional(v.string(), "x-server-limit"),
+  /** Requests a second from all callers; a text is sent as it is. */
+  perSecond: v.union([v.pipe(v.number(), v.minValue(0)), v.string()]),
+});
+
 /** The whole set of switches; an absent one is off. */
 export const faultsSchema = v.strictObject({
   /** Steps take this many times longer. */
@@ -22,6 +29,7 @@
   hang: v.optional(v.boolean(), false),
   /** Drops the connection after this many tokens, or half of a whole answer. */
   cutAfterTokens: v.optional(v.number()),
+  statedLimit: v.optional(statedLimitSchema),
   /** What the health check says. */
   healthy: v.optional(v.boolean(), true),
 });
--- a/packages/emulator/src/server/backend_server.ts
+++ b/packages/emulator/src/server/backend_server.ts
@@ -35,9 +35,13 @@
   const backend = create(crash);
   const server = await listen(
     handle(async (request, response) => {
-      if (!await answerControl(request, response, backend)) {
-        await backend.answer(request, response);
+      if (await answerControl(request, response, backend)) return;
+      const { statedLimit } = backend.faultSwitch.faults;
+      if (statedLimit !== undefined) {
+        const { header, perSecond } = statedLimit;
+        response.setHeader(header, String(perSecond));
       }
+      await backend.answer(request, response);
     }),
     options,
   );
--- a/packages/emulator/test/engine_test.ts
+++ b/packages/emulator/test/engine_test.ts
@@ -113,3 +113,21 @@
   const answer = await complete(engine, { prompt: "hi" });
   t.equal(answer.statusCode, 503);
 });
+
+t.test("each answer states a limit while one is switched on", async (t) => {
+  const engine = await startEngine({ settings: FAST });
+  t.teardown(() => engine.close());
+  const limitOf = async (stream: boolean) => {
+    const { headers, body } = await complete(engine, { prompt: "x", stream });
+    await body.dump();
+    return headers["x-server-limit"];
+  };
+  t.equal(await limitOf(false), undefined);
+  engine.setFaults({ statedLimit: { perSecond: 2.4 } });
+  t.equal(await limitOf(false), "2.4");
+  t.equal(await limitOf(true), "2.4");
+  engine.setFaults({ statedLimit: { perSecond: "many" } });
+  t.equal(await limitOf(true), "many");
+  engine.setFaults({});
+  t.equal(await limitOf(true), undefined);
+});
