Keep to a stated limit at the sidecar too

The sidecar passed on the header in which its server states how many requests a second it takes, and sent as many as before: the same cause as at the gateway.

The sidecar is the only way to its server, so it alone paces its grants, by the same modules. A grant that lapses or is withdrawn gives its token back. backendServer.limitHeader names the header. Reading a limit moves to the decisions, where both use it.

--- a/packages/daemon/src/common/settings.ts
+++ b/packages/daemon/src/common/settings.ts
@@ -76,6 +76,11 @@
     kind: v.picklist(["model", "plain"]),
     healthPath: v.optional(v.pipe(v.string(), v.startsWith("/")), "/health"),
     healthInterval: v.optional(positive, 1000),
+    /** Header in which the server states the requests a second that it takes. */
+    limitHeader: v.optional(
+      v.pipe(v.string(), v.regex(/^[A-Za-z0-9-]+$/, "use a header's name")),
+      "X-Server-Limit",
+    ),
   }),
   bounds: v.optional(
     v.strictObject({
--- a/packages/daemon/src/sidecar/running_request.ts
+++ b/packages/daemon/src/sidecar/running_request.ts
@@ -10,8 +10,10 @@
 import { AnswerReceiver } from "./backend_client.ts";
 import type { EntryConnection } from "./entry_connection.ts";
 
-/** Told of an answer's progress, for the limit. */
+/** Told of an answer's progress, for the limits. */
 export type ProgressListener = {
+  /** `startedAt`: when the request was sent to the server. */
+  onHead(headers: Headers, startedAt: number): void;
   onFirstToken(id: string, now: number): void;
   onProgress(id: string, outputTokens: number): void;
 };
@@ -68,6 +70,7 @@
   }
 
   override head(status: number, headers: Headers): void {
+    this.#listener.onHead(headers, this.#startedAt);
     this.#connection.send({
       type: "head",
       reservation: this.handOver.reservation,
--- a/packages/daemon/src/sidecar/sidecar.ts
+++ b/packages/daemon/src/sidecar/sidecar.ts
@@ -6,6 +6,7 @@
 import type { GrantDecision, GrantDesk } from "@sycamorepulley/decisions";
 import type {
   HandOver,
+  Headers,
   Load,
   Message,
   RefusalReason,
@@ -52,6 +53,7 @@
     this.#runs = new RequestRuns({
       client: options.client,
       listener: {
+        onHead: (headers, startedAt) => this.#hear(headers, startedAt),
         onFirstToken: (id, now) => this.#desk.firstToken(id, now),
         onProgress: (id, outputTokens) =>
           this.#carryOut(
@@ -265,6 +267,13 @@
     connection.sendLoad(() => this.load, monotonicNow());
   }
 
+  #hear(headers: Headers, startedAt: number): void {
+    const now = monotonicNow();
+    const { statedLimit } = this.#options;
+    if (!statedLimit.heard(headers, startedAt, now)) return;
+    this.#carryOut(this.#desk.setStatedLimit(statedLimit.perSecond, now));
+  }
+
   #broadcast(message: Message): void {
     for (const connection of this.#connections) connection.send(message);
   }
--- a/packages/daemon/src/sidecar/sidecar_options.ts
+++ b/packages/daemon/src/sidecar/sidecar_options.ts
@@ -6,6 +6,7 @@
 import type { BackendClient } from "./backend_client.ts";
 import type { EntryConnection } from "./entry_connection.ts";
 import type { HealthProbe } from "./health_probe.ts";
+import type { StatedServerLimit } from "./stated_server_limit.ts";
 import type { VersionGuard } from "./version_guard.ts";
 
 /** Options of the sidecar role. */
@@ -33,6 +34,7 @@
   /** Messages that concern the configuration, not requests. */
   onOtherMessage: (connection: EntryConnection, message: Message) => void;
   limit: () => number;
+  statedLimit: StatedServerLimit;
   metrics: Metrics;
   log: Log;
 };
--- a/packages/daemon/src/sidecar/start_sidecar.ts
+++ b/packages/daemon/src/sidecar/start_sidecar.ts
@@ -23,6 +23,7 @@
 import { EntryConnection } from "./entry_connection.ts";
 import { HealthProbe } from "./health_probe.ts";
 import { Sidecar } from "./sidecar.ts";
+import { StatedServerLimit } from "./stated_server_limit.ts";
 import { VersionGuard } from "./version_guard.ts";
 import { SidecarEstimates } from "./sidecar_estimates.ts";
 
@@ -158,6 +159,11 @@
       configuration.onMessage(connection, message);
     },
     limit: () => own.limit.limit,
+    statedLimit: new StatedServerLimit({
+      header: settings.backendServer.limitHeader,
+      instance: settings.instance,
+      log,
+    }),
     metrics,
     log,
   });
--- a/packages/decisions/src/granting/grant_desk.ts
+++ b/packages/decisions/src/granting/grant_desk.ts
@@ -12,6 +12,7 @@
  */
 import type { ConcurrencyLimit } from "../limits/mod.ts";
 import type { Waiting, WaitingQueue } from "../queueing/mod.ts";
+import { LimitedPace } from "../server_limits/mod.ts";
 import type { GrantDecision, RefusalCause } from "./grant_decision.ts";
 
 /**
@@ -45,6 +46,7 @@
   /** When a suspect was first passed over for want of an empty server. */
   #suspectSince: number | undefined;
   #closed: RefusalCause | undefined;
+  #pace: LimitedPace | undefined;
 
   constructor(options: { queue: WaitingQueue; limit: ConcurrencyLimit }) {
     this.#queue = options.queue;
@@ -74,6 +76,16 @@
     return this.#queue.lowestTierRank();
   }
 
+  /** The server takes `perSecond` requests a second; any if `undefined`. */
+  setStatedLimit(perSecond: number | undefined, now: number): GrantDecision[] {
+    if (perSecond === undefined) this.#pace = undefined;
+    else {
+      this.#pace ??= new LimitedPace(now);
+      this.#pace.configure(perSecond, 1, now);
+    }
+    return this.#grantAll(now);
+  }
+
   /** Takes a reservation in, or refuses it; may grant at once. */
   reserve(waiting: Waiting, now: number): GrantDecision[] {
     if (this.#closed) return [refuse(waiting, this.#closed)];
@@ -189,6 +201,7 @@
    */
   #admits(waiting: Waiting, now: number): boolean {
     if (this.#suspectAtWork !== undefined) return false;
+    if (this.#pace?.allows(now) === false) return false;
     if (waiting.suspect) return this.#admitsSuspect(now);
     const held = this.#suspectSince ?? now;
     const emptying = now - held >= SUSPECT_PATIENCE &&
@@ -217,6 +230,7 @@
     const grant = this.#nextGrant;
     this.#nextGrant += 1;
     this.#limit.started(waiting.id, waiting.cost, now);
+    this.#pace?.take(now);
     this.#granted.set(waiting.id, {
       waiting,
       grant,
@@ -231,6 +245,7 @@
 
   #returnGrant(id: string, now: number): void {
     this.#granted.delete(id);
+    this.#pace?.giveBack();
     this.#limit.finished(id, "cancelled", now);
     this.#releaseSuspect(id);
   }
--- a/packages/decisions/src/server_limits/mod.ts
+++ b/packages/decisions/src/server_limits/mod.ts
@@ -1,4 +1,5 @@
 /** Request rates that backend servers state for all entries together. @module */
 export { LimitedPace, pacedRate } from "./limited_pace.ts";
 export { ServerLimits } from "./server_limits.ts";
+export { statedLimit } from "./stated_limit.ts";
 export type { LimitChange, LimitWord, ServerLimit } from "./server_limits.ts";
--- a/packages/decisions/test/grant_desk_test.ts
+++ b/packages/decisions/test/grant_desk_test.ts
@@ -77,3 +77,14 @@
   t.match(desk1.withdraw("s", 1600), [{ kind: "grant", id: "c" }]);
   t.end();
 });
+
+t.test("a stated limit paces the grants", (t) => {
+  const desk1 = desk(4);
+  desk1.setStatedLimit(2, 0);
+  for (const id of ["a", "b", "c"]) t.same(desk1.reserve(waiting(id), 0), []);
+  t.match(desk1.tick(500), [{ kind: "grant", id: "a" }]);
+  t.same(desk1.tick(600), []);
+  t.match(desk1.withdraw("a", 700), [{ kind: "grant", id: "b" }]);
+  t.match(desk1.setStatedLimit(undefined, 800), [{ kind: "grant", id: "c" }]);
+  t.end();
+});
--- a/packages/gateway/src/peers/server_limit_words.ts
+++ b/packages/gateway/src/peers/server_limit_words.ts
@@ -7,10 +7,9 @@
  * was made under, so that all can tell the next granting entry.
  * @module
  */
-import { ServerLimits } from "@sycamorepulley/decisions";
+import { ServerLimits, statedLimit } from "@sycamorepulley/decisions";
 import type { LimitWord, ServerLimit } from "@sycamorepulley/decisions";
 import type { EventLog } from "../observe/event_log.ts";
-import { statedLimit } from "./stated_limit.ts";
 import type { LimitWordMessage, PeerMessage } from "./messages.ts";
 
 /** See the module. */
--- a/packages/gateway/test/server_limit_words_test.ts
+++ b/packages/gateway/test/server_limit_words_test.ts
@@ -1,5 +1,5 @@
 import t from "tap";
-import { statedLimit } from "../src/peers/stated_limit.ts";
+import { statedLimit } from "@sycamorepulley/decisions";
 import { ServerLimitWords } from "../src/peers/server_limit_words.ts";
 import type { PeerMessage } from "../src/peers/messages.ts";
 import { EventLog } from "../src/mod.ts";
