--- a/packages/decisions/src/quotas/organisation_quotas.ts
+++ b/packages/decisions/src/quotas/organisation_quotas.ts
@@ -73,6 +73,12 @@
     return held?.bucket.allows(tokens, now) ?? true;
   }
 
+  /** True if `tokens` are there, which a request above the burst never finds. */
+  covers(organisation: string, tokens: number, now: number): boolean {
+    const held = this.#held.get(organisation);
+    return held?.bucket.covers(tokens, now) ?? true;
+  }
+
   /** Milliseconds until `tokens` can be charged; see {@link TokenBucket}. */
   waitFor(organisation: string, tokens: number, now: number): number {
     return this.#held.get(organisation)?.bucket.waitFor(tokens, now) ?? 0;
--- a/packages/decisions/src/quotas/token_bucket.ts
+++ b/packages/decisions/src/quotas/token_bucket.ts
@@ -38,6 +38,12 @@
     return this.#burst > 0 && this.#balance >= Math.min(amount, this.#burst);
   }
 
+  /** True if the balance is `amount` at least, also above the burst. */
+  covers(amount: number, now: number): boolean {
+    this.#fill(now);
+    return this.#balance >= amount;
+  }
+
   /**
    * Takes `amount`; false, and nothing taken, when the balance is short. An
    * amount above the whole burst passes on a full bucket and leaves a debt, or
--- /dev/null
+++ b/packages/decisions/test/quota_oversize_test.ts
@@ -0,0 +1,59 @@
+import t from "tap";
+import { Desk } from "../src/mod.ts";
+import { ask } from "./asks.ts";
+import { serverRecord } from "./server_record.ts";
+
+const LEEWAY = { window: 8000, overage: 0.1, slack: 500 };
+const QUOTA = { ratePerSecond: 1000, burst: 1000 };
+const ACCEPTED = (8 * QUOTA.ratePerSecond + QUOTA.burst) * 1.1 + LEEWAY.slack;
+
+function deskWithPart(part: number): Desk {
+  const desk = new Desk(LEEWAY);
+  desk.setServers([serverRecord("x", { slots: 200 })]);
+  const quotas = new Map([["firm", QUOTA]]);
+  desk.setShares(quotas, { room: 0, quota: 0 }, -20_000);
+  desk.setShares(quotas, { room: 1, quota: part }, -20_000);
+  return desk;
+}
+
+type Grant = { at: number; charge: number };
+
+function askOnce(
+  desk: Desk,
+  grants: Grant[],
+  one: { charge: number; tierRank?: number },
+  now: number,
+): void {
+  desk.ask(ask({ ...one, arrived: now }), now);
+  for (const { kind, ask } of desk.verdicts(now)) {
+    if (kind !== "grant") continue;
+    grants.push({ at: now, charge: ask.charge });
+    desk.ended(ask.id, "answered", now);
+  }
+}
+
+function largestWindow(grants: readonly Grant[]): number {
+  const sums = grants.map(({ at: from }) =>
+    grants.filter(({ at }) => at >= from && at < from + LEEWAY.window)
+      .reduce((sum, { charge }) => sum + charge, 0)
+  );
+  return Math.max(0, ...sums);
+}
+
+t.test("a request above the burst is served although small ones press", (t) => {
+  for (const part of [1, 0.5]) {
+    const desk = deskWithPart(part);
+    const grants: Grant[] = [];
+    for (let now = 0; now < 16_000; now += 20) {
+      askOnce(desk, grants, { charge: 40, tierRank: 0 }, now);
+      if (now % 1000 === 500) {
+        askOnce(desk, grants, { charge: 1200, tierRank: 1 }, now);
+      }
+    }
+    const oversize = grants.filter(({ charge }) => charge === 1200);
+    t.ok(oversize.length >= 1, `${oversize.length} with a part of ${part}`);
+    const most = largestWindow(grants);
+    t.ok(most <= ACCEPTED * part, `${most} tokens with a part of ${part}`);
+  }
+  t.end();
+});
