--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import { StatusPages } from "./front/status_pages.ts";
 import { EventLog, OutputSink } from "./observe/event_log.ts";
 import type { LineSink } from "./observe/event_log.ts";
+import { LoadReport } from "./observe/load_report.ts";
 import { GatewayMetrics } from "./observe/metrics.ts";
 import { Granter } from "./peers/granter.ts";
 import { Peers } from "./peers/peers.ts";
@@ -84,6 +85,7 @@
   readonly #standing: FleetStanding;
   readonly #servers: ServersInUse;
   readonly #front: Front;
+  readonly #load: LoadReport;
   readonly #pages: StatusPages;
   readonly #desk: RequestDesk;
   readonly #gate = new StartGate();
@@ -181,10 +183,16 @@
     this.#front = new Front((request, response) =>
       this.#serve(request, response)
     );
+    this.#load = new LoadReport({
+      granter: this.#granter,
+      log,
+      metrics: this.#metrics,
+      shares: () => this.#standing.shares(),
+    });
     this.#pages = new StatusPages({
       metrics: this.#metrics,
       ready: () => this.#ready(),
-      refresh: () => this.#refreshMetrics(),
+      refresh: () => this.#load.refresh(),
     });
   }
 
@@ -217,7 +225,7 @@
       SWEEP_EVERY,
       () => this.#pool.sweep(this.#servers.all()),
     );
-    this.#every(LOAD_EVERY, () => this.#logLoad());
+    this.#every(LOAD_EVERY, () => this.#load.log());
     this.#lifecycle.apply("started");
     this.#log.write({
       event: "started",
@@ -358,28 +366,6 @@
     this.#standing.regroup();
   }
 
-  #logLoad(): void {
-    const { parts } = this.#granter;
-    const fleet = Math.round(this.#standing.shares() * 10) / 10;
-    for (const load of this.#granter.loads()) {
-      this.#log.write({ event: "load", ...load, ...parts, fleet });
-    }
-  }
-
-  #refreshMetrics(): void {
-    for (const { service, waiting, running } of this.#granter.loads()) {
-      this.#metrics.waiting.set({ service }, waiting);
-      this.#metrics.running.set({ service }, running);
-    }
-    const { serverLimit, serverLimitAge } = this.#metrics;
-    serverLimit.reset();
-    serverLimitAge.reset();
-    for (const { server, limit, age } of this.#granter.limits.ages()) {
-      serverLimit.set({ server, by: limit.by }, limit.perSecond);
-      serverLimitAge.set({ server }, age / 1000);
-    }
-  }
-
   #every(interval: number, action: () => void): void {
     this.#timers.push(setInterval(action, interval));
   }
