--- a/packages/decisions/test/quota_oversize_test.ts
+++ b/packages/decisions/test/quota_oversize_test.ts
@@ -2,6 +2,8 @@
 import { Desk } from "../src/mod.ts";
 import { ask } from "./asks.ts";
 import { serverRecord } from "./server_record.ts";
+import { largestWindow } from "./windows.ts";
+import type { Granted } from "./windows.ts";
 
 const LEEWAY = { window: 8000, overage: 0.1, slack: 500 };
 const QUOTA = { ratePerSecond: 1000, burst: 1000 };
@@ -22,11 +24,9 @@
   return desk;
 }
 
-type Grant = { at: number; charge: number };
-
 function askOnce(
   desk: Desk,
-  grants: Grant[],
+  grants: Granted[],
   one: { charge: number; tierRank?: number },
   now: number,
 ): void {
@@ -38,17 +38,9 @@
   }
 }
 
-function largestWindow(grants: readonly Grant[]): number {
-  const sums = grants.map(({ at: from }) =>
-    grants.filter(({ at }) => at >= from && at < from + LEEWAY.window)
-      .reduce((sum, { charge }) => sum + charge, 0)
-  );
-  return Math.max(0, ...sums);
-}
-
 t.test("requests above the burst of a part stay within what is accepted", (t) => {
   const desks = Array.from({ length: GROUPS }, () => deskWithPart(1 / GROUPS));
-  const grants: Grant[] = [];
+  const grants: Granted[] = [];
   for (let now = 0; now < 16_000; now += 20) {
     const oversize = now % 7000 > 6000;
     for (const desk of desks) {
@@ -56,7 +48,7 @@
       else if (now % 7000 < 5000) askOnce(desk, grants, { charge: 50 }, now);
     }
   }
-  const most = largestWindow(grants);
+  const most = largestWindow(grants, LEEWAY.window);
   t.ok(most <= ACCEPTED, `${most} tokens, ${ACCEPTED} are accepted`);
   t.ok(most > ACCEPTED / 2, `${most} tokens`);
   t.end();
@@ -65,7 +57,7 @@
 t.test("a request above the burst is served although small ones press", (t) => {
   for (const part of [1, 0.5]) {
     const desk = deskWithPart(part);
-    const grants: Grant[] = [];
+    const grants: Granted[] = [];
     for (let now = 0; now < 16_000; now += 20) {
       askOnce(desk, grants, { charge: 40, tierRank: 0 }, now);
       if (now % 1000 === 500) {
@@ -74,7 +66,7 @@
     }
     const oversize = grants.filter(({ charge }) => charge === 1200);
     t.ok(oversize.length >= 1, `${oversize.length} with a part of ${part}`);
-    const most = largestWindow(grants);
+    const most = largestWindow(grants, LEEWAY.window);
     t.ok(most <= ACCEPTED * part, `${most} tokens with a part of ${part}`);
   }
   t.end();
--- a/packages/decisions/test/quota_reservations_test.ts
+++ b/packages/decisions/test/quota_reservations_test.ts
@@ -4,6 +4,8 @@
 import type { AskVerdict } from "../src/mod.ts";
 import { ask, granted } from "./asks.ts";
 import { serverRecord } from "./server_record.ts";
+import { largestWindow } from "./windows.ts";
+import type { Granted } from "./windows.ts";
 
 const LEEWAY = { window: 8000, overage: 0.1, slack: 500 };
 const QUOTA = { ratePerSecond: 1000, burst: 1000 };
@@ -120,23 +122,13 @@
   { minLength: 100, maxLength: 300 },
 );
 
-type Grant = { at: number; charge: number };
-
-function largestWindow(grants: readonly Grant[]): number {
-  const sums = grants.map(({ at: from }) =>
-    grants.filter(({ at }) => at >= from && at < from + LEEWAY.window)
-      .reduce((sum, { charge }) => sum + charge, 0)
-  );
-  return Math.max(0, ...sums);
-}
-
 t.test("random sizes, splits and take-overs stay within what is accepted", (t) => {
   fc.assert(
     fc.property(steps, fc.boolean(), (steps, split) => {
       const part = split ? 0.5 : 1;
       const groups = split ? 2 : 1;
       const desks = [deskWithPart(part, 0), deskWithPart(part, 0)];
-      const grants: Grant[] = [];
+      const grants: Granted[] = [];
       let takeOvers = 0;
       let now = 0;
       const recordGrants = (desk: Desk, verdicts: readonly AskVerdict[]) => {
@@ -154,7 +146,7 @@
         desk.ask(ask({ charge, arrived: now }), now);
         recordGrants(desk, desk.verdicts(now));
       }
-      return largestWindow(grants) <= ACCEPTED;
+      return largestWindow(grants, LEEWAY.window) <= ACCEPTED;
     }),
     { numRuns: 200, endOnFailure: true },
   );
