--- a/packages/gateway/test/stream_path_test.ts
+++ b/packages/gateway/test/stream_path_test.ts
@@ -24,8 +24,7 @@
 });
 
 t.test("a stream goes on elsewhere when its server falls silent", async (t) => {
-  // A server goes dark in the middle of a stream and closes nothing. Its caller
-  // waited two seconds and left; the rest of the answer was lost.
+  // A server went dark in the middle of a stream, and its caller waited in vain.
   const fixture = await Fixture.ready();
   let starts = 0;
   for (const server of fixture.servers) {
