--- a/packages/daemon/src/sidecar/stated_server_limit.ts
+++ b/packages/daemon/src/sidecar/stated_server_limit.ts
@@ -40,8 +40,8 @@
     }
     const perSecond = stated.value;
     const heardAt = perSecond === undefined ? sentAt : now;
-    const word = { perSecond, by: this.#instance, heardAt };
-    if (this.#limits.learn(SERVER, word) !== "changed") return false;
+    const observation = { perSecond, by: this.#instance, heardAt };
+    if (this.#limits.learn(SERVER, observation) !== "changed") return false;
     if (perSecond === undefined) this.#log.info("server limit ended");
     else this.#log.info("server limit stated", { perSecond });
     return true;
--- a/packages/decisions/src/dispatch/size_shares.ts
+++ b/packages/decisions/src/dispatch/size_shares.ts
@@ -17,9 +17,9 @@
 
 const LARGEST_QUANTILE = 0.9;
 const LARGE_QUANTILE = 0.7;
-/** Of the uses of granted asks: where the asks of a short class are ordered. */
+/** Of the uses of granted asks: where the asks of an underserved class are ordered. */
 const GRANTED_QUANTILE = 0.5;
-/** A class is short below this part of the fraction that its kind is served. */
+/** A class is underserved below this part of the fraction that its kind is served. */
 const LEAST_SHARE = 0.6;
 /**
  * Asks of a kind in which its counts fade to a third: what was served before a
@@ -79,7 +79,7 @@
   }
 
   /** True while a class is served far less often than the kind. */
-  isShort(sizeClass: SizeClass): boolean {
+  isUnderserved(sizeClass: SizeClass): boolean {
     if (this.all.asked < LEAST_ASKED) return false;
     const least = LEAST_SHARE * this.all.fraction;
     return this.classes[sizeClass].fraction < least;
@@ -120,11 +120,11 @@
     shares.grantedUse.add(use);
   }
 
-  /** The value to order an ask by: its own, or more while its class is short. */
+  /** The value to order an ask by: its own, or more while its class is underserved. */
   valueOf({ kind, sizeClass }: SizedKind, cost: Cost, own: number): number {
     const shares = this.#kinds.get(kind);
     const use = shares?.grantedUse.value(GRANTED_QUANTILE);
-    if (!shares?.isShort(sizeClass) || use === undefined) return own;
+    if (!shares?.isUnderserved(sizeClass) || use === undefined) return own;
     return Math.max(own, nominalUse(cost) / use);
   }
 }
--- a/packages/decisions/src/server_limits/mod.ts
+++ b/packages/decisions/src/server_limits/mod.ts
@@ -2,4 +2,8 @@
 export { LimitedPace, pacedRate } from "./limited_pace.ts";
 export { ServerLimits } from "./server_limits.ts";
 export { statedLimit } from "./stated_limit.ts";
-export type { LimitChange, LimitWord, ServerLimit } from "./server_limits.ts";
+export type {
+  LimitChange,
+  LimitObservation,
+  ServerLimit,
+} from "./server_limits.ts";
--- a/packages/decisions/src/server_limits/server_limits.ts
+++ b/packages/decisions/src/server_limits/server_limits.ts
@@ -1,17 +1,18 @@
 /**
  * Request rates that backend servers say they accept from all entries together.
  *
- * Each entry hears only the answers to its own requests, and words reach others
- * late and out of order. Of two words about a server the younger holds; what a
- * server stopped stating is remembered too, or an older word would revive it.
+ * Each entry sees only the answers to its own requests, and what it observes
+ * reaches others late and out of order. Of two observations of a server the newer
+ * one holds; the end of a limit is remembered too, or an older observation would
+ * put it in force again.
  * @module
  */
 
-/** Servers that words are kept of; the oldest word goes first. */
+/** Servers that are remembered; the one with the oldest observation is dropped. */
 const MOST_SERVERS = 4096;
 
 /** What an answer of a server said of its limit. */
-export type LimitWord = {
+export type LimitObservation = {
   /** Requests a second; `undefined`: the answer stated no limit. */
   perSecond: number | undefined;
   /** The entry that got the answer. */
@@ -24,47 +25,51 @@
 };
 
 /** A limit in force. */
-export type ServerLimit = LimitWord & { perSecond: number };
+export type ServerLimit = LimitObservation & { perSecond: number };
 
-/** What a word changed. */
+/** What an observation changed. */
 export type LimitChange = "changed" | "confirmed" | "nothing";
 
-/** The youngest word of each server, by incarnation; see the module. */
+/** The newest observation of each server, by incarnation; see the module. */
 export class ServerLimits {
-  readonly #words = new Map<string, LimitWord>();
+  readonly #latest = new Map<string, LimitObservation>();
 
   /** The limit in force, if the server states one. */
   find(server: string): ServerLimit | undefined {
-    const word = this.#words.get(server);
-    return word !== undefined && isLimit(word) ? word : undefined;
+    const observation = this.#latest.get(server);
+    return observation !== undefined && isLimit(observation)
+      ? observation
+      : undefined;
   }
 
-  /** Takes over a word, unless a younger one is known. */
-  learn(server: string, word: LimitWord): LimitChange {
-    const known = this.#words.get(server);
-    if (known === undefined && !isLimit(word)) return "nothing";
-    if (known !== undefined && known.heardAt >= word.heardAt) return "nothing";
-    this.#words.delete(server);
-    this.#words.set(server, word);
+  /** Takes over an observation, unless a newer one is known. */
+  learn(server: string, observation: LimitObservation): LimitChange {
+    const known = this.#latest.get(server);
+    if (known === undefined && !isLimit(observation)) return "nothing";
+    if (known !== undefined && known.heardAt >= observation.heardAt) {
+      return "nothing";
+    }
+    this.#latest.delete(server);
+    this.#latest.set(server, observation);
     this.#forgetOldest();
-    if (known?.perSecond !== word.perSecond) return "changed";
-    return isLimit(word) ? "confirmed" : "nothing";
+    if (known?.perSecond !== observation.perSecond) return "changed";
+    return isLimit(observation) ? "confirmed" : "nothing";
   }
 
   /** Servers and their limits in force. */
   *inForce(): Generator<[string, ServerLimit]> {
-    for (const [server, word] of this.#words) {
-      if (isLimit(word)) yield [server, word];
+    for (const [server, observation] of this.#latest) {
+      if (isLimit(observation)) yield [server, observation];
     }
   }
 
   #forgetOldest(): void {
-    if (this.#words.size <= MOST_SERVERS) return;
-    const [oldest] = this.#words.keys();
-    if (oldest !== undefined) this.#words.delete(oldest);
+    if (this.#latest.size <= MOST_SERVERS) return;
+    const [oldest] = this.#latest.keys();
+    if (oldest !== undefined) this.#latest.delete(oldest);
   }
 }
 
-function isLimit(word: LimitWord): word is ServerLimit {
-  return word.perSecond !== undefined;
+function isLimit(observation: LimitObservation): observation is ServerLimit {
+  return observation.perSecond !== undefined;
 }
--- a/packages/decisions/test/server_limits_test.ts
+++ b/packages/decisions/test/server_limits_test.ts
@@ -1,19 +1,22 @@
 import fc from "fast-check";
 import t from "tap";
 import { LimitedPace, ServerLimits } from "../src/mod.ts";
-import type { LimitWord } from "../src/mod.ts";
+import type { LimitObservation } from "../src/mod.ts";
 
-function word(perSecond: number | undefined, heardAt: number): LimitWord {
+function observed(
+  perSecond: number | undefined,
+  heardAt: number,
+): LimitObservation {
   return { perSecond, by: "entry", heardAt };
 }
 
-t.test("the younger word holds", (t) => {
+t.test("the newer observation holds", (t) => {
   const limits = new ServerLimits();
-  t.equal(limits.learn("s@1", word(2, 100)), "changed");
-  t.equal(limits.learn("s@1", word(3, 90)), "nothing");
+  t.equal(limits.learn("s@1", observed(2, 100)), "changed");
+  t.equal(limits.learn("s@1", observed(3, 90)), "nothing");
   t.equal(limits.find("s@1")?.perSecond, 2);
-  t.equal(limits.learn("s@1", word(2, 110)), "confirmed");
-  t.equal(limits.learn("s@1", word(1, 120)), "changed");
+  t.equal(limits.learn("s@1", observed(2, 110)), "confirmed");
+  t.equal(limits.learn("s@1", observed(1, 120)), "changed");
   t.equal(limits.find("s@1")?.perSecond, 1);
   t.equal(limits.find("s@2"), undefined);
   t.end();
@@ -21,29 +24,29 @@
 
 t.test("an answer that was under way does not end a limit", (t) => {
   const limits = new ServerLimits();
-  limits.learn("s@1", word(2, 100));
-  t.equal(limits.learn("s@1", word(undefined, 60)), "nothing");
+  limits.learn("s@1", observed(2, 100));
+  t.equal(limits.learn("s@1", observed(undefined, 60)), "nothing");
   t.equal(limits.find("s@1")?.perSecond, 2);
-  t.equal(limits.learn("s@1", word(undefined, 130)), "changed");
+  t.equal(limits.learn("s@1", observed(undefined, 130)), "changed");
   t.equal(limits.find("s@1"), undefined);
   t.same([...limits.inForce()], []);
   t.end();
 });
 
-t.test("a late word does not revive a limit that ended", (t) => {
+t.test("a late observation does not revive a limit that ended", (t) => {
   const limits = new ServerLimits();
-  limits.learn("s@1", word(2, 100));
-  limits.learn("s@1", word(undefined, 130));
-  t.equal(limits.learn("s@1", word(2, 120)), "nothing");
+  limits.learn("s@1", observed(2, 100));
+  limits.learn("s@1", observed(undefined, 130));
+  t.equal(limits.learn("s@1", observed(2, 120)), "nothing");
   t.equal(limits.find("s@1"), undefined);
-  t.equal(limits.learn("s@1", word(2, 140)), "changed");
+  t.equal(limits.learn("s@1", observed(2, 140)), "changed");
   t.end();
 });
 
-t.test("words of servers without a limit are not kept", (t) => {
+t.test("servers without a limit are not remembered", (t) => {
   const limits = new ServerLimits();
-  t.equal(limits.learn("s@1", word(undefined, 10)), "nothing");
-  t.equal(limits.learn("s@1", word(2, 5)), "changed");
+  t.equal(limits.learn("s@1", observed(undefined, 10)), "nothing");
+  t.equal(limits.learn("s@1", observed(2, 5)), "changed");
   t.end();
 });
 
--- a/packages/gateway/src/front/header_names.ts
+++ b/packages/gateway/src/front/header_names.ts
@@ -13,7 +13,7 @@
   expectedServer: string;
   /** A server's word that it did not run the request. */
   notRun: string;
-  /** A server's word: requests a second that it takes from all entries. */
+  /** Requests a second that a server accepts from all entries together. */
   serverLimit: string;
   /** Marks an answer as a server's own. */
   seal: string;
--- a/packages/gateway/src/peers/granter.ts
+++ b/packages/gateway/src/peers/granter.ts
@@ -21,7 +21,7 @@
 import type { GrantAnswer } from "./held_ask.ts";
 import type { PeerMessage } from "./messages.ts";
 import type { PeerEntry, Peers } from "./peers.ts";
-import { ServerLimitWords } from "./server_limit_words.ts";
+import { SharedServerLimits } from "./shared_server_limits.ts";
 
 const NO_ANSWER: AnswerPace = { tokens: 0, measured: 0, pausePart: 0 };
 
@@ -50,7 +50,7 @@
   readonly #peers: () => Peers;
   readonly #own: Granting;
   /** What servers state of their limits. */
-  readonly limits: ServerLimitWords;
+  readonly limits: SharedServerLimits;
   readonly #held = new Map<string, HeldAsk>();
   #granting: string;
   #number = 0;
@@ -71,7 +71,7 @@
     this.#log = options.log;
     this.#peers = options.peers;
     this.#granting = options.instance;
-    this.limits = new ServerLimitWords({
+    this.limits = new SharedServerLimits({
       ...options,
       tell: (message) => {
         if (!this.#grantsItself) this.#tell(message);
@@ -183,7 +183,7 @@
   received(peer: string, message: PeerMessage): boolean {
     switch (message.type) {
       case "server_limit":
-        this.limits.told(message.server, message.word);
+        this.limits.told(message.server, message.observation);
         return true;
       case "grant":
         if (message.limit !== undefined) {
--- a/packages/gateway/src/peers/granting.ts
+++ b/packages/gateway/src/peers/granting.ts
@@ -21,7 +21,7 @@
 import type { GrantAnswer } from "./held_ask.ts";
 import type { AskMessage, PeerMessage } from "./messages.ts";
 import type { Peers } from "./peers.ts";
-import type { ServerLimitWords } from "./server_limit_words.ts";
+import type { SharedServerLimits } from "./shared_server_limits.ts";
 
 /** See the module. */
 export class Granting {
@@ -30,7 +30,7 @@
   readonly #peers: () => Peers;
   readonly #answered: (id: string, answer: GrantAnswer) => void;
   readonly #desk: Desk;
-  readonly #limits: ServerLimitWords;
+  readonly #limits: SharedServerLimits;
   /** Asks of other entries that wait or run here. */
   readonly #foreign = new Map<string, Ask>();
   #parts: GroupParts = { room: 1, quota: 1 };
@@ -44,7 +44,7 @@
       clock: () => number;
       peers: () => Peers;
       leeway: QuotaLeeway;
-      limits: ServerLimitWords;
+      limits: SharedServerLimits;
       /** Takes the answer to an ask of this entry. */
       answered: (id: string, answer: GrantAnswer) => void;
     },
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -48,15 +48,15 @@
   draining: v.boolean(),
 });
 
-/** See `LimitWord`; sent as an age. */
-const limitWord = v.object({
+/** See `LimitObservation`; sent as an age. */
+const limitObservation = v.object({
   /** Absent where the answer stated none. */
   perSecond: v.optional(v.pipe(v.number(), v.finite(), v.minValue(0))),
   by: text,
   age: duration,
 });
-/** See {@link limitWord}. */
-export type LimitWordMessage = v.InferOutput<typeof limitWord>;
+/** See {@link limitObservation}. */
+export type LimitObservationMessage = v.InferOutput<typeof limitObservation>;
 
 const stateName = v.picklist(["configuration", "servers"]);
 /** What entries pass on to each other of the store. */
@@ -151,10 +151,14 @@
     id: text,
     server: text,
     /** The server's limit in force, if it states one. */
-    limit: v.optional(limitWord),
+    limit: v.optional(limitObservation),
   }),
   /** What an answer of a server said of its limit. */
-  v.object({ type: v.literal("server_limit"), server: text, word: limitWord }),
+  v.object({
+    type: v.literal("server_limit"),
+    server: text,
+    observation: limitObservation,
+  }),
   v.object({
     type: v.literal("refuse"),
     id: text,
--- a/packages/gateway/src/peers/server_limit_words.ts
+++ b/packages/gateway/src/peers/shared_server_limits.ts
@@ -8,12 +8,12 @@
  * @module
  */
 import { ServerLimits, statedLimit } from "@sycamorepulley/decisions";
-import type { LimitWord, ServerLimit } from "@sycamorepulley/decisions";
+import type { LimitObservation, ServerLimit } from "@sycamorepulley/decisions";
 import type { EventLog } from "../observe/event_log.ts";
-import type { LimitWordMessage, PeerMessage } from "./messages.ts";
+import type { LimitObservationMessage, PeerMessage } from "./messages.ts";
 
 /** See the module. */
-export class ServerLimitWords {
+export class SharedServerLimits {
   /** What this entry knows, its own clock's times. */
   readonly known = new ServerLimits();
   readonly #instance: string;
@@ -53,19 +53,22 @@
     }
     const perSecond = stated.value;
     const heardAt = perSecond === undefined ? sentAt : this.#clock();
-    const word = { perSecond, by: this.#instance, heardAt };
-    if (this.#learn(server, word)) this.#tell(this.#messageOf(server, word));
+    const observation = { perSecond, by: this.#instance, heardAt };
+    if (this.#learn(server, observation)) {
+      this.#tell(this.#messageOf(server, observation));
+    }
   }
 
-  /** Takes the limit of a grant, or a peer's word. */
-  told(server: string, { age, perSecond, by }: LimitWordMessage): void {
-    this.#learn(server, { perSecond, by, heardAt: this.#clock() - age });
+  /** Takes the limit of a grant, or what a peer observed. */
+  told(server: string, { age, perSecond, by }: LimitObservationMessage): void {
+    const heardAt = this.#clock() - Math.max(0, age);
+    this.#learn(server, { perSecond, by, heardAt });
   }
 
   /** The limit in force of a server, to send along with a grant. */
-  inGrant(server: string): LimitWordMessage | undefined {
+  inGrant(server: string): LimitObservationMessage | undefined {
     const limit = this.known.find(server);
-    return limit && this.#wordMessage(limit);
+    return limit && this.#observationMessage(limit);
   }
 
   /** Tells the entry that grants all limits in force. */
@@ -84,11 +87,11 @@
   }
 
   /** True for news, or a limit that is heard again. */
-  #learn(server: string, word: LimitWord): boolean {
-    const change = this.known.learn(server, word);
+  #learn(server: string, observation: LimitObservation): boolean {
+    const change = this.known.learn(server, observation);
     if (change === "changed") {
-      const { by, perSecond } = word;
-      const age = Math.round(this.#clock() - word.heardAt);
+      const { by, perSecond } = observation;
+      const age = Math.round(this.#clock() - observation.heardAt);
       this.#log.write(
         perSecond === undefined
           ? { event: "server_limit_ended", server, by, age }
@@ -98,11 +101,17 @@
     return change !== "nothing";
   }
 
-  #messageOf(server: string, word: LimitWord): PeerMessage {
-    return { type: "server_limit", server, word: this.#wordMessage(word) };
+  #messageOf(server: string, observation: LimitObservation): PeerMessage {
+    return {
+      type: "server_limit",
+      server,
+      observation: this.#observationMessage(observation),
+    };
   }
 
-  #wordMessage({ perSecond, by, heardAt }: LimitWord): LimitWordMessage {
+  #observationMessage(
+    { perSecond, by, heardAt }: LimitObservation,
+  ): LimitObservationMessage {
     const age = this.#clock() - heardAt;
     return perSecond === undefined ? { by, age } : { perSecond, by, age };
   }
--- a/packages/gateway/test/load_report_test.ts
+++ b/packages/gateway/test/load_report_test.ts
@@ -2,7 +2,7 @@
 import { EventLog } from "../src/mod.ts";
 import { LoadReport } from "../src/observe/load_report.ts";
 import { GatewayMetrics } from "../src/observe/metrics.ts";
-import { ServerLimitWords } from "../src/peers/server_limit_words.ts";
+import { SharedServerLimits } from "../src/peers/shared_server_limits.ts";
 import type { Granter } from "../src/peers/granter.ts";
 import { Recorded } from "./recorded.ts";
 
@@ -11,7 +11,7 @@
   const clock = () => now;
   const instance = "entry-1";
   const log = new EventLog({ instance, sink: new Recorded(), clock });
-  const limits = new ServerLimitWords({ instance, clock, log, tell() {} });
+  const limits = new SharedServerLimits({ instance, clock, log, tell() {} });
   const metrics = new GatewayMetrics();
   const granter = {
     limits,
--- a/packages/gateway/test/server_limit_words_test.ts
+++ b/packages/gateway/test/shared_server_limits_test.ts
@@ -1,17 +1,17 @@
 import t from "tap";
 import { statedLimit } from "@sycamorepulley/decisions";
-import { ServerLimitWords } from "../src/peers/server_limit_words.ts";
+import { SharedServerLimits } from "../src/peers/shared_server_limits.ts";
 import type { PeerMessage } from "../src/peers/messages.ts";
 import { EventLog } from "../src/mod.ts";
 import { Recorded } from "./recorded.ts";
 
-/** The words of one entry, with what it logged and told. */
-function words(instance = "entry-1") {
+/** The limits that one entry knows, with what it logged and told. */
+function limitsOf(instance = "entry-1") {
   let now = 1000;
   const clock = () => now;
   const sink = new Recorded();
   const told: PeerMessage[] = [];
-  const kept = new ServerLimitWords({
+  const kept = new SharedServerLimits({
     instance,
     clock,
     log: new EventLog({ instance, sink, clock }),
@@ -27,7 +27,7 @@
     t.ok(statedLimit(value).isErr, value);
   }
   t.ok(statedLimit(["1", "2"]).isErr);
-  const { kept, told, logged, sink } = words();
+  const { kept, told, logged, sink } = limitsOf();
   kept.heard("s@1", "2.5", 900);
   kept.heard("s@1", "fast", 1500);
   t.equal(kept.known.find("s@1")?.perSecond, 2.5);
@@ -44,8 +44,8 @@
   t.end();
 });
 
-t.test("the granting entry is told of each word and of the end", (t) => {
-  const { kept, told, at } = words();
+t.test("the granting entry is told of each limit and of its end", (t) => {
+  const { kept, told, at } = limitsOf();
   kept.heard("s@1", "2", 900);
   at(1200);
   kept.heard("s@1", "2", 1100);
@@ -54,22 +54,30 @@
   kept.heard("s@1", undefined, 1400);
   kept.heard("s@1", undefined, 1450);
   t.match(told, [
-    { type: "server_limit", word: { perSecond: 2, by: "entry-1", age: 0 } },
-    { type: "server_limit", word: { perSecond: 2, by: "entry-1", age: 0 } },
-    { type: "server_limit", word: { by: "entry-1", age: 100 } },
+    {
+      type: "server_limit",
+      observation: { perSecond: 2, by: "entry-1", age: 0 },
+    },
+    {
+      type: "server_limit",
+      observation: { perSecond: 2, by: "entry-1", age: 0 },
+    },
+    { type: "server_limit", observation: { by: "entry-1", age: 100 } },
   ]);
   t.equal(kept.known.find("s@1"), undefined);
   t.end();
 });
 
-t.test("a word that is passed on keeps whose it is and grows older", (t) => {
-  const first = words("entry-1");
-  const second = words("entry-2");
+t.test("a limit that is passed on keeps its source and its age", (t) => {
+  const first = limitsOf("entry-1");
+  const second = limitsOf("entry-2");
   first.kept.heard("s@1", "2", 900);
   first.at(1300);
   second.kept.told("s@1", first.kept.inGrant("s@1")!);
   t.match(second.kept.known.find("s@1"), { by: "entry-1", heardAt: 700 });
   second.kept.tellAll();
-  t.match(second.told, [{ word: { perSecond: 2, by: "entry-1", age: 300 } }]);
+  t.match(second.told, [{
+    observation: { perSecond: 2, by: "entry-1", age: 300 },
+  }]);
   t.end();
 });
