Log arrivals and grants of the largest requests while a route is short

load lines say how many requests a service granted, not of which sizes. When the largest requests of a kind are refused, that leaves open whether they were passed over, or granted and then lost. The granting entry now logs a size_classes line each second for every tier and route of which fewer requests were granted than arrived.

No change of any decision.

--- a/packages/decisions/src/dispatch/group_scheduler.ts
+++ b/packages/decisions/src/dispatch/group_scheduler.ts
@@ -16,6 +16,7 @@
 } from "./grant_request.ts";
 import type { StreamTiming } from "./pooled_server.ts";
 import { ServiceScheduler } from "./service_scheduler.ts";
+import type { SizeClassCounts } from "./size_class_counts.ts";
 
 /** Outcomes after which the charge to the quota is refunded. */
 const NOT_RUN_OUTCOMES: ReadonlySet<RunOutcome> = new Set<RunOutcome>([
@@ -43,6 +44,13 @@
   granted: number;
 };
 
+/** Requests and grants of one priority class (tier and route) of a service. */
+export type SizeClassReport = {
+  service: string;
+  priorityClass: string;
+  counts: SizeClassCounts;
+};
+
 /**
  * Grants requests for a group of entries; {@link GroupScheduler.decide} makes
  * the decisions.
@@ -193,6 +201,19 @@
     }));
   }
 
+  /**
+   * Returns the requests and grants of each priority class since the last call.
+   */
+  takeSizeClassReports(): SizeClassReport[] {
+    const reports: SizeClassReport[] = [];
+    for (const [service, scheduler] of this.#services) {
+      for (const [priorityClass, counts] of scheduler.takeSizeClassCounts()) {
+        reports.push({ service, priorityClass, counts });
+      }
+    }
+    return reports;
+  }
+
   #schedulerOf(id: string): ServiceScheduler | undefined {
     const request = this.#requests.get(id);
     return request && this.#services.get(request.service);
--- a/packages/decisions/src/dispatch/mod.ts
+++ b/packages/decisions/src/dispatch/mod.ts
@@ -7,6 +7,6 @@
   RunOutcome,
 } from "./grant_request.ts";
 export { GroupScheduler } from "./group_scheduler.ts";
-export type { ServiceLoad } from "./group_scheduler.ts";
+export type { ServiceLoad, SizeClassReport } from "./group_scheduler.ts";
 export type { StreamTiming } from "./pooled_server.ts";
 export { ServiceScheduler } from "./service_scheduler.ts";
--- a/packages/decisions/src/dispatch/service_scheduler.ts
+++ b/packages/decisions/src/dispatch/service_scheduler.ts
@@ -33,6 +33,8 @@
 import type { StreamTiming } from "./pooled_server.ts";
 import { ServerPool } from "./server_pool.ts";
 import type { GrantedRequest, PoolSnapshot } from "./server_pool.ts";
+import { SizeClassCounter } from "./size_class_counts.ts";
+import type { SizeClassCounts } from "./size_class_counts.ts";
 import { SizeFairness } from "./size_fairness.ts";
 
 /** Leeway without effect, for a scheduler without quotas. */
@@ -53,6 +55,7 @@
   readonly #demand = new ServiceDemand();
   readonly #responseValue = new ResponseValue();
   readonly #fairness = new SizeFairness();
+  readonly #sizeClassCounter = new SizeClassCounter();
   readonly #queue = new RequestQueue();
   readonly #granted = new Map<string, GrantedRequest>();
   readonly #retryingCallers = new RetryingCallers();
@@ -90,6 +93,13 @@
     return this.#demand.grantsPerSecond(now);
   }
 
+  /**
+   * Returns the requests and grants of each priority class since the last call.
+   */
+  takeSizeClassCounts(): ReadonlyMap<string, SizeClassCounts> {
+    return this.#sizeClassCounter.take();
+  }
+
   /** Replaces the set of servers that may be sent requests. */
   setServers(records: readonly ServerRecord[]): void {
     this.#pool.setServers(records);
@@ -205,6 +215,7 @@
         return "passed_over";
       }
       const { requestClass, value } = queued;
+      this.#sizeClassCounter.countGrant(requestClass);
       this.#fairness.recordGrant(
         requestClass,
         nominalSlotTime(request.cost) / value,
@@ -237,6 +248,7 @@
       cost,
       isRetry,
     );
+    if (!isRetry) this.#sizeClassCounter.countRequest(requestClass);
     const ownValue = this.#responseValue.observe(priorityClass, cost);
     const value = this.#fairness.valueOf(requestClass, cost, ownValue);
     const latestStart = request.latencyGoalAt -
--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -173,4 +173,21 @@
     /** Total shares of all entries, as this one counts them. */
     fleet: number;
   }
+  /**
+   * Requests of one tier and route in the last second, while fewer were granted
+   * than arrived: all of them, the largest tenth and the fifth below it.
+   */
+  | {
+    event: "size_classes";
+    service: string;
+    /** Ranks of the tier and the route, as in `refused`. */
+    priorityClass: string;
+    /** Arrivals without retries, and grants, including those of retries. */
+    requests: number;
+    granted: number;
+    largest: number;
+    largestGranted: number;
+    large: number;
+    largeGranted: number;
+  }
   | { event: "omitted"; of: string; lines: number };
--- a/packages/gateway/src/observe/load_report.ts
+++ b/packages/gateway/src/observe/load_report.ts
@@ -31,6 +31,29 @@
     for (const load of this.#grantClient.loads()) {
       this.#log.write({ event: "load", ...load, ...fractions, fleet });
     }
+    this.#logSizeClasses();
+  }
+
+  /** Logs the priority classes of which fewer were granted than arrived. */
+  #logSizeClasses(): void {
+    for (const report of this.#grantClient.takeSizeClassReports()) {
+      const { service, priorityClass, counts } = report;
+      const { largest, large, usual } = counts;
+      const requests = largest.requests + large.requests + usual.requests;
+      const granted = largest.grants + large.grants + usual.grants;
+      if (granted >= requests) continue;
+      this.#log.write({
+        event: "size_classes",
+        service,
+        priorityClass,
+        requests,
+        granted,
+        largest: largest.requests,
+        largestGranted: largest.grants,
+        large: large.requests,
+        largeGranted: large.grants,
+      });
+    }
   }
 
   updateGauges(): void {
--- a/packages/gateway/src/peers/grant_client.ts
+++ b/packages/gateway/src/peers/grant_client.ts
@@ -12,6 +12,7 @@
   RunOutcome,
   ServerRecord,
   ServiceLoad,
+  SizeClassReport,
   StreamTiming,
 } from "@sycamorepulley/decisions";
 import type { EventLog } from "../observe/event_log.ts";
@@ -100,6 +101,11 @@
     return this.#localGranter.loads();
   }
 
+  /** See {@link LocalGranter.takeSizeClassReports}. */
+  takeSizeClassReports(): SizeClassReport[] {
+    return this.#localGranter.takeSizeClassReports();
+  }
+
   setServers(records: readonly ServerRecord[]): void {
     this.#localGranter.setServers(records);
   }
--- a/packages/gateway/src/peers/local_granter.ts
+++ b/packages/gateway/src/peers/local_granter.ts
@@ -17,6 +17,7 @@
   RunOutcome,
   ServerRecord,
   ServiceLoad,
+  SizeClassReport,
   StreamTiming,
 } from "@sycamorepulley/decisions";
 import { decodeGrantRequest } from "./grant_request_message.ts";
@@ -71,6 +72,11 @@
       : this.#scheduler.loads(this.#clock());
   }
 
+  /** See {@link GroupScheduler.takeSizeClassReports}. */
+  takeSizeClassReports(): SizeClassReport[] {
+    return this.#scheduler.takeSizeClassReports();
+  }
+
   setServers(records: readonly ServerRecord[]): void {
     this.#scheduler.setServers(records);
     this.#scheduleDelivery();
--- a/packages/gateway/test/load_report_test.ts
+++ b/packages/gateway/test/load_report_test.ts
@@ -35,3 +35,39 @@
   report.updateGauges();
   t.notMatch(await metrics.registry.metrics(), `${prefix}_per_second{`);
 });
+
+t.test("a priority class that is not fully granted is logged by size class", (t) => {
+  // Without it, starved large requests look like any other overload.
+  const sink = new RecordingSink();
+  const clock = () => 0;
+  const log = new EventLog({ instance: "entry-1", sink, clock });
+  const counts = (granted: number) => ({
+    largest: { requests: 2, grants: 0 },
+    large: { requests: 4, grants: 1 },
+    usual: { requests: 14, grants: granted - 1 },
+  });
+  const service = "calls";
+  const grantClient = {
+    fractions: { room: 1, quota: 1 },
+    loads: () => [],
+    takeSizeClassReports: () => [
+      { service, priorityClass: "0.0", counts: counts(20) },
+      { service, priorityClass: "0.1", counts: counts(9) },
+    ],
+  } as unknown as GrantClient;
+  const metrics = new GatewayMetrics();
+  const options = { grantClient, log, metrics, totalShares: () => 1 };
+  new LoadReport(options).log();
+  t.equal(sink.events.length, 1);
+  t.match(sink.events[0]?.context, {
+    service,
+    priorityClass: "0.1",
+    requests: 20,
+    granted: 9,
+    largest: 2,
+    largestGranted: 0,
+    large: 4,
+    largeGranted: 1,
+  });
+  t.end();
+});
