--- a/packages/decisions/test/fleet_simulation.ts
+++ b/packages/decisions/test/fleet_simulation.ts
@@ -97,7 +97,10 @@
   readonly grants: { at: number; organisation: string; charge: number }[] = [];
   /** All requests in order of arrival, without retries. */
   readonly requests: Call[] = [];
-  readonly #scheduler: GroupScheduler;
+  #scheduler: GroupScheduler;
+  /** Creates the scheduler that takes over at each of these times. */
+  readonly #takeovers: ReadonlyMap<number, () => GroupScheduler>;
+  readonly #waiting = new Map<string, GrantRequest>();
   readonly #profiles: readonly RequestProfile[];
   readonly #engines = new Map<string, Engine>();
   readonly #calls = new Map<string, Call>();
@@ -111,8 +114,11 @@
     /** Speeds of the engines, by server incarnation. */
     speeds: ReadonlyMap<string, number>;
     seed: number;
+    /** Times must be multiples of 5 ms. */
+    takeovers?: ReadonlyMap<number, () => GroupScheduler>;
   }) {
     this.#scheduler = options.scheduler;
+    this.#takeovers = options.takeovers ?? new Map();
     this.#profiles = options.profiles;
     this.#random = uniformSource(options.seed);
     for (const [name, speed] of options.speeds) {
@@ -133,6 +139,8 @@
   /** Sends requests from 0 to `end`, and runs until all of them have ended. */
   run(end: number): void {
     for (let now = 0; now < end || this.#calls.size > 0; now += TICK) {
+      const createScheduler = this.#takeovers.get(now);
+      if (createScheduler) this.#takeOver(createScheduler(), now);
       if (now < end) this.#arrive(now);
       this.#retry(now);
       for (const engine of this.#engines.values()) this.#step(engine, now);
@@ -142,6 +150,20 @@
     }
   }
 
+  /** Moves all requests, as entries do when their granting entry changes. */
+  #takeOver(scheduler: GroupScheduler, now: number): void {
+    this.#scheduler = scheduler;
+    for (const engine of this.#engines.values()) {
+      for (const run of engine.running) {
+        scheduler.adopt(run.request, engine.name);
+      }
+    }
+    for (const request of [...this.#waiting.values()]) {
+      const decision = scheduler.submit(request, now);
+      if (decision !== undefined) this.#apply(decision, now);
+    }
+  }
+
   #arrive(now: number): void {
     for (const profile of this.#profiles) {
       if (this.#random() >= profile.rate(now) * TICK / 1000) continue;
@@ -196,6 +218,7 @@
       excludedServers: [],
     };
     this.#calls.set(id, call);
+    this.#waiting.set(id, request);
     const decision = this.#scheduler.submit(request, now);
     if (decision !== undefined) this.#apply(decision, now);
   }
@@ -203,6 +226,7 @@
   #apply(decision: GrantDecision, now: number): void {
     const { request } = decision;
     const call = this.#calls.get(request.id)!;
+    this.#waiting.delete(request.id);
     if (decision.kind === "refuse") {
       this.#calls.delete(request.id);
       this.#recordRefusal(call, decision.retryAfter, now);
