Guarantee each size class a share of the grants of its kind

Cause: an underserved size class was ordered like the median of the last 256 granted requests of its kind. While an overload grows, that position lies behind the last one that is served.

Change: a size class is guaranteed .8 of its share of requests among the grants of its kind, without a reference to earlier positions.

--- a/packages/decisions/src/dispatch/mod.ts
+++ b/packages/decisions/src/dispatch/mod.ts
@@ -4,6 +4,7 @@
   GrantRefusalReason,
   GrantRequest,
   RefusalInputs,
+  RequestStanding,
   RunOutcome,
 } from "./grant_request.ts";
 export { GroupScheduler } from "./group_scheduler.ts";
--- a/packages/decisions/src/dispatch/priority_key.ts
+++ b/packages/decisions/src/dispatch/priority_key.ts
@@ -42,13 +42,18 @@
   standing: RequestStanding,
   value: number,
 ): number {
-  const standingValue = STANDING_VALUES[standing] * value;
+  const valueOfResponse = standingValue(standing) * value;
   const rank = TIER_FACTOR ** request.tierRank *
     ROUTE_FACTOR ** request.routeRank;
-  const key = nominalSlotTime(request.cost) * rank / standingValue;
+  const key = nominalSlotTime(request.cost) * rank / valueOfResponse;
   return key + request.arrived * ARRIVAL_WEIGHT;
 }
 
+/** Value of a response by the standing of its request; 1 if it is timely. */
+export function standingValue(standing: RequestStanding): number {
+  return STANDING_VALUES[standing];
+}
+
 const STANDING_VALUES: Record<RequestStanding, number> = {
   timely: 1,
   returned: RETRY_VALUE,
--- a/packages/decisions/src/dispatch/request_queue.ts
+++ b/packages/decisions/src/dispatch/request_queue.ts
@@ -1,9 +1,14 @@
-/** Queue of waiting requests, ordered by {@link priorityKey}. @module */
+/**
+ * Queue of waiting requests, ordered by {@link priorityKey}. Where a size class
+ * is owed a grant, its first request takes the position of the first one of its
+ * priority class.
+ * @module
+ */
 import { IndexedHeap, OUTSIDE_HEAP } from "../queueing/indexed_heap.ts";
 import type { HeapItem } from "../queueing/indexed_heap.ts";
 import type { GrantRequest, RequestStanding } from "./grant_request.ts";
-import { priorityKey } from "./priority_key.ts";
-import type { RequestClass } from "./size_fairness.ts";
+import { priorityKey, standingValue } from "./priority_key.ts";
+import type { RequestClass, SizeClass, SizeFairness } from "./size_fairness.ts";
 
 /** A waiting request; `key` determines its position in the queue. */
 export class QueuedRequest implements HeapItem {
@@ -36,18 +41,56 @@
 }
 
 /** What a visitor decides on a request: take it, pass it over, or stop. */
-export type VisitResult = "taken" | "passed_over" | "stop";
+export type VisitResult = "taken" | "quota_exceeded" | "no_server" | "stop";
 
 /** Weight of the insertion order among requests of the same millisecond. */
 const SEQUENCE_WEIGHT = 1e-9;
 
+/** The requests of one priority class, by size class. */
+class PriorityClassQueue {
+  readonly #heaps: Record<SizeClass, IndexedHeap<QueuedRequest>> = {
+    largest: new IndexedHeap(),
+    large: new IndexedHeap(),
+    usual: new IndexedHeap(),
+  };
+
+  push(queued: QueuedRequest): void {
+    this.#heaps[queued.requestClass.sizeClass].push(queued);
+  }
+
+  remove(queued: QueuedRequest): void {
+    this.#heaps[queued.requestClass.sizeClass].remove(queued);
+  }
+
+  first(): QueuedRequest | undefined {
+    const { largest, large, usual } = this.#heaps;
+    return smallestKey([largest.peek(), large.peek(), usual.peek()]);
+  }
+
+  /** The first request of a size class, unless its standing is worse. */
+  firstOf(
+    sizeClass: SizeClass,
+    standing: RequestStanding,
+  ): QueuedRequest | undefined {
+    const queued = this.#heaps[sizeClass].peek();
+    if (queued === undefined) return undefined;
+    const isWorse = standingValue(queued.standing) < standingValue(standing);
+    return isWorse ? undefined : queued;
+  }
+}
+
 /** Priority queue with access by request id. */
 export class RequestQueue {
-  readonly #heap = new IndexedHeap<QueuedRequest>();
+  readonly #fairness: SizeFairness;
+  readonly #classes = new Map<string, PriorityClassQueue>();
   readonly #byId = new Map<string, QueuedRequest>();
   #pushed = 0;
   #nextStandingEnd = Infinity;
 
+  constructor(fairness: SizeFairness) {
+    this.#fairness = fairness;
+  }
+
   /** Time before which no request's standing ends. */
   get nextStandingEnd(): number {
     return this.#nextStandingEnd;
@@ -60,7 +103,7 @@
   push(queued: QueuedRequest): void {
     queued.key += ++this.#pushed * SEQUENCE_WEIGHT;
     this.#byId.set(queued.request.id, queued);
-    this.#heap.push(queued);
+    this.#classOf(queued).push(queued);
     this.#nextStandingEnd = Math.min(
       this.#nextStandingEnd,
       queued.standingEndsAt,
@@ -71,7 +114,7 @@
     const queued = this.#byId.get(id);
     if (queued === undefined) return undefined;
     this.#byId.delete(id);
-    this.#heap.remove(queued);
+    this.#classOf(queued).remove(queued);
     return queued;
   }
 
@@ -83,16 +126,27 @@
    */
   visit(visitor: (queued: QueuedRequest) => VisitResult): void {
     const passedOver: QueuedRequest[] = [];
+    /** Priority classes whose owed requests suit no server that is free. */
+    const unsuited = new Set<string>();
     for (;;) {
-      const head = this.#heap.peek();
-      if (head === undefined) break;
-      const result = visitor(head);
+      const first = this.#first();
+      if (first === undefined) break;
+      const { priorityClass } = first.requestClass;
+      const owed = unsuited.has(priorityClass)
+        ? undefined
+        : this.#owedInsteadOf(first);
+      const next = owed ?? first;
+      const result = visitor(next);
       if (result === "stop") break;
-      this.#heap.remove(head);
-      if (result === "taken") this.#byId.delete(head.request.id);
-      else passedOver.push(head);
+      this.#classOf(next).remove(next);
+      if (result === "taken") {
+        this.#byId.delete(next.request.id);
+        continue;
+      }
+      passedOver.push(next);
+      if (next === owed && result === "no_server") unsuited.add(priorityClass);
     }
-    for (const queued of passedOver) this.#heap.push(queued);
+    for (const queued of passedOver) this.#classOf(queued).push(queued);
   }
 
   /** Removes and returns the requests whose standing has ended. */
@@ -113,4 +167,42 @@
   *[Symbol.iterator](): Generator<QueuedRequest> {
     yield* this.#byId.values();
   }
+
+  /** The request with the smallest key. */
+  #first(): QueuedRequest | undefined {
+    let first: QueuedRequest | undefined;
+    for (const queue of this.#classes.values()) {
+      first = smallestKey([first, queue.first()]);
+    }
+    return first;
+  }
+
+  /** The request that is owed the grant that `first` would get, if any. */
+  #owedInsteadOf(first: QueuedRequest): QueuedRequest | undefined {
+    const { priorityClass } = first.requestClass;
+    const sizeClass = this.#fairness.owedClass(priorityClass);
+    return sizeClass &&
+      this.#classOf(first).firstOf(sizeClass, first.standing);
+  }
+
+  #classOf({ requestClass }: QueuedRequest): PriorityClassQueue {
+    const { priorityClass } = requestClass;
+    let queue = this.#classes.get(priorityClass);
+    if (queue === undefined) {
+      queue = new PriorityClassQueue();
+      this.#classes.set(priorityClass, queue);
+    }
+    return queue;
+  }
+}
+
+function smallestKey(
+  candidates: readonly (QueuedRequest | undefined)[],
+): QueuedRequest | undefined {
+  let smallest: QueuedRequest | undefined;
+  for (const queued of candidates) {
+    if (queued === undefined) continue;
+    if (smallest === undefined || queued.key < smallest.key) smallest = queued;
+  }
+  return smallest;
 }
--- a/packages/decisions/src/dispatch/service_scheduler.ts
+++ b/packages/decisions/src/dispatch/service_scheduler.ts
@@ -29,7 +29,6 @@
 import { QuotaReservations } from "./quota_reservations.ts";
 import { retryAfter } from "./retry_after.ts";
 import { RetryingCallers } from "./retrying_callers.ts";
-import { nominalSlotTime } from "./latency_ratio.ts";
 import type { StreamTiming } from "./pooled_server.ts";
 import { ServerPool } from "./server_pool.ts";
 import type { GrantedRequest, PoolSnapshot } from "./server_pool.ts";
@@ -46,6 +45,13 @@
  */
 const MAXIMUM_PASSED_OVER = 40;
 
+/**
+ * Milliseconds after its arrival at which a request is submitted here, if it
+ * has waited for another granting entry. One that was submitted there first
+ * takes a few milliseconds.
+ */
+const MINIMUM_PRIOR_WAIT = 100;
+
 /**
  * Grants the servers of one service; {@link ServiceScheduler.decide} makes the
  * decisions.
@@ -56,7 +62,7 @@
   readonly #responseValue = new ResponseValue();
   readonly #fairness = new SizeFairness();
   readonly #sizeClassCounter = new SizeClassCounter();
-  readonly #queue = new RequestQueue();
+  readonly #queue = new RequestQueue(this.#fairness);
   readonly #granted = new Map<string, GrantedRequest>();
   readonly #retryingCallers = new RetryingCallers();
   readonly #quotas: OrganisationQuotas;
@@ -207,19 +213,17 @@
       if (snapshot.free.size === 0 || passedOver >= MAXIMUM_PASSED_OVER) {
         return "stop";
       }
-      if (!this.#quotaReservations.allows(request, now)) return "passed_over";
+      if (!this.#quotaReservations.allows(request, now)) {
+        return "quota_exceeded";
+      }
       const server = this.#pool.selectServer(request, snapshot, now);
       if (server === undefined) {
         this.#quotaReservations.release(request);
         passedOver++;
-        return "passed_over";
+        return "no_server";
       }
-      const { requestClass, value } = queued;
-      this.#sizeClassCounter.countGrant(requestClass);
-      this.#fairness.recordGrant(
-        requestClass,
-        nominalSlotTime(request.cost) / value,
-      );
+      this.#sizeClassCounter.countGrant(queued.requestClass);
+      this.#fairness.recordGrant(queued.requestClass);
       decisions.push(this.#grant({ request, server }, snapshot, now));
       return "taken";
     });
@@ -243,14 +247,13 @@
     const { cost, expiresAt } = request;
     const priorityClass = `${request.tierRank}.${request.routeRank}`;
     const isRetry = this.#retryingCallers.takeRetry(request.fingerprint, now);
-    const requestClass = this.#fairness.recordRequest(
-      priorityClass,
-      cost,
+    const hasWaited = now - request.arrived >= MINIMUM_PRIOR_WAIT;
+    const requestClass = this.#fairness.classify(priorityClass, cost, {
       isRetry,
-    );
+      hasWaited,
+    });
     if (!isRetry) this.#sizeClassCounter.countRequest(requestClass);
-    const ownValue = this.#responseValue.observe(priorityClass, cost);
-    const value = this.#fairness.valueOf(requestClass, cost, ownValue);
+    const value = this.#responseValue.observe(priorityClass, cost);
     const latestStart = request.latencyGoalAt -
       this.#pool.expectedFirstTokenTime(request, now);
     const isTimely = latestStart > now;
--- a/packages/decisions/src/dispatch/size_fairness.ts
+++ b/packages/decisions/src/dispatch/size_fairness.ts
@@ -2,168 +2,158 @@
  * Prevents the starvation of the largest requests of a priority class (tier and
  * route) while slots are scarce.
  *
- * The order by value per slot time puts the largest requests of a class last,
- * and as long as demand exceeds capacity the end of that order is never served.
- * Therefore the served fraction is tracked for each size class. While it is far
- * below that of the whole priority class, requests of the size class are
- * ordered like those of the priority class that are granted.
+ * The order by value per slot time puts the largest requests of a class last.
+ * In a short burst that serves most requests on time, but as long as demand
+ * exceeds capacity the end of the order is never served. Therefore each size
+ * class is guaranteed a minimum share of the grants of its priority class, of
+ * which it can only be short for a limited number of grants.
  * @module
  */
 import type { Cost } from "../queueing/mod.ts";
 import { RecentQuantiles } from "../estimates/recent_quantiles.ts";
 import { weightedTokens } from "./response_value.ts";
-import { nominalSlotTime } from "./latency_ratio.ts";
 
 /** The largest tenth of a priority class, the fifth below it, and the rest. */
 export type SizeClass = "largest" | "large" | "usual";
 
+/** Size classes with a guaranteed share of grants. */
+type GuaranteedClass = Exclude<SizeClass, "usual">;
+
+/** Fraction of the requests that are of each class. */
+const REQUEST_SHARES: Record<GuaranteedClass, number> = {
+  largest: 0.1,
+  large: 0.2,
+};
 /** Quantile of the sizes above which a request is of the largest class. */
-const LARGEST_QUANTILE = 0.9;
+const LARGEST_QUANTILE = 1 - REQUEST_SHARES.largest;
 /** Quantile of the sizes above which a request is at least large. */
-const LARGE_QUANTILE = 0.7;
-/**
- * Quantile of the slot times of granted requests at which requests of an
- * underserved size class are ordered.
- */
-const GRANTED_QUANTILE = 0.5;
+const LARGE_QUANTILE = LARGEST_QUANTILE - REQUEST_SHARES.large;
 /**
- * A size class is underserved if its served fraction is below this fraction of
- * the whole priority class's.
+ * Minimum share of grants of a size class, as a fraction of its share of
+ * requests.
  */
-const MINIMUM_RELATIVE_FRACTION = 0.6;
+const GUARANTEED_FRACTION = 0.8;
 /**
- * Number of requests of a priority class in which its counts decay to 1/e, so
- * that what was served before a burst hardly offsets what is refused in it.
+ * Number of grants of a priority class for which a size class may go without
+ * its share before it is owed the next one.
  */
-const DECAY_REQUESTS = 300;
-/** Factor by which each request of a priority class reduces its counts. */
-const DECAY_FACTOR = Math.exp(-1 / DECAY_REQUESTS);
+const TOLERATED_GRANTS = 75;
 /**
- * Number of requests of a priority class before its fractions are significant.
+ * Maximum number of grants that a size class is ahead by. With a larger one,
+ * grants before a burst would make up for refusals in it.
  */
-const MINIMUM_REQUESTS = 50;
+const MAXIMUM_LEAD = 1;
 
-/** Counts recent requests and grants, for the fraction that is served. */
-class ServedFraction {
-  #requests = 0;
-  #grants = 0;
+/** Compares the grants of a size class with its guaranteed share. */
+class GuaranteedShare {
+  /** Guaranteed grants of the size class for each grant of its priority class. */
+  readonly #perGrant: number;
+  /** Grants that the size class is short of; negative if it is ahead. */
+  #deficit = 0;
 
-  get requested(): number {
-    return this.#requests;
+  constructor(sizeClass: GuaranteedClass) {
+    this.#perGrant = GUARANTEED_FRACTION * REQUEST_SHARES[sizeClass];
   }
 
-  /** 1 before the first request. */
-  get value(): number {
-    return this.#requests === 0 ? 1 : this.#grants / this.#requests;
+  /** Grants by which the deficit exceeds the tolerated one. */
+  get excess(): number {
+    return this.#deficit - TOLERATED_GRANTS * this.#perGrant;
   }
 
-  countRequest(): void {
-    this.#requests++;
+  /** Makes the deficit as large as is tolerated, unless it is larger. */
+  useUpTolerance(): void {
+    this.#deficit = Math.max(
+      this.#deficit,
+      TOLERATED_GRANTS * this.#perGrant,
+    );
   }
 
-  countGrant(): void {
-    this.#grants++;
-  }
-
-  decay(): void {
-    this.#requests *= DECAY_FACTOR;
-    this.#grants *= DECAY_FACTOR;
+  recordGrant(isOwn: boolean): void {
+    this.#deficit += this.#perGrant - (isOwn ? 1 : 0);
+    this.#deficit = Math.max(-MAXIMUM_LEAD, this.#deficit);
+    // Without waiting requests a size class is not owed more than one grant.
+    this.#deficit -= Math.max(0, this.excess - (1 - this.#perGrant));
   }
 }
 
-/** Served fractions and sizes of the requests of one tier and route. */
-class PriorityClassStatistics {
-  readonly all = new ServedFraction();
-  readonly classes: Record<SizeClass, ServedFraction> = {
-    largest: new ServedFraction(),
-    large: new ServedFraction(),
-    usual: new ServedFraction(),
+/** Sizes of the requests, and shares of the grants, of one tier and route. */
+class PriorityClassGrants {
+  readonly #sizes = new RecentQuantiles();
+  readonly #shares: Record<GuaranteedClass, GuaranteedShare> = {
+    largest: new GuaranteedShare("largest"),
+    large: new GuaranteedShare("large"),
   };
-  readonly sizes = new RecentQuantiles();
-  /**
-   * Slot time in milliseconds per value of the response, of granted requests.
-   */
-  readonly grantedSlotTimes = new RecentQuantiles();
-
-  countRequest(size: number, sizeClass: SizeClass): void {
-    this.sizes.add(size);
-    this.all.decay();
-    for (const served of Object.values(this.classes)) served.decay();
-    this.all.countRequest();
-    this.classes[sizeClass].countRequest();
-  }
 
-  /**
-   * True while the size class is served far less often than the priority class.
-   */
-  isUnderserved(sizeClass: SizeClass): boolean {
-    if (this.all.requested < MINIMUM_REQUESTS) return false;
-    const minimum = MINIMUM_RELATIVE_FRACTION * this.all.value;
-    return this.classes[sizeClass].value < minimum;
+  addSize(size: number): void {
+    this.#sizes.add(size);
   }
 
-  classOf(size: number): SizeClass {
-    if (size > (this.sizes.value(LARGEST_QUANTILE) ?? Infinity)) {
+  sizeClassOf(size: number): SizeClass {
+    if (size > (this.#sizes.value(LARGEST_QUANTILE) ?? Infinity)) {
       return "largest";
     }
-    const isLarge = size > (this.sizes.value(LARGE_QUANTILE) ?? Infinity);
+    const isLarge = size > (this.#sizes.value(LARGE_QUANTILE) ?? Infinity);
     return isLarge ? "large" : "usual";
   }
+
+  useUpTolerance(): void {
+    for (const share of Object.values(this.#shares)) share.useUpTolerance();
+  }
+
+  recordGrant(granted: SizeClass): void {
+    this.#shares.largest.recordGrant(granted === "largest");
+    this.#shares.large.recordGrant(granted === "large");
+  }
+
+  /** The class that is owed the most, if any is owed a grant. */
+  get owedClass(): GuaranteedClass | undefined {
+    const largest = this.#shares.largest.excess;
+    const large = this.#shares.large.excess;
+    if (Math.max(largest, large) <= 0) return undefined;
+    return largest >= large ? "largest" : "large";
+  }
 }
 
-/** The class that {@link SizeFairness.recordRequest} counts a request in. */
+/** The classes that a request belongs to. */
 export type RequestClass = { priorityClass: string; sizeClass: SizeClass };
 
-/** Tracks served fractions by priority class and size class. */
+/** What is known of a request before it is queued. */
+export type RequestHistory = {
+  /** The request was refused before, and counted then. */
+  isRetry: boolean;
+  /** It has waited for a grant of another entry. */
+  hasWaited: boolean;
+};
+
+/** Determines size classes, and which of them are owed a grant. */
 export class SizeFairness {
-  readonly #statistics = new Map<string, PriorityClassStatistics>();
+  readonly #grants = new Map<string, PriorityClassGrants>();
 
   /**
-   * Counts a request, except for a retry, which was counted when it was
-   * refused.
+   * Determines the class of a request by the sizes of recent ones. A request
+   * that has waited elsewhere shows an overload that began under another
+   * granting entry, so no further deficit is tolerated.
    */
-  recordRequest(
+  classify(
     priorityClass: string,
     cost: Cost,
-    isRetry: boolean,
+    { isRetry, hasWaited }: RequestHistory,
   ): RequestClass {
-    const statistics = this.#statistics.get(priorityClass) ??
-      new PriorityClassStatistics();
-    this.#statistics.set(priorityClass, statistics);
+    const grants = this.#grants.get(priorityClass) ?? new PriorityClassGrants();
+    this.#grants.set(priorityClass, grants);
     const size = weightedTokens(cost);
-    const sizeClass = statistics.classOf(size);
-    if (!isRetry) statistics.countRequest(size, sizeClass);
+    const sizeClass = grants.sizeClassOf(size);
+    if (!isRetry) grants.addSize(size);
+    if (hasWaited) grants.useUpTolerance();
     return { priorityClass, sizeClass };
   }
 
-  /**
-   * Counts a grant. `slotTime` is in milliseconds per value of the response.
-   */
-  recordGrant(
-    { priorityClass, sizeClass }: RequestClass,
-    slotTime: number,
-  ): void {
-    const statistics = this.#statistics.get(priorityClass);
-    if (statistics === undefined) return;
-    statistics.all.countGrant();
-    statistics.classes[sizeClass].countGrant();
-    statistics.grantedSlotTimes.add(slotTime);
+  recordGrant({ priorityClass, sizeClass }: RequestClass): void {
+    this.#grants.get(priorityClass)?.recordGrant(sizeClass);
   }
 
-  /**
-   * Returns the value to order a request by: its own, or a larger one while its
-   * size class is underserved.
-   */
-  valueOf(
-    { priorityClass, sizeClass }: RequestClass,
-    cost: Cost,
-    ownValue: number,
-  ): number {
-    const statistics = this.#statistics.get(priorityClass);
-    const slotTime = statistics?.grantedSlotTimes.value(GRANTED_QUANTILE);
-    if (!statistics?.isUnderserved(sizeClass) || slotTime === undefined) {
-      return ownValue;
-    }
-    return Math.max(ownValue, nominalSlotTime(cost) / slotTime);
+  /** The size class that is owed the next grant of a priority class, if any. */
+  owedClass(priorityClass: string): SizeClass | undefined {
+    return this.#grants.get(priorityClass)?.owedClass;
   }
 }
