--- a/packages/decisions/test/overloaded_fleet.ts
+++ b/packages/decisions/test/overloaded_fleet.ts
@@ -112,7 +112,7 @@
   ]));
 }
 
-function servedFraction(calls: readonly Call[]): number {
+export function servedFraction(calls: readonly Call[]): number {
   return calls.filter(({ outcome }) => outcome.served).length / calls.length;
 }
 
