Guarantee each route of a tier a share of its grants

Seen while the starved sizes were verified, and the same class of fault: routes of a tier are ordered by rank, and while the more urgent ones exceed capacity nothing is left.

Change: a route is guaranteed half of its share of requests among the grants of its tier, by the mechanism of the size classes, which moves into guaranteed_share.ts. Its first request takes the position of the first one of the tier, unless its standing is worse or no free server suits it. Between tiers the order stays strict.

--- a/packages/decisions/src/dispatch/priority_key.ts
+++ b/packages/decisions/src/dispatch/priority_key.ts
@@ -33,6 +33,13 @@
  */
 const ARRIVAL_WEIGHT = 1e-6;
 
+/** Names the tier and route of a request. */
+export function priorityClassOf(
+  { tierRank, routeRank }: { tierRank: number; routeRank: number },
+): string {
+  return `${tierRank}.${routeRank}`;
+}
+
 /**
  * Returns the sort key of a request; the smallest key is served first. `value`
  * is the value of the response relative to others of its tier and route.
--- a/packages/decisions/src/dispatch/request_queue.ts
+++ b/packages/decisions/src/dispatch/request_queue.ts
@@ -1,13 +1,14 @@
 /**
- * Queue of waiting requests, ordered by {@link priorityKey}. Where a size class
- * is owed a grant, its first request takes the position of the first one of its
- * priority class.
+ * Queue of waiting requests, ordered by {@link priorityKey}. Where a route is
+ * owed a grant, its first request takes the position of the first one of its
+ * tier; where a size class is, that of the first one of its tier and route.
  * @module
  */
 import { IndexedHeap, OUTSIDE_HEAP } from "../queueing/indexed_heap.ts";
 import type { HeapItem } from "../queueing/indexed_heap.ts";
 import type { GrantRequest, RequestStanding } from "./grant_request.ts";
-import { priorityKey, standingValue } from "./priority_key.ts";
+import { priorityClassOf, priorityKey, standingValue } from "./priority_key.ts";
+import type { RouteFairness } from "./route_fairness.ts";
 import type { RequestClass, SizeClass, SizeFairness } from "./size_fairness.ts";
 
 /** A waiting request; `key` determines its position in the queue. */
@@ -67,28 +68,25 @@
     return smallestKey([largest.peek(), large.peek(), usual.peek()]);
   }
 
-  /** The first request of a size class, unless its standing is worse. */
-  firstOf(
-    sizeClass: SizeClass,
-    standing: RequestStanding,
-  ): QueuedRequest | undefined {
-    const queued = this.#heaps[sizeClass].peek();
-    if (queued === undefined) return undefined;
-    const isWorse = standingValue(queued.standing) < standingValue(standing);
-    return isWorse ? undefined : queued;
+  firstOf(sizeClass: SizeClass): QueuedRequest | undefined {
+    return this.#heaps[sizeClass].peek();
   }
 }
 
 /** Priority queue with access by request id. */
 export class RequestQueue {
-  readonly #fairness: SizeFairness;
+  readonly #sizeFairness: SizeFairness;
+  readonly #routeFairness: RouteFairness;
   readonly #classes = new Map<string, PriorityClassQueue>();
   readonly #byId = new Map<string, QueuedRequest>();
   #pushed = 0;
   #nextStandingEnd = Infinity;
 
-  constructor(fairness: SizeFairness) {
-    this.#fairness = fairness;
+  constructor(
+    fairness: { sizes: SizeFairness; routes: RouteFairness },
+  ) {
+    this.#sizeFairness = fairness.sizes;
+    this.#routeFairness = fairness.routes;
   }
 
   /** Time before which no request's standing ends. */
@@ -131,11 +129,7 @@
     for (;;) {
       const first = this.#first();
       if (first === undefined) break;
-      const { priorityClass } = first.requestClass;
-      const owed = unsuited.has(priorityClass)
-        ? undefined
-        : this.#owedInsteadOf(first);
-      const next = owed ?? first;
+      const next = this.#owedInsteadOf(first, unsuited);
       const result = visitor(next);
       if (result === "stop") break;
       this.#classOf(next).remove(next);
@@ -144,7 +138,9 @@
         continue;
       }
       passedOver.push(next);
-      if (next === owed && result === "no_server") unsuited.add(priorityClass);
+      if (next !== first && result === "no_server") {
+        unsuited.add(next.requestClass.priorityClass);
+      }
     }
     for (const queued of passedOver) this.#classOf(queued).push(queued);
   }
@@ -177,12 +173,31 @@
     return first;
   }
 
-  /** The request that is owed the grant that `first` would get, if any. */
-  #owedInsteadOf(first: QueuedRequest): QueuedRequest | undefined {
-    const { priorityClass } = first.requestClass;
-    const sizeClass = this.#fairness.owedClass(priorityClass);
-    return sizeClass &&
-      this.#classOf(first).firstOf(sizeClass, first.standing);
+  /** The request that is owed the grant that `first` would get, or `first`. */
+  #owedInsteadOf(
+    first: QueuedRequest,
+    unsuited: ReadonlySet<string>,
+  ): QueuedRequest {
+    const ofRoute = this.#owedByRoute(first, unsuited) ?? first;
+    const { priorityClass } = ofRoute.requestClass;
+    if (unsuited.has(priorityClass)) return ofRoute;
+    const sizeClass = this.#sizeFairness.owedClass(priorityClass);
+    const ofSize = sizeClass && this.#classOf(ofRoute).firstOf(sizeClass);
+    return ofSize && mayReplace(ofSize, ofRoute) ? ofSize : ofRoute;
+  }
+
+  #owedByRoute(
+    first: QueuedRequest,
+    unsuited: ReadonlySet<string>,
+  ): QueuedRequest | undefined {
+    const { tierRank } = first.request;
+    for (const routeRank of this.#routeFairness.owedRoutes(tierRank)) {
+      const priorityClass = priorityClassOf({ tierRank, routeRank });
+      if (unsuited.has(priorityClass)) continue;
+      const queued = this.#classes.get(priorityClass)?.first();
+      if (queued !== undefined && mayReplace(queued, first)) return queued;
+    }
+    return undefined;
   }
 
   #classOf({ requestClass }: QueuedRequest): PriorityClassQueue {
@@ -196,6 +211,11 @@
   }
 }
 
+/** True unless `owed` has a worse standing than the request that it passes. */
+function mayReplace(owed: QueuedRequest, passed: QueuedRequest): boolean {
+  return standingValue(owed.standing) >= standingValue(passed.standing);
+}
+
 function smallestKey(
   candidates: readonly (QueuedRequest | undefined)[],
 ): QueuedRequest | undefined {
--- a/packages/decisions/src/dispatch/service_scheduler.ts
+++ b/packages/decisions/src/dispatch/service_scheduler.ts
@@ -27,7 +27,9 @@
 import { QueuedRequest, RequestQueue } from "./request_queue.ts";
 import { ServiceDemand } from "./service_demand.ts";
 import { QuotaReservations } from "./quota_reservations.ts";
+import { priorityClassOf } from "./priority_key.ts";
 import { retryAfter } from "./retry_after.ts";
+import { RouteFairness } from "./route_fairness.ts";
 import { RetryingCallers } from "./retrying_callers.ts";
 import type { StreamTiming } from "./pooled_server.ts";
 import { ServerPool } from "./server_pool.ts";
@@ -60,9 +62,13 @@
   readonly #pool: ServerPool;
   readonly #demand = new ServiceDemand();
   readonly #responseValue = new ResponseValue();
-  readonly #fairness = new SizeFairness();
+  readonly #sizeFairness = new SizeFairness();
+  readonly #routeFairness = new RouteFairness();
   readonly #sizeClassCounter = new SizeClassCounter();
-  readonly #queue = new RequestQueue(this.#fairness);
+  readonly #queue = new RequestQueue({
+    sizes: this.#sizeFairness,
+    routes: this.#routeFairness,
+  });
   readonly #granted = new Map<string, GrantedRequest>();
   readonly #retryingCallers = new RetryingCallers();
   readonly #quotas: OrganisationQuotas;
@@ -223,7 +229,8 @@
         return "no_server";
       }
       this.#sizeClassCounter.countGrant(queued.requestClass);
-      this.#fairness.recordGrant(queued.requestClass);
+      this.#sizeFairness.recordGrant(queued.requestClass);
+      this.#routeFairness.recordGrant(request);
       decisions.push(this.#grant({ request, server }, snapshot, now));
       return "taken";
     });
@@ -245,10 +252,11 @@
 
   #queuedRequest(request: GrantRequest, now: number): QueuedRequest {
     const { cost, expiresAt } = request;
-    const priorityClass = `${request.tierRank}.${request.routeRank}`;
+    const priorityClass = priorityClassOf(request);
     const isRetry = this.#retryingCallers.takeRetry(request.fingerprint, now);
     const hasWaited = now - request.arrived >= MINIMUM_PRIOR_WAIT;
-    const requestClass = this.#fairness.classify(priorityClass, cost, {
+    if (!isRetry) this.#routeFairness.recordRequest(request, hasWaited);
+    const requestClass = this.#sizeFairness.classify(priorityClass, cost, {
       isRetry,
       hasWaited,
     });
--- a/packages/decisions/src/dispatch/size_fairness.ts
+++ b/packages/decisions/src/dispatch/size_fairness.ts
@@ -5,12 +5,12 @@
  * The order by value per slot time puts the largest requests of a class last.
  * In a short burst that serves most requests on time, but as long as demand
  * exceeds capacity the end of the order is never served. Therefore each size
- * class is guaranteed a minimum share of the grants of its priority class, of
- * which it can only be short for a limited number of grants.
+ * class is guaranteed a minimum share of the grants of its priority class.
  * @module
  */
 import type { Cost } from "../queueing/mod.ts";
 import { RecentQuantiles } from "../estimates/recent_quantiles.ts";
+import { GuaranteedShare } from "./guaranteed_share.ts";
 import { weightedTokens } from "./response_value.ts";
 
 /** The largest tenth of a priority class, the fifth below it, and the rest. */
@@ -33,55 +33,17 @@
  * requests.
  */
 const GUARANTEED_FRACTION = 0.8;
-/**
- * Number of grants of a priority class for which a size class may go without
- * its share before it is owed the next one.
- */
-const TOLERATED_GRANTS = 75;
-/**
- * Maximum number of grants that a size class is ahead by. With a larger one,
- * grants before a burst would make up for refusals in it.
- */
-const MAXIMUM_LEAD = 1;
-
-/** Compares the grants of a size class with its guaranteed share. */
-class GuaranteedShare {
-  /** Guaranteed grants of the size class for each grant of its priority class. */
-  readonly #perGrant: number;
-  /** Grants that the size class is short of; negative if it is ahead. */
-  #deficit = 0;
-
-  constructor(sizeClass: GuaranteedClass) {
-    this.#perGrant = GUARANTEED_FRACTION * REQUEST_SHARES[sizeClass];
-  }
-
-  /** Grants by which the deficit exceeds the tolerated one. */
-  get excess(): number {
-    return this.#deficit - TOLERATED_GRANTS * this.#perGrant;
-  }
-
-  /** Makes the deficit as large as is tolerated, unless it is larger. */
-  useUpTolerance(): void {
-    this.#deficit = Math.max(
-      this.#deficit,
-      TOLERATED_GRANTS * this.#perGrant,
-    );
-  }
-
-  recordGrant(isOwn: boolean): void {
-    this.#deficit += this.#perGrant - (isOwn ? 1 : 0);
-    this.#deficit = Math.max(-MAXIMUM_LEAD, this.#deficit);
-    // Without waiting requests a size class is not owed more than one grant.
-    this.#deficit -= Math.max(0, this.excess - (1 - this.#perGrant));
-  }
+/** The guaranteed share of a size class among the grants of its class. */
+function shareOf(sizeClass: GuaranteedClass): GuaranteedShare {
+  return new GuaranteedShare(GUARANTEED_FRACTION * REQUEST_SHARES[sizeClass]);
 }
 
 /** Sizes of the requests, and shares of the grants, of one tier and route. */
 class PriorityClassGrants {
   readonly #sizes = new RecentQuantiles();
   readonly #shares: Record<GuaranteedClass, GuaranteedShare> = {
-    largest: new GuaranteedShare("largest"),
-    large: new GuaranteedShare("large"),
+    largest: shareOf("largest"),
+    large: shareOf("large"),
   };
 
   addSize(size: number): void {
--- a/packages/decisions/test/request_queue_test.ts
+++ b/packages/decisions/test/request_queue_test.ts
@@ -1,38 +1,49 @@
 import t from "tap";
 import { QueuedRequest, RequestQueue } from "../src/dispatch/request_queue.ts";
 import type { VisitResult } from "../src/dispatch/request_queue.ts";
+import { RouteFairness } from "../src/dispatch/route_fairness.ts";
 import { SizeFairness } from "../src/dispatch/size_fairness.ts";
 import type { SizeClass } from "../src/dispatch/size_fairness.ts";
 import type { RequestStanding } from "../src/mod.ts";
 import { grantRequest } from "./grant_requests.ts";
 
-class FixedFairness extends SizeFairness {
+class FixedSizeFairness extends SizeFairness {
   override owedClass(priorityClass: string): SizeClass | undefined {
     return priorityClass === "0.0" ? "largest" : undefined;
   }
 }
 
+class FixedRouteFairness extends RouteFairness {
+  override owedRoutes(tierRank: number): number[] {
+    return tierRank === 0 ? [2] : [];
+  }
+}
+
 function queued(
   id: string,
   outputTokens: number,
   sizeClass: SizeClass,
-  options: { standing?: RequestStanding; routeRank?: number } = {},
+  options: {
+    standing?: RequestStanding;
+    tierRank?: number;
+    routeRank?: number;
+  } = {},
 ): QueuedRequest {
-  const { standing = "timely", routeRank = 0 } = options;
+  const { standing = "timely", tierRank = 0, routeRank = 0 } = options;
   const cost = { promptTokens: 100, outputTokens };
-  return new QueuedRequest(grantRequest({ id, cost, routeRank }), {
+  return new QueuedRequest(grantRequest({ id, cost, tierRank, routeRank }), {
     standing,
     standingEndsAt: 1000,
     value: 1,
-    requestClass: { priorityClass: `0.${routeRank}`, sizeClass },
+    requestClass: { priorityClass: `${tierRank}.${routeRank}`, sizeClass },
   });
 }
 
 function queueOf(
   requests: QueuedRequest[],
-  fairness = new FixedFairness(),
+  { sizes = new FixedSizeFairness(), routes = new RouteFairness() } = {},
 ): RequestQueue {
-  const queue = new RequestQueue(fairness);
+  const queue = new RequestQueue({ sizes, routes });
   for (const request of requests) queue.push(request);
   return queue;
 }
@@ -63,7 +74,9 @@
 });
 
 t.test("requests that nothing is owed to are visited in order", (t) => {
-  const queue = queueOf([large(), medium(), small()], new SizeFairness());
+  const queue = queueOf([large(), medium(), small()], {
+    sizes: new SizeFairness(),
+  });
   t.same(visitOrder(queue), ["small", "medium", "large"]);
   t.end();
 });
@@ -108,3 +121,26 @@
   t.equal(queue.size, 1);
   t.end();
 });
+
+t.test("an owed route takes the position of the first request of its tier only", (t) => {
+  const routes = new FixedRouteFairness();
+  const owed = queued("owed", 900, "usual", { routeRank: 2 });
+  const lowerTier = queued("lower tier", 5, "usual", { tierRank: 1 });
+  const lowerOwed = queued("lower owed", 900, "usual", {
+    tierRank: 1,
+    routeRank: 2,
+  });
+  const queue = queueOf([lowerOwed, lowerTier, owed, small()], { routes });
+  t.same(visitOrder(queue), ["owed", "small", "lower tier", "lower owed"]);
+  t.end();
+});
+
+t.test("slots that suit no request of an owed route go to the others", (t) => {
+  const routes = new FixedRouteFairness();
+  const owed = () => queued("owed", 900, "usual", { routeRank: 2 });
+  const next = () => queued("next", 950, "usual", { routeRank: 2 });
+  const queue = queueOf([owed(), next(), small()], { routes });
+  const order = visitOrder(queue, { owed: "no_server" });
+  t.same(order, ["owed", "small", "next"]);
+  t.end();
+});
