--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -134,6 +134,15 @@
     /** Number of servers that may have run the request. */
     sent: number;
   }
+  /** A server stated that it did not run the request. */
+  | {
+    event: "turned_away";
+    request: string;
+    server: string;
+    status: number;
+    /** The server's `Retry-After` header, if it sent one. */
+    retryAfter?: string;
+  }
   | {
     event: "cut";
     request: string;
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -33,7 +33,7 @@
    * The server stated that it did not run the request. `misdirected`: the
    * request was meant for another server.
    */
-  | { kind: "not_run"; misdirected: boolean }
+  | { kind: "not_run"; misdirected: boolean; head: ResponseHead }
   /** No complete response; the request may have run. */
   | { kind: "broken"; detail: string }
   /** Cancelled by the gateway. */
@@ -138,7 +138,8 @@
     const notRun =
       headers[this.#headerNames.notRun.toLowerCase()] !== undefined;
     if (notRun || status === MISDIRECTED) {
-      this.#finish({ kind: "not_run", misdirected: status === MISDIRECTED });
+      const misdirected = status === MISDIRECTED;
+      this.#finish({ kind: "not_run", misdirected, head: this.#head });
       return;
     }
     const body = Buffer.concat(this.#body);
--- a/packages/gateway/src/request/request_report.ts
+++ b/packages/gateway/src/request/request_report.ts
@@ -1,6 +1,7 @@
 /** Log events and metrics of one request. @module */
 import { incarnationOf } from "@sycamorepulley/decisions";
 import type { RefusalInputs, ServerRecord } from "@sycamorepulley/decisions";
+import type { ResponseHead } from "../backend/backend_connection.ts";
 import type { ParsedRequest } from "../front/parsed_request.ts";
 import type { ResponseProgress } from "./response_progress.ts";
 import type { ErrorReason } from "./error_response.ts";
@@ -65,6 +66,18 @@
     });
   }
 
+  /** Records that a server turned the request away. */
+  recordNotRun(server: ServerRecord, { status, headers }: ResponseHead): void {
+    const retryAfter = headers["retry-after"];
+    this.#context.log.write({
+      event: "turned_away",
+      request: this.#parsed.requestId,
+      server: server.id,
+      status,
+      ...(retryAfter !== undefined && { retryAfter: String(retryAfter) }),
+    });
+  }
+
   recordRefusal(
     reason: ErrorReason,
     response: {
--- a/packages/gateway/src/request/request_task.ts
+++ b/packages/gateway/src/request/request_task.ts
@@ -280,6 +280,7 @@
         connectionPool.release(server, connection);
         this.#uncountServer();
         this.#excludedServers.push(incarnationOf(server));
+        this.#report.recordNotRun(server, result.head);
         this.#retryOrRefuse(server, "not_run");
         return;
       case "broken":
--- a/packages/gateway/test/refusal_line_test.ts
+++ b/packages/gateway/test/refusal_line_test.ts
@@ -26,3 +26,22 @@
   t.ok(Number(line?.context["quotaWait"]) > 0);
   await fixture.stop();
 });
+
+t.test("the log tells that a server turned a request away, and for how long", async (t) => {
+  // Without it, refused requests look as if no server had been free.
+  const fixture = await Fixture.startReady();
+  for (const server of fixture.servers) {
+    server.respond = (response) =>
+      response.writeHead(503, { "x-not-run": "1", "retry-after": "0.5" }).end();
+  }
+  await fixture.call("/calls/");
+  const line = fixture.events
+    .find(({ message }) => message === "turned_away");
+  t.match(line?.context, {
+    request: "request-1",
+    server: /^s[01]$/,
+    status: 503,
+    retryAfter: "0.5",
+  });
+  await fixture.stop();
+});
