--- a/packages/gateway/src/front/header_names.ts
+++ b/packages/gateway/src/front/header_names.ts
@@ -15,6 +15,8 @@
   notRun: string;
   /** Requests per second that a server accepts from all entries together. */
   serverLimit: string;
+  /** Set by a server that will stop, on all its responses from then on. */
+  serverLeaving: string;
   /** Set by a server on its own responses; those of others lack it. */
   seal: string;
   /** Prompt tokens and maximum output tokens, separated by a comma. */
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -22,6 +22,7 @@
   expectedServer: "X-Expected-Server",
   notRun: "X-Not-Run",
   serverLimit: "X-Server-Limit",
+  serverLeaving: "X-Server-Leaving",
   seal: "X-Seal",
   tokenUsage: "X-Tokens",
   expectedOutputTokens: "X-Expected-Tokens",
