Send nothing to a server that has said it leaves

The store was out of reach, and its record the only source: nothing read the header of the answer.

Change: ServerDirectory takes what responses state beside the records, by incarnation and for good, so each grant and each connection is checked against it. The heartbeats of every entry name the registered servers that it knows to be leaving.

--- a/packages/decisions/src/discovery/server_directory.ts
+++ b/packages/decisions/src/discovery/server_directory.ts
@@ -1,6 +1,6 @@
 /**
  * Tracks which backend servers may be sent requests, from their records in the
- * store.
+ * store and from what they state in their responses.
  *
  * Each record is bound to a lease and may expire during an outage of the store
  * although its server is alive. A record that disappears around an outage is
@@ -11,8 +11,12 @@
  * A server that crashes may be back at its address under a new id before its
  * old record has expired. Only the server that started last at an address can
  * be running; it rejects requests meant for an earlier one.
+ *
+ * A server that leaves says so in its record and in its responses. The record
+ * may be late or out of reach, so the first of the two counts.
  * @module
  */
+import { LeavingServers } from "./leaving_servers.ts";
 import { incarnationOf } from "./server_record.ts";
 import type { ServerRecord } from "./server_record.ts";
 
@@ -30,6 +34,7 @@
 /** Server records by id, including those retained after an outage. */
 export class ServerDirectory {
   #records = new Map<string, ServerRecord>();
+  readonly #leaving = new LeavingServers();
   /**
    * Ids that disappeared around an outage, with the time at which they are
    * removed.
@@ -108,6 +113,25 @@
     this.#revision = Math.max(this.#revision, revision);
   }
 
+  /**
+   * Records that a response of this start of a server said that the server
+   * leaves. Returns false if that was known.
+   */
+  markLeaving(incarnation: string): boolean {
+    return this.#leaving.add(incarnation);
+  }
+
+  /**
+   * Incarnations of the registered servers that leave although their records
+   * don't say so yet.
+   */
+  leavingUnrecorded(): string[] {
+    return [...this.#records.values()]
+      .filter(({ draining }) => !draining)
+      .map(incarnationOf)
+      .filter((incarnation) => this.#leaving.has(incarnation));
+  }
+
   /** Returns all servers that may be sent requests now. */
   usable(now: number): ServerRecord[] {
     const usable: ServerRecord[] = [];
@@ -119,7 +143,9 @@
         this.#newestByAddress = undefined;
         continue;
       }
-      if (!record.draining && !this.#isSuperseded(record)) usable.push(record);
+      if (!this.#isLeaving(record) && !this.#isSuperseded(record)) {
+        usable.push(record);
+      }
     }
     return usable;
   }
@@ -135,16 +161,20 @@
   }
 
   /**
-   * Whether this start of the server is still registered, not draining and the
+   * Whether this start of the server is still registered, not leaving and the
    * last one at its address.
    */
   isUsable(record: ServerRecord): boolean {
     const current = this.#records.get(record.id);
-    return current !== undefined && !current.draining &&
+    return current !== undefined && !this.#isLeaving(current) &&
       incarnationOf(current) === incarnationOf(record) &&
       !this.#isSuperseded(current);
   }
 
+  #isLeaving(record: ServerRecord): boolean {
+    return record.draining || this.#leaving.has(incarnationOf(record));
+  }
+
   #isSuperseded(record: ServerRecord): boolean {
     this.#newestByAddress ??= newestByAddress(this.#records.values());
     const newest = this.#newestByAddress.get(addressOf(record));
--- a/packages/gateway/src/entry_status.ts
+++ b/packages/gateway/src/entry_status.ts
@@ -45,6 +45,7 @@
       listed,
       asks: grantClient.grantingEntry,
       shares: this.totalShares(),
+      leavingServers: state.directory.leavingUnrecorded(),
     };
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -176,6 +176,7 @@
         isConfigurationCurrent: () =>
           this.#stateSharing.configurationIsNewest(),
         findServer: (name) => this.#usableServers.find(name),
+        recordLeaving: (server) => this.#recordLeaving(server),
         consumeRetry: createRetryBudgets(
           () => this.#settings.bounds,
           () => this.#entryStatus.totalShares(),
@@ -293,8 +294,9 @@
     if (message.type === "members") {
       this.#fleetState.mergeMembers(message.members);
     }
-    if (message.type === "heartbeat" && message.leaving) {
-      this.#fleetState.membershipList.markDraining(peer);
+    if (message.type === "heartbeat") {
+      if (message.leaving) this.#fleetState.membershipList.markDraining(peer);
+      this.#fleetState.recordLeaving(message.leavingServers, peer);
     }
     this.#stateSharing.handleMessage(peer, message);
   }
@@ -373,6 +375,13 @@
     }
   }
 
+  #recordLeaving(server: string): void {
+    const { instance } = this.#settings;
+    if (!this.#fleetState.recordLeaving([server], instance)) return;
+    // Until its next heartbeat the granting entry would go on granting it.
+    this.#peers.announce("grantPeers");
+  }
+
   #refreshServers(): void {
     this.#grantClient.setServers(this.#usableServers.refresh(this.#clock()));
   }
--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -101,6 +101,8 @@
     age: number;
   }
   | { event: "server_limit_ended"; server: string; by: string; age: number }
+  /** A response said that its server leaves; `by` received it or passed it on. */
+  | { event: "server_leaving"; server: string; by: string }
   /** The value is not a decimal number; the previous limit stays in force. */
   | { event: "server_limit_unreadable"; server: string; value: string }
   | {
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -97,6 +97,8 @@
     processors: v.optional(v.pipe(v.number(), v.finite()), 1),
     /** The other entries certainly count the sender with its full share. */
     listed: v.boolean(),
+    /** Incarnations of servers that leave, as their responses said. */
+    leavingServers: v.optional(v.array(text), []),
     /** Maximum milliseconds until the sender's next heartbeat. */
     interval: v.optional(duration, 200),
     /** Requests an immediate heartbeat from the receiver. */
--- a/packages/gateway/src/peers/peer_link.ts
+++ b/packages/gateway/src/peers/peer_link.ts
@@ -24,6 +24,8 @@
   processors: number;
   /** The other entries certainly count the peer with its full share. */
   listed: boolean;
+  /** See `ServerDirectory.leavingUnrecorded`. */
+  leavingServers: string[];
 };
 
 /** Content of a heartbeat message; see `peerMessageSchema`. */
--- a/packages/gateway/src/request/request_context.ts
+++ b/packages/gateway/src/request/request_context.ts
@@ -26,6 +26,8 @@
   isConfigurationCurrent: () => boolean;
   /** The current record of a server; `undefined` if it may not be used. */
   findServer: (incarnation: string) => ServerRecord | undefined;
+  /** Records that a server said in a response that it leaves. */
+  recordLeaving: (incarnation: string) => void;
   drainAdmission: DrainAdmission;
   consumeRetry: ConsumeRetry;
 };
--- a/packages/gateway/src/request/server_attempt.ts
+++ b/packages/gateway/src/request/server_attempt.ts
@@ -1,7 +1,10 @@
 /** One attempt to run a request at one backend server. @module */
 import { incarnationOf } from "@sycamorepulley/decisions";
 import type { RunOutcome, ServerRecord } from "@sycamorepulley/decisions";
-import type { BackendConnection } from "../backend/backend_connection.ts";
+import type {
+  BackendConnection,
+  ResponseHead,
+} from "../backend/backend_connection.ts";
 import type { ParsedRequest } from "../front/parsed_request.ts";
 import type { ResponseProgress } from "./response_progress.ts";
 import { backendHeaders } from "./backend_headers.ts";
@@ -11,6 +14,7 @@
 import { silenceTimeouts } from "./timeouts.ts";
 import type { RequestContext } from "./request_context.ts";
 import type { ResolvedRequest } from "./resolve_request.ts";
+import { statesLeaving } from "./server_notices.ts";
 import { SilenceWatchdog } from "./silence_watchdog.ts";
 
 /**
@@ -110,15 +114,12 @@
   #createExchange(): Exchange {
     const { context, parsed, caller, progress } = this.#request;
     const { clock, grantClient, headerNames } = context;
-    const { grantId, server, connection } = this.#target;
+    const { grantId, connection } = this.#target;
     return new Exchange({
       headerNames,
       requestId: parsed.requestId,
       connection,
-      onHead: ({ headers }) => {
-        const limit = headers[headerNames.serverLimit.toLowerCase()];
-        grantClient.limits.observe(incarnationOf(server), limit, this.#sentAt);
-      },
+      onHead: (head) => this.#readNotices(head),
       onFirstPart: () => {
         progress.recordFirstPart(clock());
         grantClient.recordResponseStart(grantId, clock() - this.#sentAt);
@@ -133,6 +134,15 @@
       },
     });
   }
+
+  /** Reads what the server states about itself. */
+  #readNotices(head: ResponseHead): void {
+    const { grantClient, headerNames, recordLeaving } = this.#request.context;
+    const server = incarnationOf(this.#target.server);
+    const limit = head.headers[headerNames.serverLimit.toLowerCase()];
+    grantClient.limits.observe(server, limit, this.#sentAt);
+    if (statesLeaving(head, headerNames)) recordLeaving(server);
+  }
 }
 
 function runOutcomeOf(result: ExchangeResult): RunOutcome {
--- a/packages/gateway/src/state/fleet_state.ts
+++ b/packages/gateway/src/state/fleet_state.ts
@@ -143,6 +143,20 @@
     this.#onChange("servers");
   }
 
+  /**
+   * Records that servers leave, according to their responses or to a peer.
+   * `by` is this entry or the peer. Returns false if all of it was known.
+   */
+  recordLeaving(incarnations: readonly string[], by: string): boolean {
+    const news = incarnations
+      .filter((server) => this.directory.markLeaving(server));
+    for (const server of news) {
+      this.#log.write({ event: "server_leaving", server, by });
+    }
+    if (news.length > 0) this.#onChange("servers");
+    return news.length > 0;
+  }
+
   /** Entries that are not registered but may still run. */
   unregistered(): Map<string, Member> {
     const shares = this.membershipList.shares(this.#clock());
--- a/packages/gateway/test/heartbeats_test.ts
+++ b/packages/gateway/test/heartbeats_test.ts
@@ -17,6 +17,7 @@
     shares: 1,
     processors: 1,
     listed: true,
+    leavingServers: [],
     ...changes,
   };
 }
--- a/packages/gateway/test/server_leaving_test.ts
+++ b/packages/gateway/test/server_leaving_test.ts
@@ -8,6 +8,7 @@
   waitUntil,
 } from "./fixture.ts";
 import { streamEvent, writeSealedHead } from "./fake_backend_server.ts";
+import type { LoggedEvent } from "./recording_sink.ts";
 import type { FakeBackendServer } from "./fake_backend_server.ts";
 
 /** The servers still respond; these responses say that the server leaves. */
@@ -37,13 +38,23 @@
   return { store, entries };
 }
 
+/** Lines of all entries: the newest one's sink receives them. */
+function lines(entries: readonly Fixture[]): readonly LoggedEvent[] {
+  return entries.at(-1)!.events;
+}
+
 /** The entry that grants for all others, once there is one. */
 function grantingEntry(entries: readonly Fixture[]): Fixture | undefined {
-  return entries.find(({ events }) => {
-    const load = events.findLast(({ message }) => message === "load");
-    return load?.context["room"] === 1 &&
-      load.context["fleet"] === entries.length;
-  });
+  const load = lines(entries).findLast(({ message, context }) =>
+    message === "load" && context["room"] === 1 &&
+    context["fleet"] === entries.length
+  );
+  return entries
+    .find((_, index) => load?.context["instance"] === `entry-${index + 1}`);
+}
+
+function learned(entries: readonly Fixture[]): LoggedEvent[] {
+  return lines(entries).filter(({ message }) => message === "server_leaving");
 }
 
 /** Sends requests until a response says that its server leaves. */
@@ -105,12 +116,14 @@
   store.outage = true;
   announceLeaving(server);
   await callUntilLeaving(asking);
-  await setTimeout(100);
+  t.ok(await waitUntil(() => learned(entries).length === entries.length));
+  const instances = learned(entries).map(({ context }) => context["instance"]);
+  t.equal(new Set(instances).size, entries.length);
+  for (const { context } of learned(entries)) {
+    t.match(context, { server: "s0@1", by: /^entry-/ });
+  }
   for (const entry of entries) {
     t.equal(await countSent(entry, server), 0);
-    const line = entry.events
-      .find(({ message }) => message === "server_leaving");
-    t.match(line?.context, { server: /^s0/, by: /^entry-/ });
   }
   await stopAll(entries);
 });
@@ -122,7 +135,7 @@
   store.outage = true;
   announceLeaving(server);
   await callUntilLeaving(granting);
-  await setTimeout(100);
+  t.ok(await waitUntil(() => learned(entries).length === entries.length));
   const stopping = granting.gateway.stop();
   const others = entries.filter((entry) => entry !== granting);
   for (const entry of others) {
@@ -144,9 +157,7 @@
     instance: "entry-2",
   });
   await second.waitUntilReady();
-  const knows = () =>
-    second.events.some(({ message }) => message === "server_leaving");
-  t.ok(await waitUntil(knows));
+  t.ok(await waitUntil(() => learned([first, second]).length > 0));
   t.equal(await countSent(second, server), 0);
   await stopAll([first, second]);
 });
