Let a server rest from an entry for as long as it asks

Nothing read Retry-After of a server's answer.

Change: the entry keeps the end of each rest and checks every grant and every connection against it, so the promise holds whoever grants and whatever is lost. The granting entry hears of it with the end of the request or with the grant that is given back, and grants that server to other entries only. Requests of an entry that no free server takes are passed over without holding up others, and refused at once if none takes them before they expire.

--- a/packages/decisions/src/dispatch/group_scheduler.ts
+++ b/packages/decisions/src/dispatch/group_scheduler.ts
@@ -156,6 +156,11 @@
     this.#schedulerOf(id)?.recordStreamTiming(id, timing, now);
   }
 
+  /** See {@link ServiceScheduler.recordRequestedBackoff}. */
+  recordRequestedBackoff(id: string, duration: number, now: number): void {
+    this.#schedulerOf(id)?.recordRequestedBackoff(id, duration, now);
+  }
+
   /** See {@link ServiceScheduler.recordEnd}. */
   recordEnd(id: string, outcome: RunOutcome, now: number): void {
     const request = this.#requests.get(id);
--- a/packages/decisions/src/dispatch/pooled_server.ts
+++ b/packages/decisions/src/dispatch/pooled_server.ts
@@ -84,6 +84,8 @@
   #backoff = 0;
   /** Entries that failed to connect, and until when they are not sent here. */
   readonly #unreachableFrom = new Map<string, number>();
+  /** Entries of which the server requests a backoff, and until when. */
+  readonly #requestedBackoffs = new Map<string, number>();
 
   constructor(record: ServerRecord) {
     this.record = record;
@@ -133,7 +135,7 @@
     now: number,
   ): boolean {
     const { latencyRatios, largestPrefillLimit } = snapshot;
-    if (!this.#isReachableFrom(request.entry, now)) return false;
+    if (!this.isAvailableTo(request.entry, now)) return false;
     const { cost } = request;
     if (cost.promptTokens === 0) return true;
     if (!this.#admitsPrefill(cost.promptTokens, largestPrefillLimit)) {
@@ -246,12 +248,14 @@
   }
 
   /**
-   * Removes the runs of an entry, whose connections to the server have ended.
+   * Removes the runs of an entry, whose connections to the server have ended,
+   * and its backoff, which it reports again when it reconnects.
    */
   removeEntry(entry: string): void {
     for (const [id, run] of this.#runs) {
       if (run.entry === entry) this.removeRun(id);
     }
+    this.#requestedBackoffs.delete(entry);
   }
 
   /**
@@ -279,6 +283,26 @@
     if (this.#unreachableFrom.size > 1) this.markDown(now);
   }
 
+  /** Records that the server wants no requests of an entry until `until`. */
+  recordRequestedBackoff(entry: string, until: number): void {
+    const known = this.#requestedBackoffs.get(entry) ?? -Infinity;
+    this.#requestedBackoffs.set(entry, Math.max(known, until));
+  }
+
+  /**
+   * End of the backoff that the server requests of an entry; `-Infinity` if it
+   * requests none.
+   */
+  requestedBackoffEnd(entry: string): number {
+    return this.#requestedBackoffs.get(entry) ?? -Infinity;
+  }
+
+  /** False if an entry must not send to the server now, whatever it sends. */
+  isAvailableTo(entry: string, now: number): boolean {
+    return this.#isReachableFrom(entry, now) &&
+      now >= this.requestedBackoffEnd(entry);
+  }
+
   #rateAllows({ fractions, limit }: UsageBounds, now: number): boolean {
     if (limit === undefined) {
       this.#rateLimiter = undefined;
--- a/packages/decisions/src/dispatch/request_queue.ts
+++ b/packages/decisions/src/dispatch/request_queue.ts
@@ -42,7 +42,13 @@
 }
 
 /** What a visitor decides on a request: take it, pass it over, or stop. */
-export type VisitResult = "taken" | "quota_exceeded" | "no_server" | "stop";
+export type VisitResult =
+  | "taken"
+  /** Its organisation or its entry can't use any server now. */
+  | "blocked"
+  /** No free server suits it. */
+  | "no_server"
+  | "stop";
 
 /** Weight of the insertion order among requests of the same millisecond. */
 const SEQUENCE_WEIGHT = 1e-9;
--- a/packages/decisions/src/dispatch/server_pool.ts
+++ b/packages/decisions/src/dispatch/server_pool.ts
@@ -142,6 +142,35 @@
     };
   }
 
+  /** True if any free server may be sent requests by this entry now. */
+  hasServerFor(entry: string, { free }: PoolSnapshot, now: number): boolean {
+    for (const server of free.values()) {
+      if (server.isAvailableTo(entry, now)) return true;
+    }
+    return false;
+  }
+
+  /**
+   * Time at which the first server that was not tried for the request wants
+   * requests of its entry again; in the past if one does now.
+   */
+  requestedBackoffEnd({ entry, excludedServers }: GrantRequest): number {
+    let first = Infinity;
+    for (const [name, server] of this.#servers) {
+      if (excludedServers.includes(name)) continue;
+      first = Math.min(first, server.requestedBackoffEnd(entry));
+    }
+    return first;
+  }
+
+  /** Records that a server wants no requests of an entry until `until`. */
+  recordRequestedBackoff(
+    { request, server }: GrantedRequest,
+    until: number,
+  ): void {
+    this.#servers.get(server)?.recordRequestedBackoff(request.entry, until);
+  }
+
   /** Returns the free server that is expected to respond soonest. */
   selectServer(
     request: GrantRequest,
--- a/packages/decisions/src/dispatch/service_scheduler.ts
+++ b/packages/decisions/src/dispatch/service_scheduler.ts
@@ -131,6 +131,10 @@
     if (tried >= this.#pool.size) {
       return this.#refusal(request, "no_server", now);
     }
+    // Whether any server could be sent the request before it expires.
+    if (this.#pool.requestedBackoffEnd(request) > request.expiresAt) {
+      return this.#refusal(request, "overload", now);
+    }
     const queued = this.#queuedRequest(request, now);
     const runTime = this.#pool.expectedRunTime(request, now);
     this.#demand.recordArrival(queued.key, runTime, now);
@@ -174,6 +178,17 @@
     this.#pool.recordStreamTiming(granted, timing, now);
   }
 
+  /**
+   * Records that the server of a granted request wants no further requests of
+   * the same entry for `duration` milliseconds. Must be called before
+   * {@link ServiceScheduler.recordEnd} or {@link ServiceScheduler.withdraw}.
+   */
+  recordRequestedBackoff(id: string, duration: number, now: number): void {
+    const granted = this.#granted.get(id);
+    if (granted === undefined) return;
+    this.#pool.recordRequestedBackoff(granted, now + duration);
+  }
+
   /** Records how the run of a granted request ended. */
   recordEnd(id: string, outcome: RunOutcome, now: number): void {
     const granted = this.#granted.get(id);
@@ -214,14 +229,22 @@
   #grantWaiting(decisions: GrantDecision[], now: number): void {
     const snapshot = this.#pool.snapshot(now);
     let passedOver = 0;
+    const blockedEntries = new Map<string, boolean>();
+    const isBlocked = (entry: string): boolean => {
+      let blocked = blockedEntries.get(entry);
+      if (blocked === undefined) {
+        blocked = !this.#pool.hasServerFor(entry, snapshot, now);
+        blockedEntries.set(entry, blocked);
+      }
+      return blocked;
+    };
     this.#queue.visit((queued) => {
       const { request } = queued;
       if (snapshot.free.size === 0 || passedOver >= MAXIMUM_PASSED_OVER) {
         return "stop";
       }
-      if (!this.#quotaReservations.allows(request, now)) {
-        return "quota_exceeded";
-      }
+      if (isBlocked(request.entry)) return "blocked";
+      if (!this.#quotaReservations.allows(request, now)) return "blocked";
       const server = this.#pool.selectServer(request, snapshot, now);
       if (server === undefined) {
         this.#quotaReservations.release(request);
--- a/packages/decisions/src/mod.ts
+++ b/packages/decisions/src/mod.ts
@@ -2,6 +2,7 @@
  * Decisions under load, without access to network, clock or randomness.
  * @module
  */
+export * from "./backoff/mod.ts";
 export * from "./discovery/mod.ts";
 export * from "./dispatch/mod.ts";
 export * from "./ejection/mod.ts";
--- a/packages/decisions/test/request_queue_test.ts
+++ b/packages/decisions/test/request_queue_test.ts
@@ -114,9 +114,9 @@
   t.end();
 });
 
-t.test("an owed request beyond its quota leaves its position to the next one", (t) => {
+t.test("an owed request that is blocked leaves its position to the next one", (t) => {
   const queue = queueOf([small(), large(), larger()]);
-  const order = visitOrder(queue, { large: "quota_exceeded" });
+  const order = visitOrder(queue, { large: "blocked" });
   t.same(order, ["large", "larger", "small"]);
   t.equal(queue.size, 1);
   t.end();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,6 +6,7 @@
 import { randomBytes } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { HEARTBEAT_EVERY, ProcessLifecycle } from "@sycamorepulley/decisions";
+import type { ServerRecord } from "@sycamorepulley/decisions";
 import type { MetadataStore } from "@sycamorepulley/store";
 import type { Result } from "true-myth/result";
 import { ConnectionPool } from "./backend/connection_pool.ts";
@@ -175,7 +176,7 @@
         activeConfiguration: () => this.#fleetState.activeConfiguration,
         isConfigurationCurrent: () =>
           this.#stateSharing.configurationIsNewest(),
-        findServer: (name) => this.#usableServers.find(name),
+        findServer: (name) => this.#findServer(name),
         recordLeaving: (server) => this.#recordLeaving(server),
         consumeRetry: createRetryBudgets(
           () => this.#settings.bounds,
@@ -375,6 +376,13 @@
     }
   }
 
+  /** The record of a server; `undefined` if it may not be sent requests now. */
+  #findServer(incarnation: string): ServerRecord | undefined {
+    const { backoffs } = this.#grantClient;
+    if (backoffs.remaining(incarnation, this.#clock()) > 0) return undefined;
+    return this.#usableServers.find(incarnation);
+  }
+
   #recordLeaving(server: string): void {
     const { instance } = this.#settings;
     if (!this.#fleetState.recordLeaving([server], instance)) return;
--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -103,6 +103,10 @@
   | { event: "server_limit_ended"; server: string; by: string; age: number }
   /** A response said that its server leaves; `by` received it or passed it on. */
   | { event: "server_leaving"; server: string; by: string }
+  /** A server wants no requests of this entry for `duration` milliseconds. */
+  | { event: "server_backoff"; server: string; duration: number }
+  /** The value is not a decimal number of seconds; it is ignored. */
+  | { event: "server_backoff_unreadable"; server: string; value: string }
   /** The value is not a decimal number; the previous limit stays in force. */
   | { event: "server_limit_unreadable"; server: string; value: string }
   | {
--- a/packages/gateway/src/peers/grant_client.ts
+++ b/packages/gateway/src/peers/grant_client.ts
@@ -3,7 +3,11 @@
  * entry of its group, the connected entries. That may be this entry itself.
  * @module
  */
-import { groupFractions, selectGrantingEntry } from "@sycamorepulley/decisions";
+import {
+  groupFractions,
+  RequestedBackoffs,
+  selectGrantingEntry,
+} from "@sycamorepulley/decisions";
 import type {
   GrantRequest,
   GroupFractions,
@@ -53,6 +57,8 @@
   readonly #localGranter: LocalGranter;
   /** Request-rate limits that backend servers state. */
   readonly limits: SharedServerLimits;
+  /** Backoffs that servers request of this entry, by server incarnation. */
+  readonly backoffs = new RequestedBackoffs();
   readonly #pending = new Map<string, PendingGrant>();
   #grantingEntry: string;
   #submittedCount = 0;
@@ -180,8 +186,11 @@
     const pending = this.#pending.get(id);
     if (pending === undefined) return;
     this.#pending.delete(id);
-    if (this.#grantsLocally) this.#localGranter.withdraw(pending.request);
-    else this.#sendToGrantingEntry({ type: "withdraw", id });
+    const backoff = this.#requestedBackoff(pending);
+    if (this.#grantsLocally) {
+      this.#localGranter.recordRequestedBackoff(id, backoff);
+      this.#localGranter.withdraw(pending.request);
+    } else this.#sendToGrantingEntry({ type: "withdraw", id, backoff });
   }
 
   /** `measured`: milliseconds from sending until the response began. */
@@ -200,11 +209,22 @@
     outcome: RunOutcome,
     timing: StreamTiming = NO_STREAM_TIMING,
   ): void {
-    if (!this.#pending.delete(id)) return;
-    if (this.#grantsLocally) this.#localGranter.recordEnd(id, outcome, timing);
-    else {
-      this.#sendToGrantingEntry({ type: "ended", id, end: outcome, ...timing });
+    const pending = this.#pending.get(id);
+    if (pending === undefined) return;
+    this.#pending.delete(id);
+    const backoff = this.#requestedBackoff(pending);
+    if (this.#grantsLocally) {
+      this.#localGranter.recordRequestedBackoff(id, backoff);
+      this.#localGranter.recordEnd(id, outcome, timing);
+      return;
     }
+    this.#sendToGrantingEntry({
+      type: "ended",
+      id,
+      end: outcome,
+      ...timing,
+      backoff,
+    });
   }
 
   /** Handles a peer's message about grants; returns false for any other. */
@@ -262,6 +282,13 @@
     this.#localGranter.deliverDecisions();
   }
 
+  /** Milliseconds of backoff that the granted server requests, if any. */
+  #requestedBackoff({ server }: PendingGrant): number {
+    return server === undefined
+      ? 0
+      : this.backoffs.remaining(server, this.#clock());
+  }
+
   get #grantsLocally(): boolean {
     return this.#grantingEntry === this.#instance;
   }
@@ -303,7 +330,7 @@
     if (pending === undefined || pending.server !== undefined) {
       // It was withdrawn meanwhile, or has been granted by another entry.
       if (result.kind === "grant" && result.by !== this.#instance) {
-        this.#peers().send(result.by, { type: "withdraw", id });
+        this.#peers().send(result.by, { type: "withdraw", id, backoff: 0 });
       }
       return;
     }
--- a/packages/gateway/src/peers/local_granter.ts
+++ b/packages/gateway/src/peers/local_granter.ts
@@ -129,6 +129,12 @@
     this.#scheduleDelivery();
   }
 
+  /** See {@link GroupScheduler.recordRequestedBackoff}. */
+  recordRequestedBackoff(id: string, duration: number): void {
+    if (duration <= 0) return;
+    this.#scheduler.recordRequestedBackoff(id, duration, this.#clock());
+  }
+
   recordEnd(id: string, outcome: RunOutcome, timing: StreamTiming): void {
     const now = this.#clock();
     this.#scheduler.recordStreamTiming(id, timing, now);
@@ -143,6 +149,7 @@
         this.#handleGrantRequest(peer, message);
         return true;
       case "withdraw":
+        this.recordRequestedBackoff(message.id, message.backoff);
         this.#removePeerRequest(
           message.id,
           (request) => this.withdraw(request),
@@ -156,6 +163,7 @@
         return true;
       case "ended":
         this.#peerRequests.delete(message.id);
+        this.recordRequestedBackoff(message.id, message.backoff);
         this.recordEnd(message.id, message.end, message);
         return true;
       default:
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -66,6 +66,12 @@
   typeof limitObservationSchema
 >;
 
+/**
+ * Milliseconds for which the granted server wants no further requests of the
+ * sender.
+ */
+const requestedBackoff = v.optional(duration, 0);
+
 const stateNameSchema = v.picklist(["configuration", "servers"]);
 /** State of the store that entries pass on to each other. */
 export type StateName = v.InferOutput<typeof stateNameSchema>;
@@ -135,7 +141,11 @@
   }),
   grantRequestMessageSchema,
   /** The grant request no longer waits, or its grant was not used. */
-  v.object({ type: v.literal("withdraw"), id: text }),
+  v.object({
+    type: v.literal("withdraw"),
+    id: text,
+    backoff: requestedBackoff,
+  }),
   /** The sender has another granting entry now; granted requests still run. */
   v.object({ type: v.literal("release"), id: text }),
   /** `measured`: milliseconds from sending until the response began. */
@@ -148,6 +158,7 @@
     measured: duration,
     /** Longest pause between tokens, divided by the longest accepted one. */
     pausePart: v.optional(v.pipe(v.number(), v.finite()), 0),
+    backoff: requestedBackoff,
     end: v.picklist([
       "answered",
       "failed",
--- a/packages/gateway/src/request/request_context.ts
+++ b/packages/gateway/src/request/request_context.ts
@@ -24,7 +24,10 @@
   activeConfiguration: () => ActiveConfiguration | undefined;
   /** False if the configuration in force may be out of date. */
   isConfigurationCurrent: () => boolean;
-  /** The current record of a server; `undefined` if it may not be used. */
+  /**
+   * The current record of a server; `undefined` if it may not be sent requests
+   * now.
+   */
   findServer: (incarnation: string) => ServerRecord | undefined;
   /** Records that a server said in a response that it leaves. */
   recordLeaving: (incarnation: string) => void;
--- a/packages/gateway/src/request/request_task.ts
+++ b/packages/gateway/src/request/request_task.ts
@@ -180,7 +180,8 @@
     }
     const record = findServer(grantResult.server);
     if (record === undefined) {
-      // The server is draining, and the granting entry does not know it yet.
+      // The server leaves or wants no requests of this entry for a while, and
+      // the granting entry does not know it yet.
       grantClient.withdraw(id);
       this.#excludedServers.push(grantResult.server);
       return undefined;
--- a/packages/gateway/src/request/server_attempt.ts
+++ b/packages/gateway/src/request/server_attempt.ts
@@ -1,5 +1,5 @@
 /** One attempt to run a request at one backend server. @module */
-import { incarnationOf } from "@sycamorepulley/decisions";
+import { incarnationOf, parseRetryAfter } from "@sycamorepulley/decisions";
 import type { RunOutcome, ServerRecord } from "@sycamorepulley/decisions";
 import type {
   BackendConnection,
@@ -23,6 +23,9 @@
  */
 const UNRESPONSIVE_AFTER = 1500;
 
+/** HTTP status of a server that turns a request away for its own state. */
+const UNAVAILABLE = 503;
+
 /** The request, and the state that all attempts of it share. */
 export type AttemptRequest = {
   context: RequestContext;
@@ -142,6 +145,22 @@
     const limit = head.headers[headerNames.serverLimit.toLowerCase()];
     grantClient.limits.observe(server, limit, this.#sentAt);
     if (statesLeaving(head, headerNames)) recordLeaving(server);
+    if (head.status === UNAVAILABLE) this.#readBackoff(server, head);
+  }
+
+  /** Reads for how long the server wants no further requests. */
+  #readBackoff(server: string, { headers }: ResponseHead): void {
+    const { grantClient, clock, log } = this.#request.context;
+    const requested = parseRetryAfter(headers["retry-after"]);
+    if (requested.isErr) {
+      const { error: value } = requested;
+      log.write({ event: "server_backoff_unreadable", server, value });
+      return;
+    }
+    const duration = requested.value;
+    if (duration === undefined) return;
+    grantClient.backoffs.record(server, duration, clock());
+    log.write({ event: "server_backoff", server, duration });
   }
 }
 
