Learn nothing good of a server that turns requests away

Cause: a response that turns a request away counted as a fast first part and as a success. The servers that shed looked fastest, and the working ones were ejected for being slow beside them. Errors (5xx) and a 421 of another server at the address counted as fast, too.

Change: only a response of a run without a server error says something of speed, and turning requests away counts as a failure for the ejection.

--- a/packages/decisions/src/dispatch/server_pool.ts
+++ b/packages/decisions/src/dispatch/server_pool.ts
@@ -276,6 +276,7 @@
         server.refundLimit();
         server.markUnreachableFrom(request.entry, now);
         return;
+      case "not_run":
       case "failed":
       case "broken":
         this.#ejection.recordFailure(name, "error", now);
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -54,7 +54,7 @@
   readonly #sink: StreamSink;
   readonly #connection: BackendConnection;
   readonly #onHead: (head: ResponseHead) => void;
-  readonly #onFirstPart: () => void;
+  readonly #onFirstPart: (status: number) => void;
   #resolveDone!: (result: ExchangeResult) => void;
   #abortSending: (() => void) | undefined;
   #head: ResponseHead | undefined;
@@ -73,8 +73,11 @@
       sink: StreamSink;
       /** Called with the head of a response that the server itself sent. */
       onHead: (head: ResponseHead) => void;
-      /** Called at a stream's first event, or the end of a plain response. */
-      onFirstPart: () => void;
+      /**
+       * Called at a stream's first event, or the end of a plain response to a
+       * request that may have run.
+       */
+      onFirstPart: (status: number) => void;
     },
   ) {
     super();
@@ -133,15 +136,16 @@
       this.#endStream();
       return;
     }
-    this.#markFirstPart();
     const { status, headers } = this.#head;
-    const notRun =
+    const misdirected = status === MISDIRECTED;
+    const notRun = misdirected ||
       headers[this.#headerNames.notRun.toLowerCase()] !== undefined;
-    if (notRun || status === MISDIRECTED) {
-      const misdirected = status === MISDIRECTED;
+    if (notRun) {
+      this.firstPartReceived = true;
       this.#finish({ kind: "not_run", misdirected, head: this.#head });
       return;
     }
+    this.#markFirstPart();
     const body = Buffer.concat(this.#body);
     this.#finish({ kind: "plain", head: this.#head, body });
   }
@@ -171,7 +175,7 @@
   #markFirstPart(): void {
     if (this.firstPartReceived) return;
     this.firstPartReceived = true;
-    this.#onFirstPart();
+    this.#onFirstPart(this.#head!.status);
   }
 
   #bufferBody(chunk: Buffer): void {
--- a/packages/gateway/src/request/server_attempt.ts
+++ b/packages/gateway/src/request/server_attempt.ts
@@ -23,6 +23,8 @@
  */
 const UNRESPONSIVE_AFTER = 1500;
 
+/** Lowest HTTP status of a server's own errors. */
+const FIRST_SERVER_ERROR = 500;
 /** HTTP status of a server that turns a request away for its own state. */
 const UNAVAILABLE = 503;
 
@@ -123,8 +125,10 @@
       requestId: parsed.requestId,
       connection,
       onHead: (head) => this.#readNotices(head),
-      onFirstPart: () => {
+      onFirstPart: (status) => {
         progress.recordFirstPart(clock());
+        // An error at once says nothing of the server's speed.
+        if (status >= FIRST_SERVER_ERROR) return;
         grantClient.recordResponseStart(grantId, clock() - this.#sentAt);
       },
       sink: {
@@ -169,7 +173,7 @@
     case "stream":
       return "answered";
     case "plain":
-      return result.head.status >= 500 ? "failed" : "answered";
+      return result.head.status >= FIRST_SERVER_ERROR ? "failed" : "answered";
     case "not_run":
       return result.misdirected ? "misdirected" : "not_run";
     case "broken":
