Heed at the sidecar what its server states

Change: a server that says in a response that it leaves counts as unhealthy until a health check sent later no longer says it, and after a 503 with Retry-After the sidecar grants nothing for that time and states it as the wait to expect. The emulated servers can say both.

--- a/packages/daemon/src/common/settings.ts
+++ b/packages/daemon/src/common/settings.ts
@@ -79,6 +79,11 @@
 /** Settings of an entry. */
 export type EntrySettings = v.InferOutput<typeof entrySchema>;
 
+const headerNameSchema = v.pipe(
+  v.string(),
+  v.regex(/^[A-Za-z0-9-]+$/, "use a header name: letters, digits, -"),
+);
+
 const sidecarSchema = v.strictObject({
   role: v.literal("sidecar"),
   ...commonFields,
@@ -90,13 +95,9 @@
     healthPath: v.optional(v.pipe(v.string(), v.startsWith("/")), "/health"),
     healthInterval: v.optional(positiveInteger, 1000),
     /** Header in which the server states its limit of requests per second. */
-    limitHeader: v.optional(
-      v.pipe(
-        v.string(),
-        v.regex(/^[A-Za-z0-9-]+$/, "use a header name: letters, digits, -"),
-      ),
-      "X-Server-Limit",
-    ),
+    limitHeader: v.optional(headerNameSchema, "X-Server-Limit"),
+    /** Header with the value 1 in the responses of a server that leaves. */
+    leavingHeader: v.optional(headerNameSchema, "X-Server-Leaving"),
   }),
   bounds: v.optional(
     v.strictObject({
--- a/packages/daemon/src/sidecar/backend_client.ts
+++ b/packages/daemon/src/sidecar/backend_client.ts
@@ -75,20 +75,23 @@
   }
 
   /**
-   * Resolves to whether the server responds to a GET of `path` with a status
-   * below 400 within `timeout` milliseconds.
+   * Resolves to the headers of the server's response to a GET of `path`, if its
+   * status is below 400 and it comes within `timeout` milliseconds.
    */
-  async probe(path: string, timeout: number): Promise<boolean> {
+  async probe(
+    path: string,
+    timeout: number,
+  ): Promise<HttpHeaders | undefined> {
     try {
-      const { statusCode, body } = await this.#pool.request({
+      const { statusCode, headers, body } = await this.#pool.request({
         method: "GET",
         path,
         signal: AbortSignal.timeout(timeout),
       });
       await body.dump();
-      return statusCode < 400;
+      return statusCode < 400 ? endToEndHeaders(headers) : undefined;
     } catch {
-      return false;
+      return undefined;
     }
   }
 
--- a/packages/daemon/src/sidecar/health_probe.ts
+++ b/packages/daemon/src/sidecar/health_probe.ts
@@ -1,5 +1,7 @@
 /** Checks the health of the backend server at intervals. @module */
 import { setTimeout as sleep } from "node:timers/promises";
+import type { HttpHeaders } from "@sycamorepulley/protocol";
+import { monotonicNow } from "../common/clock.ts";
 import type { BackendClient } from "./backend_client.ts";
 
 /** Options of {@link HealthProbe}; `interval` in milliseconds. */
@@ -8,6 +10,11 @@
   path: string;
   interval: number;
   onChange: (healthy: boolean) => void;
+  /**
+   * Called with the headers of each successful probe's response, and when the
+   * probe was sent, in monotonic milliseconds.
+   */
+  onResponse: (headers: HttpHeaders, sentAt: number) => void;
 };
 
 /**
@@ -48,11 +55,15 @@
   /** Probes the server once; resolves to whether the probe succeeded. */
   async check(): Promise<boolean> {
     const { client, path } = this.#options;
-    const isHealthy = await client.probe(path, PROBE_TIMEOUT);
+    const sentAt = monotonicNow();
+    const headers = await client.probe(path, PROBE_TIMEOUT);
+    const isHealthy = headers !== undefined;
     if (this.#stop.signal.aborted) return isHealthy;
     this.#failures = isHealthy ? 0 : this.#failures + 1;
-    if (isHealthy) this.#setHealthy(true);
-    else if (this.#failures >= UNHEALTHY_THRESHOLD) this.#setHealthy(false);
+    if (headers !== undefined) {
+      this.#options.onResponse(headers, sentAt);
+      this.#setHealthy(true);
+    } else if (this.#failures >= UNHEALTHY_THRESHOLD) this.#setHealthy(false);
     return isHealthy;
   }
 
--- a/packages/daemon/src/sidecar/running_request.ts
+++ b/packages/daemon/src/sidecar/running_request.ts
@@ -16,7 +16,7 @@
 /** Receives the progress of responses, for the server's limits. */
 export type ProgressListener = {
   /** `startedAt`: when the request was sent, in monotonic milliseconds. */
-  onHead(headers: HttpHeaders, startedAt: number): void;
+  onHead(status: number, headers: HttpHeaders, startedAt: number): void;
   onFirstToken(id: string, now: number): void;
   onProgress(id: string, outputTokens: number): void;
 };
@@ -77,7 +77,7 @@
   }
 
   override receiveHead(status: number, headers: HttpHeaders): void {
-    this.#listener.onHead(headers, this.#startedAt);
+    this.#listener.onHead(status, headers, this.#startedAt);
     this.#connection.send({
       type: "head",
       reservation: this.handOver.reservation,
--- a/packages/daemon/src/sidecar/sidecar.ts
+++ b/packages/daemon/src/sidecar/sidecar.ts
@@ -44,6 +44,8 @@
   readonly #crashReporter: CrashReporter;
   #draining = false;
   #healthy = false;
+  /** When the backend server said last that it leaves, if it still does. */
+  #serverLeavingSince: number | undefined;
   #tickTimer: NodeJS.Timeout | undefined;
 
   constructor(options: SidecarOptions) {
@@ -60,8 +62,10 @@
     this.#running = new RunningRequests({
       client: options.client,
       listener: {
-        onHead: (headers, startedAt) =>
-          this.#observeServerLimit(headers, startedAt),
+        onHead: (status, headers, startedAt) => {
+          this.#observeServerLimit(headers, startedAt);
+          this.#observeNotices(status, headers, startedAt);
+        },
         onFirstToken: (id, now) => this.#scheduler.recordFirstToken(id, now),
         onProgress: (id, outputTokens) =>
           this.#applyDecisions(
@@ -84,8 +88,11 @@
       waiting: this.#scheduler.waiting,
       limit: this.#options.concurrencyLimit(),
       ...this.#lowestTier(),
-      expectedWait: this.#options.expectedWait(now),
-      healthy: this.#healthy && !this.#draining,
+      expectedWait: Math.max(
+        this.#options.expectedWait(now),
+        this.#scheduler.remainingPause(now),
+      ),
+      healthy: this.#acceptsRequests && !this.#draining,
     };
   }
 
@@ -109,10 +116,35 @@
     this.#options.log.info(
       healthy ? "backend server healthy" : "backend server unhealthy",
     );
-    if (healthy) this.#scheduler.open();
+    if (this.#acceptsRequests) this.#scheduler.open();
+    else {
+      this.#applyDecisions(this.#scheduler.close("unhealthy", now));
+      if (!healthy) this.#crashReporter.reportCrash(now);
+    }
+    this.#broadcast(this.load);
+  }
+
+  /**
+   * Handles the headers of a response, received at `now`, to a request sent at
+   * `sentAt`. A server leaves for good, so one whose later response does not
+   * say so has been started again.
+   */
+  observeLeaving(headers: HttpHeaders, sentAt: number, now: number): void {
+    const before = this.#serverLeavingSince;
+    const leaving = this.#options.notices.statesLeaving(headers);
+    if (leaving) this.#serverLeavingSince = now;
+    else if (sentAt > (before ?? Infinity)) {
+      this.#serverLeavingSince = undefined;
+    }
+    const changed =
+      (before === undefined) !== (this.#serverLeavingSince === undefined);
+    if (!changed) return;
+    this.#options.log.info(
+      leaving ? "backend server leaving" : "backend server no longer leaving",
+    );
+    if (this.#acceptsRequests) this.#scheduler.open();
     else {
       this.#applyDecisions(this.#scheduler.close("unhealthy", now));
-      this.#crashReporter.reportCrash(now);
     }
     this.#broadcast(this.load);
   }
@@ -171,7 +203,7 @@
     const reason = refusalReason(reserve, {
       service,
       draining: this.#draining,
-      healthy: this.#healthy,
+      healthy: this.#acceptsRequests,
       versionStopped: this.#options.versionGuard.isStopped(now),
     });
     if (reason) return this.#refuse(connection, reserve.reservation, reason);
@@ -297,6 +329,25 @@
     );
   }
 
+  #observeNotices(
+    status: number,
+    headers: HttpHeaders,
+    startedAt: number,
+  ): void {
+    const { notices, log } = this.#options;
+    const now = monotonicNow();
+    this.observeLeaving(headers, startedAt, now);
+    const backoff = notices.requestedBackoff(status, headers);
+    if (backoff === 0) return;
+    log.info("backend server requests a backoff", { backoff });
+    this.#scheduler.pause(backoff, now);
+    this.#broadcast(this.load);
+  }
+
+  get #acceptsRequests(): boolean {
+    return this.#healthy && this.#serverLeavingSince === undefined;
+  }
+
   #broadcast(message: Message): void {
     for (const connection of this.#connections) connection.send(message);
   }
--- a/packages/daemon/src/sidecar/sidecar_options.ts
+++ b/packages/daemon/src/sidecar/sidecar_options.ts
@@ -9,6 +9,7 @@
 import type { BackendClient } from "./backend_client.ts";
 import type { EntryConnection } from "./entry_connection.ts";
 import type { HealthProbe } from "./health_probe.ts";
+import type { ServerNotices } from "./server_notices.ts";
 import type { StatedServerLimit } from "./stated_server_limit.ts";
 import type { VersionGuard } from "./version_guard.ts";
 
@@ -39,6 +40,7 @@
   /** Returns the number of requests that may run at once. */
   concurrencyLimit: () => number;
   statedServerLimit: StatedServerLimit;
+  notices: ServerNotices;
   metrics: Metrics;
   log: Log;
 };
--- a/packages/daemon/src/sidecar/start_sidecar.ts
+++ b/packages/daemon/src/sidecar/start_sidecar.ts
@@ -23,6 +23,7 @@
 import { EntryConnection } from "./entry_connection.ts";
 import { HealthProbe } from "./health_probe.ts";
 import { Sidecar } from "./sidecar.ts";
+import { ServerNotices } from "./server_notices.ts";
 import { StatedServerLimit } from "./stated_server_limit.ts";
 import { VersionGuard } from "./version_guard.ts";
 import { SidecarEstimates } from "./sidecar_estimates.ts";
@@ -46,6 +47,8 @@
     path: settings.backendServer.healthPath,
     interval: settings.backendServer.healthInterval,
     onChange: (healthy) => sidecar.setHealthy(healthy),
+    onResponse: (headers, sentAt) =>
+      sidecar.observeLeaving(headers, sentAt, monotonicNow()),
   });
   let sequence = 0;
   const serveLink = (
@@ -166,6 +169,10 @@
       configuration.handleMessage(connection, message);
     },
     concurrencyLimit: () => dependencies.limit.limit,
+    notices: new ServerNotices({
+      leavingHeader: settings.backendServer.leavingHeader,
+      log,
+    }),
     statedServerLimit: new StatedServerLimit({
       header: settings.backendServer.limitHeader,
       instance: settings.instance,
--- a/packages/decisions/src/granting/reservation_scheduler.ts
+++ b/packages/decisions/src/granting/reservation_scheduler.ts
@@ -60,6 +60,7 @@
   #suspectWaitsSince: number | undefined;
   #closedFor: ReservationRefusalReason | undefined;
   #rateLimiter: ServerRateLimiter | undefined;
+  #pausedUntil = -Infinity;
 
   constructor(options: { queue: WaitingQueue; limit: ConcurrencyLimit }) {
     this.#queue = options.queue;
@@ -101,6 +102,19 @@
     return this.#grantAll(now);
   }
 
+  /**
+   * Grants nothing for `duration` milliseconds, as the server requests. A
+   * longer pause that is in force remains.
+   */
+  pause(duration: number, now: number): void {
+    this.#pausedUntil = Math.max(this.#pausedUntil, now + duration);
+  }
+
+  /** Milliseconds until grants are made again; 0 without a pause. */
+  remainingPause(now: number): number {
+    return Math.max(0, this.#pausedUntil - now);
+  }
+
   /** Queues a reservation, or refuses it; may grant it at once. */
   reserve(reservation: WaitingReservation, now: number): ReservationDecision[] {
     if (this.#closedFor) return [refuse(reservation, this.#closedFor)];
@@ -206,7 +220,7 @@
 
   #grantAll(now: number): ReservationDecision[] {
     const decisions: ReservationDecision[] = [];
-    if (this.#closedFor) return decisions;
+    if (this.#closedFor || now < this.#pausedUntil) return decisions;
     for (;;) {
       const reservation = this.#queue.take(
         now,
--- a/packages/decisions/test/reservation_scheduler_test.ts
+++ b/packages/decisions/test/reservation_scheduler_test.ts
@@ -96,3 +96,16 @@
   t.match(scheduler.setRateLimit(undefined, 800), [{ kind: "grant", id: "c" }]);
   t.end();
 });
+
+t.test("nothing is granted in a pause, which a shorter one does not end", (t) => {
+  // Guards against requests to a server that wants none for a while.
+  const scheduler = createScheduler(2);
+  scheduler.pause(3000, 1000);
+  scheduler.pause(100, 1500);
+  t.same(scheduler.reserve(waitingReservation("a"), 1600), []);
+  t.same(scheduler.tick(3999), []);
+  t.equal(scheduler.remainingPause(3999), 1);
+  t.match(scheduler.tick(4000), [{ kind: "grant", id: "a" }]);
+  t.equal(scheduler.remainingPause(4000), 0);
+  t.end();
+});
--- a/packages/emulator/src/faults/faults.ts
+++ b/packages/emulator/src/faults/faults.ts
@@ -16,6 +16,14 @@
   perSecond: v.union([v.pipe(v.number(), v.minValue(0)), v.string()]),
 });
 
+/** Every request but the health check is turned away with status 503. */
+export const turnAwaySchema = v.strictObject({
+  /** Seconds, sent as `Retry-After`; a string is sent unchanged. */
+  retryAfter: v.optional(
+    v.union([v.pipe(v.number(), v.minValue(0)), v.string()]),
+  ),
+});
+
 /** All faults; those left out are off. */
 export const faultsSchema = v.strictObject({
   /** Factor by which steps and calls take longer. */
@@ -33,6 +41,9 @@
    */
   cutAfterTokens: v.optional(v.number()),
   statedLimit: v.optional(statedLimitSchema),
+  /** Every response says that the server leaves, in this header. */
+  leavingHeader: v.optional(v.string()),
+  turnAway: v.optional(turnAwaySchema),
   /** Result of the health check. */
   healthy: v.optional(v.boolean(), true),
 });
--- a/packages/emulator/src/server/backend_server.ts
+++ b/packages/emulator/src/server/backend_server.ts
@@ -2,12 +2,15 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { handleControlRequest } from "../faults/control_routes.ts";
 import type { FaultInjector } from "../faults/fault_injector.ts";
-import type { FaultsInput } from "../faults/faults.ts";
+import type { Faults, FaultsInput } from "../faults/faults.ts";
 import type { History } from "../history/history.ts";
 import type { HistoryRecord } from "../history/history_record.ts";
 import { listen } from "./emulated_server.ts";
 import type { EmulatedServer, ListenOptions } from "./emulated_server.ts";
-import { toRequestListener } from "./http_messages.ts";
+import { sendJson, toRequestListener } from "./http_messages.ts";
+
+/** Path of the health check, which is not turned away. */
+const HEALTH_PATH = "/health";
 
 /** A started backend server with its history and faults. */
 export type BackendServer = EmulatedServer & {
@@ -40,10 +43,11 @@
   const server = await listen(
     toRequestListener(async (request, response) => {
       if (await handleControlRequest(request, response, handler)) return;
-      const { statedLimit } = handler.faultInjector.faults;
-      if (statedLimit !== undefined) {
-        const { header, perSecond } = statedLimit;
-        response.setHeader(header, String(perSecond));
+      const { faults } = handler.faultInjector;
+      stateNotices(response, faults);
+      if (faults.turnAway !== undefined && request.url !== HEALTH_PATH) {
+        sendJson(response, 503, { error: { message: "overloaded" } });
+        return;
       }
       await handler.handleRequest(request, response);
     }),
@@ -62,3 +66,15 @@
     setFaults: (faults) => handler.faultInjector.setFaults(faults),
   };
 }
+
+/** Sets the headers in which the server states something about itself. */
+function stateNotices(response: ServerResponse, faults: Faults): void {
+  const { statedLimit, leavingHeader, turnAway } = faults;
+  if (statedLimit !== undefined) {
+    response.setHeader(statedLimit.header, String(statedLimit.perSecond));
+  }
+  if (leavingHeader !== undefined) response.setHeader(leavingHeader, "1");
+  if (turnAway?.retryAfter !== undefined) {
+    response.setHeader("retry-after", String(turnAway.retryAfter));
+  }
+}
--- a/packages/emulator/test/engine_test.ts
+++ b/packages/emulator/test/engine_test.ts
@@ -131,3 +131,22 @@
   engine.setFaults({});
   t.equal(await limitOf(true), undefined);
 });
+
+t.test("a server that turns requests away runs none, and stays healthy", async (t) => {
+  const engine = await startEngine({ settings: FAST });
+  t.teardown(() => engine.close());
+  engine.setFaults({ turnAway: { retryAfter: 1.5 }, leavingHeader: "x-leave" });
+  const refused = await complete(engine, { prompt: "x" });
+  t.equal(refused.statusCode, 503);
+  t.match(refused.headers, { "retry-after": "1.5", "x-leave": "1" });
+  await refused.body.dump();
+  t.equal(engine.records.length, 0);
+  const health = await request(`${engine.url}/health`);
+  t.equal(health.statusCode, 200);
+  await health.body.dump();
+  engine.setFaults({});
+  const answered = await complete(engine, { prompt: "x" });
+  t.equal(answered.statusCode, 200);
+  t.equal(answered.headers["x-leave"], undefined);
+  await answered.body.dump();
+});
