Decide on backoffs and owed routes without needless lookups

Each grant asked every free server for a backoff of the entry, and each submission all servers, although hardly any server requests one; the owed routes were listed anew for each request that is visited. No change of any decision.

--- a/packages/decisions/src/dispatch/pooled_server.ts
+++ b/packages/decisions/src/dispatch/pooled_server.ts
@@ -294,6 +294,7 @@
    * requests none.
    */
   requestedBackoffEnd(entry: string): number {
+    if (this.#requestedBackoffs.size === 0) return -Infinity;
     return this.#requestedBackoffs.get(entry) ?? -Infinity;
   }
 
--- a/packages/decisions/src/dispatch/request_queue.ts
+++ b/packages/decisions/src/dispatch/request_queue.ts
@@ -71,7 +71,7 @@
 
   first(): QueuedRequest | undefined {
     const { largest, large, usual } = this.#heaps;
-    return smallestKey([largest.peek(), large.peek(), usual.peek()]);
+    return earlier(earlier(largest.peek(), large.peek()), usual.peek());
   }
 
   firstOf(sizeClass: SizeClass): QueuedRequest | undefined {
@@ -174,7 +174,7 @@
   #first(): QueuedRequest | undefined {
     let first: QueuedRequest | undefined;
     for (const queue of this.#classes.values()) {
-      first = smallestKey([first, queue.first()]);
+      first = earlier(first, queue.first());
     }
     return first;
   }
@@ -222,13 +222,11 @@
   return standingValue(owed.standing) >= standingValue(passed.standing);
 }
 
-function smallestKey(
-  candidates: readonly (QueuedRequest | undefined)[],
+/** The one of two requests that has the smaller key. */
+function earlier(
+  one: QueuedRequest | undefined,
+  other: QueuedRequest | undefined,
 ): QueuedRequest | undefined {
-  let smallest: QueuedRequest | undefined;
-  for (const queued of candidates) {
-    if (queued === undefined) continue;
-    if (smallest === undefined || queued.key < smallest.key) smallest = queued;
-  }
-  return smallest;
+  if (one === undefined) return other;
+  return other === undefined || one.key <= other.key ? one : other;
 }
--- a/packages/decisions/src/dispatch/route_fairness.ts
+++ b/packages/decisions/src/dispatch/route_fairness.ts
@@ -51,8 +51,11 @@
   }
 
   owedRoutes(): number[] {
-    return [...this.#routes]
-      .filter(([, { share }]) => share.excess > 0)
+    const owed: [number, RouteGrants][] = [];
+    for (const route of this.#routes) {
+      if (route[1].share.excess > 0) owed.push(route);
+    }
+    return owed
       .sort(([, one], [, other]) => other.share.excess - one.share.excess)
       .map(([routeRank]) => routeRank);
   }
--- a/packages/decisions/src/dispatch/server_pool.ts
+++ b/packages/decisions/src/dispatch/server_pool.ts
@@ -151,16 +151,17 @@
   }
 
   /**
-   * Time at which the first server that was not tried for the request wants
-   * requests of its entry again; in the past if one does now.
+   * True if a server that was not tried for the request accepts requests of its
+   * entry, now or before the request expires.
    */
-  requestedBackoffEnd({ entry, excludedServers }: GrantRequest): number {
-    let first = Infinity;
+  hasServerBeforeExpiry(
+    { entry, excludedServers, expiresAt }: GrantRequest,
+  ): boolean {
     for (const [name, server] of this.#servers) {
-      if (excludedServers.includes(name)) continue;
-      first = Math.min(first, server.requestedBackoffEnd(entry));
+      if (server.requestedBackoffEnd(entry) > expiresAt) continue;
+      if (!excludedServers.includes(name)) return true;
     }
-    return first;
+    return false;
   }
 
   /** Records that a server wants no requests of an entry until `until`. */
--- a/packages/decisions/src/dispatch/service_scheduler.ts
+++ b/packages/decisions/src/dispatch/service_scheduler.ts
@@ -131,8 +131,7 @@
     if (tried >= this.#pool.size) {
       return this.#refusal(request, "no_server", now);
     }
-    // Whether any server could be sent the request before it expires.
-    if (this.#pool.requestedBackoffEnd(request) > request.expiresAt) {
+    if (!this.#pool.hasServerBeforeExpiry(request)) {
       return this.#refusal(request, "overload", now);
     }
     const queued = this.#queuedRequest(request, now);
