--- a/packages/decisions/src/backoff/requested_backoffs.ts
+++ b/packages/decisions/src/backoff/requested_backoffs.ts
@@ -30,6 +30,13 @@
     return until === undefined ? 0 : Math.max(0, until - now);
   }
 
+  /** Servers that request a backoff, with the remaining milliseconds. */
+  active(now: number): { server: string; remaining: number }[] {
+    this.#removeEnded(now);
+    return [...this.#until]
+      .map(([server, until]) => ({ server, remaining: until - now }));
+  }
+
   #removeEnded(now: number): void {
     for (const [server, until] of this.#until) {
       if (until <= now) this.#until.delete(server);
--- a/packages/decisions/src/dispatch/size_fairness.ts
+++ b/packages/decisions/src/dispatch/size_fairness.ts
@@ -33,6 +33,7 @@
  * requests.
  */
 const GUARANTEED_FRACTION = 0.8;
+
 /** The guaranteed share of a size class among the grants of its class. */
 function shareOf(sizeClass: GuaranteedClass): GuaranteedShare {
   return new GuaranteedShare(GUARANTEED_FRACTION * REQUEST_SHARES[sizeClass]);
--- a/packages/decisions/test/requested_backoffs_test.ts
+++ b/packages/decisions/test/requested_backoffs_test.ts
@@ -27,6 +27,7 @@
   backoffs.record("s@2", 100, 1100);
   t.equal(backoffs.remaining("s@1", 1500), 2500);
   t.equal(backoffs.remaining("s@2", 1500), 0);
+  t.same(backoffs.active(1500), [{ server: "s@1", remaining: 2500 }]);
   t.equal(backoffs.remaining("s@1", 4000), 0);
   t.end();
 });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -192,6 +192,8 @@
       log,
       metrics: this.#metrics,
       totalShares: () => this.#entryStatus.totalShares(),
+      leavingServers: () =>
+        this.#fleetState.directory.leavingUnrecorded().length,
     });
     this.#statusServer = new StatusServer({
       metrics: this.#metrics,
--- a/packages/gateway/src/observe/load_report.ts
+++ b/packages/gateway/src/observe/load_report.ts
@@ -9,6 +9,7 @@
   readonly #log: EventLog;
   readonly #metrics: GatewayMetrics;
   readonly #totalShares: () => number;
+  readonly #leavingServers: () => number;
 
   constructor(
     options: {
@@ -17,12 +18,15 @@
       metrics: GatewayMetrics;
       /** Total shares of all entries. */
       totalShares: () => number;
+      /** Number of servers known to be leaving only from responses. */
+      leavingServers: () => number;
     },
   ) {
     this.#grantClient = options.grantClient;
     this.#log = options.log;
     this.#metrics = options.metrics;
     this.#totalShares = options.totalShares;
+    this.#leavingServers = options.leavingServers;
   }
 
   log(): void {
@@ -63,6 +67,12 @@
       waitingRequests.set({ service }, load.waiting);
       runningRequests.set({ service }, load.running);
     }
+    const { leavingServers, serverBackoff } = this.#metrics;
+    leavingServers.set(this.#leavingServers());
+    serverBackoff.reset();
+    for (const { server, remaining } of this.#grantClient.activeBackoffs()) {
+      serverBackoff.set({ server }, remaining / 1000);
+    }
     const { serverLimit, serverLimitAge } = this.#metrics;
     serverLimit.reset();
     serverLimitAge.reset();
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -58,6 +58,16 @@
     "Time since a stated limit was heard last",
     ["server"],
   );
+  readonly leavingServers = this.#gauge(
+    "leaving_servers",
+    "Servers that said that they leave, and whose records don't say so yet",
+    [],
+  );
+  readonly serverBackoff = this.#gauge(
+    "server_backoff_seconds",
+    "Time for which a server wants no requests of this entry",
+    ["server"],
+  );
   readonly configurationVersion = this.#gauge(
     "configuration_version",
     "Version of the configuration in force",
--- a/packages/gateway/src/peers/grant_client.ts
+++ b/packages/gateway/src/peers/grant_client.ts
@@ -282,6 +282,11 @@
     this.#localGranter.deliverDecisions();
   }
 
+  /** Backoffs in force that servers request of this entry. */
+  activeBackoffs(): { server: string; remaining: number }[] {
+    return this.backoffs.active(this.#clock());
+  }
+
   /** Milliseconds of backoff that the granted server requests, if any. */
   #requestedBackoff({ server }: PendingGrant): number {
     return server === undefined
--- a/packages/gateway/test/load_report_test.ts
+++ b/packages/gateway/test/load_report_test.ts
@@ -16,12 +16,14 @@
   const grantClient = {
     limits,
     loads: () => [{ service: "calls", waiting: 3, running: 2 }],
+    activeBackoffs: () => [{ server: "s@1", remaining: 1500 }],
   } as unknown as GrantClient;
   const report = new LoadReport({
     grantClient,
     log,
     metrics,
     totalShares: () => 1,
+    leavingServers: () => 2,
   });
   limits.observe("s@1", "2.4", 900);
   now = 3500;
@@ -31,6 +33,8 @@
   t.match(exposition, `${prefix}_per_second{server="s@1",by="entry-1"} 2.4`);
   t.match(exposition, `${prefix}_age_seconds{server="s@1"} 2.5`);
   t.match(exposition, `waiting{service="calls"} 3`);
+  t.match(exposition, "sycamorepulley_gateway_leaving_servers 2");
+  t.match(exposition, `server_backoff_seconds{server="s@1"} 1.5`);
   limits.observe("s@1", undefined, 2000);
   report.updateGauges();
   t.notMatch(await metrics.registry.metrics(), `${prefix}_per_second{`);
@@ -56,8 +60,13 @@
     ],
   } as unknown as GrantClient;
   const metrics = new GatewayMetrics();
-  const options = { grantClient, log, metrics, totalShares: () => 1 };
-  new LoadReport(options).log();
+  new LoadReport({
+    grantClient,
+    log,
+    metrics,
+    totalShares: () => 1,
+    leavingServers: () => 0,
+  }).log();
   t.equal(sink.events.length, 1);
   t.match(sink.events[0]?.context, {
     service,
