Show that a request that crashes servers is not contained

Callers' requests are cut and delayed because one request that crashes each server that runs it is sent on at every further attempt, at most two servers each time.

The test plays such a request at real entries of one group: each attempt has another request id, remaining time and expected-token header, and crashed servers come back on the same port under a new record.

The fixture takes more servers than two.

--- /dev/null
+++ b/packages/gateway/test/crashing_servers.ts
@@ -0,0 +1,72 @@
+import { setTimeout } from "node:timers/promises";
+import type { MemoryMetadataStore } from "@sycamorepulley/store";
+import { writeSealedHead } from "./fake_backend_server.ts";
+import type { FakeBackendServer } from "./fake_backend_server.ts";
+import { storedServer } from "./fixture.ts";
+
+/** Body of a request that crashes each server that runs it. */
+export const CRASHING_BODY = "crash";
+/** Milliseconds from the start of the run until the crash. */
+const CRASH_DELAY = 20;
+/** Milliseconds after which a crashed server listens again. */
+const RESTART_DELAY = 200;
+
+/** Lets servers crash under a body; they start again under new records. */
+export class CrashingServers {
+  /** Number of crashes of all servers together. */
+  crashes = 0;
+  readonly #store: MemoryMetadataStore;
+  readonly #runTime: number;
+  readonly #restarts = new Set<Promise<void>>();
+  #stopped = false;
+
+  /** `runTime`: milliseconds that runs take that crash nothing. */
+  constructor(
+    store: MemoryMetadataStore,
+    servers: readonly FakeBackendServer[],
+    runTime: number,
+  ) {
+    this.#store = store;
+    this.#runTime = runTime;
+    for (const [index, server] of servers.entries()) {
+      this.#prepare(server, `s${index}`);
+    }
+  }
+
+  /** Waits for servers that start again; later crashes are final. */
+  async stop(): Promise<void> {
+    this.#stopped = true;
+    await Promise.all(this.#restarts);
+  }
+
+  #prepare(server: FakeBackendServer, name: string): void {
+    let startedAt = 1;
+    let id = name;
+    let running = true;
+    const crash = async () => {
+      running = false;
+      this.crashes++;
+      await server.crash();
+      await setTimeout(RESTART_DELAY);
+      if (this.#stopped) return;
+      await server.start();
+      running = true;
+      this.#store.remove(`servers/${id}`);
+      startedAt++;
+      id = `${name}-${startedAt}`;
+      const record = storedServer(id, server.port, false, startedAt);
+      this.#store.put(`servers/${id}`, record);
+    };
+    server.respond = async (response, received) => {
+      const crashes = received.body === CRASHING_BODY;
+      await setTimeout(crashes ? CRASH_DELAY : this.#runTime);
+      if (!crashes) writeSealedHead(response, received).end("ok");
+      else if (running) this.#track(crash());
+    };
+  }
+
+  #track(restart: Promise<void>): void {
+    this.#restarts.add(restart);
+    void restart.finally(() => this.#restarts.delete(restart));
+  }
+}
--- a/packages/gateway/test/fake_backend_server.ts
+++ b/packages/gateway/test/fake_backend_server.ts
@@ -21,6 +21,8 @@
 export class FakeBackendServer {
   readonly receivedRequests: ReceivedRequest[] = [];
   readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+  #port = 0;
   respond: Respond = (response, received) =>
     writeSealedHead(response, received).end("ok");
   closedConnections = 0;
@@ -37,19 +39,34 @@
       });
     });
     this.#server.on("connection", (socket) => {
-      socket.on("close", () => this.closedConnections++);
+      this.#sockets.add(socket);
+      socket.on("close", () => {
+        this.#sockets.delete(socket);
+        this.closedConnections++;
+      });
       socket.on("error", () => {});
     });
   }
 
+  /** Listens on any free port, or on the same one after a crash. */
   async start(): Promise<void> {
     await new Promise<void>((resolve) =>
-      this.#server.listen(0, "127.0.0.1", () => resolve())
+      this.#server.listen(this.#port, "127.0.0.1", () => resolve())
     );
+    this.#port = (this.#server.address() as AddressInfo).port;
   }
 
   get port(): number {
-    return (this.#server.address() as AddressInfo).port;
+    return this.#port;
+  }
+
+  /** Closes all connections and stops listening; `start` may follow. */
+  async crash(): Promise<void> {
+    const closed = new Promise<void>((resolve) =>
+      this.#server.close(() => resolve())
+    );
+    for (const socket of this.#sockets) socket.destroy();
+    await closed;
   }
 
   stop(): void {
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -109,10 +109,17 @@
   complete: boolean;
 };
 
-/** One gateway with its store and two backend servers. */
+/** Two or more backend servers. */
+export type FakeBackendServers = [
+  FakeBackendServer,
+  FakeBackendServer,
+  ...FakeBackendServer[],
+];
+
+/** One gateway with its store and its backend servers. */
 export class Fixture {
   readonly store: MemoryMetadataStore;
-  readonly servers: [FakeBackendServer, FakeBackendServer];
+  readonly servers: FakeBackendServers;
   readonly gateway: Gateway;
   readonly ports: GatewayPorts;
   /** What the gateway logged. */
@@ -120,7 +127,7 @@
 
   private constructor(
     store: MemoryMetadataStore,
-    servers: [FakeBackendServer, FakeBackendServer],
+    servers: FakeBackendServers,
     gateway: Gateway,
     ports: GatewayPorts,
     events: readonly LoggedEvent[],
@@ -139,7 +146,7 @@
       storeView?: MetadataStore;
       /** Seconds over which quotas are counted. */
       quotaWindow?: number;
-      servers?: [FakeBackendServer, FakeBackendServer];
+      servers?: FakeBackendServers;
       instance?: string;
       seeds?: { host: string; port: number }[];
     } = {},
@@ -260,13 +267,16 @@
   }
 }
 
-async function startServers(
+/** Starts backend servers and stores their records as `s0`, `s1`, and so on. */
+export async function startServers(
   store: MemoryMetadataStore,
-): Promise<[FakeBackendServer, FakeBackendServer]> {
-  const servers: [FakeBackendServer, FakeBackendServer] = [
+  count = 2,
+): Promise<FakeBackendServers> {
+  const servers: FakeBackendServers = [
     new FakeBackendServer(),
     new FakeBackendServer(),
   ];
+  while (servers.length < count) servers.push(new FakeBackendServer());
   for (const [index, server] of servers.entries()) {
     await server.start();
     store.put(`servers/s${index}`, storedServer(`s${index}`, server.port));
@@ -279,10 +289,11 @@
   id: string,
   port: number,
   draining = false,
+  startedAt = 1,
 ): string {
   const record: ServerRecord = {
     id,
-    startedAt: 1,
+    startedAt,
     service: "calls",
     host: "127.0.0.1",
     port,
--- a/packages/gateway/test/server_leaving_test.ts
+++ b/packages/gateway/test/server_leaving_test.ts
@@ -1,12 +1,7 @@
 import { setTimeout } from "node:timers/promises";
-import { MemoryMetadataStore } from "@sycamorepulley/store";
 import t from "tap";
-import {
-  Fixture,
-  storedConfiguration,
-  storedServer,
-  waitUntil,
-} from "./fixture.ts";
+import { grantingEntry, lines, startGroup, stopAll } from "./entry_group.ts";
+import { Fixture, storedServer, waitUntil } from "./fixture.ts";
 import { streamEvent, writeSealedHead } from "./fake_backend_server.ts";
 import type { LoggedEvent } from "./recording_sink.ts";
 import type { FakeBackendServer } from "./fake_backend_server.ts";
@@ -20,39 +15,6 @@
     writeSealedHead(response, received, LEAVING).end("leaving");
 }
 
-/** Starts entries of one group, all of them ready. */
-async function startGroup(
-  size: number,
-): Promise<{ store: MemoryMetadataStore; entries: Fixture[] }> {
-  const store = new MemoryMetadataStore();
-  store.put("configuration", storedConfiguration(1));
-  const first = await Fixture.start({ store });
-  const entries = [first];
-  for (let number = 2; number <= size; number++) {
-    const instance = `entry-${number}`;
-    const { servers } = first;
-    entries.push(await Fixture.start({ store, servers, instance }));
-  }
-  for (const entry of entries) await entry.waitUntilReady();
-  await waitUntil(() => grantingEntry(entries) !== undefined);
-  return { store, entries };
-}
-
-/** Lines of all entries: the newest one's sink receives them. */
-function lines(entries: readonly Fixture[]): readonly LoggedEvent[] {
-  return entries.at(-1)!.events;
-}
-
-/** The entry that grants for all others, once there is one. */
-function grantingEntry(entries: readonly Fixture[]): Fixture | undefined {
-  const load = lines(entries).findLast(({ message, context }) =>
-    message === "load" && context["room"] === 1 &&
-    context["fleet"] === entries.length
-  );
-  return entries
-    .find((_, index) => load?.context["instance"] === `entry-${index + 1}`);
-}
-
 function learned(entries: readonly Fixture[]): LoggedEvent[] {
   return lines(entries).filter(({ message }) => message === "server_leaving");
 }
@@ -80,11 +42,6 @@
   return server.receivedRequests.length - before;
 }
 
-async function stopAll(entries: readonly Fixture[]): Promise<void> {
-  await Promise.all(entries.map(({ gateway }) => gateway.stop()));
-  for (const server of entries[0]!.servers) server.stop();
-}
-
 t.test("a server that says it leaves gets no further requests", async (t) => {
   // Guards against waiting for the store's record, which may be late.
   const fixture = await Fixture.startReady();
