Contain requests that crash the servers that run them

Entries knew no such request. Each saw its own broken connections, the granting entry granted the next server 0.04 s later, and the fingerprint that came with each grant request was only compared with earlier refusals. It covered headers that may change from attempt to attempt.

An entry whose connection breaks now asks whether the server refuses new ones, and reports a crash to its granting entry, which knows all that the server was running. These requests become suspects: each is granted while no other copy of it runs, and at a server that runs no other suspect, so that the next crash has one cause. The third crash, two of them as the only suspect, quarantines the request: it is refused as not run. A complete response clears it. All entries know the result; it is sent at once and repeated over each new link of the granting entry. CrashSuspects now serves both the sidecars and the gateway; the rule that convicts is the part that differs.

Ruled out as enough: a rule that convicts only what ran alone, since up to a dozen requests run beside it, and counting broken connections, since lost responses break them too.

--- a/packages/decisions/src/dispatch/grant_request.ts
+++ b/packages/decisions/src/dispatch/grant_request.ts
@@ -32,7 +32,7 @@
   expiresAt: number;
   /** Time by which the response has to be complete. */
   deadline: number;
-  /** Identical for all attempts of a caller to send the same request. */
+  /** Identical for all attempts of callers to send the same request. */
   fingerprint: string;
   /**
    * Random number in [0, 1) that varies the retry delay, so that callers that
@@ -44,7 +44,13 @@
 };
 
 /** Why a request was refused. No server has run it. */
-export type GrantRefusalReason = "quota" | "overload" | "no_server" | "expired";
+export type GrantRefusalReason =
+  | "quota"
+  | "overload"
+  | "no_server"
+  | "expired"
+  /** The request crashes the servers that run it. */
+  | "quarantined";
 
 /**
  * Standing of a waiting request: `returned` if it is the retry of a caller that
@@ -87,6 +93,8 @@
   | "connection_timeout"
   /** The connection broke, or the response was incomplete or malformed. */
   | "broken"
+  /** The connection broke, and the server refuses new ones. */
+  | "crashed"
   /** The server stated that it did not run the request. */
   | "not_run"
   /** Another server responded at the address and did not run the request. */
--- a/packages/decisions/src/dispatch/group_scheduler.ts
+++ b/packages/decisions/src/dispatch/group_scheduler.ts
@@ -9,6 +9,8 @@
 import { OrganisationQuotas } from "../quotas/mod.ts";
 import type { Quota, QuotaLeeway } from "../quotas/mod.ts";
 import { ServerLimits } from "../server_limits/mod.ts";
+import { CrashSuspects, SoleSuspectRule } from "../suspects/mod.ts";
+import type { ServerCrash } from "../suspects/mod.ts";
 import type {
   GrantDecision,
   GrantRequest,
@@ -61,11 +63,20 @@
   /** Requests that wait or run, by id. */
   readonly #requests = new Map<string, GrantRequest>();
   readonly #limits: ServerLimits;
+  readonly #suspects: CrashSuspects;
   #fractions: GroupFractions = { room: 1, quota: 1 };
 
-  /** `limits` holds the rates that servers accept; no limits if absent. */
-  constructor(leeway: QuotaLeeway, limits = new ServerLimits()) {
+  /**
+   * `limits` holds the rates that servers accept, and `suspects` the requests
+   * that may crash them; nothing is limited or suspected if they are absent.
+   */
+  constructor(
+    leeway: QuotaLeeway,
+    limits = new ServerLimits(),
+    suspects = new CrashSuspects(new SoleSuspectRule()),
+  ) {
     this.#limits = limits;
+    this.#suspects = suspects;
     this.#quotas = new OrganisationQuotas(leeway);
   }
 
@@ -106,6 +117,13 @@
   /** Queues a request, or refuses it at once; ignores one that is known. */
   submit(request: GrantRequest, now: number): GrantDecision | undefined {
     if (this.#requests.has(request.id)) return undefined;
+    const verdict = this.#suspects.verdict(request.fingerprint, now);
+    if (verdict.kind === "quarantined") {
+      const inputs = this.#service(request.service).refusalInputs(request, now);
+      const { retryAfter } = verdict;
+      const reason = "quarantined" as const;
+      return { kind: "refuse", request, reason, retryAfter, inputs };
+    }
     const wait = this.#quotas.waitFor(
       request.organisation,
       request.charge,
@@ -141,9 +159,9 @@
   }
 
   /** Counts a run that another entry has granted. */
-  adopt(request: GrantRequest, server: string): void {
+  adopt(request: GrantRequest, server: string, now: number): void {
     this.#requests.set(request.id, request);
-    this.#service(request.service).adopt(request, server);
+    this.#service(request.service).adopt(request, server, now);
   }
 
   /** See {@link ServiceScheduler.recordResponseStart}. */
@@ -162,13 +180,23 @@
   }
 
   /** See {@link ServiceScheduler.recordEnd}. */
-  recordEnd(id: string, outcome: RunOutcome, now: number): void {
+  recordEnd(
+    id: string,
+    outcome: RunOutcome,
+    now: number,
+  ): ServerCrash | undefined {
     const request = this.#requests.get(id);
-    if (request === undefined) return;
+    if (request === undefined) return undefined;
     this.#requests.delete(id);
-    this.#services.get(request.service)?.recordEnd(id, outcome, now);
-    if (!NOT_RUN_OUTCOMES.has(outcome)) return;
-    this.#quotas.refund(request.organisation, request.charge);
+    const scheduler = this.#services.get(request.service);
+    const crash = scheduler?.recordEnd(id, outcome, now);
+    if (outcome === "answered") {
+      this.#suspects.recordCleanRun(request.fingerprint, now);
+    }
+    if (NOT_RUN_OUTCOMES.has(outcome)) {
+      this.#quotas.refund(request.organisation, request.charge);
+    }
+    return crash;
   }
 
   /** Removes all requests of an entry, which has disconnected. */
@@ -227,7 +255,11 @@
   #service(name: string): ServiceScheduler {
     let scheduler = this.#services.get(name);
     if (scheduler === undefined) {
-      scheduler = new ServiceScheduler(this.#quotas, this.#limits);
+      scheduler = new ServiceScheduler(
+        this.#quotas,
+        this.#limits,
+        this.#suspects,
+      );
       scheduler.setFractions(this.#fractions);
       this.#services.set(name, scheduler);
     }
--- a/packages/decisions/src/dispatch/pooled_server.ts
+++ b/packages/decisions/src/dispatch/pooled_server.ts
@@ -55,7 +55,7 @@
   pausePart: number;
 };
 
-type Run = {
+type Run = RunIdentity & {
   entry: string;
   cost: Cost;
   /** Its prompt counts as pending prefill, as the response has not started. */
@@ -64,6 +64,13 @@
   maximumPendingPrefill: number;
 };
 
+/** A run as it is counted for crashes of its server. */
+export type RunIdentity = {
+  fingerprint: string;
+  /** It was started as a suspect; see `CrashSuspects`. */
+  isSuspect: boolean;
+};
+
 /** What the group may use of a server; see {@link GroupFractions}. */
 export type UsageBounds = {
   fractions: GroupFractions;
@@ -81,6 +88,8 @@
   #rateLimiter: ServerRateLimiter | undefined;
   #pendingPrefillTokens = 0;
   #downUntil = -Infinity;
+  /** It has crashed and not responded since. */
+  #crashed = false;
   #backoff = 0;
   /** Entries that failed to connect, and until when they are not sent here. */
   readonly #unreachableFrom = new Map<string, number>();
@@ -95,6 +104,19 @@
     return this.#runs.size;
   }
 
+  /** True if it runs a request that was started as a suspect. */
+  get hasSuspect(): boolean {
+    for (const { isSuspect } of this.#runs.values()) {
+      if (isSuspect) return true;
+    }
+    return false;
+  }
+
+  /** Address as `host:port`, which the server keeps when it starts again. */
+  get address(): string {
+    return `${this.record.host}:${this.record.port}`;
+  }
+
   /** Maximum of pending prefill, in prompt tokens. */
   get prefillLimit(): number {
     return this.#prefillLimit.tokens;
@@ -180,12 +202,14 @@
       nominalDecodeTime(cost);
   }
 
-  recordStart(request: GrantRequest): void {
-    const { entry, cost } = request;
+  recordStart(request: GrantRequest, isSuspect: boolean): void {
+    const { entry, cost, fingerprint } = request;
     const inPrefill = cost.promptTokens > 0;
     if (inPrefill) this.#pendingPrefillTokens += cost.promptTokens;
     this.#runs.set(request.id, {
       entry,
+      fingerprint,
+      isSuspect,
       cost,
       inPrefill,
       maximumPendingPrefill: 0,
@@ -219,6 +243,7 @@
   ): Cost | undefined {
     const run = this.#runs.get(id);
     this.#backoff = 0;
+    this.#crashed = false;
     if (run === undefined) return undefined;
     this.#endPrefill(run);
     this.#firstTokenRatio.observe(
@@ -258,6 +283,16 @@
     this.#requestedBackoffs.delete(entry);
   }
 
+  /**
+   * Records that the server has crashed. Returns what it was running, or
+   * `undefined` if the crash is known.
+   */
+  recordCrash(): RunIdentity[] | undefined {
+    if (this.#crashed) return undefined;
+    this.#crashed = true;
+    return [...this.#runs.values()];
+  }
+
   /**
    * Stops sending requests for the backoff time, because nothing listens at the
    * address or another server does. Otherwise a crashed server would look idle
--- a/packages/decisions/src/dispatch/server_pool.ts
+++ b/packages/decisions/src/dispatch/server_pool.ts
@@ -8,6 +8,7 @@
 import { OutlierEjection } from "../ejection/mod.ts";
 import type { GroupFractions } from "../fleet/mod.ts";
 import { ServerLimits } from "../server_limits/mod.ts";
+import type { ServerCrash, SuspectVerdict } from "../suspects/mod.ts";
 import type { GrantRequest, RunOutcome } from "./grant_request.ts";
 import {
   LatencyRatio,
@@ -42,7 +43,12 @@
 };
 
 /** A granted request and its server. */
-export type GrantedRequest = { request: GrantRequest; server: string };
+export type GrantedRequest = {
+  request: GrantRequest;
+  server: string;
+  /** It was a suspect when it was granted; see `CrashSuspects`. */
+  isSuspect: boolean;
+};
 
 /** The servers of one service, by incarnation. */
 export class ServerPool {
@@ -172,8 +178,30 @@
     this.#servers.get(server)?.recordRequestedBackoff(request.entry, until);
   }
 
-  /** Returns the free server that is expected to respond soonest. */
+  /**
+   * Returns the free server that is expected to respond soonest. A suspect is
+   * not sent to a server that runs another one, and preferably not to one that
+   * has crashed while it ran the suspect, as that server may be at fault.
+   */
   selectServer(
+    request: GrantRequest,
+    snapshot: PoolSnapshot,
+    verdict: SuspectVerdict,
+    now: number,
+  ): string | undefined {
+    if (verdict.kind !== "suspect") {
+      return this.#selectFrom(snapshot.free, request, snapshot, now);
+    }
+    const free = [...snapshot.free].filter(([, server]) => !server.hasSuspect);
+    const others = free.filter(([, server]) =>
+      !verdict.servers.includes(server.address)
+    );
+    return this.#selectFrom(others, request, snapshot, now) ??
+      this.#selectFrom(free, request, snapshot, now);
+  }
+
+  #selectFrom(
+    servers: Iterable<[string, PooledServer]>,
     request: GrantRequest,
     snapshot: PoolSnapshot,
     now: number,
@@ -181,7 +209,7 @@
     const { latencyRatios } = snapshot;
     let best: string | undefined;
     let bestScore = Infinity;
-    for (const [name, server] of snapshot.free) {
+    for (const [name, server] of servers) {
       if (request.excludedServers.includes(name)) continue;
       if (!server.admits(request, snapshot, now)) continue;
       if (!this.#ejection.allowed(name, now)) continue;
@@ -200,12 +228,12 @@
   }
 
   recordStart(
-    { request, server: name }: GrantedRequest,
+    { request, server: name, isSuspect }: GrantedRequest,
     snapshot: PoolSnapshot,
     now: number,
   ): void {
     const server = this.#servers.get(name);
-    server?.recordStart(request);
+    server?.recordStart(request, isSuspect);
     server?.countAgainstLimit(now);
     const bounds = this.#bounds(name);
     if (!server?.hasFreeSlot(bounds, now)) snapshot.free.delete(name);
@@ -216,9 +244,9 @@
    * Counts a run that another entry has granted; false if its server is
    * unknown.
    */
-  adopt({ request, server: name }: GrantedRequest): boolean {
+  adopt({ request, server: name, isSuspect }: GrantedRequest): boolean {
     const server = this.#servers.get(name);
-    server?.recordStart(request);
+    server?.recordStart(request, isSuspect);
     return server !== undefined;
   }
 
@@ -250,6 +278,23 @@
     this.#decodeRatio.observe(timing.measured, nominalDecodeTime(cost), now);
   }
 
+  /**
+   * Records that the server of a granted request has crashed. Returns the
+   * crash, or `undefined` if it was recorded before.
+   */
+  recordCrash({ server: name }: GrantedRequest): ServerCrash | undefined {
+    const server = this.#servers.get(name);
+    const runs = server?.recordCrash();
+    if (server === undefined || runs === undefined) return undefined;
+    const suspects = runs.filter(({ isSuspect }) => isSuspect);
+    const [sole] = suspects.length === 1 ? suspects : [];
+    return {
+      server: server.address,
+      running: runs.map(({ fingerprint }) => fingerprint),
+      soleSuspect: sole?.fingerprint,
+    };
+  }
+
   /** Removes a run without any effect on the health of its server. */
   release({ request, server }: GrantedRequest): void {
     this.#servers.get(server)?.removeRun(request.id);
@@ -270,6 +315,10 @@
         server.refundLimit();
         server.markDown(now);
         return;
+      case "crashed":
+        this.#ejection.recordFailure(name, "error", now);
+        server.markDown(now);
+        return;
       case "misdirected":
         server.markDown(now);
         return;
--- a/packages/decisions/src/dispatch/service_scheduler.ts
+++ b/packages/decisions/src/dispatch/service_scheduler.ts
@@ -15,6 +15,8 @@
 import { OrganisationQuotas } from "../quotas/mod.ts";
 import type { QuotaLeeway } from "../quotas/mod.ts";
 import { ServerLimits } from "../server_limits/mod.ts";
+import { CrashSuspects, SoleSuspectRule } from "../suspects/mod.ts";
+import type { ServerCrash, SuspectVerdict } from "../suspects/mod.ts";
 import { ResponseValue } from "./response_value.ts";
 import type {
   GrantDecision,
@@ -73,15 +75,19 @@
   readonly #retryingCallers = new RetryingCallers();
   readonly #quotas: OrganisationQuotas;
   readonly #quotaReservations: QuotaReservations;
+  readonly #suspects: CrashSuspects;
 
   /**
    * Grants are charged to `quotas`, and `limits` holds the rates that servers
-   * accept; without them nothing is limited.
+   * accept; without them nothing is limited. `suspects` holds the requests that
+   * may crash servers.
    */
   constructor(
     quotas = new OrganisationQuotas(NO_LEEWAY),
     limits = new ServerLimits(),
+    suspects = new CrashSuspects(new SoleSuspectRule()),
   ) {
+    this.#suspects = suspects;
     this.#quotas = quotas;
     this.#pool = new ServerPool(limits);
     this.#quotaReservations = new QuotaReservations(quotas);
@@ -153,9 +159,10 @@
   }
 
   /** Counts a run that another entry has granted. */
-  adopt(request: GrantRequest, server: string): void {
+  adopt(request: GrantRequest, server: string, now: number): void {
     if (this.#granted.has(request.id)) return;
-    const granted = { request, server };
+    const { kind } = this.#suspects.verdict(request.fingerprint, now);
+    const granted = { request, server, isSuspect: kind === "suspect" };
     if (this.#pool.adopt(granted)) this.#granted.set(request.id, granted);
   }
 
@@ -188,12 +195,24 @@
     this.#pool.recordRequestedBackoff(granted, now + duration);
   }
 
-  /** Records how the run of a granted request ended. */
-  recordEnd(id: string, outcome: RunOutcome, now: number): void {
+  /**
+   * Records how the run of a granted request ended. Returns the crash of its
+   * server if this is the first report of it.
+   */
+  recordEnd(
+    id: string,
+    outcome: RunOutcome,
+    now: number,
+  ): ServerCrash | undefined {
     const granted = this.#granted.get(id);
-    if (granted === undefined) return;
+    if (granted === undefined) return undefined;
+    const crash = outcome === "crashed"
+      ? this.#pool.recordCrash(granted)
+      : undefined;
+    if (crash !== undefined) this.#suspects.recordServerCrash(crash, now);
     this.#granted.delete(id);
     this.#pool.recordEnd(granted, outcome, now);
+    return crash;
   }
 
   /** Removes all requests of an entry, which has disconnected. */
@@ -242,9 +261,15 @@
       if (snapshot.free.size === 0 || passedOver >= MAXIMUM_PASSED_OVER) {
         return "stop";
       }
+      const verdict = this.#suspects.verdict(request.fingerprint, now);
+      if (verdict.kind === "quarantined") {
+        const { standing } = queued;
+        decisions.push(this.#refusal(request, "quarantined", now, standing));
+        return "taken";
+      }
       if (isBlocked(request.entry)) return "blocked";
       if (!this.#quotaReservations.allows(request, now)) return "blocked";
-      const server = this.#pool.selectServer(request, snapshot, now);
+      const server = this.#selectServer(request, verdict, snapshot, now);
       if (server === undefined) {
         this.#quotaReservations.release(request);
         passedOver++;
@@ -253,11 +278,33 @@
       this.#sizeClassCounter.countGrant(queued.requestClass);
       this.#sizeFairness.recordGrant(queued.requestClass);
       this.#routeFairness.recordGrant(request);
-      decisions.push(this.#grant({ request, server }, snapshot, now));
+      const isSuspect = verdict.kind === "suspect";
+      const granted = { request, server, isSuspect };
+      decisions.push(this.#grant(granted, snapshot, now));
       return "taken";
     });
   }
 
+  /** A suspect waits while another request with its fingerprint runs. */
+  #selectServer(
+    request: GrantRequest,
+    verdict: SuspectVerdict,
+    snapshot: PoolSnapshot,
+    now: number,
+  ): string | undefined {
+    if (verdict.kind === "suspect" && this.#isRunning(request.fingerprint)) {
+      return undefined;
+    }
+    return this.#pool.selectServer(request, snapshot, verdict, now);
+  }
+
+  #isRunning(fingerprint: string): boolean {
+    for (const { request } of this.#granted.values()) {
+      if (request.fingerprint === fingerprint) return true;
+    }
+    return false;
+  }
+
   #grant(
     granted: GrantedRequest,
     snapshot: PoolSnapshot,
--- a/packages/decisions/src/suspects/fingerprint_status.ts
+++ b/packages/decisions/src/suspects/fingerprint_status.ts
@@ -10,6 +10,10 @@
    * Number of crashes during which a request with this fingerprint was running.
    */
   crashes: number;
+  /** Crashes in which it was the only suspect at its server. */
+  soleSuspectCrashes: number;
+  /** Addresses of the servers that crashed last, as `host:port`. */
+  servers: string[];
   /** Remaining validity in milliseconds, at the time of sending. */
   remaining: number;
 };
@@ -19,6 +23,8 @@
   kind: SuspectStatement["kind"];
   revision: number;
   crashes: number;
+  soleSuspectCrashes: number;
+  servers: string[];
   expiresAt: number;
 };
 
--- a/packages/decisions/src/suspects/suspects.ts
+++ b/packages/decisions/src/suspects/suspects.ts
@@ -1,15 +1,16 @@
 /**
- * Detects requests that crash backend servers ("queries of death"). One
- * instance for each service.
+ * Detects requests that crash backend servers ("queries of death").
  *
  * Such a request kills each server that runs it and is sent again by its
  * caller, so it could take down the whole service, one server after the other.
  * All requests that were running on a server when it crashed become suspects. A
- * suspect runs alone on its server, and only one suspect runs at a time, so a
- * further crash affects one server and identifies its cause: the second crash
- * quarantines a suspect that was running alone. A crash with other requests
- * running never does, since a harmless request that is sent often may have been
- * running during both. A successful run clears a suspect.
+ * further crash is attributed to the suspect that was running, if there is
+ * exactly one, and a {@link QuarantineRule} decides when that proves the cause.
+ * A successful run clears a suspect, so a harmless request that is sent often
+ * is not quarantined for having run during crashes.
+ *
+ * Sidecars run a suspect alone on its server, and only one suspect at a time. A
+ * granting entry runs suspects beside other requests, one at each server.
  *
  * A suspicion lasts 10 minutes, longer than callers continue to retry. A
  * quarantine lasts as long; afterwards the fingerprint is a suspect again and
@@ -17,6 +18,8 @@
  * half a megabyte; a crash adds at most one batch of a server, about 64.
  * @module
  */
+import { IsolatedRunRule } from "./quarantine_rule.ts";
+import type { QuarantineRule } from "./quarantine_rule.ts";
 import { supersedes } from "./fingerprint_status.ts";
 import type {
   FingerprintStatus,
@@ -29,7 +32,8 @@
  */
 export type SuspectVerdict =
   | { kind: "clear" }
-  | { kind: "suspect" }
+  /** `servers`: addresses of the servers that crashed last while it ran. */
+  | { kind: "suspect"; servers: readonly string[] }
   | { kind: "quarantined"; retryAfter: number };
 
 /** Milliseconds for which a fingerprint remains a suspect. */
@@ -47,9 +51,20 @@
  */
 const DUPLICATE_CRASH_WINDOW = 10_000;
 const MAXIMUM_FINGERPRINTS = 4096;
+/** Maximum number of addresses that are kept for a fingerprint. */
+const MAXIMUM_SERVERS = 4;
 /** Maximum number of servers of which the last crash is remembered. */
 const MAXIMUM_CRASHES = 256;
 
+/** A crash of a server, with the fingerprints of what it was running. */
+export type ServerCrash = {
+  /** Address of the server, or its instance name. */
+  server: string;
+  running: readonly string[];
+  /** The only suspect among them, if it was started as one. */
+  soleSuspect?: string | undefined;
+};
+
 type Crash = { at: number; fingerprints: ReadonlySet<string> };
 
 type Run = { fingerprint: string; backendServer: string; expiresAt: number };
@@ -60,15 +75,24 @@
   readonly #statuses = new Map<string, FingerprintStatus>();
   /** Last crash of each server, oldest first. */
   readonly #crashes = new Map<string, Crash>();
+  readonly #rule: QuarantineRule;
+  /** Fingerprints whose status has changed since it was last taken. */
+  readonly #changed = new Set<string>();
   #run: Run | undefined;
 
+  constructor(rule: QuarantineRule = new IsolatedRunRule()) {
+    this.#rule = rule;
+  }
+
   /** Returns how to handle a request with this fingerprint now. */
   verdict(fingerprint: string, now: number): SuspectVerdict {
     const status = this.#currentStatus(fingerprint, now);
     if (status === undefined || status.kind === "clear") {
       return { kind: "clear" };
     }
-    if (status.kind === "suspect") return { kind: "suspect" };
+    if (status.kind === "suspect") {
+      return { kind: "suspect", servers: status.servers };
+    }
     return { kind: "quarantined", retryAfter: status.expiresAt - now };
   }
 
@@ -103,6 +127,8 @@
       kind: "clear",
       revision: status.revision + 1,
       crashes: 0,
+      soleSuspectCrashes: 0,
+      servers: [],
       expiresAt: now + SUSPICION_DURATION,
     });
   }
@@ -122,21 +148,32 @@
     this.#crashes.delete(backendServer);
     this.#crashes.set(backendServer, { at: now, fingerprints: running });
     evictOldest(this.#crashes, MAXIMUM_CRASHES);
-    for (const fingerprint of running) {
-      this.#addCrash(fingerprint, running.size === 1, now);
+    const crash = { server: backendServer, running: [...running] };
+    for (const fingerprint of running) this.#addCrash(fingerprint, crash, now);
+  }
+
+  /**
+   * Records a crash that is reported once. It is attributed to the sole suspect
+   * among the running requests if there is one, otherwise to all of them.
+   */
+  recordServerCrash(crash: ServerCrash, now: number): void {
+    const { running, soleSuspect } = crash;
+    const attributed = soleSuspect === undefined ? running : [soleSuspect];
+    for (const fingerprint of new Set(attributed)) {
+      this.#addCrash(fingerprint, crash, now);
     }
   }
 
   /** Returns the statuses that are valid now, to be sent to peers. */
   statements(now: number): SuspectStatement[] {
-    const statements: SuspectStatement[] = [];
-    for (const [fingerprint, status] of this.#statuses) {
-      const { kind, revision, crashes, expiresAt } = status;
-      const remaining = expiresAt - now;
-      if (remaining <= 0) continue;
-      statements.push({ fingerprint, kind, revision, crashes, remaining });
-    }
-    return statements;
+    return this.#statementsOf(this.#statuses.keys(), now);
+  }
+
+  /** Returns the statuses that have changed since the last call. */
+  takeChanges(now: number): SuspectStatement[] {
+    const changes = this.#statementsOf(this.#changed, now);
+    this.#changed.clear();
+    return changes;
   }
 
   /**
@@ -145,11 +182,10 @@
    */
   merge(statements: readonly SuspectStatement[], now: number): void {
     for (const statement of statements) {
-      const { fingerprint, kind, revision, crashes, remaining } = statement;
+      const { fingerprint, remaining, ...stated } = statement;
       const status = this.#currentStatus(fingerprint, now);
       if (!supersedes(statement, status)) continue;
-      const expiresAt = now + remaining;
-      this.#store(fingerprint, { kind, revision, crashes, expiresAt });
+      this.#store(fingerprint, { ...stated, expiresAt: now + remaining });
     }
   }
 
@@ -172,14 +208,39 @@
     );
   }
 
-  #addCrash(fingerprint: string, alone: boolean, now: number): void {
+  #statementsOf(
+    fingerprints: Iterable<string>,
+    now: number,
+  ): SuspectStatement[] {
+    const statements: SuspectStatement[] = [];
+    for (const fingerprint of fingerprints) {
+      const status = this.#statuses.get(fingerprint);
+      if (status === undefined || status.expiresAt <= now) continue;
+      const { expiresAt, ...stated } = status;
+      statements.push({ fingerprint, ...stated, remaining: expiresAt - now });
+    }
+    return statements;
+  }
+
+  #addCrash(
+    fingerprint: string,
+    { server, running, soleSuspect }: ServerCrash,
+    now: number,
+  ): void {
     const status = this.#currentStatus(fingerprint, now);
     const crashes = (status?.crashes ?? 0) + 1;
-    const quarantined = alone && crashes >= 2;
+    const soleSuspectCrashes = (status?.soleSuspectCrashes ?? 0) +
+      (fingerprint === soleSuspect ? 1 : 0);
+    const ranAlone = running.length === 1;
+    const quarantined = this.#rule
+      .isProven({ crashes, soleSuspectCrashes, ranAlone });
+    const others = (status?.servers ?? []).filter((other) => other !== server);
     this.#store(fingerprint, {
       kind: quarantined ? "quarantined" : "suspect",
       revision: (status?.revision ?? 0) + 1,
       crashes,
+      soleSuspectCrashes,
+      servers: [server, ...others].slice(0, MAXIMUM_SERVERS),
       expiresAt: now + (quarantined ? QUARANTINE_DURATION : SUSPICION_DURATION),
     });
   }
@@ -202,9 +263,9 @@
       return undefined;
     }
     const renewed: FingerprintStatus = {
+      ...status,
       kind: "suspect",
       revision: status.revision + 1,
-      crashes: status.crashes,
       expiresAt: status.expiresAt + SUSPICION_DURATION,
     };
     this.#store(fingerprint, renewed);
@@ -214,6 +275,7 @@
   #store(fingerprint: string, status: FingerprintStatus): void {
     this.#statuses.delete(fingerprint);
     this.#statuses.set(fingerprint, status);
+    this.#changed.add(fingerprint);
     evictOldest(this.#statuses, MAXIMUM_FINGERPRINTS);
   }
 }
--- /dev/null
+++ b/packages/decisions/test/crash_containment_test.ts
@@ -0,0 +1,205 @@
+import fc from "fast-check";
+import t from "tap";
+import { CrashSuspects, GroupScheduler, SoleSuspectRule } from "../src/mod.ts";
+import type { GrantDecision, RunOutcome } from "../src/mod.ts";
+import { grantRequest } from "./grant_requests.ts";
+import { serverRecord } from "./server_record.ts";
+
+const LEEWAY = { window: 8000, overage: 0, slack: 0 };
+
+/** A granting entry with servers of 8 slots, and its requests by fingerprint. */
+class Fixture {
+  readonly suspects = new CrashSuspects(new SoleSuspectRule());
+  readonly scheduler = new GroupScheduler(LEEWAY, undefined, this.suspects);
+  readonly running = new Map<string, { fingerprint: string; server: string }>();
+  now = 0;
+  #starts = new Map<string, number>();
+
+  constructor(servers: number) {
+    for (let index = 0; index < servers; index++) {
+      this.#starts.set(`s${index}`, 1);
+    }
+    this.#setServers();
+  }
+
+  /** Submits a request; returns the decisions that follow. */
+  submit(fingerprint: string): GrantDecision[] {
+    const request = grantRequest({
+      fingerprint,
+      arrived: this.now,
+      expiresAt: this.now + 60_000,
+      deadline: this.now + 60_000,
+    });
+    const refusal = this.scheduler.submit(request, this.now);
+    return refusal === undefined ? this.decide() : [refusal];
+  }
+
+  decide(): GrantDecision[] {
+    const decisions = this.scheduler.decide(this.now);
+    for (const { kind, request, ...decision } of decisions) {
+      if (kind !== "grant" || !("server" in decision)) continue;
+      const { server } = decision;
+      const { fingerprint } = request;
+      this.running.set(request.id, { fingerprint, server: String(server) });
+    }
+    return decisions;
+  }
+
+  end(id: string, outcome: RunOutcome): void {
+    this.running.delete(id);
+    this.scheduler.recordEnd(id, outcome, this.now);
+  }
+
+  /** Ends all runs of a server as crashed, and starts it anew. */
+  crash(server: string): void {
+    for (const [id, run] of [...this.running]) {
+      if (run.server === server) this.end(id, "crashed");
+    }
+    const name = nameOf(server);
+    this.#starts.set(name, this.#starts.get(name)! + 1);
+    this.#setServers();
+  }
+
+  idOf(fingerprint: string): string | undefined {
+    for (const [id, run] of this.running) {
+      if (run.fingerprint === fingerprint) return id;
+    }
+    return undefined;
+  }
+
+  serverOf(fingerprint: string): string | undefined {
+    return this.running.get(this.idOf(fingerprint) ?? "")?.server;
+  }
+
+  kindOf(fingerprint: string): string {
+    return this.suspects.verdict(fingerprint, this.now).kind;
+  }
+
+  #setServers(): void {
+    this.scheduler.setServers(
+      [...this.#starts].map(([name, startedAt], index) =>
+        serverRecord(`${name}.${startedAt}`, {
+          startedAt,
+          port: 80 + index,
+          slots: 8,
+        })
+      ),
+    );
+  }
+}
+
+/** Name that a server keeps when it starts again. */
+function nameOf(incarnation: string | undefined): string {
+  return incarnation?.split(".")[0] ?? "";
+}
+
+t.test("requests that ran at a crashed server run at one server each", (t) => {
+  // Otherwise the next crash would not show which of them causes it.
+  const fixture = new Fixture(4);
+  fixture.suspects.recordServerCrash({
+    server: "10.0.0.1:80",
+    running: ["one", "two", "three"],
+  }, 0);
+  for (const name of ["one", "two", "three"]) fixture.submit(name);
+  const servers = ["one", "two", "three"].map((name) => fixture.serverOf(name));
+  t.equal(new Set(servers).size, 3);
+  t.notOk(servers.includes(undefined));
+  t.end();
+});
+
+t.test("a request that crashes three servers is refused, its neighbours are not", (t) => {
+  const fixture = new Fixture(4);
+  fixture.submit("fatal");
+  fixture.submit("neighbour");
+  for (let crashes = 1; crashes <= 3; crashes++) {
+    t.equal(fixture.kindOf("fatal"), crashes === 1 ? "clear" : "suspect");
+    fixture.crash(fixture.serverOf("fatal")!);
+    fixture.now += 10_000;
+    const [decision] = fixture.submit("fatal");
+    if (crashes < 3) t.equal(decision?.kind, "grant");
+    else t.match(decision, { kind: "refuse", reason: "quarantined" });
+    if (fixture.serverOf("neighbour") === undefined) {
+      fixture.submit("neighbour");
+    }
+  }
+  t.not(fixture.kindOf("neighbour"), "quarantined");
+  t.end();
+});
+
+t.test("a suspect waits while another copy of it runs", (t) => {
+  const fixture = new Fixture(4);
+  fixture.submit("fatal");
+  fixture.crash(fixture.serverOf("fatal")!);
+  fixture.now += 10_000;
+  t.equal(fixture.submit("fatal").length, 1);
+  t.equal(fixture.submit("fatal").length, 0);
+  fixture.end(fixture.idOf("fatal")!, "abandoned");
+  t.equal(fixture.decide().length, 1);
+  t.end();
+});
+
+t.test("a waiting request is refused once its fingerprint is quarantined", (t) => {
+  const fixture = new Fixture(4);
+  fixture.submit("fatal");
+  for (let crashes = 1; crashes <= 3; crashes++) {
+    fixture.crash(fixture.serverOf("fatal")!);
+    fixture.now += 10_000;
+    if (crashes < 3) fixture.submit("fatal");
+    if (crashes === 2) fixture.submit("fatal");
+  }
+  t.match(fixture.decide(), [{ kind: "refuse", reason: "quarantined" }]);
+  t.end();
+});
+
+t.test("a suspect prefers a server that has not crashed under it", (t) => {
+  // Guards against quarantining a request because one server keeps crashing.
+  const fixture = new Fixture(2);
+  fixture.submit("harmless");
+  const first = nameOf(fixture.serverOf("harmless"));
+  fixture.crash(fixture.serverOf("harmless")!);
+  fixture.now += 10_000;
+  fixture.submit("harmless");
+  t.not(nameOf(fixture.serverOf("harmless")), first);
+  fixture.end(fixture.idOf("harmless")!, "answered");
+  t.equal(fixture.kindOf("harmless"), "clear");
+  t.end();
+});
+
+t.test("requests that crash servers are contained, all others keep running", (t) => {
+  const step = fc.record({
+    name: fc.integer({ min: 0, max: 11 }),
+    ends: fc.boolean(),
+  });
+  fc.assert(
+    fc.property(
+      fc.array(step, { minLength: 50, maxLength: 300 }),
+      fc.integer({ min: 1, max: 2 }),
+      (steps, fatalCount) => {
+        const fixture = new Fixture(6);
+        const crashes = new Map<string, number>();
+        const isFatal = (name: string) => Number(name.slice(1)) < fatalCount;
+        for (const { name, ends } of steps) {
+          fixture.now += 500;
+          fixture.submit(`f${name}`);
+          for (const [id, run] of [...fixture.running]) {
+            if (!fixture.running.has(id)) continue;
+            if (isFatal(run.fingerprint)) {
+              const count = crashes.get(run.fingerprint) ?? 0;
+              crashes.set(run.fingerprint, count + 1);
+              fixture.crash(run.server);
+            } else if (ends) fixture.end(id, "answered");
+          }
+        }
+        // Another fatal request may run beside the suspect in one crash each.
+        const bound = 3 + 2 * (fatalCount - 1);
+        return [...crashes.values()].every((count) => count <= bound) &&
+          steps.every(({ name }) =>
+            name < fatalCount || fixture.kindOf(`f${name}`) !== "quarantined"
+          );
+      },
+    ),
+    { seed: 20261203, numRuns: 300 },
+  );
+  t.pass("no counterexample");
+  t.end();
+});
--- a/packages/decisions/test/fleet_simulation.ts
+++ b/packages/decisions/test/fleet_simulation.ts
@@ -155,7 +155,7 @@
     this.#scheduler = scheduler;
     for (const engine of this.#engines.values()) {
       for (const run of engine.running) {
-        scheduler.adopt(run.request, engine.name);
+        scheduler.adopt(run.request, engine.name, now);
       }
     }
     for (const request of [...this.#waiting.values()]) {
--- a/packages/decisions/test/requested_backoffs_test.ts
+++ b/packages/decisions/test/requested_backoffs_test.ts
@@ -55,7 +55,7 @@
   scheduler.setServers([serverRecord("s"), serverRecord("u")]);
   for (const server of ["s@1", "u@1"]) {
     const request = grantRequest();
-    scheduler.adopt(request, server);
+    scheduler.adopt(request, server, 0);
     scheduler.recordRequestedBackoff(request.id, 3000, 0);
     scheduler.withdraw(request.id);
   }
--- a/packages/gateway/src/backend/connection_pool.ts
+++ b/packages/gateway/src/backend/connection_pool.ts
@@ -11,6 +11,11 @@
  * first packet only after a second, so waiting for it would not help.
  */
 const CONNECT_TIMEOUT = 300;
+/**
+ * The same when a connection has broken: a crashed server refuses at once, and
+ * a caller waits for the result.
+ */
+const DIAGNOSIS_TIMEOUT = 100;
 
 /** Keeps idle connections for later requests, by incarnation of the server. */
 export class ConnectionPool {
@@ -47,6 +52,22 @@
     });
   }
 
+  /**
+   * Resolves to true if the server refuses new connections: after a broken one
+   * it has crashed.
+   */
+  async isRefusing(server: ServerRecord): Promise<boolean> {
+    const connection = await BackendConnection.open({
+      host: server.host,
+      port: server.port,
+      timeout: DIAGNOSIS_TIMEOUT,
+      now: this.#clock(),
+    });
+    if (connection.isErr) return connection.error === "connection_refused";
+    this.release(server, connection.value);
+    return false;
+  }
+
   /** Returns a connection to the pool after a complete response. */
   release(server: ServerRecord, connection: BackendConnection): void {
     const now = this.#clock();
--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -82,6 +82,8 @@
     organisation: string;
     /** Charge to the quota: tokens, or 1 if the quota counts requests. */
     charge: number;
+    /** Set if the request may crash servers. */
+    suspect?: string;
     /**
      * Requests per second that the server states, the entry that observed it,
      * and the age of the observation. Absent while the server states no limit.
@@ -103,6 +105,23 @@
   | { event: "server_limit_ended"; server: string; by: string; age: number }
   /** A response said that its server leaves; `by` received it or passed it on. */
   | { event: "server_leaving"; server: string; by: string }
+  /**
+   * A server crashed while it ran this number of requests; `suspects` are the
+   * fingerprints of those that the crash is attributed to.
+   */
+  | {
+    event: "server_crashed";
+    server: string;
+    running: number;
+    suspects: string[];
+  }
+  /** A request is refused from now on; `servers` crashed last under it. */
+  | {
+    event: "request_quarantined";
+    fingerprint: string;
+    crashes: number;
+    servers: string[];
+  }
   /** A server wants no requests of this entry for `duration` milliseconds. */
   | { event: "server_backoff"; server: string; duration: number }
   /** The value is not a decimal number of seconds; it is ignored. */
--- a/packages/gateway/src/peers/grant_client.ts
+++ b/packages/gateway/src/peers/grant_client.ts
@@ -27,6 +27,7 @@
 import type { PeerMessage } from "./messages.ts";
 import type { PeerEntry, Peers } from "./peers.ts";
 import { SharedServerLimits } from "./shared_server_limits.ts";
+import { SharedSuspects } from "./shared_suspects.ts";
 
 const NO_STREAM_TIMING: StreamTiming = { tokens: 0, measured: 0, pausePart: 0 };
 
@@ -57,6 +58,8 @@
   readonly #localGranter: LocalGranter;
   /** Request-rate limits that backend servers state. */
   readonly limits: SharedServerLimits;
+  /** Requests that may crash servers. */
+  readonly suspects: SharedSuspects;
   /** Backoffs that servers request of this entry, by server incarnation. */
   readonly backoffs = new RequestedBackoffs();
   readonly #pending = new Map<string, PendingGrant>();
@@ -85,9 +88,11 @@
         if (!this.#grantsLocally) this.#sendToGrantingEntry(message);
       },
     });
+    this.suspects = new SharedSuspects(options);
     this.#localGranter = new LocalGranter({
       ...options,
       limits: this.limits,
+      suspects: this.suspects,
       onResult: (id, result) => this.#settle(id, result),
     });
   }
@@ -218,10 +223,12 @@
       this.#localGranter.recordEnd(id, outcome, timing);
       return;
     }
+    const crashed = outcome === "crashed";
     this.#sendToGrantingEntry({
       type: "ended",
       id,
-      end: outcome,
+      end: crashed ? "broken" : outcome,
+      crashed,
       ...timing,
       backoff,
     });
@@ -230,6 +237,9 @@
   /** Handles a peer's message about grants; returns false for any other. */
   handleMessage(peer: string, message: PeerMessage): boolean {
     switch (message.type) {
+      case "suspects":
+        this.suspects.merge(message.statements, this.#grantsLocally);
+        return true;
       case "server_limit":
         this.limits.mergeFromPeer(message.server, message.observation);
         return true;
@@ -265,9 +275,11 @@
 
   /**
    * Repeats all limits and grant requests over a new link to the granting
-   * entry: messages sent over an earlier link may be lost.
+   * entry: messages sent over an earlier link may be lost. A granting entry
+   * repeats all suspects over each new link.
    */
   handlePeerConnected(peer: string): void {
+    if (this.#grantsLocally) this.suspects.sendAll(peer);
     if (peer !== this.#grantingEntry) return;
     this.limits.sendAll();
     for (const { request, server } of this.#pending.values()) {
--- a/packages/gateway/src/peers/local_granter.ts
+++ b/packages/gateway/src/peers/local_granter.ts
@@ -25,6 +25,7 @@
 import type { GrantRequestMessage, PeerMessage } from "./messages.ts";
 import type { Peers } from "./peers.ts";
 import type { SharedServerLimits } from "./shared_server_limits.ts";
+import type { SharedSuspects } from "./shared_suspects.ts";
 
 /** Decides grant requests and delivers the decisions. */
 export class LocalGranter {
@@ -34,6 +35,7 @@
   readonly #onResult: (id: string, result: GrantResult) => void;
   readonly #scheduler: GroupScheduler;
   readonly #limits: SharedServerLimits;
+  readonly #suspects: SharedSuspects;
   /** Grant requests of peers that wait or run, by id. */
   readonly #peerRequests = new Map<string, GrantRequest>();
   #fractions: GroupFractions = { room: 1, quota: 1 };
@@ -48,6 +50,7 @@
       peers: () => Peers;
       leeway: QuotaLeeway;
       limits: SharedServerLimits;
+      suspects: SharedSuspects;
       /** Receives the result of a grant request of this entry. */
       onResult: (id: string, result: GrantResult) => void;
     },
@@ -57,7 +60,12 @@
     this.#peers = options.peers;
     this.#onResult = options.onResult;
     this.#limits = options.limits;
-    this.#scheduler = new GroupScheduler(options.leeway, options.limits.known);
+    this.#suspects = options.suspects;
+    this.#scheduler = new GroupScheduler(
+      options.leeway,
+      options.limits.known,
+      options.suspects.known,
+    );
   }
 
   /** Fractions of the fleet's capacity and quotas that are granted here. */
@@ -120,7 +128,7 @@
 
   /** Counts a request that runs under a grant of another entry. */
   adopt(request: GrantRequest, server: string): void {
-    this.#scheduler.adopt(request, server);
+    this.#scheduler.adopt(request, server, this.#clock());
     this.#scheduleDelivery();
   }
 
@@ -138,7 +146,8 @@
   recordEnd(id: string, outcome: RunOutcome, timing: StreamTiming): void {
     const now = this.#clock();
     this.#scheduler.recordStreamTiming(id, timing, now);
-    this.#scheduler.recordEnd(id, outcome, now);
+    const crash = this.#scheduler.recordEnd(id, outcome, now);
+    if (crash !== undefined) this.#suspects.logCrash(crash);
     this.#scheduleDelivery();
   }
 
@@ -164,7 +173,7 @@
       case "ended":
         this.#peerRequests.delete(message.id);
         this.recordRequestedBackoff(message.id, message.backoff);
-        this.recordEnd(message.id, message.end, message);
+        this.recordEnd(message.id, outcomeOf(message), message);
         return true;
       default:
         return false;
@@ -184,6 +193,7 @@
 
   /** Delivers all grants and refusals that can be decided now. */
   deliverDecisions(): void {
+    this.#suspects.publishChanges();
     for (const decision of this.#scheduler.decide(this.#clock())) {
       this.#deliver(decision);
     }
@@ -243,6 +253,12 @@
   }
 }
 
+function outcomeOf(
+  { end, crashed }: Extract<PeerMessage, { type: "ended" }>,
+): RunOutcome {
+  return end === "broken" && crashed ? "crashed" : end;
+}
+
 function toGrantResult(decision: GrantDecision, by: string): GrantResult {
   if (decision.kind === "grant") {
     return { kind: "grant", server: decision.server, by };
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -72,6 +72,18 @@
  */
 const requestedBackoff = v.optional(duration, 0);
 
+/** A `SuspectStatement`. */
+const suspectStatementSchema = v.object({
+  fingerprint: text,
+  kind: v.picklist(["clear", "suspect", "quarantined"]),
+  revision: count,
+  crashes: count,
+  soleSuspectCrashes: count,
+  servers: v.array(text),
+  /** Milliseconds for which the statement is valid. */
+  remaining: duration,
+});
+
 const stateNameSchema = v.picklist(["configuration", "servers"]);
 /** State of the store that entries pass on to each other. */
 export type StateName = v.InferOutput<typeof stateNameSchema>;
@@ -169,6 +181,8 @@
       "misdirected",
       "abandoned",
     ]),
+    /** With `broken`: the server refuses new connections. */
+    crashed: v.optional(v.boolean(), false),
   }),
   v.object({
     type: v.literal("grant"),
@@ -183,10 +197,21 @@
     server: text,
     observation: limitObservationSchema,
   }),
+  /** Requests that may crash servers; the newer statement on each applies. */
+  v.object({
+    type: v.literal("suspects"),
+    statements: v.array(suspectStatementSchema),
+  }),
   v.object({
     type: v.literal("refuse"),
     id: text,
-    reason: v.picklist(["quota", "overload", "no_server", "expired"]),
+    reason: v.picklist([
+      "quota",
+      "overload",
+      "no_server",
+      "expired",
+      "quarantined",
+    ]),
     retryAfter: duration,
     /** Inputs of the sender's decision; see `RefusalInputs`. */
     free: v.optional(count, 0),
--- a/packages/gateway/src/request/backend_headers.ts
+++ b/packages/gateway/src/request/backend_headers.ts
@@ -35,21 +35,18 @@
 }
 
 /**
- * Hash that is the same for all attempts of one request, at whichever entry
- * they arrive. `requestIdHeader`: the header that differs from attempt to
- * attempt.
+ * Hash of what a request asks for and of its organisation: the same for all
+ * attempts, at whichever entry they arrive and with whichever credential.
+ * Headers may differ from attempt to attempt.
  */
 export function requestFingerprint(
-  parsed: ParsedRequest,
+  parsed: Pick<ParsedRequest, "method" | "host" | "target">,
+  organisation: string,
   body: Buffer | undefined,
-  requestIdHeader: string,
 ): string {
   const hash = createHash("sha1");
   hash.update(`${parsed.method} ${parsed.host}${parsed.target}\n`);
-  hash.update(`${parsed.credential ?? ""}\n`);
-  for (const part of withoutHeader(parsed.forwardedHeaders, requestIdHeader)) {
-    hash.update(`${part}\n`);
-  }
+  hash.update(`${organisation}\n`);
   if (body !== undefined) hash.update(body);
   return hash.digest("base64url");
 }
--- a/packages/gateway/src/request/error_response.ts
+++ b/packages/gateway/src/request/error_response.ts
@@ -12,6 +12,7 @@
   | "overload"
   | "no_server"
   | "expired"
+  | "quarantined"
   | "not_run"
   | "stopping"
   | "time_up"
@@ -28,6 +29,7 @@
   overload: 503,
   no_server: 503,
   expired: 503,
+  quarantined: 503,
   not_run: 503,
   stopping: 503,
   time_up: 503,
--- a/packages/gateway/src/request/request_report.ts
+++ b/packages/gateway/src/request/request_report.ts
@@ -27,7 +27,13 @@
   /** `waited`: milliseconds until the grant; `attempt`: number of the grant. */
   recordGrant(
     server: ServerRecord,
-    grant: { waited: number; by: string; attempt: number },
+    grant: {
+      waited: number;
+      by: string;
+      attempt: number;
+      /** Fingerprint, if the request may crash servers. */
+      suspect: string | undefined;
+    },
   ): void {
     const { metrics, log, grantClient, clock } = this.#context;
     const { service, route, organisation, charge } = this.#resolved;
@@ -45,6 +51,7 @@
       attempt: grant.attempt,
       organisation,
       charge,
+      ...(grant.suspect !== undefined && { suspect: grant.suspect }),
       ...(limit && {
         limit: limit.perSecond,
         limitBy: limit.by,
--- a/packages/gateway/src/request/request_task.ts
+++ b/packages/gateway/src/request/request_task.ts
@@ -73,9 +73,9 @@
     this.#report = new RequestReport(context, parsed, resolved);
     this.#response = new FinalResponse(options.caller, this.#report);
     this.#fingerprint = requestFingerprint(
-      options.parsed,
+      parsed,
+      resolved.organisation,
       options.body,
-      options.context.headerNames.requestId,
     );
   }
 
@@ -143,6 +143,11 @@
     grant: number,
   ): Promise<{ id: string; server: ServerRecord } | undefined> {
     const { grantClient, clock, findServer } = this.#context;
+    const verdict = grantClient.suspects.verdict(this.#fingerprint);
+    if (verdict.kind === "quarantined") {
+      this.#giveUp("quarantined", verdict.retryAfter);
+      return undefined;
+    }
     const { route, service, organisation, cost, charge } = this.#resolved;
     const { tierRank, routeRank } = this.#resolved;
     const requestedAt = clock();
@@ -188,7 +193,8 @@
     }
     const waited = clock() - requestedAt;
     const { by } = grantResult;
-    this.#report.recordGrant(record, { waited, by, attempt: grant });
+    const suspect = verdict.kind === "suspect" ? this.#fingerprint : undefined;
+    this.#report.recordGrant(record, { waited, by, attempt: grant, suspect });
     return { id, server: record };
   }
 
--- a/packages/gateway/src/request/server_attempt.ts
+++ b/packages/gateway/src/request/server_attempt.ts
@@ -55,6 +55,7 @@
   readonly #exchange: Exchange;
   readonly #sentAt: number;
   #watchdog: SilenceWatchdog | undefined;
+  #wasSilent = false;
 
   constructor(request: AttemptRequest, target: AttemptTarget) {
     this.#request = request;
@@ -101,16 +102,17 @@
     // Cancelled after the server had sent nothing for a long time: the server
     // is judged by that.
     const cancelledUnresponsive = result.kind === "aborted" && unresponsive;
-    return {
-      result,
-      runOutcome: cancelledUnresponsive ? "broken" : runOutcomeOf(result),
-    };
+    if (cancelledUnresponsive) return { result, runOutcome: "broken" };
+    const crashed = result.kind === "broken" && !this.#wasSilent &&
+      await context.connectionPool.isRefusing(server);
+    return { result, runOutcome: crashed ? "crashed" : runOutcomeOf(result) };
   }
 
   #createWatchdog(onSilence: () => boolean): SilenceWatchdog {
     const timeouts = silenceTimeouts(this.#request.resolved.route);
     return new SilenceWatchdog(timeouts, () => {
       if (!onSilence()) return false;
+      this.#wasSilent = true;
       this.#exchange.fail("silent");
       return true;
     });
--- a/packages/gateway/test/request_task_test.ts
+++ b/packages/gateway/test/request_task_test.ts
@@ -46,6 +46,7 @@
       },
       withdraw: (id: string) => withdrawn.push(id),
       limits: { known: new ServerLimits() },
+      suspects: { verdict: () => ({ kind: "clear" }) },
     },
     activeConfiguration: () => undefined,
     findServer: () => SERVER,
