Merge server records by the revision of each, not by view

Entries had stopped in time and went back. Each entry kept one revision for its whole directory, and the view that arrived last replaced the others. Directories of the same revision held 80, 84 and 89 records: an entry that retained removed records after an outage handed them to its peers without saying so, labelled with the newest revision. A peer that had applied the removal already never saw it again, and handed the records on. By the same fault an older complete read or watch batch undid newer records.

Every record and every removal now carries the store revision at which it was written, and only a newer one replaces it. A view is merged record by record; what it lacks counts as removed as of its revision. A start of a server whose record said once that it drains is not used again. Retained records stay with the entry that retains them. An entry that is cut off while the store responds to its peers no longer takes that for an outage: heartbeats say how long ago the store responded to their sender. server_changed is logged for what is learned from peers too, with its source.

Ruled out by the record: news that came late, watches that were not served, and a store that refused calls; none of the three entries concerned had a failed call.

--- a/packages/decisions/src/discovery/mod.ts
+++ b/packages/decisions/src/discovery/mod.ts
@@ -1,4 +1,8 @@
 /** Directory of the backend servers that may be sent requests. @module */
 export { ServerDirectory } from "./server_directory.ts";
 export { incarnationOf } from "./server_record.ts";
-export type { ServerRecord } from "./server_record.ts";
+export type {
+  ServerChange,
+  ServerRecord,
+  ServerState,
+} from "./server_record.ts";
--- a/packages/decisions/src/discovery/server_directory.ts
+++ b/packages/decisions/src/discovery/server_directory.ts
@@ -2,6 +2,11 @@
  * Tracks which backend servers may be sent requests, from their records in the
  * store and from what they state in their responses.
  *
+ * Changes arrive from the store and from peers, and an older one may arrive
+ * after a newer one. Each record and each removal therefore has the store
+ * revision at which it was written, and only a newer one replaces it. A server
+ * that leaves never takes that back, whatever is written later.
+ *
  * Each record is bound to a lease and may expire during an outage of the store
  * although its server is alive. A record that disappears around an outage is
  * therefore retained until its server has had time to register again. A record
@@ -18,7 +23,11 @@
  */
 import { LeavingServers } from "./leaving_servers.ts";
 import { incarnationOf } from "./server_record.ts";
-import type { ServerRecord } from "./server_record.ts";
+import type {
+  ServerChange,
+  ServerRecord,
+  ServerState,
+} from "./server_record.ts";
 
 /**
  * Milliseconds after an outage within which every live server has registered
@@ -30,17 +39,19 @@
  * among them, that count as an outage. Leases are renewed once a second.
  */
 const OUTAGE_THRESHOLD = 1500;
+/** Maximum number of removals that are remembered; the oldest is evicted. */
+const MAXIMUM_REMOVALS = 4096;
+
+/** A server with the time until which a removed record is retained. */
+type KnownServer = { state: ServerState; retainedUntil?: number };
 
-/** Server records by id, including those retained after an outage. */
+/** Servers by id, including those retained after an outage. */
 export class ServerDirectory {
-  #records = new Map<string, ServerRecord>();
+  readonly #servers = new Map<string, KnownServer>();
+  /** Revisions of removals by id, oldest first. */
+  readonly #removals = new Map<string, number>();
   readonly #leaving = new LeavingServers();
-  /**
-   * Ids that disappeared around an outage, with the time at which they are
-   * removed.
-   */
-  readonly #retainedUntil = new Map<string, number>();
-  #lastResponseAt: number | undefined;
+  #lastContactAt: number | undefined;
   /** A call to the store has failed since its last response. */
   #callFailed = false;
   #outageEndedAt = -Infinity;
@@ -50,22 +61,29 @@
    */
   #newestByAddress: Map<string, ServerRecord> | undefined;
 
-  /** Store revision of the newest change or complete read that was applied. */
+  /** Store revision up to which all changes are known here. */
   get revision(): number {
     return this.#revision;
   }
 
+  /** Records a response of the store to this entry. */
+  recordStoreResponse(now: number): void {
+    this.recordPeerContact(now);
+    this.#callFailed = false;
+  }
+
   /**
-   * Records a response of the store and detects the end of an outage. A watch
-   * that returned nothing for a long time is not an outage.
+   * Records that the store responded to a peer at `at`, and detects the end of
+   * an outage. A watch that returned nothing for a long time is not an outage,
+   * and neither is a store that responds to others.
    */
-  recordStoreResponse(now: number): void {
-    const silence = now - (this.#lastResponseAt ?? now);
-    if (this.#callFailed && silence > OUTAGE_THRESHOLD) {
-      this.#outageEndedAt = now;
+  recordPeerContact(at: number): void {
+    const last = this.#lastContactAt ?? at;
+    if (at < last) return;
+    if (this.#callFailed && at - last > OUTAGE_THRESHOLD) {
+      this.#outageEndedAt = at;
     }
-    this.#lastResponseAt = now;
-    this.#callFailed = false;
+    this.#lastContactAt = at;
   }
 
   /** Records a failed call to the store. */
@@ -73,39 +91,45 @@
     this.#callFailed = true;
   }
 
-  /** Replaces all records with the result of a complete read. */
-  replace(
-    records: readonly ServerRecord[],
+  /**
+   * Merges a complete view of all servers as of `revision`: a server that it
+   * lacks was removed by then. Returns what has changed.
+   */
+  merge(
+    states: readonly ServerState[],
     revision: number,
     now: number,
-  ): void {
-    const found = new Map(records.map((record) => [record.id, record]));
-    for (const [id, record] of this.#records) {
-      if (!found.has(id) && this.#retain(id, now)) found.set(id, record);
+  ): ServerChange[] {
+    const changes: ServerChange[] = [];
+    const found = new Set<string>();
+    for (const state of states) {
+      found.add(state.id);
+      changes.push(...this.apply(state, now));
     }
-    for (const record of records) this.#retainedUntil.delete(record.id);
-    this.#records = found;
-    this.#newestByAddress = undefined;
-    this.#revision = Math.max(this.#revision, revision);
-  }
-
-  /** Applies a written record; `undefined` for one that can't be decoded. */
-  put(id: string, record: ServerRecord | undefined, now: number): void {
-    this.#retainedUntil.delete(id);
-    if (record === undefined) {
-      this.remove(id, now);
-      return;
+    for (const id of [...this.#servers.keys()]) {
+      if (found.has(id)) continue;
+      changes.push(...this.apply({ id, revision, record: undefined }, now));
     }
-    this.#records.set(id, record);
-    this.#newestByAddress = undefined;
+    this.advance(revision);
+    return changes;
   }
 
-  /** Applies the removal of a record. */
-  remove(id: string, now: number): void {
-    if (!this.#records.has(id)) return;
-    if (this.#retain(id, now)) return;
-    this.#records.delete(id);
+  /**
+   * Applies one written or removed record unless a newer one is known. Returns
+   * what has changed.
+   */
+  apply(state: ServerState, now: number): ServerChange[] {
+    const { id, revision, record } = state;
+    if (record?.draining) this.#leaving.add(incarnationOf(record));
+    if (revision <= this.#knownRevision(id)) return [];
+    const before = this.#servers.get(id);
     this.#newestByAddress = undefined;
+    if (record !== undefined) {
+      this.#removals.delete(id);
+      this.#servers.set(id, { state });
+    } else if (before !== undefined) this.#remove(id, before, revision, now);
+    else this.#recordRemoval(id, revision);
+    return changesBetween(before, this.#servers.get(id), state);
   }
 
   /** Records that all changes up to `revision` were applied. */
@@ -126,7 +150,7 @@
    * don't say so yet.
    */
   leavingUnrecorded(): string[] {
-    return [...this.#records.values()]
+    return this.#records()
       .filter(({ draining }) => !draining)
       .map(incarnationOf)
       .filter((incarnation) => this.#leaving.has(incarnation));
@@ -134,30 +158,30 @@
 
   /** Returns all servers that may be sent requests now. */
   usable(now: number): ServerRecord[] {
-    const usable: ServerRecord[] = [];
-    for (const [id, record] of this.#records) {
-      const removeAt = this.#retainedUntil.get(id);
-      if (removeAt !== undefined && now >= removeAt) {
-        this.#records.delete(id);
-        this.#retainedUntil.delete(id);
-        this.#newestByAddress = undefined;
-        continue;
-      }
-      if (!this.#isLeaving(record) && !this.#isSuperseded(record)) {
-        usable.push(record);
-      }
+    for (const [id, { state, retainedUntil }] of this.#servers) {
+      if (retainedUntil === undefined || now < retainedUntil) continue;
+      this.#servers.delete(id);
+      this.#recordRemoval(id, state.revision);
+      this.#newestByAddress = undefined;
     }
-    return usable;
+    return this.#records().filter((record) =>
+      !this.#isLeaving(record) && !this.#isSuperseded(record)
+    );
   }
 
   /** Returns the record with this id, also if its server is draining. */
   find(id: string): ServerRecord | undefined {
-    return this.#records.get(id);
+    return this.#servers.get(id)?.state.record;
   }
 
-  /** Returns all records, for a peer that can't reach the store. */
-  all(): ServerRecord[] {
-    return [...this.#records.values()];
+  /**
+   * Returns all registered servers, for peers. Retained ones are left out: each
+   * entry decides by what it knows of the outage.
+   */
+  registered(): ServerState[] {
+    return [...this.#servers.values()]
+      .filter(({ retainedUntil }) => retainedUntil === undefined)
+      .map(({ state }) => state);
   }
 
   /**
@@ -165,30 +189,76 @@
    * last one at its address.
    */
   isUsable(record: ServerRecord): boolean {
-    const current = this.#records.get(record.id);
+    const current = this.find(record.id);
     return current !== undefined && !this.#isLeaving(current) &&
       incarnationOf(current) === incarnationOf(record) &&
       !this.#isSuperseded(current);
   }
 
+  #records(): ServerRecord[] {
+    return [...this.#servers.values()].map(({ state }) => state.record)
+      .filter((record) => record !== undefined);
+  }
+
   #isLeaving(record: ServerRecord): boolean {
     return record.draining || this.#leaving.has(incarnationOf(record));
   }
 
   #isSuperseded(record: ServerRecord): boolean {
-    this.#newestByAddress ??= newestByAddress(this.#records.values());
+    this.#newestByAddress ??= newestByAddress(this.#records());
     const newest = this.#newestByAddress.get(addressOf(record));
     return newest !== undefined && newest.startedAt > record.startedAt;
   }
 
-  #retain(id: string, now: number): boolean {
-    const removeAt = this.#retainedUntil.get(id);
-    if (removeAt !== undefined) return now < removeAt;
-    const since = now - this.#outageEndedAt;
-    if (since >= REREGISTRATION_TIME) return false;
-    this.#retainedUntil.set(id, this.#outageEndedAt + REREGISTRATION_TIME);
-    return true;
+  /** Revision of the newest change of this id that is known; 0 if none. */
+  #knownRevision(id: string): number {
+    return this.#servers.get(id)?.state.revision ??
+      this.#removals.get(id) ?? 0;
   }
+
+  #remove(
+    id: string,
+    { state, retainedUntil }: KnownServer,
+    revision: number,
+    now: number,
+  ): void {
+    const until = retainedUntil ?? this.#outageEndedAt + REREGISTRATION_TIME;
+    if (now < until) {
+      const retained = { ...state, revision };
+      this.#servers.set(id, { state: retained, retainedUntil: until });
+      return;
+    }
+    this.#servers.delete(id);
+    this.#recordRemoval(id, revision);
+  }
+
+  #recordRemoval(id: string, revision: number): void {
+    this.#removals.delete(id);
+    this.#removals.set(id, revision);
+    if (this.#removals.size <= MAXIMUM_REMOVALS) return;
+    const [oldest] = this.#removals.keys();
+    if (oldest !== undefined) this.#removals.delete(oldest);
+  }
+}
+
+/** The change that a caller sees, if the server's availability has changed. */
+function changesBetween(
+  before: KnownServer | undefined,
+  after: KnownServer | undefined,
+  { id, revision }: ServerState,
+): ServerChange[] {
+  const availabilityBefore = availabilityOf(before);
+  const availability = availabilityOf(after);
+  if (availability === availabilityBefore) return [];
+  return [{ server: id, change: availability, revision }];
+}
+
+function availabilityOf(
+  server: KnownServer | undefined,
+): ServerChange["change"] {
+  if (server?.state.record === undefined) return "gone";
+  if (server.retainedUntil !== undefined) return "retained";
+  return server.state.record.draining ? "draining" : "ready";
 }
 
 function newestByAddress(
--- a/packages/decisions/src/discovery/server_record.ts
+++ b/packages/decisions/src/discovery/server_record.ts
@@ -20,6 +20,22 @@
   draining: boolean;
 };
 
+/** What was written under a server's id; no record if it was removed. */
+export type ServerState = {
+  id: string;
+  /** Store revision of the change; of two states the one with more is newer. */
+  revision: number;
+  record: ServerRecord | undefined;
+};
+
+/** A change of a server's availability, for logs. */
+export type ServerChange = {
+  server: string;
+  /** `retained`: removed around an outage, and expected to register again. */
+  change: "ready" | "draining" | "retained" | "gone";
+  revision: number;
+};
+
 /** Key that differs for every start, even with the same id or address. */
 export function incarnationOf(record: ServerRecord): string {
   return `${record.id}@${record.startedAt}`;
--- a/packages/decisions/test/leaving_servers_test.ts
+++ b/packages/decisions/test/leaving_servers_test.ts
@@ -2,7 +2,7 @@
 import t from "tap";
 import { incarnationOf, ServerDirectory } from "../src/mod.ts";
 import type { ServerRecord } from "../src/mod.ts";
-import { serverRecord } from "./server_record.ts";
+import { removed, serverRecord, written } from "./server_record.ts";
 
 const IDS = ["s0", "s1", "s2"];
 /** Entries that exchange what they know. */
@@ -49,8 +49,10 @@
     return [this.directory, this.plain];
   }
 
-  put(record: ServerRecord, now: number): void {
-    for (const directory of this.both) directory.put(record.id, record, now);
+  put(revision: number, record: ServerRecord, now: number): void {
+    for (const directory of this.both) {
+      directory.apply(written(revision, record), now);
+    }
   }
 
   tell(incarnation: string): void {
@@ -59,15 +61,26 @@
   }
 }
 
-function apply(entries: Entry[], event: Event, now: number): void {
+function apply(
+  entries: Entry[],
+  event: Event,
+  revision: number,
+  now: number,
+): void {
   const entry = entries[event.entry]!;
   switch (event.kind) {
     case "registers":
-      return entry.put(recordOf(event.id, event.startedAt), now);
+      return entry.put(revision, recordOf(event.id, event.startedAt), now);
     case "drains":
-      return entry.put(recordOf(event.id, event.startedAt, true), now);
+      return entry.put(
+        revision,
+        recordOf(event.id, event.startedAt, true),
+        now,
+      );
     case "removed":
-      return entry.both.forEach((directory) => directory.remove(event.id, now));
+      return entry.both.forEach((directory) =>
+        directory.apply(removed(revision, event.id), now)
+      );
     case "says":
       return entry.tell(`${event.id}@${event.startedAt}`);
     case "heartbeat":
@@ -104,7 +117,7 @@
       const entries = Array.from({ length: ENTRIES }, () => new Entry());
       return sequence.every((event, index) => {
         const now = index * 700;
-        apply(entries, event, now);
+        apply(entries, event, index + 1, now);
         return entries.every((entry) => usesOthersOnly(entry, now));
       });
     }),
@@ -121,8 +134,8 @@
       const directory = new ServerDirectory();
       const mark = () => leaving.forEach((one) => directory.markLeaving(one));
       if (early) mark();
-      for (const { id, startedAt } of registered) {
-        directory.put(id, recordOf(id, startedAt), 0);
+      for (const [index, { id, startedAt }] of registered.entries()) {
+        directory.apply(written(index + 1, recordOf(id, startedAt)), 0);
       }
       if (!early) mark();
       const last = new Map(registered.map((one) => [one.id, one.startedAt]));
@@ -139,15 +152,15 @@
 t.test("only registered servers without a record of draining are announced", (t) => {
   const directory = new ServerDirectory();
   for (const id of IDS) {
-    directory.put(id, recordOf(id, 1), 0);
+    directory.apply(written(1, recordOf(id, 1)), 0);
     t.ok(directory.markLeaving(`${id}@1`));
   }
   t.notOk(directory.markLeaving("s0@1"));
   directory.markLeaving("unknown@1");
-  directory.put("s1", recordOf("s1", 1, true), 0);
-  directory.remove("s2", 0);
+  directory.apply(written(2, recordOf("s1", 1, true)), 0);
+  directory.apply(removed(3, "s2"), 0);
   t.same(directory.leavingUnrecorded(), ["s0@1"]);
-  directory.put("s0", recordOf("s0", 2), 0);
+  directory.apply(written(4, recordOf("s0", 2)), 0);
   t.same(directory.leavingUnrecorded(), []);
   t.end();
 });
--- a/packages/decisions/test/server_directory_test.ts
+++ b/packages/decisions/test/server_directory_test.ts
@@ -1,6 +1,6 @@
 import t from "tap";
 import { ServerDirectory } from "../src/mod.ts";
-import { serverRecord as server } from "./server_record.ts";
+import { removed, serverRecord as server, written } from "./server_record.ts";
 
 function usableIds(directory: ServerDirectory, now: number): string[] {
   return directory.usable(now).map(({ id }) => id);
@@ -9,9 +9,9 @@
 t.test("a record that disappears without an outage is removed at once", (t) => {
   const directory = new ServerDirectory();
   directory.recordStoreResponse(0);
-  directory.replace([server("x"), server("y")], 5, 0);
+  directory.merge([written(3, server("x")), written(4, server("y"))], 5, 0);
   directory.recordStoreResponse(1000);
-  directory.remove("x", 1000);
+  directory.apply(removed(6, "x"), 1000);
   t.same(usableIds(directory, 1000), ["y"]);
   t.end();
 });
@@ -20,13 +20,13 @@
   // Otherwise a stopped server is sent requests for another 2.1 s.
   const directory = new ServerDirectory();
   directory.recordStoreResponse(0);
-  directory.replace([server("x"), server("y")], 5, 0);
+  directory.merge([written(3, server("x")), written(4, server("y"))], 5, 0);
   directory.recordStoreResponse(6000);
-  directory.remove("x", 6000);
+  directory.apply(removed(6, "x"), 6000);
   t.same(usableIds(directory, 6000), ["y"]);
   directory.recordStoreFailure();
   directory.recordStoreResponse(7000);
-  directory.remove("y", 7000);
+  directory.apply(removed(7, "y"), 7000);
   t.same(usableIds(directory, 7000), [], "neither does a single failed call");
   t.end();
 });
@@ -35,12 +35,12 @@
   // Otherwise all requests are refused until the servers register again.
   const directory = new ServerDirectory();
   directory.recordStoreResponse(0);
-  directory.replace([server("x"), server("y")], 5, 0);
+  directory.merge([written(3, server("x")), written(4, server("y"))], 5, 0);
   directory.recordStoreFailure();
   directory.recordStoreResponse(6000);
-  directory.replace([], 9, 6000);
+  directory.merge([], 9, 6000);
   t.same(usableIds(directory, 7900), ["x", "y"]);
-  directory.put("x", server("x"), 7950);
+  directory.apply(written(10, server("x")), 7950);
   t.same(
     usableIds(directory, 8001),
     ["x"],
@@ -53,14 +53,17 @@
   const directory = new ServerDirectory();
   directory.recordStoreResponse(0);
   const first = server("x");
-  directory.replace([first], 5, 0);
+  directory.merge([written(5, first)], 5, 0);
   t.ok(directory.isUsable(first));
-  directory.put("x", server("x", { startedAt: 2 }), 10);
+  directory.apply(written(6, server("x", { startedAt: 2 })), 10);
   t.notOk(directory.isUsable(first), "an earlier start with the same id");
-  directory.put("x", server("x", { startedAt: 2, draining: true }), 20);
+  directory.apply(
+    written(7, server("x", { startedAt: 2, draining: true })),
+    20,
+  );
   t.same(usableIds(directory, 20), []);
-  directory.put("y", server("y"), 30);
-  directory.put("y", undefined, 40);
+  directory.apply(written(8, server("y")), 30);
+  directory.apply(removed(9, "y"), 40);
   t.same(usableIds(directory, 40), []);
   t.end();
 });
@@ -70,14 +73,18 @@
   const directory = new ServerDirectory();
   directory.recordStoreResponse(0);
   const old = server("old");
-  directory.replace([old, server("z", { port: 81 })], 5, 0);
+  directory.merge(
+    [written(4, old), written(5, server("z", { port: 81 }))],
+    5,
+    0,
+  );
   t.same(usableIds(directory, 10), ["old", "z"]);
   const later = server("new", { startedAt: 2000 });
-  directory.put("new", later, 20);
+  directory.apply(written(6, later), 20);
   t.same(usableIds(directory, 20), ["z", "new"]);
   t.notOk(directory.isUsable(old));
   t.ok(directory.isUsable(later));
-  directory.remove("new", 30);
+  directory.apply(removed(7, "new"), 30);
   t.same(usableIds(directory, 30), ["old", "z"]);
   t.end();
 });
--- a/packages/decisions/test/server_record.ts
+++ b/packages/decisions/test/server_record.ts
@@ -1,4 +1,14 @@
-import type { ServerRecord } from "../src/mod.ts";
+import type { ServerRecord, ServerState } from "../src/mod.ts";
+
+/** Returns a record as it was written at `revision` of the store. */
+export function written(revision: number, record: ServerRecord): ServerState {
+  return { id: record.id, revision, record };
+}
+
+/** Returns the removal of a record at `revision` of the store. */
+export function removed(revision: number, id: string): ServerState {
+  return { id, revision, record: undefined };
+}
 
 /** Returns a backend server's record with the given changes. */
 export function serverRecord(
--- a/packages/gateway/src/entry_status.ts
+++ b/packages/gateway/src/entry_status.ts
@@ -12,6 +12,7 @@
 import type { GatewaySettings } from "./settings.ts";
 import type { FleetState } from "./state/fleet_state.ts";
 import type { EntryRegistration } from "./state/entry_registration.ts";
+import type { StoreContact } from "./state/store_contact.ts";
 
 /** Sources of the status. */
 export type EntryStatusOptions = {
@@ -21,6 +22,7 @@
   peers: Peers;
   grantClient: GrantClient;
   registration: EntryRegistration;
+  storeContact: StoreContact;
   clock: () => number;
 };
 
@@ -34,12 +36,13 @@
 
   /** The status that heartbeats announce. */
   ownStatus(): PeerStatus {
-    const { state, grantClient } = this.#options;
+    const { state, grantClient, storeContact } = this.#options;
     const { processors, leaving, listed } = this.#ownEntry();
     return {
       configurationRevision: state.publishedConfiguration.revision,
       configurationConfirmed: state.configurationConfirmed,
       serverRevision: state.directory.revision,
+      storeContactAge: storeContact.age,
       leaving,
       processors,
       listed,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -157,6 +157,7 @@
       peers: this.#peers,
       grantClient: this.#grantClient,
       registration: this.#registration,
+      storeContact: this.#storeContact,
       clock,
     });
     this.#usableServers = new UsableServers(this.#fleetState.directory);
@@ -300,6 +301,7 @@
     if (message.type === "heartbeat") {
       if (message.leaving) this.#fleetState.membershipList.markDraining(peer);
       this.#fleetState.recordLeaving(message.leavingServers, peer);
+      this.#fleetState.recordPeerContact(message.storeContactAge);
     }
     this.#stateSharing.handleMessage(peer, message);
   }
--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -1,4 +1,5 @@
 /** All events that the gateway may log; durations in milliseconds. @module */
+import type { ServerChange } from "@sycamorepulley/decisions";
 
 /** A decision, or a change of what the process knows. */
 export type LogEvent =
@@ -22,12 +23,8 @@
     detail: string;
   }
   | { event: "servers_adopted"; from: string; revision: number; count: number }
-  | {
-    event: "server_changed";
-    server: string;
-    change: string;
-    revision: number;
-  }
+  /** `from` is the store or the peer that the change was learned from. */
+  | ({ event: "server_changed"; from: string } & ServerChange)
   | {
     event: "store_call_failed";
     step: string;
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -53,6 +53,8 @@
   version: text,
   slots: count,
   draining: v.boolean(),
+  /** Store revision at which the record was written. */
+  revision: v.optional(count, 0),
 });
 
 /** A `LimitObservation`; its time is sent as an age. */
@@ -105,6 +107,8 @@
     /** The store confirmed it to the sender, and no call has failed since. */
     configurationConfirmed: v.optional(v.boolean(), false),
     serverRevision: count,
+    /** Milliseconds since the store responded to the sender, if it ever has. */
+    storeContactAge: v.optional(duration),
     /** The sender is draining. */
     leaving: v.boolean(),
     /** The sender's granting entry, which may be the sender itself. */
--- a/packages/gateway/src/peers/peer_link.ts
+++ b/packages/gateway/src/peers/peer_link.ts
@@ -14,6 +14,8 @@
   /** The store confirmed it to the peer, and no call has failed since. */
   configurationConfirmed: boolean;
   serverRevision: number;
+  /** Milliseconds since the store responded to the peer, if it ever has. */
+  storeContactAge?: number | undefined;
   /** The peer is draining. */
   leaving: boolean;
   /** The peer's granting entry. */
@@ -35,9 +37,12 @@
   reply: boolean;
 };
 
-/** Returns a key that is equal for heartbeats with the same content. */
+/**
+ * Returns a key that is equal for heartbeats with the same content, except for
+ * the age of the contact with the store.
+ */
 export function heartbeatKey(status: PeerStatus, interval: number): string {
-  return JSON.stringify([status, interval]);
+  return JSON.stringify([{ ...status, storeContactAge: undefined }, interval]);
 }
 
 /** Connection to a peer, with what is known about the peer. */
--- a/packages/gateway/src/peers/state_sharing.ts
+++ b/packages/gateway/src/peers/state_sharing.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { StatePull } from "@sycamorepulley/decisions";
-import type { StateRequest } from "@sycamorepulley/decisions";
+import type { ServerState, StateRequest } from "@sycamorepulley/decisions";
 import * as v from "valibot";
 import type { EventLog } from "../observe/event_log.ts";
 import type { FleetState } from "../state/fleet_state.ts";
@@ -189,7 +189,8 @@
       this.#logUnreadable("servers", { from, revision, detail });
       return false;
     }
-    this.#state.adoptServers(records.output, revision, from);
+    const servers = records.output.map(decodeServerState);
+    this.#state.adoptServers(servers, revision, from);
     return true;
   }
 
@@ -209,10 +210,20 @@
   #text(state: StateName): string {
     return state === "configuration"
       ? this.#state.publishedConfiguration.value
-      : JSON.stringify(this.#state.directory.all());
+      : JSON.stringify(this.#state.directory.registered().map(encodeServer));
   }
 }
 
+function encodeServer({ revision, record }: ServerState): object {
+  return { ...record, revision };
+}
+
+function decodeServerState(
+  { revision, ...record }: v.InferOutput<typeof serverSchema>,
+): ServerState {
+  return { id: record.id, revision, record };
+}
+
 function parseJson(text: string): unknown {
   try {
     return JSON.parse(text);
--- a/packages/gateway/src/state/fleet_state.ts
+++ b/packages/gateway/src/state/fleet_state.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { MembershipList, ServerDirectory } from "@sycamorepulley/decisions";
-import type { ServerRecord } from "@sycamorepulley/decisions";
+import type { ServerChange, ServerState } from "@sycamorepulley/decisions";
 import type { ItemChange, StoredItem } from "@sycamorepulley/store";
 import type { EventLog } from "../observe/event_log.ts";
 import { ActiveConfiguration } from "./gateway_configuration.ts";
@@ -125,21 +125,21 @@
     return true;
   }
 
-  /** Adopts a peer's servers if they are newer than those known here. */
+  /** Merges a peer's servers; `revision` as in {@link ServerDirectory.merge}. */
   adoptServers(
-    records: readonly ServerRecord[],
+    servers: readonly ServerState[],
     revision: number,
     from: string,
   ): void {
-    if (revision <= this.directory.revision) return;
-    this.directory.replace(records, revision, this.#clock());
+    const changes = this.directory.merge(servers, revision, this.#clock());
     this.#serversKnown = true;
     this.#log.write({
       event: "servers_adopted",
       from,
       revision,
-      count: records.length,
+      count: servers.length,
     });
+    this.#logServerChanges(changes, from);
     this.#onChange("servers");
   }
 
@@ -157,6 +157,12 @@
     return news.length > 0;
   }
 
+  /** `age`: milliseconds since the store responded to a peer. */
+  recordPeerContact(age: number | undefined): void {
+    if (age === undefined) return;
+    this.directory.recordPeerContact(this.#clock() - Math.max(0, age));
+  }
+
   /** Entries that are not registered but may still run. */
   unregistered(): Map<string, Member> {
     const shares = this.membershipList.shares(this.#clock());
@@ -216,10 +222,10 @@
   serverListener(): PrefixListener {
     return new StateListener({
       onSnapshot: (items, asOf) => {
-        const records = items.map((item) => this.#decodeServer(item))
-          .filter((record) => record !== undefined);
-        this.directory.replace(records, asOf, this.#clock());
+        const states = items.map((item) => this.#decodeServer(item));
+        const changes = this.directory.merge(states, asOf, this.#clock());
         this.#serversKnown = true;
+        this.#logServerChanges(changes, "store");
         this.#onChange("servers");
       },
       onChange: (change) => this.#applyServerChange(change),
@@ -275,33 +281,30 @@
     this.adoptConfiguration(item.value, item.revision, "store");
   }
 
-  #decodeServer(item: StoredItem): ServerRecord | undefined {
-    const id = item.key.slice(this.#codec.serverPrefix.length);
-    return this.#codec.decodeServer(id, item.value);
+  #decodeServer({ key, value, revision }: StoredItem): ServerState {
+    const id = key.slice(this.#codec.serverPrefix.length);
+    return { id, revision, record: this.#codec.decodeServer(id, value) };
   }
 
   #applyServerChange(change: ItemChange): void {
-    const now = this.#clock();
-    const key = change.kind === "written" ? change.item.key : change.key;
+    const state = change.kind === "written"
+      ? this.#decodeServer(change.item)
+      : this.#removedServer(change);
+    const changes = this.directory.apply(state, this.#clock());
+    this.directory.advance(state.revision);
+    this.#logServerChanges(changes, "store");
+  }
+
+  #removedServer(
+    { key, revision }: { key: string; revision: number },
+  ): ServerState {
     const id = key.slice(this.#codec.serverPrefix.length);
-    const revision = change.kind === "written"
-      ? change.item.revision
-      : change.revision;
-    this.directory.advance(revision);
-    const before = this.directory.find(id);
-    if (change.kind === "removed") this.directory.remove(id, now);
-    else this.directory.put(id, this.#decodeServer(change.item), now);
-    const after = this.directory.find(id);
-    if (before?.draining === after?.draining && before && after) return;
-    this.#log.write({
-      event: "server_changed",
-      server: id,
-      change: after === undefined
-        ? "gone"
-        : after.draining
-        ? "draining"
-        : "ready",
-      revision,
-    });
+    return { id, revision, record: undefined };
+  }
+
+  #logServerChanges(changes: readonly ServerChange[], from: string): void {
+    for (const change of changes) {
+      this.#log.write({ event: "server_changed", ...change, from });
+    }
   }
 }
--- a/packages/gateway/src/state/store_contact.ts
+++ b/packages/gateway/src/state/store_contact.ts
@@ -34,6 +34,7 @@
   readonly #clock: () => number;
   readonly #listeners: ContactListener[] = [];
   #lastResponseAt: number;
+  #hasResponded = false;
   #failing = false;
   #lost = false;
   #availabilityChange = new AbortController();
@@ -44,6 +45,13 @@
     this.#lastResponseAt = options.clock();
   }
 
+  /** Milliseconds since the last response; `undefined` before the first one. */
+  get age(): number | undefined {
+    return this.#hasResponded
+      ? this.#clock() - this.#lastResponseAt
+      : undefined;
+  }
+
   /** Aborted when the store stops responding, and when it responds again. */
   get availabilityChange(): AbortSignal {
     return this.#availabilityChange.signal;
@@ -56,6 +64,7 @@
   recordStoreResponse(): void {
     const now = this.#clock();
     this.#lastResponseAt = now;
+    this.#hasResponded = true;
     for (const listener of this.#listeners) listener.recordStoreResponse(now);
     if (this.#lost) {
       this.#log.write({ event: "dependency_regained", dependency: "store" });
