Separate suspects only after a second crash

A crash cuts up to a batch of requests, and all of them became suspects that run one at a server. When several servers crash at once, as in a failure of a rack, that would leave most slots of the others unused for the requests that are sent again, and more than 40 waiting suspects would have ended each pass over the queue before the requests behind them.

A suspect that has been through one crash now runs beside others; from the second one on it is the only suspect at its server. A crash is attributed to the suspects that were running, if any. The third crash convicts a request that was the only suspect in one of them. Waiting suspects no longer count towards the bound of a pass.

--- a/packages/decisions/src/dispatch/pooled_server.ts
+++ b/packages/decisions/src/dispatch/pooled_server.ts
@@ -67,10 +67,13 @@
 /** A run as it is counted for crashes of its server. */
 export type RunIdentity = {
   fingerprint: string;
-  /** It was started as a suspect; see `CrashSuspects`. */
-  isSuspect: boolean;
+  /** Crashes for which it was a suspect when it started; 0 if it was none. */
+  suspectedCrashes: number;
 };
 
+/** Crashes from which on a suspect runs where no other suspect does. */
+const SEPARATED_FROM = 2;
+
 /** What the group may use of a server; see {@link GroupFractions}. */
 export type UsageBounds = {
   fractions: GroupFractions;
@@ -104,12 +107,16 @@
     return this.#runs.size;
   }
 
-  /** True if it runs a request that was started as a suspect. */
-  get hasSuspect(): boolean {
-    for (const { isSuspect } of this.#runs.values()) {
-      if (isSuspect) return true;
+  /**
+   * False if a suspect of this number of crashes, or one that is running, has
+   * to be the only suspect here.
+   */
+  admitsSuspect(crashes: number): boolean {
+    for (const { suspectedCrashes } of this.#runs.values()) {
+      if (suspectedCrashes === 0) continue;
+      if (Math.max(suspectedCrashes, crashes) >= SEPARATED_FROM) return false;
     }
-    return false;
+    return true;
   }
 
   /** Address as `host:port`, which the server keeps when it starts again. */
@@ -202,14 +209,14 @@
       nominalDecodeTime(cost);
   }
 
-  recordStart(request: GrantRequest, isSuspect: boolean): void {
+  recordStart(request: GrantRequest, suspectedCrashes: number): void {
     const { entry, cost, fingerprint } = request;
     const inPrefill = cost.promptTokens > 0;
     if (inPrefill) this.#pendingPrefillTokens += cost.promptTokens;
     this.#runs.set(request.id, {
       entry,
       fingerprint,
-      isSuspect,
+      suspectedCrashes,
       cost,
       inPrefill,
       maximumPendingPrefill: 0,
--- a/packages/decisions/src/dispatch/server_pool.ts
+++ b/packages/decisions/src/dispatch/server_pool.ts
@@ -46,8 +46,8 @@
 export type GrantedRequest = {
   request: GrantRequest;
   server: string;
-  /** It was a suspect when it was granted; see `CrashSuspects`. */
-  isSuspect: boolean;
+  /** Crashes for which it was a suspect when it was granted, or 0. */
+  suspectedCrashes: number;
 };
 
 /** The servers of one service, by incarnation. */
@@ -180,8 +180,8 @@
 
   /**
    * Returns the free server that is expected to respond soonest. A suspect is
-   * not sent to a server that runs another one, and preferably not to one that
-   * has crashed while it ran the suspect, as that server may be at fault.
+   * sent where the next crash will show its cause, and preferably not to a
+   * server that has crashed while it ran it, as that server may be at fault.
    */
   selectServer(
     request: GrantRequest,
@@ -192,7 +192,9 @@
     if (verdict.kind !== "suspect") {
       return this.#selectFrom(snapshot.free, request, snapshot, now);
     }
-    const free = [...snapshot.free].filter(([, server]) => !server.hasSuspect);
+    const free = [...snapshot.free].filter(([, server]) =>
+      server.admitsSuspect(verdict.crashes)
+    );
     const others = free.filter(([, server]) =>
       !verdict.servers.includes(server.address)
     );
@@ -228,12 +230,12 @@
   }
 
   recordStart(
-    { request, server: name, isSuspect }: GrantedRequest,
+    { request, server: name, suspectedCrashes }: GrantedRequest,
     snapshot: PoolSnapshot,
     now: number,
   ): void {
     const server = this.#servers.get(name);
-    server?.recordStart(request, isSuspect);
+    server?.recordStart(request, suspectedCrashes);
     server?.countAgainstLimit(now);
     const bounds = this.#bounds(name);
     if (!server?.hasFreeSlot(bounds, now)) snapshot.free.delete(name);
@@ -244,9 +246,9 @@
    * Counts a run that another entry has granted; false if its server is
    * unknown.
    */
-  adopt({ request, server: name, isSuspect }: GrantedRequest): boolean {
+  adopt({ request, server: name, suspectedCrashes }: GrantedRequest): boolean {
     const server = this.#servers.get(name);
-    server?.recordStart(request, isSuspect);
+    server?.recordStart(request, suspectedCrashes);
     return server !== undefined;
   }
 
@@ -286,12 +288,13 @@
     const server = this.#servers.get(name);
     const runs = server?.recordCrash();
     if (server === undefined || runs === undefined) return undefined;
-    const suspects = runs.filter(({ isSuspect }) => isSuspect);
-    const [sole] = suspects.length === 1 ? suspects : [];
+    const suspects = runs.filter(({ suspectedCrashes }) =>
+      suspectedCrashes > 0
+    );
     return {
       server: server.address,
       running: runs.map(({ fingerprint }) => fingerprint),
-      soleSuspect: sole?.fingerprint,
+      suspects: suspects.map(({ fingerprint }) => fingerprint),
     };
   }
 
--- a/packages/decisions/src/dispatch/service_scheduler.ts
+++ b/packages/decisions/src/dispatch/service_scheduler.ts
@@ -161,8 +161,9 @@
   /** Counts a run that another entry has granted. */
   adopt(request: GrantRequest, server: string, now: number): void {
     if (this.#granted.has(request.id)) return;
-    const { kind } = this.#suspects.verdict(request.fingerprint, now);
-    const granted = { request, server, isSuspect: kind === "suspect" };
+    const verdict = this.#suspects.verdict(request.fingerprint, now);
+    const suspectedCrashes = crashesOf(verdict);
+    const granted = { request, server, suspectedCrashes };
     if (this.#pool.adopt(granted)) this.#granted.set(request.id, granted);
   }
 
@@ -272,14 +273,15 @@
       const server = this.#selectServer(request, verdict, snapshot, now);
       if (server === undefined) {
         this.#quotaReservations.release(request);
+        if (verdict.kind === "suspect") return "blocked";
         passedOver++;
         return "no_server";
       }
       this.#sizeClassCounter.countGrant(queued.requestClass);
       this.#sizeFairness.recordGrant(queued.requestClass);
       this.#routeFairness.recordGrant(request);
-      const isSuspect = verdict.kind === "suspect";
-      const granted = { request, server, isSuspect };
+      const suspectedCrashes = crashesOf(verdict);
+      const granted = { request, server, suspectedCrashes };
       decisions.push(this.#grant(granted, snapshot, now));
       return "taken";
     });
@@ -425,3 +427,7 @@
     };
   }
 }
+
+function crashesOf(verdict: SuspectVerdict): number {
+  return verdict.kind === "suspect" ? verdict.crashes : 0;
+}
--- a/packages/decisions/src/suspects/quarantine_rule.ts
+++ b/packages/decisions/src/suspects/quarantine_rule.ts
@@ -26,12 +26,13 @@
 }
 
 /**
- * For suspects that run beside other requests but not beside other suspects. A
- * server may crash for another reason meanwhile, so one such crash is not
- * enough.
+ * For suspects that run beside other requests: the third crash proves the cause
+ * if the request was the only suspect at its server in one of them. Three
+ * servers seldom crash for another reason while they run the same request, and
+ * no server runs it to its end in between.
  */
 export class SoleSuspectRule extends QuarantineRule {
   override isProven({ crashes, soleSuspectCrashes }: CrashHistory): boolean {
-    return crashes >= 3 && soleSuspectCrashes >= 2;
+    return crashes >= 3 && soleSuspectCrashes >= 1;
   }
 }
--- a/packages/decisions/src/suspects/suspects.ts
+++ b/packages/decisions/src/suspects/suspects.ts
@@ -4,13 +4,14 @@
  * Such a request kills each server that runs it and is sent again by its
  * caller, so it could take down the whole service, one server after the other.
  * All requests that were running on a server when it crashed become suspects. A
- * further crash is attributed to the suspect that was running, if there is
- * exactly one, and a {@link QuarantineRule} decides when that proves the cause.
- * A successful run clears a suspect, so a harmless request that is sent often
- * is not quarantined for having run during crashes.
+ * further crash is attributed to the suspects that were running, if any, and a
+ * {@link QuarantineRule} decides when that proves the cause. A successful run
+ * clears a suspect, so a harmless request that is sent often is not quarantined
+ * for having run during crashes.
  *
  * Sidecars run a suspect alone on its server, and only one suspect at a time. A
- * granting entry runs suspects beside other requests, one at each server.
+ * granting entry runs suspects beside other requests; one that two servers have
+ * crashed under runs where no other suspect does.
  *
  * A suspicion lasts 10 minutes, longer than callers continue to retry. A
  * quarantine lasts as long; afterwards the fingerprint is a suspect again and
@@ -33,7 +34,7 @@
 export type SuspectVerdict =
   | { kind: "clear" }
   /** `servers`: addresses of the servers that crashed last while it ran. */
-  | { kind: "suspect"; servers: readonly string[] }
+  | { kind: "suspect"; crashes: number; servers: readonly string[] }
   | { kind: "quarantined"; retryAfter: number };
 
 /** Milliseconds for which a fingerprint remains a suspect. */
@@ -61,8 +62,8 @@
   /** Address of the server, or its instance name. */
   server: string;
   running: readonly string[];
-  /** The only suspect among them, if it was started as one. */
-  soleSuspect?: string | undefined;
+  /** Those of them that were started as suspects. */
+  suspects: readonly string[];
 };
 
 type Crash = { at: number; fingerprints: ReadonlySet<string> };
@@ -91,7 +92,8 @@
       return { kind: "clear" };
     }
     if (status.kind === "suspect") {
-      return { kind: "suspect", servers: status.servers };
+      const { crashes, servers } = status;
+      return { kind: "suspect", crashes, servers };
     }
     return { kind: "quarantined", retryAfter: status.expiresAt - now };
   }
@@ -148,18 +150,16 @@
     this.#crashes.delete(backendServer);
     this.#crashes.set(backendServer, { at: now, fingerprints: running });
     evictOldest(this.#crashes, MAXIMUM_CRASHES);
-    const crash = { server: backendServer, running: [...running] };
-    for (const fingerprint of running) this.#addCrash(fingerprint, crash, now);
+    this.recordServerCrash({
+      server: backendServer,
+      running: [...running],
+      suspects: [],
+    }, now);
   }
 
-  /**
-   * Records a crash that is reported once. It is attributed to the sole suspect
-   * among the running requests if there is one, otherwise to all of them.
-   */
+  /** Records a crash that is reported once. */
   recordServerCrash(crash: ServerCrash, now: number): void {
-    const { running, soleSuspect } = crash;
-    const attributed = soleSuspect === undefined ? running : [soleSuspect];
-    for (const fingerprint of new Set(attributed)) {
+    for (const fingerprint of attributedRequests(crash)) {
       this.#addCrash(fingerprint, crash, now);
     }
   }
@@ -224,13 +224,13 @@
 
   #addCrash(
     fingerprint: string,
-    { server, running, soleSuspect }: ServerCrash,
+    { server, running, suspects }: ServerCrash,
     now: number,
   ): void {
     const status = this.#currentStatus(fingerprint, now);
     const crashes = (status?.crashes ?? 0) + 1;
     const soleSuspectCrashes = (status?.soleSuspectCrashes ?? 0) +
-      (fingerprint === soleSuspect ? 1 : 0);
+      (suspects.length === 1 ? 1 : 0);
     const ranAlone = running.length === 1;
     const quarantined = this.#rule
       .isProven({ crashes, soleSuspectCrashes, ranAlone });
@@ -280,6 +280,16 @@
   }
 }
 
+/**
+ * Fingerprints that a crash is attributed to: the suspects that were running,
+ * or all requests if none of them was a suspect.
+ */
+export function attributedRequests(
+  { running, suspects }: ServerCrash,
+): Set<string> {
+  return new Set(suspects.length > 0 ? suspects : running);
+}
+
 function evictOldest<Value>(map: Map<string, Value>, capacity: number): void {
   if (map.size <= capacity) return;
   const [oldest] = map.keys();
--- a/packages/gateway/src/peers/shared_suspects.ts
+++ b/packages/gateway/src/peers/shared_suspects.ts
@@ -7,7 +7,11 @@
  * at once, and everything is repeated over each new link.
  * @module
  */
-import { CrashSuspects, SoleSuspectRule } from "@sycamorepulley/decisions";
+import {
+  attributedRequests,
+  CrashSuspects,
+  SoleSuspectRule,
+} from "@sycamorepulley/decisions";
 import type {
   ServerCrash,
   SuspectStatement,
@@ -41,13 +45,13 @@
   }
 
   /** Logs a crash that this entry has recorded as the granting entry. */
-  logCrash({ server, running, soleSuspect }: ServerCrash): void {
-    const requests = soleSuspect === undefined ? running : [soleSuspect];
+  logCrash(crash: ServerCrash): void {
+    const { server, running } = crash;
     this.#log.write({
       event: "server_crashed",
       server,
       running: running.length,
-      suspects: [...new Set(requests)],
+      suspects: [...attributedRequests(crash)],
     });
   }
 
