Hold the first requests of an entry until a peer has sent what it knows

An entry that starts reads the store and then granted requests by itself for the moment until its peers had connected to it: a request that all others refuse as crashing servers crashed one more through it.

The entry now dials some of its peers as soon as it has read the member list, and holds requests until one of them has sent its state, for at most 200 ms. A peer that has just started gets all that each entry knows of suspects.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -91,6 +91,8 @@
   readonly #statusServer: StatusServer;
   readonly #requestHandler: RequestHandler;
   readonly #startGate = new StartGate();
+  /** A peer has sent what it knows. */
+  #peerStateReceived = false;
   readonly #drainAdmission = new DrainAdmission();
   readonly #stopController = new AbortController();
   readonly #timers: NodeJS.Timeout[] = [];
@@ -296,6 +298,7 @@
   handlePeerMessage(peer: string, message: PeerMessage): void {
     if (this.#grantClient.handleMessage(peer, message)) return;
     if (message.type === "members") {
+      this.#peerStateReceived = true;
       this.#fleetState.mergeMembers(message.members);
     }
     if (message.type === "heartbeat") {
@@ -318,8 +321,12 @@
       dependency: "peer",
       change: "regained",
     });
+    // The member list comes last: after it a peer that has just started has
+    // all that this entry knows.
+    this.#grantClient.handlePeerConnected(peer, {
+      hasJustStarted: this.#peers.hasJustStarted(peer),
+    });
     this.#sendMembers(peer);
-    this.#grantClient.handlePeerConnected(peer);
     this.#entryStatus.updateGroup();
   }
 
@@ -337,6 +344,11 @@
     return this.#fleetState.membersReadFromStore;
   }
 
+  /** True until a peer has sent its state to this entry. */
+  hasJustStarted(): boolean {
+    return !this.#peerStateReceived;
+  }
+
   #sendMembers(peer: string): void {
     const connected = new Set(this.#peers.connectedPeers());
     const members = this.#peers.knowsMembers(peer)
@@ -361,7 +373,7 @@
   }
 
   #handleStateChange(kind: "configuration" | "servers" | "members"): void {
-    if (this.#isStateLoaded()) this.#startGate.open();
+    if (this.#isStateLoaded()) this.#openStartGate();
     if (kind === "configuration") {
       const activeConfiguration = this.#fleetState.activeConfiguration!;
       this.#frontend.applyLimits(activeConfiguration.configuration.limits);
@@ -380,6 +392,19 @@
     }
   }
 
+  /** Opens the start gate once a peer, if there is any, has sent its state. */
+  #openStartGate(): void {
+    const { members } = this.#fleetState;
+    const others = [...members.values()]
+      .filter(({ instance }) => instance !== this.#settings.instance);
+    if (this.#peerStateReceived || others.length === 0) {
+      this.#startGate.open();
+      return;
+    }
+    this.#startGate.openSoon();
+    this.#peers.dialFirst(others);
+  }
+
   /** The record of a server; `undefined` if it may not be sent requests now. */
   #findServer(incarnation: string): ServerRecord | undefined {
     const { backoffs } = this.#grantClient;
--- a/packages/gateway/src/gateway_peer_events.ts
+++ b/packages/gateway/src/gateway_peer_events.ts
@@ -35,4 +35,8 @@
   override knowsMembers(): boolean {
     return this.#gateway.knowsMembers();
   }
+
+  override hasJustStarted(): boolean {
+    return this.#gateway.hasJustStarted();
+  }
 }
--- a/packages/gateway/src/peers/grant_client.ts
+++ b/packages/gateway/src/peers/grant_client.ts
@@ -276,10 +276,14 @@
   /**
    * Repeats all limits and grant requests over a new link to the granting
    * entry: messages sent over an earlier link may be lost. A granting entry
-   * repeats all suspects over each new link.
+   * repeats all suspects over each new link, and all entries do so for a peer
+   * that has just started.
    */
-  handlePeerConnected(peer: string): void {
-    if (this.#grantsLocally) this.suspects.sendAll(peer);
+  handlePeerConnected(
+    peer: string,
+    { hasJustStarted }: { hasJustStarted: boolean },
+  ): void {
+    if (this.#grantsLocally || hasJustStarted) this.suspects.sendAll(peer);
     if (peer !== this.#grantingEntry) return;
     this.limits.sendAll();
     for (const { request, server } of this.#pending.values()) {
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -99,6 +99,8 @@
     incarnation: text,
     /** The sender has read the member list from the store. */
     knowsMembers: v.optional(v.boolean(), false),
+    /** No peer has sent its state to the sender yet. */
+    hasJustStarted: v.optional(v.boolean(), false),
   }),
   /** Sent periodically and on changes; a peer that stops sending is lost. */
   v.object({
--- a/packages/gateway/src/peers/peer_link.ts
+++ b/packages/gateway/src/peers/peer_link.ts
@@ -67,6 +67,8 @@
   interval = HEARTBEAT_EVERY;
   /** The peer has read the member list from the store. */
   knowsMembers = false;
+  /** No peer had sent its state to the peer when it connected. */
+  hasJustStarted = false;
   /** Time of the last message, and of the last heartbeat, sent to the peer. */
   sentAt = -Infinity;
   heartbeatAt = -Infinity;
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -17,6 +17,8 @@
 
 /** Minimum milliseconds between two dials of the same address. */
 const REDIAL_DELAY = 500;
+/** Entries that an entry that has just started dials at once. */
+const FIRST_DIALS = 3;
 /** Milliseconds until an attempt to connect is given up. */
 const DIAL_TIMEOUT = 500;
 
@@ -43,6 +45,8 @@
   abstract ownStatus(): PeerStatus;
   /** True once the member list has been read from the store. */
   abstract knowsMembers(): boolean;
+  /** True until a peer has sent its state to this entry. */
+  abstract hasJustStarted(): boolean;
 }
 
 /** Links to the other entries, by the peer's instance name. */
@@ -121,6 +125,11 @@
     return this.#links.get(peer)?.knowsMembers ?? false;
   }
 
+  /** True for a peer that no other entry had sent its state before. */
+  hasJustStarted(peer: string): boolean {
+    return this.#links.get(peer)?.hasJustStarted ?? false;
+  }
+
   /** Rank of this entry by name among the connected ones, and their number. */
   watchGroup(): WatchGroup {
     const names = this.connectedPeers();
@@ -189,6 +198,17 @@
     }
   }
 
+  /**
+   * Dials some entries at once, for the state that they know. Two links between
+   * the same entries are resolved as for any other.
+   */
+  dialFirst(members: readonly Member[]): void {
+    const now = this.#clock();
+    for (const member of members.slice(0, FIRST_DIALS)) {
+      if (!this.#links.has(member.instance)) this.#dial(member, now);
+    }
+  }
+
   #closeSilent(now: number): void {
     for (const link of this.#unidentified) {
       if (now - link.lastReceivedAt > SILENT_AFTER) link.close("silent");
@@ -228,11 +248,13 @@
     const link = new PeerLink(socket, dialled, now);
     this.#unidentified.add(link);
     const knowsMembers = this.#events.knowsMembers();
+    const hasJustStarted = this.#events.hasJustStarted();
     link.send({
       type: "hello",
       instance: this.#instance,
       incarnation: this.#incarnation,
       knowsMembers,
+      hasJustStarted,
     }, now);
     this.#heartbeats.sendFirst(link, now);
     void this.#receiveMessages(link);
@@ -264,6 +286,7 @@
   #handleMessage(link: PeerLink, message: PeerMessage): void {
     if (message.type === "hello") {
       link.knowsMembers = message.knowsMembers;
+      link.hasJustStarted = message.hasJustStarted;
       this.#identify(link, message.instance, message.incarnation);
       return;
     }
--- a/packages/gateway/src/state/start_gate.ts
+++ b/packages/gateway/src/state/start_gate.ts
@@ -8,12 +8,18 @@
 
 /** Maximum milliseconds after the start for which requests are held. */
 const MAXIMUM_HOLD_TIME = 1000;
+/**
+ * Maximum milliseconds for which requests are held for the state of a peer once
+ * the store has been read: the peers may be down as well.
+ */
+const MAXIMUM_PEER_WAIT = 200;
 
 /** Opens once, by {@link StartGate.open} or after {@link MAXIMUM_HOLD_TIME}. */
 export class StartGate {
   readonly opened: Promise<void>;
   #resolve = () => {};
   #timer: NodeJS.Timeout | undefined;
+  #isOpeningSoon = false;
 
   constructor() {
     this.opened = new Promise((resolve) => this.#resolve = resolve);
@@ -21,10 +27,20 @@
 
   /** Starts the hold time; called when the process starts listening. */
   startTimer(): void {
+    if (this.#isOpeningSoon) return;
     this.#timer = setTimeout(() => this.open(), MAXIMUM_HOLD_TIME);
   }
 
+  /** Opens soon, unless it is opened before. */
+  openSoon(): void {
+    if (this.#isOpeningSoon) return;
+    this.#isOpeningSoon = true;
+    clearTimeout(this.#timer);
+    this.#timer = setTimeout(() => this.open(), MAXIMUM_PEER_WAIT);
+  }
+
   open(): void {
+    this.#isOpeningSoon = true;
     clearTimeout(this.#timer);
     this.#resolve();
   }
--- a/packages/gateway/test/grant_client_test.ts
+++ b/packages/gateway/test/grant_client_test.ts
@@ -133,7 +133,7 @@
   const { asking, granting, running, result } = full();
   granting.removePeer("a");
   asking.removePeer("x");
-  asking.handlePeerConnected("x");
+  asking.handlePeerConnected("x", { hasJustStarted: false });
   granting.deliverDecisions();
   for (const { id } of running) asking.recordEnd(id, "answered");
   granting.deliverDecisions();
