--- a/packages/decisions/src/dispatch/pooled_server.ts
+++ b/packages/decisions/src/dispatch/pooled_server.ts
@@ -71,6 +71,11 @@
   suspectedCrashes: number;
 };
 
+/**
+ * Milliseconds for which a run that broke counts as running when its server
+ * turns out to have crashed: other entries may notice the crash later.
+ */
+const CRASH_WINDOW = 1000;
 /** Crashes from which on a suspect runs where no other suspect does. */
 const SEPARATED_FROM = 2;
 
@@ -93,6 +98,8 @@
   #downUntil = -Infinity;
   /** It has crashed and not responded since. */
   #crashed = false;
+  /** Runs without a complete response that ended lately. */
+  #interrupted: (RunIdentity & { endedAt: number })[] = [];
   #backoff = 0;
   /** Entries that failed to connect, and until when they are not sent here. */
   readonly #unreachableFrom = new Map<string, number>();
@@ -290,14 +297,26 @@
     this.#requestedBackoffs.delete(entry);
   }
 
+  /** Records that a run is about to end without a complete response. */
+  recordInterruption(id: string, now: number): void {
+    const run = this.#runs.get(id);
+    if (run === undefined) return;
+    const { fingerprint, suspectedCrashes } = run;
+    this.#interrupted = this.#interrupted
+      .filter(({ endedAt }) => now - endedAt < CRASH_WINDOW);
+    this.#interrupted.push({ fingerprint, suspectedCrashes, endedAt: now });
+  }
+
   /**
    * Records that the server has crashed. Returns what it was running, or
    * `undefined` if the crash is known.
    */
-  recordCrash(): RunIdentity[] | undefined {
+  recordCrash(now: number): RunIdentity[] | undefined {
     if (this.#crashed) return undefined;
     this.#crashed = true;
-    return [...this.#runs.values()];
+    const interrupted = this.#interrupted
+      .filter(({ endedAt }) => now - endedAt < CRASH_WINDOW);
+    return [...this.#runs.values(), ...interrupted];
   }
 
   /**
--- a/packages/decisions/src/dispatch/server_pool.ts
+++ b/packages/decisions/src/dispatch/server_pool.ts
@@ -33,6 +33,12 @@
  */
 const DECODE_WEIGHT = 0.1;
 
+/** Outcomes of runs whose server may have crashed. */
+const INTERRUPTED_OUTCOMES: ReadonlySet<RunOutcome> = new Set<RunOutcome>([
+  "broken",
+  "abandoned",
+]);
+
 /** Input to the selection of servers, computed once per pass over the queue. */
 export type PoolSnapshot = {
   latencyRatios: ServiceLatencyRatios;
@@ -284,9 +290,12 @@
    * Records that the server of a granted request has crashed. Returns the
    * crash, or `undefined` if it was recorded before.
    */
-  recordCrash({ server: name }: GrantedRequest): ServerCrash | undefined {
+  recordCrash(
+    { server: name }: GrantedRequest,
+    now: number,
+  ): ServerCrash | undefined {
     const server = this.#servers.get(name);
-    const runs = server?.recordCrash();
+    const runs = server?.recordCrash(now);
     if (server === undefined || runs === undefined) return undefined;
     const suspects = runs.filter(({ suspectedCrashes }) =>
       suspectedCrashes > 0
@@ -312,6 +321,9 @@
     const { request, server: name } = granted;
     const server = this.#servers.get(name);
     if (server === undefined) return;
+    if (INTERRUPTED_OUTCOMES.has(outcome)) {
+      server.recordInterruption(request.id, now);
+    }
     server.removeRun(request.id);
     switch (outcome) {
       case "connection_refused":
--- a/packages/decisions/src/dispatch/service_scheduler.ts
+++ b/packages/decisions/src/dispatch/service_scheduler.ts
@@ -208,7 +208,7 @@
     const granted = this.#granted.get(id);
     if (granted === undefined) return undefined;
     const crash = outcome === "crashed"
-      ? this.#pool.recordCrash(granted)
+      ? this.#pool.recordCrash(granted, now)
       : undefined;
     if (crash !== undefined) this.#suspects.recordServerCrash(crash, now);
     this.#granted.delete(id);
--- a/packages/decisions/src/suspects/suspects.ts
+++ b/packages/decisions/src/suspects/suspects.ts
@@ -3,11 +3,10 @@
  *
  * Such a request kills each server that runs it and is sent again by its
  * caller, so it could take down the whole service, one server after the other.
- * All requests that were running on a server when it crashed become suspects. A
- * further crash is attributed to the suspects that were running, if any, and a
- * {@link QuarantineRule} decides when that proves the cause. A successful run
- * clears a suspect, so a harmless request that is sent often is not quarantined
- * for having run during crashes.
+ * All requests that were running on a server when it crashed become suspects,
+ * and a {@link QuarantineRule} decides when further crashes prove the cause. A
+ * successful run clears a suspect, so a harmless request that is sent often is
+ * not quarantined for having run during crashes.
  *
  * Sidecars run a suspect alone on its server, and only one suspect at a time. A
  * granting entry runs suspects beside other requests; one that two servers have
@@ -159,7 +158,7 @@
 
   /** Records a crash that is reported once. */
   recordServerCrash(crash: ServerCrash, now: number): void {
-    for (const fingerprint of attributedRequests(crash)) {
+    for (const fingerprint of new Set(crash.running)) {
       this.#addCrash(fingerprint, crash, now);
     }
   }
@@ -230,7 +229,7 @@
     const status = this.#currentStatus(fingerprint, now);
     const crashes = (status?.crashes ?? 0) + 1;
     const soleSuspectCrashes = (status?.soleSuspectCrashes ?? 0) +
-      (suspects.length === 1 ? 1 : 0);
+      (suspects.length === 1 && suspects[0] === fingerprint ? 1 : 0);
     const ranAlone = running.length === 1;
     const quarantined = this.#rule
       .isProven({ crashes, soleSuspectCrashes, ranAlone });
@@ -280,16 +279,6 @@
   }
 }
 
-/**
- * Fingerprints that a crash is attributed to: the suspects that were running,
- * or all requests if none of them was a suspect.
- */
-export function attributedRequests(
-  { running, suspects }: ServerCrash,
-): Set<string> {
-  return new Set(suspects.length > 0 ? suspects : running);
-}
-
 function evictOldest<Value>(map: Map<string, Value>, capacity: number): void {
   if (map.size <= capacity) return;
   const [oldest] = map.keys();
--- a/packages/decisions/test/crash_containment_test.ts
+++ b/packages/decisions/test/crash_containment_test.ts
@@ -179,6 +179,35 @@
   t.end();
 });
 
+t.test("a request that crashes servers beside a suspect is not overlooked", (t) => {
+  // Guards against blaming only what ran during an earlier crash.
+  const fixture = new Fixture(6);
+  const server = "10.0.0.9:80";
+  let crashes = 0;
+  while (fixture.kindOf("fatal") !== "quarantined" && crashes < 10) {
+    const running = [`victim-${crashes}`];
+    fixture.suspects.recordServerCrash({ server, running, suspects: [] }, 0);
+    fixture.submit(`victim-${crashes}`);
+    fixture.submit("fatal");
+    fixture.crash(fixture.serverOf("fatal")!);
+    fixture.now += 10_000;
+    crashes++;
+  }
+  t.ok(crashes <= 6, `${crashes} crashes`);
+  t.end();
+});
+
+t.test("a run that broke before its server was known to have crashed counts", (t) => {
+  const fixture = new Fixture(1);
+  fixture.submit("fatal");
+  fixture.submit("neighbour");
+  fixture.end(fixture.idOf("fatal")!, "broken");
+  fixture.now += 100;
+  fixture.end(fixture.idOf("neighbour")!, "crashed");
+  t.equal(fixture.kindOf("fatal"), "suspect");
+  t.end();
+});
+
 t.test("requests that crash servers are contained, all others keep running", (t) => {
   const step = fc.record({
     name: fc.integer({ min: 0, max: 11 }),
--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -103,13 +103,13 @@
   /** A response said that its server leaves; `by` received it or passed it on. */
   | { event: "server_leaving"; server: string; by: string }
   /**
-   * A server crashed while it ran this number of requests; `suspects` are the
-   * fingerprints of those that the crash is attributed to.
+   * A server crashed while it ran requests with these fingerprints; `suspects`
+   * are those that had run during a crash before.
    */
   | {
     event: "server_crashed";
     server: string;
-    running: number;
+    running: string[];
     suspects: string[];
   }
   /** A request is refused from now on; `servers` crashed last under it. */
--- a/packages/gateway/src/peers/shared_suspects.ts
+++ b/packages/gateway/src/peers/shared_suspects.ts
@@ -7,11 +7,7 @@
  * at once, and everything is repeated over each new link.
  * @module
  */
-import {
-  attributedRequests,
-  CrashSuspects,
-  SoleSuspectRule,
-} from "@sycamorepulley/decisions";
+import { CrashSuspects, SoleSuspectRule } from "@sycamorepulley/decisions";
 import type {
   ServerCrash,
   SuspectStatement,
@@ -45,13 +41,12 @@
   }
 
   /** Logs a crash that this entry has recorded as the granting entry. */
-  logCrash(crash: ServerCrash): void {
-    const { server, running } = crash;
+  logCrash({ server, running, suspects }: ServerCrash): void {
     this.#log.write({
       event: "server_crashed",
       server,
-      running: running.length,
-      suspects: [...attributedRequests(crash)],
+      running: [...running],
+      suspects: [...suspects],
     });
   }
 
