Keep a quarantine against later suspects and other counts

Found in review: 4,096 later suspects evicted a quarantine, and merging a peer's higher count of crashes turned one back into a suspicion. Quarantines are evicted last, and apply until they end. Two tests in suspects_test.

--- a/packages/decisions/src/suspects/fingerprint_status.ts
+++ b/packages/decisions/src/suspects/fingerprint_status.ts
@@ -31,16 +31,18 @@
 const SEVERITY = { clear: 0, suspect: 1, quarantined: 2 } as const;
 
 /**
- * Whether the statement replaces the current status; at equal revisions the
- * more severe one does.
+ * Whether the statement replaces the current status. A quarantine applies until
+ * it ends, since its proof is not undone by another entry's count of crashes.
+ * Otherwise the higher revision does, and of equal ones the more severe.
  */
 export function supersedes(
   statement: SuspectStatement,
   current: FingerprintStatus | undefined,
 ): boolean {
-  if (current === undefined || statement.revision > current.revision) {
-    return true;
-  }
+  if (current === undefined) return true;
+  const isQuarantine = statement.kind === "quarantined";
+  if (isQuarantine !== (current.kind === "quarantined")) return isQuarantine;
+  if (statement.revision > current.revision) return true;
   if (statement.revision < current.revision) return false;
   return SEVERITY[statement.kind] > SEVERITY[current.kind];
 }
--- a/packages/decisions/src/suspects/suspects.ts
+++ b/packages/decisions/src/suspects/suspects.ts
@@ -275,6 +275,16 @@
     this.#statuses.delete(fingerprint);
     this.#statuses.set(fingerprint, status);
     this.#changed.add(fingerprint);
+    if (this.#statuses.size > MAXIMUM_FINGERPRINTS) this.#evict();
+  }
+
+  /** Evicts the status that changed longest ago, quarantines last. */
+  #evict(): void {
+    for (const [fingerprint, { kind }] of this.#statuses) {
+      if (kind === "quarantined") continue;
+      this.#statuses.delete(fingerprint);
+      return;
+    }
     evictOldest(this.#statuses, MAXIMUM_FINGERPRINTS);
   }
 }
--- a/packages/decisions/test/suspects_test.ts
+++ b/packages/decisions/test/suspects_test.ts
@@ -1,6 +1,6 @@
 import fc from "fast-check";
 import t from "tap";
-import { CrashSuspects } from "../src/mod.ts";
+import { CrashSuspects, SoleSuspectRule } from "../src/mod.ts";
 
 t.test("a second crash while alone quarantines, a successful run clears", (t) => {
   // A request that crashes its engine makes its neighbours suspects as well.
@@ -148,3 +148,32 @@
   t.equal(suspects.statements(200).length, 4096);
   t.end();
 });
+
+t.test("many later suspects do not evict a quarantine", (t) => {
+  const suspects = new CrashSuspects();
+  suspects.recordCrash(["poison"], "s0", 0);
+  suspects.recordCrash(["poison"], "s1", 1);
+  for (let crash = 0; crash < 200; crash++) {
+    const batch = Array.from({ length: 64 }, (_, index) => `${crash}/${index}`);
+    suspects.recordCrash(batch, `t${crash}`, crash);
+  }
+  t.equal(suspects.verdict("poison", 200).kind, "quarantined");
+  t.end();
+});
+
+t.test("a peer that counted more crashes does not undo a quarantine", (t) => {
+  const one = new CrashSuspects(new SoleSuspectRule());
+  const other = new CrashSuspects(new SoleSuspectRule());
+  const running = ["poison", "neighbour"];
+  for (let crash = 0; crash < 5; crash++) {
+    other.recordServerCrash({ server: `t${crash}`, running, suspects: [] }, 0);
+    const suspects = crash < 3 ? ["poison"] : [];
+    if (crash > 2) continue;
+    one.recordServerCrash({ server: `s${crash}`, running, suspects }, 0);
+  }
+  other.merge(one.statements(1), 1);
+  one.merge(other.statements(1), 1);
+  t.equal(one.verdict("poison", 2).kind, "quarantined");
+  t.equal(other.verdict("poison", 2).kind, "quarantined");
+  t.end();
+});
