Share only suspects of two crashes or more, and only with entries that know them

Found in review: each crash of a server sent up to a batch of statements to every entry, though nearly all of these requests never run again. Suspects of one crash now stay with the granting entry; a new granting entry gets what its peers know. Entries of an earlier version, which would close the link, are sent neither these statements nor the new reason.

Looking for another running copy of a suspect no longer scans all granted requests. Only a refused connection counts as a crash, not any failure to connect.

--- /dev/null
+++ b/packages/decisions/src/dispatch/granted_requests.ts
@@ -0,0 +1,47 @@
+/** Granted requests of a service by id, and which fingerprints run. @module */
+import type { GrantedRequest } from "./server_pool.ts";
+
+export class GrantedRequests {
+  readonly #byId = new Map<string, GrantedRequest>();
+  /** Number of running requests by fingerprint. */
+  readonly #fingerprints = new Map<string, number>();
+
+  get size(): number {
+    return this.#byId.size;
+  }
+
+  get(id: string): GrantedRequest | undefined {
+    return this.#byId.get(id);
+  }
+
+  has(id: string): boolean {
+    return this.#byId.has(id);
+  }
+
+  add(granted: GrantedRequest): void {
+    const { id, fingerprint } = granted.request;
+    this.#byId.set(id, granted);
+    const count = this.#fingerprints.get(fingerprint) ?? 0;
+    this.#fingerprints.set(fingerprint, count + 1);
+  }
+
+  remove(id: string): void {
+    const granted = this.#byId.get(id);
+    if (granted === undefined) return;
+    this.#byId.delete(id);
+    const { fingerprint } = granted.request;
+    const count = this.#fingerprints.get(fingerprint) ?? 0;
+    if (count > 1) this.#fingerprints.set(fingerprint, count - 1);
+    else this.#fingerprints.delete(fingerprint);
+  }
+
+  removeEntry(entry: string): void {
+    for (const [id, { request }] of this.#byId) {
+      if (request.entry === entry) this.remove(id);
+    }
+  }
+
+  isRunning(fingerprint: string): boolean {
+    return this.#fingerprints.has(fingerprint);
+  }
+}
--- a/packages/decisions/src/dispatch/service_scheduler.ts
+++ b/packages/decisions/src/dispatch/service_scheduler.ts
@@ -34,6 +34,7 @@
 import { RouteFairness } from "./route_fairness.ts";
 import { RetryingCallers } from "./retrying_callers.ts";
 import type { StreamTiming } from "./pooled_server.ts";
+import { GrantedRequests } from "./granted_requests.ts";
 import { ServerPool } from "./server_pool.ts";
 import type { GrantedRequest, PoolSnapshot } from "./server_pool.ts";
 import { SizeClassCounter } from "./size_class_counts.ts";
@@ -71,7 +72,7 @@
     sizes: this.#sizeFairness,
     routes: this.#routeFairness,
   });
-  readonly #granted = new Map<string, GrantedRequest>();
+  readonly #granted = new GrantedRequests();
   readonly #retryingCallers = new RetryingCallers();
   readonly #quotas: OrganisationQuotas;
   readonly #quotaReservations: QuotaReservations;
@@ -153,7 +154,7 @@
     if (queued !== undefined) this.#quotaReservations.release(queued.request);
     const granted = this.#granted.get(id);
     if (granted === undefined) return false;
-    this.#granted.delete(id);
+    this.#granted.remove(id);
     this.#pool.release(granted);
     return true;
   }
@@ -164,7 +165,7 @@
     const verdict = this.#suspects.verdict(request.fingerprint, now);
     const suspectedCrashes = crashesOf(verdict);
     const granted = { request, server, suspectedCrashes };
-    if (this.#pool.adopt(granted)) this.#granted.set(request.id, granted);
+    if (this.#pool.adopt(granted)) this.#granted.add(granted);
   }
 
   /** Records that the response started `latency` milliseconds after sending. */
@@ -211,7 +212,7 @@
       ? this.#pool.recordCrash(granted, now)
       : undefined;
     if (crash !== undefined) this.#suspects.recordServerCrash(crash, now);
-    this.#granted.delete(id);
+    this.#granted.remove(id);
     this.#pool.recordEnd(granted, outcome, now);
     return crash;
   }
@@ -223,9 +224,7 @@
       this.#queue.remove(request.id);
       this.#quotaReservations.release(request);
     }
-    for (const [id, { request }] of this.#granted) {
-      if (request.entry === entry) this.#granted.delete(id);
-    }
+    this.#granted.removeEntry(entry);
     this.#pool.removeEntry(entry);
   }
 
@@ -294,19 +293,13 @@
     snapshot: PoolSnapshot,
     now: number,
   ): string | undefined {
-    if (verdict.kind === "suspect" && this.#isRunning(request.fingerprint)) {
+    const isSuspect = verdict.kind === "suspect";
+    if (isSuspect && this.#granted.isRunning(request.fingerprint)) {
       return undefined;
     }
     return this.#pool.selectServer(request, snapshot, verdict, now);
   }
 
-  #isRunning(fingerprint: string): boolean {
-    for (const { request } of this.#granted.values()) {
-      if (request.fingerprint === fingerprint) return true;
-    }
-    return false;
-  }
-
   #grant(
     granted: GrantedRequest,
     snapshot: PoolSnapshot,
@@ -315,7 +308,7 @@
     const { request, server } = granted;
     this.#quotaReservations.release(request);
     this.#quotas.charge(request.organisation, request.charge, now);
-    this.#granted.set(request.id, granted);
+    this.#granted.add(granted);
     this.#pool.recordStart(granted, snapshot, now);
     this.#demand.recordGrant(now);
     return { kind: "grant", request, server };
--- a/packages/gateway/src/backend/backend_connection.ts
+++ b/packages/gateway/src/backend/backend_connection.ts
@@ -166,6 +166,29 @@
   }
 }
 
+/**
+ * Resolves to true if nothing listens at the address. Other failures, and a
+ * server that does not respond within `timeout` milliseconds, show nothing.
+ */
+export function isConnectionRefused(
+  options: { host: string; port: number; timeout: number },
+): Promise<boolean> {
+  const { host, port, timeout } = options;
+  return new Promise((resolve) => {
+    const socket = connect({ host, port });
+    const finish = (isRefused: boolean) => {
+      socket.destroy();
+      resolve(isRefused);
+    };
+    socket.setTimeout(timeout, () => finish(false));
+    socket.once("connect", () => finish(false));
+    socket.once(
+      "error",
+      (error: NodeJS.ErrnoException) => finish(error.code === "ECONNREFUSED"),
+    );
+  });
+}
+
 /** What the handler of a response needs from its connection. */
 type ConnectionHooks = {
   onHeaders: (headers: ResponseHead["headers"]) => void;
--- a/packages/gateway/src/backend/connection_pool.ts
+++ b/packages/gateway/src/backend/connection_pool.ts
@@ -2,7 +2,10 @@
 import type { ServerRecord } from "@sycamorepulley/decisions";
 import { incarnationOf } from "@sycamorepulley/decisions";
 import { Result } from "true-myth/result";
-import { BackendConnection } from "./backend_connection.ts";
+import {
+  BackendConnection,
+  isConnectionRefused,
+} from "./backend_connection.ts";
 import type { ConnectFailure } from "./backend_connection.ts";
 
 /**
@@ -56,16 +59,8 @@
    * Resolves to true if the server refuses new connections: after a broken one
    * it has crashed.
    */
-  async isRefusing(server: ServerRecord): Promise<boolean> {
-    const connection = await BackendConnection.open({
-      host: server.host,
-      port: server.port,
-      timeout: DIAGNOSIS_TIMEOUT,
-      now: this.#clock(),
-    });
-    if (connection.isErr) return connection.error === "connection_refused";
-    this.release(server, connection.value);
-    return false;
+  isRefusing({ host, port }: ServerRecord): Promise<boolean> {
+    return isConnectionRefused({ host, port, timeout: DIAGNOSIS_TIMEOUT });
   }
 
   /** Returns a connection to the pool after a complete response. */
--- a/packages/gateway/src/peers/grant_client.ts
+++ b/packages/gateway/src/peers/grant_client.ts
@@ -330,6 +330,7 @@
     // shares of the entries that have announced it as their granting entry.
     this.#peers().announceTo([previous, next]);
     this.limits.sendAll();
+    this.suspects.sendAll(next);
     for (const { request, server } of this.#pending.values()) {
       // If not released, they would occupy slots at the previous granting entry
       // for ever.
--- a/packages/gateway/src/peers/local_granter.ts
+++ b/packages/gateway/src/peers/local_granter.ts
@@ -242,7 +242,10 @@
       return;
     }
     this.#peerRequests.delete(request.id);
-    const { reason, retryAfter, inputs } = decision;
+    const { retryAfter, inputs } = decision;
+    const isUnknownReason = decision.reason === "quarantined" &&
+      !this.#peers().acceptsSuspects(request.entry);
+    const reason = isUnknownReason ? "overload" : decision.reason;
     this.#peers().send(request.entry, {
       type: "refuse",
       id: request.id,
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -101,6 +101,8 @@
     knowsMembers: v.optional(v.boolean(), false),
     /** No peer has sent its state to the sender yet. */
     hasJustStarted: v.optional(v.boolean(), false),
+    /** The sender accepts messages about suspects; earlier versions don't. */
+    acceptsSuspects: v.optional(v.boolean(), false),
   }),
   /** Sent periodically and on changes; a peer that stops sending is lost. */
   v.object({
--- a/packages/gateway/src/peers/peer_link.ts
+++ b/packages/gateway/src/peers/peer_link.ts
@@ -69,6 +69,8 @@
   knowsMembers = false;
   /** No peer had sent its state to the peer when it connected. */
   hasJustStarted = false;
+  /** The peer accepts messages about suspects. */
+  acceptsSuspects = false;
   /** Time of the last message, and of the last heartbeat, sent to the peer. */
   sentAt = -Infinity;
   heartbeatAt = -Infinity;
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -130,6 +130,11 @@
     return this.#links.get(peer)?.hasJustStarted ?? false;
   }
 
+  /** True for a peer that accepts messages about suspects. */
+  acceptsSuspects(peer: string): boolean {
+    return this.#links.get(peer)?.acceptsSuspects ?? false;
+  }
+
   /** Rank of this entry by name among the connected ones, and their number. */
   watchGroup(): WatchGroup {
     const names = this.connectedPeers();
@@ -255,6 +260,7 @@
       incarnation: this.#incarnation,
       knowsMembers,
       hasJustStarted,
+      acceptsSuspects: true,
     }, now);
     this.#heartbeats.sendFirst(link, now);
     void this.#receiveMessages(link);
@@ -287,6 +293,7 @@
     if (message.type === "hello") {
       link.knowsMembers = message.knowsMembers;
       link.hasJustStarted = message.hasJustStarted;
+      link.acceptsSuspects = message.acceptsSuspects;
       this.#identify(link, message.instance, message.incarnation);
       return;
     }
--- a/packages/gateway/src/peers/shared_suspects.ts
+++ b/packages/gateway/src/peers/shared_suspects.ts
@@ -2,9 +2,11 @@
  * Requests that may crash backend servers, shared between the entries.
  *
  * The granting entry counts crashes, since it knows what each server runs. All
- * entries know the result, so that the next granting entry, an entry that is
- * cut off and one that starts later contain the same requests. Changes are sent
- * at once, and everything is repeated over each new link.
+ * entries know of requests that ran in two crashes or more, so that the next
+ * granting entry, an entry that is cut off and one that starts later contain
+ * the same requests. Changes are sent at once, and everything is repeated over
+ * each new link. A single crash makes a whole batch of requests suspects, most
+ * of which never run again; these are not shared.
  * @module
  */
 import { CrashSuspects, SoleSuspectRule } from "@sycamorepulley/decisions";
@@ -17,6 +19,8 @@
 import type { PeerMessage } from "./messages.ts";
 import type { Peers } from "./peers.ts";
 
+/** Crashes from which on a suspect is shared. */
+const SHARED_FROM = 2;
 /** Maximum number of statements in a message. */
 const MAXIMUM_STATEMENTS = 256;
 
@@ -26,6 +30,8 @@
   readonly #clock: () => number;
   readonly #log: EventLog;
   readonly #peers: () => Peers;
+  /** Fingerprints that were shared as suspects and have not been cleared. */
+  readonly #shared = new Set<string>();
 
   constructor(
     options: { clock: () => number; log: EventLog; peers: () => Peers },
@@ -52,27 +58,42 @@
 
   /** Sends all that has changed to all peers. */
   publishChanges(): void {
-    const changes = this.known.takeChanges(this.#clock());
+    const changes = this.#takeSharedChanges();
     if (changes.length === 0) return;
-    this.#logQuarantines(changes);
     for (const peer of this.#peers().connectedPeers()) {
       this.#send(peer, changes);
     }
   }
 
-  /** Sends everything to a peer. */
+  /** Sends everything that is shared to a peer. */
   sendAll(peer: string): void {
-    this.#send(peer, this.known.statements(this.#clock()));
+    const statements = this.known.statements(this.#clock())
+      .filter(({ crashes }) => crashes >= SHARED_FROM);
+    this.#send(peer, statements);
   }
 
   /** Merges what a peer sent; `publishes`: passes it on to other peers. */
   merge(statements: readonly SuspectStatement[], publishes: boolean): void {
     this.known.merge(statements, this.#clock());
     if (publishes) this.publishChanges();
-    else this.#logQuarantines(this.known.takeChanges(this.#clock()));
+    else this.#takeSharedChanges();
+  }
+
+  #takeSharedChanges(): SuspectStatement[] {
+    const changes = this.known.takeChanges(this.#clock())
+      .filter(({ fingerprint, crashes }) =>
+        crashes >= SHARED_FROM || this.#shared.has(fingerprint)
+      );
+    for (const { fingerprint, kind } of changes) {
+      if (kind === "clear") this.#shared.delete(fingerprint);
+      else this.#shared.add(fingerprint);
+    }
+    this.#logQuarantines(changes);
+    return changes;
   }
 
   #send(peer: string, statements: readonly SuspectStatement[]): void {
+    if (!this.#peers().acceptsSuspects(peer)) return;
     for (let from = 0; from < statements.length; from += MAXIMUM_STATEMENTS) {
       const message: PeerMessage = {
         type: "suspects",
--- a/packages/gateway/test/grant_client_test.ts
+++ b/packages/gateway/test/grant_client_test.ts
@@ -20,6 +20,8 @@
   createClient(instance: string): GrantClient {
     const peers = {
       announceTo: () => {},
+      connectedPeers: () => [...this.#clients.keys()],
+      acceptsSuspects: () => true,
       send: (
         to: string,
         message: Parameters<GrantClient["handleMessage"]>[1],
