Let a read of the store correct what a peer's view implied about servers

A late view of a peer brought back a server that the entry had never known, since only removals of known servers were remembered: an unknown id now counts as removed as of the directory's revision, which advances after the last change of a batch, as several changes may share one. A server that a peer's view lacked was lost until its record changed again, although the store still listed it: a complete read of the store corrects it. Views of earlier versions, whose records have no revision, are refused.

server_order_test and fleet_state_test have a test for each.

--- a/packages/decisions/src/discovery/server_directory.ts
+++ b/packages/decisions/src/discovery/server_directory.ts
@@ -91,6 +91,24 @@
     this.#callFailed = true;
   }
 
+  /**
+   * Merges a complete read of the store as of `revision`. A record that it
+   * holds corrects an earlier removal that a peer's view implied. Returns what
+   * has changed.
+   */
+  mergeStoreRead(
+    states: readonly ServerState[],
+    revision: number,
+    now: number,
+  ): ServerChange[] {
+    for (const { id, record } of states) {
+      const removedAt = this.#removals.get(id);
+      if (record === undefined || removedAt === undefined) continue;
+      if (removedAt <= revision) this.#removals.set(id, 0);
+    }
+    return this.merge(states, revision, now);
+  }
+
   /**
    * Merges a complete view of all servers as of `revision`: a server that it
    * lacks was removed by then. Returns what has changed.
@@ -210,10 +228,13 @@
     return newest !== undefined && newest.startedAt > record.startedAt;
   }
 
-  /** Revision of the newest change of this id that is known; 0 if none. */
+  /**
+   * Revision of the newest change of this id that is known. An id that is not
+   * known has no record as of the revision of the directory.
+   */
   #knownRevision(id: string): number {
     return this.#servers.get(id)?.state.revision ??
-      this.#removals.get(id) ?? 0;
+      this.#removals.get(id) ?? this.#revision;
   }
 
   #remove(
--- a/packages/decisions/test/server_order_test.ts
+++ b/packages/decisions/test/server_order_test.ts
@@ -128,3 +128,20 @@
   );
   t.end();
 });
+
+t.test("a late view of a peer does not bring back a server that was never known", (t) => {
+  const directory = directoryOfTwo();
+  directory.mergeStoreRead([Y], 105, 100);
+  directory.merge([written(50, server("z", { port: 82 })), Y], 100, 200);
+  t.same(usableIds(directory, 200), ["y"]);
+  t.end();
+});
+
+t.test("a read of the store brings back a server that a peer's view lacked", (t) => {
+  const directory = directoryOfTwo();
+  directory.merge([Y], 100, 100);
+  t.same(usableIds(directory, 100), ["y"]);
+  directory.mergeStoreRead([written(3, server("x")), Y], 120, 200);
+  t.same(usableIds(directory, 200).sort(), ["x", "y"]);
+  t.end();
+});
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -53,8 +53,11 @@
   version: text,
   slots: count,
   draining: v.boolean(),
-  /** Store revision at which the record was written. */
-  revision: v.optional(count, 0),
+  /**
+   * Store revision at which the record was written. Views of earlier versions
+   * lack it and are refused, as their records have no order.
+   */
+  revision: count,
 });
 
 /** A `LimitObservation`; its time is sent as an age. */
--- a/packages/gateway/src/state/fleet_state.ts
+++ b/packages/gateway/src/state/fleet_state.ts
@@ -125,12 +125,13 @@
     return true;
   }
 
-  /** Merges a peer's servers; `revision` as in {@link ServerDirectory.merge}. */
+  /** Merges a peer's servers if they are newer than those known here. */
   adoptServers(
     servers: readonly ServerState[],
     revision: number,
     from: string,
   ): void {
+    if (revision <= this.directory.revision) return;
     const changes = this.directory.merge(servers, revision, this.#clock());
     this.#serversKnown = true;
     this.#log.write({
@@ -220,16 +221,27 @@
 
   /** Returns a listener for the backend servers' keys. */
   serverListener(): PrefixListener {
+    // Several changes may have the same revision, so the directory's advances
+    // only after the last of a batch.
+    let newestRevision = 0;
     return new StateListener({
       onSnapshot: (items, asOf) => {
         const states = items.map((item) => this.#decodeServer(item));
-        const changes = this.directory.merge(states, asOf, this.#clock());
+        const changes = this.directory.mergeStoreRead(
+          states,
+          asOf,
+          this.#clock(),
+        );
         this.#serversKnown = true;
         this.#logServerChanges(changes, "store");
         this.#onChange("servers");
       },
-      onChange: (change) => this.#applyServerChange(change),
+      onChange: (change) => {
+        const revision = this.#applyServerChange(change);
+        newestRevision = Math.max(newestRevision, revision);
+      },
       onBatchEnd: (_asOf, hasChanges) => {
+        this.directory.advance(newestRevision);
         if (hasChanges) this.#onChange("servers");
       },
     });
@@ -286,13 +298,14 @@
     return { id, revision, record: this.#codec.decodeServer(id, value) };
   }
 
-  #applyServerChange(change: ItemChange): void {
+  /** Applies a change, and returns its revision. */
+  #applyServerChange(change: ItemChange): number {
     const state = change.kind === "written"
       ? this.#decodeServer(change.item)
       : this.#removedServer(change);
     const changes = this.directory.apply(state, this.#clock());
-    this.directory.advance(state.revision);
     this.#logServerChanges(changes, "store");
+    return state.revision;
   }
 
   #removedServer(
--- a/packages/gateway/test/fleet_state_test.ts
+++ b/packages/gateway/test/fleet_state_test.ts
@@ -4,6 +4,7 @@
 import type { Member } from "../src/state/fleet_state.ts";
 import type { RecordCodec } from "../src/state/record_codec.ts";
 import { StoreContact } from "../src/state/store_contact.ts";
+import { storedServer } from "./fixture.ts";
 import { RecordingSink } from "./recording_sink.ts";
 
 const PREFIX = "entries/";
@@ -12,20 +13,47 @@
   return { instance, host: "127.0.0.1", port: 1 };
 }
 
+/** A fleet state with a settable clock and no store. */
+function createState(
+  codec: RecordCodec,
+  clock: () => number,
+): { state: FleetState } {
+  const log = new EventLog({ instance: "a", sink: new RecordingSink(), clock });
+  const contact = new StoreContact({ log, clock });
+  const onChange = () => {};
+  const state = new FleetState({ codec, log, clock, contact, onChange });
+  return { state };
+}
+
+t.test("servers that are written by one transaction are all known", (t) => {
+  // Guards against taking the second change of a revision for an old one.
+  const codec = {
+    serverPrefix: "servers/",
+    decodeServer: (_id: string, value: string) => JSON.parse(value),
+  } as RecordCodec;
+  const { state } = createState(codec, () => 0);
+  const listener = state.serverListener();
+  listener.onSnapshot([], 4);
+  const changes = [1, 2].map((port) => ({
+    kind: "written" as const,
+    item: {
+      key: `servers/s${port}`,
+      value: storedServer(`s${port}`, port),
+      revision: 5,
+    },
+  }));
+  listener.onChanges(changes, 5);
+  t.same(state.directory.usable(0).map(({ id }) => id), ["s1", "s2"]);
+  t.equal(state.directory.revision, 5);
+  t.end();
+});
+
 t.test("a dead entry is reported for 10 s only, unless it is connected", (t) => {
   // Guards against entries that report a dead one to each other for ever.
   let now = 0;
   const clock = () => now;
-  const log = new EventLog({ instance: "a", sink: new RecordingSink(), clock });
-  const contact = new StoreContact({ log, clock });
   const codec = { serverPrefix: "servers/" } as RecordCodec;
-  const state = new FleetState({
-    codec,
-    log,
-    clock,
-    contact,
-    onChange: () => {},
-  });
+  const { state } = createState(codec, clock);
   const listener = state.memberListener(PREFIX, (value) => member(value));
   const items = ["a", "b"].map((name) => ({
     key: `${PREFIX}${name}`,
