Ask other peers for state while the one with the newest is silent

An entry asked only peers that announced exactly the newest revision. If that was a single one which did not answer, it was asked again and again until its link was closed, 14 s at 68 entries, although others had nearly the same state. Now the newest revision among peers that answer is requested.

state_pull_test has the test; it failed before (the silent peer was asked twice).

--- a/packages/decisions/src/fleet/state_pull.ts
+++ b/packages/decisions/src/fleet/state_pull.ts
@@ -101,11 +101,11 @@
     this.#behindSince ??= now;
     if (this.#isTransferActive(known, now)) return undefined;
     if (now - this.#behindSince < PULL_DELAY) return undefined;
-    const peers = this.#peersWith(newest);
+    const peers = this.#peersAhead(known);
     const peer = peers[Math.floor(draw * peers.length)]!;
     return this.#continueTransfer({
       peer,
-      revision: newest,
+      revision: this.#offers.get(peer)!,
       offset: 0,
       parts: [],
       requestedAt: now,
@@ -162,17 +162,17 @@
   }
 
   /**
-   * Returns the peers with this revision, without those that failed unless all
-   * of them have.
+   * Returns the peers with the newest revision among those that have not
+   * failed, or among all of them if each one that is ahead of `known` has.
    */
-  #peersWith(revision: number): string[] {
-    const candidates = [...this.#offers].filter(([, offer]) =>
-      offer === revision
-    )
+  #peersAhead(known: number): string[] {
+    const ahead = [...this.#offers]
+      .filter(([, offer]) => offer > Math.max(known, this.#unusableRevision));
+    const working = ahead.filter(([peer]) => !this.#failedPeers.has(peer));
+    if (working.length === 0) this.#failedPeers.clear();
+    const candidates = working.length > 0 ? working : ahead;
+    const newest = Math.max(...candidates.map(([, offer]) => offer));
+    return candidates.filter(([, offer]) => offer === newest)
       .map(([peer]) => peer);
-    const working = candidates.filter((peer) => !this.#failedPeers.has(peer));
-    if (working.length > 0) return working;
-    this.#failedPeers.clear();
-    return candidates;
   }
 }
--- a/packages/decisions/test/state_pull_test.ts
+++ b/packages/decisions/test/state_pull_test.ts
@@ -111,3 +111,13 @@
   t.match(pull.nextRequest(4, 5300, 0), { peer: "a", revision: 6 });
   t.end();
 });
+
+t.test("a silent peer with the newest revision does not keep others from being asked", (t) => {
+  const pull = new StatePull();
+  pull.recordOffer("silent", 110);
+  pull.recordOffer("other", 109);
+  t.equal(pull.nextRequest(100, 0, 0), undefined);
+  t.match(pull.nextRequest(100, 250, 0), { peer: "silent", revision: 110 });
+  t.match(pull.nextRequest(100, 950, 0), { peer: "other", revision: 109 });
+  t.end();
+});
