Send a heartbeat to each grant peer at least once a second

Messages replaced heartbeats to grant peers for as long as they were sent often, and with them the age of the sender's contact with the store, by which an entry that is cut off tells that from an outage of the store.

heartbeat_plan_test has the test.

--- a/packages/decisions/src/fleet/heartbeat_plan.ts
+++ b/packages/decisions/src/fleet/heartbeat_plan.ts
@@ -20,6 +20,11 @@
 const ROUND_ROBIN_BATCH = 2;
 /** Milliseconds without sending after which a grant peer needs a heartbeat. */
 const IDLE_BEFORE_HEARTBEAT = 100;
+/**
+ * Maximum milliseconds between heartbeats to a grant peer, whatever else is
+ * sent: they state how long ago the store responded.
+ */
+const MAXIMUM_INTERVAL = 1000;
 /** Round-robin intervals that may pass without a heartbeat. */
 const TOLERATED_INTERVALS = 2;
 
@@ -41,8 +46,9 @@
   now: number,
 ): string[] {
   const grantPeers = peers.filter((peer) => peer.grantPeer)
-    .filter(({ upToDate, sentAt }) =>
-      !upToDate || now - sentAt >= IDLE_BEFORE_HEARTBEAT
+    .filter(({ upToDate, sentAt, heartbeatAt }) =>
+      !upToDate || now - sentAt >= IDLE_BEFORE_HEARTBEAT ||
+      now - heartbeatAt > MAXIMUM_INTERVAL
     );
   const others = peers.filter((peer) => !peer.grantPeer)
     .sort((one, other) => one.heartbeatAt - other.heartbeatAt)
--- a/packages/decisions/test/heartbeat_plan_test.ts
+++ b/packages/decisions/test/heartbeat_plan_test.ts
@@ -70,3 +70,17 @@
   t.same(heartbeatRecipients([{ ...peer, sentAt: 800 }], 1000), ["entry-1"]);
   t.end();
 });
+
+t.test("messages do not replace heartbeats for more than a second", (t) => {
+  // Otherwise a busy entry would take a store that responds to others for lost.
+  const peer = {
+    name: "entry-1",
+    grantPeer: true,
+    sentAt: 1990,
+    heartbeatAt: 1000,
+    upToDate: true,
+  };
+  t.same(heartbeatRecipients([peer], 2000), []);
+  t.same(heartbeatRecipients([peer], 2001), ["entry-1"]);
+  t.end();
+});
