Keep quarantines in the store over a restart of all entries

Entries know of quarantines from each other, so a restart of all of them at once forgot them and a request that crashes servers crashed three more. A granting entry now writes each quarantine under a lease that ends with it, and entries read them when they start, before their first request.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,7 +6,7 @@
 import { randomBytes } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { HEARTBEAT_EVERY, ProcessLifecycle } from "@sycamorepulley/decisions";
-import type { ServerRecord } from "@sycamorepulley/decisions";
+import type { ServerRecord, SuspectStatement } from "@sycamorepulley/decisions";
 import type { MetadataStore } from "@sycamorepulley/store";
 import type { Result } from "true-myth/result";
 import { ConnectionPool } from "./backend/connection_pool.ts";
@@ -39,6 +39,7 @@
 import { EntryRegistration } from "./state/entry_registration.ts";
 import type { PrefixFollower } from "./state/prefix_follower.ts";
 import type { RecordCodec } from "./state/record_codec.ts";
+import { QuarantineRecords } from "./state/quarantine_records.ts";
 import { StoreContact } from "./state/store_contact.ts";
 import { StartGate } from "./state/start_gate.ts";
 
@@ -80,6 +81,7 @@
   readonly #fleetState: FleetState;
   readonly #connectionPool: ConnectionPool;
   readonly #grantClient: GrantClient;
+  readonly #quarantineRecords: QuarantineRecords;
   readonly #peers: Peers;
   readonly #stateSharing: StateSharing;
   #configurationFollower: PrefixFollower | undefined;
@@ -128,6 +130,15 @@
       log,
       peers: () => this.#peers,
       leeway: quotaLeeway(settings.bounds),
+      onQuarantine: (statement) =>
+        void this.#quarantineRecords.write(statement),
+    });
+    this.#quarantineRecords = new QuarantineRecords({
+      store,
+      contact: this.#storeContact,
+      clock,
+      signal: this.#stopController.signal,
+      onRead: (statements) => this.#handleQuarantines(statements),
     });
     this.#peers = new Peers({
       instance,
@@ -220,6 +231,7 @@
       clock: this.#clock,
       group: () => this.#peers.watchGroup(),
     });
+    void this.#quarantineRecords.read();
     void this.#registration.run({ ...settings.peers, port: peers });
     const { readiness, metrics } = settings;
     const ports = {
@@ -392,12 +404,21 @@
     }
   }
 
-  /** Opens the start gate once a peer, if there is any, has sent its state. */
+  #handleQuarantines(statements: readonly SuspectStatement[]): void {
+    this.#grantClient.suspects.merge(statements, false);
+    if (this.#isStateLoaded()) this.#openStartGate();
+  }
+
+  /**
+   * Opens the start gate once the quarantines have been read and a peer, if
+   * there is any, has sent its state.
+   */
   #openStartGate(): void {
     const { members } = this.#fleetState;
     const others = [...members.values()]
       .filter(({ instance }) => instance !== this.#settings.instance);
-    if (this.#peerStateReceived || others.length === 0) {
+    const hasPeerState = this.#peerStateReceived || others.length === 0;
+    if (hasPeerState && this.#quarantineRecords.isRead) {
       this.#startGate.open();
       return;
     }
--- a/packages/gateway/src/peers/grant_client.ts
+++ b/packages/gateway/src/peers/grant_client.ts
@@ -18,6 +18,7 @@
   ServiceLoad,
   SizeClassReport,
   StreamTiming,
+  SuspectStatement,
 } from "@sycamorepulley/decisions";
 import type { EventLog } from "../observe/event_log.ts";
 import { encodeGrantRequest } from "./grant_request_message.ts";
@@ -74,6 +75,8 @@
       log: EventLog;
       peers: () => Peers;
       leeway: QuotaLeeway;
+      /** See {@link SharedSuspects}. */
+      onQuarantine: (statement: SuspectStatement) => void;
     },
   ) {
     this.#instance = options.instance;
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -78,7 +78,7 @@
 const requestedBackoff = v.optional(duration, 0);
 
 /** A `SuspectStatement`. */
-const suspectStatementSchema = v.object({
+export const suspectStatementSchema = v.object({
   fingerprint: text,
   kind: v.picklist(["clear", "suspect", "quarantined"]),
   revision: count,
--- a/packages/gateway/src/peers/shared_suspects.ts
+++ b/packages/gateway/src/peers/shared_suspects.ts
@@ -30,15 +30,23 @@
   readonly #clock: () => number;
   readonly #log: EventLog;
   readonly #peers: () => Peers;
+  readonly #onQuarantine: (statement: SuspectStatement) => void;
   /** Fingerprints that were shared as suspects and have not been cleared. */
   readonly #shared = new Set<string>();
 
   constructor(
-    options: { clock: () => number; log: EventLog; peers: () => Peers },
+    options: {
+      clock: () => number;
+      log: EventLog;
+      peers: () => Peers;
+      /** Called with each quarantine that this entry has decided. */
+      onQuarantine: (statement: SuspectStatement) => void;
+    },
   ) {
     this.#clock = options.clock;
     this.#log = options.log;
     this.#peers = options.peers;
+    this.#onQuarantine = options.onQuarantine;
   }
 
   /** How to handle a request with this fingerprint now. */
@@ -60,6 +68,9 @@
   publishChanges(): void {
     const changes = this.#takeSharedChanges();
     if (changes.length === 0) return;
+    for (const change of changes) {
+      if (change.kind === "quarantined") this.#onQuarantine(change);
+    }
     for (const peer of this.#peers().connectedPeers()) {
       this.#send(peer, changes);
     }
--- /dev/null
+++ b/packages/gateway/src/state/quarantine_records.ts
@@ -0,0 +1,147 @@
+/**
+ * Keeps quarantines in the store, so that entries that are all restarted at the
+ * same time refuse the same requests as before.
+ *
+ * Each quarantine is a key under a lease that ends with it. Entries that run
+ * tell each other of quarantines, so the keys are only read at the start.
+ * @module
+ */
+import { setTimeout } from "node:timers/promises";
+import type { SuspectStatement } from "@sycamorepulley/decisions";
+import type {
+  MetadataStore,
+  PlatformError,
+  StoredItem,
+} from "@sycamorepulley/store";
+import * as v from "valibot";
+import { suspectStatementSchema } from "../peers/messages.ts";
+import type { StoreContact } from "./store_contact.ts";
+
+/** Prefix of the keys of quarantines; the fingerprint follows. */
+export const QUARANTINE_PREFIX = "sycamorepulley/quarantines/";
+/** Milliseconds until a failed call is repeated. */
+const RETRY_DELAY = 400;
+
+/** Reads and writes quarantines until `signal` is aborted. */
+export class QuarantineRecords {
+  readonly #store: MetadataStore;
+  readonly #contact: StoreContact;
+  readonly #clock: () => number;
+  readonly #signal: AbortSignal;
+  readonly #onRead: (statements: SuspectStatement[]) => void;
+  #isRead = false;
+
+  constructor(
+    options: {
+      store: MetadataStore;
+      contact: StoreContact;
+      clock: () => number;
+      signal: AbortSignal;
+      onRead: (statements: SuspectStatement[]) => void;
+    },
+  ) {
+    this.#store = options.store;
+    this.#contact = options.contact;
+    this.#clock = options.clock;
+    this.#signal = options.signal;
+    this.#onRead = options.onRead;
+  }
+
+  /** True once all quarantines have been read. */
+  get isRead(): boolean {
+    return this.#isRead;
+  }
+
+  /** Reads all quarantines, however often the store fails. */
+  async read(): Promise<void> {
+    const items = await this.#repeat(() => this.#readItems());
+    if (items === undefined) return;
+    this.#isRead = true;
+    this.#onRead(
+      items.map(({ value }) => decodeStatement(value))
+        .filter((statement) => statement !== undefined),
+    );
+  }
+
+  /** Writes a quarantine, however often the store fails. */
+  async write(statement: SuspectStatement): Promise<void> {
+    const endsAt = this.#clock() + statement.remaining;
+    await this.#repeat(() => this.#writeOnce(statement, endsAt));
+  }
+
+  /** Calls until it succeeds; `undefined` if the process stops before. */
+  async #repeat<Value>(
+    call: () => Promise<Value | undefined>,
+  ): Promise<Value | undefined> {
+    while (!this.#signal.aborted) {
+      const value = await call();
+      if (value !== undefined) return value;
+      await setTimeout(RETRY_DELAY, undefined, { signal: this.#signal })
+        .catch(() => {});
+    }
+    return undefined;
+  }
+
+  async #readItems(): Promise<StoredItem[] | undefined> {
+    const items: StoredItem[] = [];
+    let after: string | undefined;
+    for (;;) {
+      const startedAt = this.#clock();
+      const page = await this.#store
+        .readPage(QUARANTINE_PREFIX, after, this.#signal);
+      if (page.isErr) return this.#recordFailure(page.error, startedAt);
+      this.#contact.recordStoreResponse();
+      items.push(...page.value.items);
+      after = page.value.items.at(-1)?.key;
+      if (!page.value.more || after === undefined) return items;
+    }
+  }
+
+  /** Resolves to true once it is written, or has ended meanwhile. */
+  async #writeOnce(
+    statement: SuspectStatement,
+    endsAt: number,
+  ): Promise<true | undefined> {
+    const startedAt = this.#clock();
+    const remaining = Math.floor(endsAt - startedAt);
+    if (remaining <= 0) return true;
+    const lease = await this.#store.grantLease(remaining);
+    if (lease.isErr) return this.#recordFailure(lease.error, startedAt);
+    const written = await this.#store.transact({
+      expected: [],
+      writes: [{
+        key: QUARANTINE_PREFIX + statement.fingerprint,
+        value: JSON.stringify({ ...statement, remaining }),
+        lease: lease.value,
+      }],
+      removals: [],
+    });
+    if (written.isErr) return this.#recordFailure(written.error, startedAt);
+    this.#contact.recordStoreResponse();
+    return written.value.kind === "committed" ? true : undefined;
+  }
+
+  #recordFailure(error: PlatformError, startedAt: number): undefined {
+    if (this.#signal.aborted) return;
+    const time = this.#clock() - startedAt;
+    this.#contact.recordStoreFailure({
+      error,
+      prefix: QUARANTINE_PREFIX,
+      time,
+    });
+  }
+}
+
+/** Returns `undefined` for a value that no entry wrote. */
+function decodeStatement(value: string): SuspectStatement | undefined {
+  let parsed: unknown;
+  try {
+    parsed = JSON.parse(value);
+  } catch {
+    return undefined;
+  }
+  const statement = v.safeParse(suspectStatementSchema, parsed);
+  return statement.success && statement.output.kind === "quarantined"
+    ? statement.output
+    : undefined;
+}
--- a/packages/gateway/test/crashing_request_test.ts
+++ b/packages/gateway/test/crashing_request_test.ts
@@ -127,6 +127,25 @@
   await stopAll([...entries, newest]);
 });
 
+t.test("entries that are all restarted refuse a crashing request as before", async (t) => {
+  const { store, entries, servers } = await startCrashingGroup();
+  await sendCrashing(entries, 4);
+  t.ok(servers.crashes >= 3, "the request crashes servers");
+  await Promise.all(entries.map(({ gateway }) => gateway.stop()));
+  const restarted = await Fixture.start({
+    store,
+    servers: entries[0]!.servers,
+    instance: "entry-1",
+  });
+  await restarted.waitUntilReady();
+  const crashesBefore = servers.crashes;
+  const responses = await sendCrashing([restarted], 2);
+  t.strictSame(responses.map(isContained), [true, true]);
+  t.equal(servers.crashes, crashesBefore);
+  await servers.stop();
+  await stopAll([restarted]);
+});
+
 t.test("a request that only runs beside a crashing one is not refused", async (t) => {
   // Guards against convicting every request that runs during crashes.
   const { entries, servers } = await startCrashingGroup(40);
