--- a/packages/gateway/src/observe/load_report.ts
+++ b/packages/gateway/src/observe/load_report.ts
@@ -69,6 +69,9 @@
     }
     const { leavingServers, serverBackoff } = this.#metrics;
     leavingServers.set(this.#leavingServers());
+    this.#metrics.quarantinedRequests.set(
+      this.#grantClient.suspects.countQuarantined(),
+    );
     serverBackoff.reset();
     for (const { server, remaining } of this.#grantClient.activeBackoffs()) {
       serverBackoff.set({ server }, remaining / 1000);
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -68,6 +68,11 @@
     "Time for which a server wants no requests of this entry",
     ["server"],
   );
+  readonly quarantinedRequests = this.#gauge(
+    "quarantined_requests",
+    "Distinct requests that are refused because they crash backend servers",
+    [],
+  );
   readonly configurationVersion = this.#gauge(
     "configuration_version",
     "Version of the configuration in force",
--- a/packages/gateway/src/peers/shared_suspects.ts
+++ b/packages/gateway/src/peers/shared_suspects.ts
@@ -54,6 +54,12 @@
     return this.known.verdict(fingerprint, this.#clock());
   }
 
+  /** Number of quarantined fingerprints. */
+  countQuarantined(): number {
+    return this.known.statements(this.#clock())
+      .filter(({ kind }) => kind === "quarantined").length;
+  }
+
   /** Logs a crash that this entry has recorded as the granting entry. */
   logCrash({ server, running, suspects }: ServerCrash): void {
     this.#log.write({
