--- a/packages/gateway/test/load_report_test.ts
+++ b/packages/gateway/test/load_report_test.ts
@@ -17,6 +17,7 @@
     limits,
     loads: () => [{ service: "calls", waiting: 3, running: 2 }],
     activeBackoffs: () => [{ server: "s@1", remaining: 1500 }],
+    suspects: { countQuarantined: () => 4 },
   } as unknown as GrantClient;
   const report = new LoadReport({
     grantClient,
@@ -35,6 +36,7 @@
   t.match(exposition, `waiting{service="calls"} 3`);
   t.match(exposition, "sycamorepulley_gateway_leaving_servers 2");
   t.match(exposition, `server_backoff_seconds{server="s@1"} 1.5`);
+  t.match(exposition, "sycamorepulley_gateway_quarantined_requests 4");
   limits.observe("s@1", undefined, 2000);
   report.updateGauges();
   t.notMatch(await metrics.registry.metrics(), `${prefix}_per_second{`);
