Let a read of the store show servers that a peer's view never had

An entry that starts may learn of the servers from a peer first. Had that view lacked a server, a later read of the store would have been taken for older than the view, since an unknown id counts as removed as of the directory's revision. No way to such a view is known; the test plays one.

--- a/packages/decisions/src/discovery/server_directory.ts
+++ b/packages/decisions/src/discovery/server_directory.ts
@@ -93,8 +93,8 @@
 
   /**
    * Merges a complete read of the store as of `revision`. A record that it
-   * holds corrects an earlier removal that a peer's view implied. Returns what
-   * has changed.
+   * holds corrects an earlier view of a peer that lacked it. Returns what has
+   * changed.
    */
   mergeStoreRead(
     states: readonly ServerState[],
@@ -102,9 +102,8 @@
     now: number,
   ): ServerChange[] {
     for (const { id, record } of states) {
-      const removedAt = this.#removals.get(id);
-      if (record === undefined || removedAt === undefined) continue;
-      if (removedAt <= revision) this.#removals.set(id, 0);
+      if (record === undefined || this.#servers.has(id)) continue;
+      if (this.#knownRevision(id) <= revision) this.#recordRemoval(id, 0);
     }
     return this.merge(states, revision, now);
   }
--- a/packages/decisions/test/server_order_test.ts
+++ b/packages/decisions/test/server_order_test.ts
@@ -145,3 +145,11 @@
   t.same(usableIds(directory, 200).sort(), ["x", "y"]);
   t.end();
 });
+
+t.test("a read of the store shows a server that a peer's view never had", (t) => {
+  const directory = new ServerDirectory();
+  directory.merge([Y], 100, 100);
+  directory.mergeStoreRead([written(3, server("x")), Y], 120, 200);
+  t.same(usableIds(directory, 200).sort(), ["x", "y"]);
+  t.end();
+});
