--- a/packages/decisions/src/suspects/suspects.ts
+++ b/packages/decisions/src/suspects/suspects.ts
@@ -258,7 +258,7 @@
       status.kind !== "quarantined" ||
       now >= status.expiresAt + SUSPICION_DURATION
     ) {
-      this.#statuses.delete(fingerprint);
+      this.#forget(fingerprint);
       return undefined;
     }
     const renewed: FingerprintStatus = {
@@ -281,11 +281,15 @@
   /** Evicts the status that changed longest ago, quarantines last. */
   #evict(): void {
     for (const [fingerprint, { kind }] of this.#statuses) {
-      if (kind === "quarantined") continue;
-      this.#statuses.delete(fingerprint);
-      return;
+      if (kind !== "quarantined") return this.#forget(fingerprint);
     }
-    evictOldest(this.#statuses, MAXIMUM_FINGERPRINTS);
+    const [oldest] = this.#statuses.keys();
+    if (oldest !== undefined) this.#forget(oldest);
+  }
+
+  #forget(fingerprint: string): void {
+    this.#statuses.delete(fingerprint);
+    this.#changed.delete(fingerprint);
   }
 }
 
--- a/packages/decisions/test/suspects_test.ts
+++ b/packages/decisions/test/suspects_test.ts
@@ -146,6 +146,8 @@
     suspects.recordCrash(batch, `s${crash}`, crash);
   }
   t.equal(suspects.statements(200).length, 4096);
+  t.equal(suspects.takeChanges(200).length, 4096);
+  t.same(suspects.takeChanges(200), []);
   t.end();
 });
 
