--- a/packages/gateway/src/backend/connection_pool.ts
+++ b/packages/gateway/src/backend/connection_pool.ts
@@ -15,8 +15,8 @@
  */
 const CONNECT_TIMEOUT = 300;
 /**
- * The same when a connection has broken: a crashed server refuses at once, and
- * a caller waits for the result.
+ * The same for finding out whether a server has crashed, which a caller waits
+ * for. A crashed server refuses immediately.
  */
 const DIAGNOSIS_TIMEOUT = 100;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -423,7 +423,7 @@
       return;
     }
     this.#startGate.openSoon();
-    this.#peers.dialFirst(others);
+    this.#peers.dialEarly(others);
   }
 
   /** The record of a server; `undefined` if it may not be sent requests now. */
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -17,8 +17,8 @@
 
 /** Minimum milliseconds between two dials of the same address. */
 const REDIAL_DELAY = 500;
-/** Entries that an entry that has just started dials at once. */
-const FIRST_DIALS = 3;
+/** Number of peers that an entry dials as soon as it knows any. */
+const INITIAL_DIALS = 3;
 /** Milliseconds until an attempt to connect is given up. */
 const DIAL_TIMEOUT = 500;
 
@@ -204,12 +204,12 @@
   }
 
   /**
-   * Dials some entries at once, for the state that they know. Two links between
-   * the same entries are resolved as for any other.
+   * Dials some peers without waiting for the next round, to receive their state
+   * early. A peer may dial this entry as well; one of the two links is closed.
    */
-  dialFirst(members: readonly Member[]): void {
+  dialEarly(members: readonly Member[]): void {
     const now = this.#clock();
-    for (const member of members.slice(0, FIRST_DIALS)) {
+    for (const member of members.slice(0, INITIAL_DIALS)) {
       if (!this.#links.has(member.instance)) this.#dial(member, now);
     }
   }
--- a/packages/gateway/src/peers/shared_suspects.ts
+++ b/packages/gateway/src/peers/shared_suspects.ts
@@ -4,8 +4,8 @@
  * The granting entry counts crashes, since it knows what each server runs. All
  * entries know of requests that ran in two crashes or more, so that the next
  * granting entry, an entry that is cut off and one that starts later contain
- * the same requests. Changes are sent at once, and everything is repeated over
- * each new link. A single crash makes a whole batch of requests suspects, most
+ * the same requests. Changes are sent immediately, and everything is repeated
+ * over each new link. A single crash makes a whole batch of requests suspects, most
  * of which never run again; these are not shared.
  * @module
  */
--- a/packages/gateway/src/request/backend_headers.ts
+++ b/packages/gateway/src/request/backend_headers.ts
@@ -35,9 +35,9 @@
 }
 
 /**
- * Hash of what a request asks for and of its organisation: the same for all
- * attempts, at whichever entry they arrive and with whichever credential.
- * Headers may differ from attempt to attempt.
+ * Hash of method, host, target, body and organisation: the same for all attempts
+ * of a request, through any entry and with any credential of the organisation.
+ * Other headers may differ from attempt to attempt.
  */
 export function requestFingerprint(
   parsed: Pick<ParsedRequest, "method" | "host" | "target">,
--- a/packages/gateway/src/state/quarantine_records.ts
+++ b/packages/gateway/src/state/quarantine_records.ts
@@ -2,8 +2,8 @@
  * Keeps quarantines in the store, so that entries that are all restarted at the
  * same time refuse the same requests as before.
  *
- * Each quarantine is a key under a lease that ends with it. Entries that run
- * tell each other of quarantines, so the keys are only read at the start.
+ * Each quarantine is a key under a lease that ends with it. Running entries
+ * share quarantines directly, so the keys are only read at the start.
  * @module
  */
 import { setTimeout } from "node:timers/promises";
