Count a server's crash once although responses of before it are reported later

Cause: a server counts as crashed until a response of it begins. Entries report to the granting entry over links of unlike speed, so the start of a response from before the crash may be reported after it; the next report of the same crash then counted once more. A harmless request could be quarantined by two crashes counted as three.

Change: a run remembers that its server crashed after it was granted. Only the response of a run that was granted after the crash shows the server alive.

Measured: the test 'a crash counts once although a response of before it is reported later' fails before the change (2 crashes for 1) and passes with it. A server that responds again may crash again, and copies of a request that run at once crash at most one server more than there are copies: both tests passed before the change, too.

--- a/packages/decisions/src/dispatch/pooled_server.ts
+++ b/packages/decisions/src/dispatch/pooled_server.ts
@@ -62,6 +62,8 @@
   inPrefill: boolean;
   /** Maximum prompt tokens of pending prefill at the server during the run. */
   maximumPendingPrefill: number;
+  /** The server has crashed since the run was granted. */
+  precedesCrash: boolean;
 };
 
 /** A run as it is counted for crashes of its server. */
@@ -96,7 +98,7 @@
   #rateLimiter: ServerRateLimiter | undefined;
   #pendingPrefillTokens = 0;
   #downUntil = -Infinity;
-  /** It has crashed and not responded since. */
+  /** It has crashed, and no request granted since has got a response. */
   #crashed = false;
   /** Runs without a complete response that ended lately. */
   #interrupted: (RunIdentity & { endedAt: number })[] = [];
@@ -227,6 +229,7 @@
       cost,
       inPrefill,
       maximumPendingPrefill: 0,
+      precedesCrash: false,
     });
     for (const run of this.#runs.values()) {
       run.maximumPendingPrefill = Math.max(
@@ -257,8 +260,10 @@
   ): Cost | undefined {
     const run = this.#runs.get(id);
     this.#backoff = 0;
-    this.#crashed = false;
     if (run === undefined) return undefined;
+    // Reports of several entries arrive in any order: a response that began
+    // before the crash may be reported after it.
+    if (!run.precedesCrash) this.#crashed = false;
     this.#endPrefill(run);
     this.#firstTokenRatio.observe(
       latency,
@@ -314,6 +319,7 @@
   recordCrash(now: number): RunIdentity[] | undefined {
     if (this.#crashed) return undefined;
     this.#crashed = true;
+    for (const run of this.#runs.values()) run.precedesCrash = true;
     const interrupted = this.#interrupted
       .filter(({ endedAt }) => now - endedAt < CRASH_WINDOW);
     return [...this.#runs.values(), ...interrupted];
--- a/packages/decisions/test/crash_containment_test.ts
+++ b/packages/decisions/test/crash_containment_test.ts
@@ -208,6 +208,62 @@
   t.end();
 });
 
+t.test("a crash counts once although a response of before it is reported later", (t) => {
+  // Guards against quarantining a request for two crashes counted as three.
+  const fixture = new Fixture(1);
+  fixture.submit("fatal");
+  fixture.submit("neighbour");
+  const neighbour = fixture.idOf("neighbour")!;
+  fixture.end(fixture.idOf("fatal")!, "crashed");
+  fixture.scheduler.recordResponseStart(neighbour, 30, fixture.now);
+  fixture.end(neighbour, "crashed");
+  t.match(fixture.suspects.verdict("neighbour", fixture.now), { crashes: 1 });
+  t.end();
+});
+
+t.test("a server that responds to a later request may crash again", (t) => {
+  // Guards against taking a start of a server for crashed for good.
+  const fixture = new Fixture(1);
+  fixture.submit("first");
+  fixture.end(fixture.idOf("first")!, "crashed");
+  fixture.now += 10_000;
+  fixture.submit("second");
+  const second = fixture.idOf("second")!;
+  fixture.scheduler.recordResponseStart(second, 30, fixture.now);
+  fixture.end(second, "crashed");
+  t.match(fixture.suspects.verdict("second", fixture.now), { crashes: 1 });
+  t.end();
+});
+
+t.test("copies that run at once crash no more than one server after them", (t) => {
+  // Guards against counting only the crashes of runs granted to suspects.
+  for (const copies of [1, 2, 4, 6]) {
+    const fixture = new Fixture(8);
+    const ids = Array.from({ length: copies }, () => {
+      const [decision] = fixture.submit("fatal");
+      return decision!.request.id;
+    });
+    let crashes = 0;
+    const crash = (id: string) => {
+      if (!fixture.running.has(id)) return;
+      crashes++;
+      fixture.crash(fixture.running.get(id)!.server);
+    };
+    for (const id of ids) {
+      crash(id);
+      fixture.submit("fatal");
+    }
+    while (fixture.kindOf("fatal") !== "quarantined" && crashes < 20) {
+      fixture.now += 1000;
+      fixture.submit("fatal");
+      const id = fixture.idOf("fatal");
+      if (id !== undefined) crash(id);
+    }
+    t.ok(crashes <= Math.max(3, copies + 1), `${crashes} of ${copies} copies`);
+  }
+  t.end();
+});
+
 t.test("requests that crash servers are contained, all others keep running", (t) => {
   const step = fc.record({
     name: fc.integer({ min: 0, max: 11 }),
