--- a/packages/decisions/test/crash_containment_test.ts
+++ b/packages/decisions/test/crash_containment_test.ts
@@ -235,6 +235,16 @@
   t.end();
 });
 
+t.test("a server that has left the directory is not counted as crashed", (t) => {
+  // Guards against taking the planned exit of a server for a crash.
+  const fixture = new Fixture(1);
+  fixture.submit("long");
+  fixture.scheduler.setServers([]);
+  fixture.end(fixture.idOf("long")!, "crashed");
+  t.equal(fixture.kindOf("long"), "clear");
+  t.end();
+});
+
 t.test("copies that run at once crash no more than one server after them", (t) => {
   // Guards against counting only the crashes of runs granted to suspects.
   for (const copies of [1, 2, 4, 6]) {
