Reproduce a restored store that keeps entries from adopting newer versions

The stand-in of the metadata store restores an older copy: revisions and leases are given out again, waiting watches fail, a watch from a revision that the copy lacks gets 'compacted'.

--- a/packages/store/src/memory_metadata_store.ts
+++ b/packages/store/src/memory_metadata_store.ts
@@ -19,15 +19,24 @@
 
 type LeasedItem = StoredItem & { lease: number };
 
+/** A copy of the whole state, which a test can restore later. */
+export type MetadataBackup = {
+  items: [string, LeasedItem][];
+  history: ItemChange[];
+  leases: number[];
+  revision: number;
+  oldestRevision: number;
+};
+
 /** Calls fail while {@link MemoryMetadataStore.outage} is set. */
 export class MemoryMetadataStore extends MetadataStore {
   /** While true, every call fails as unreachable. */
   outage = false;
   /** While true, watches report no changes. */
   withholdsChanges = false;
-  readonly #items = new Map<string, LeasedItem>();
-  readonly #history: ItemChange[] = [];
-  readonly #leases = new Set<number>();
+  #items = new Map<string, LeasedItem>();
+  #history: ItemChange[] = [];
+  #leases = new Set<number>();
   #revision = 1;
   #oldestRevision = 1;
   /** Number of times that all waiting watches were aborted. */
@@ -59,6 +68,29 @@
     this.#history.length = 0;
   }
 
+  backup(): MetadataBackup {
+    return {
+      items: [...this.#items],
+      history: [...this.#history],
+      leases: [...this.#leases],
+      revision: this.#revision,
+      oldestRevision: this.#oldestRevision,
+    };
+  }
+
+  /**
+   * Restores an older state, as a store does that lost its newest writes:
+   * revisions and leases are given out again, and waiting watches fail.
+   */
+  restore(backup: MetadataBackup): void {
+    this.#items = new Map(backup.items);
+    this.#history = [...backup.history];
+    this.#leases = new Set(backup.leases);
+    this.#revision = backup.revision;
+    this.#oldestRevision = backup.oldestRevision;
+    this.abortWatches();
+  }
+
   override readPage(
     prefix: string,
     after = "",
@@ -99,7 +131,7 @@
   }
 
   #changeBatch(changes: ItemChange[], after: number): ChangeBatch {
-    return after < this.#oldestRevision
+    return after < this.#oldestRevision || after > this.#revision
       ? { kind: "compacted" }
       : { kind: "changes", changes, asOf: this.#revision };
   }
--- a/packages/store/src/mod.ts
+++ b/packages/store/src/mod.ts
@@ -12,6 +12,7 @@
   WatchOutcome,
 } from "./key_value_store.ts";
 export { MemoryMetadataStore } from "./memory_metadata_store.ts";
+export type { MetadataBackup } from "./memory_metadata_store.ts";
 export { MetadataStore } from "./metadata_store.ts";
 export type {
   ChangeBatch,
