--- a/packages/decisions/src/discovery/mod.ts
+++ b/packages/decisions/src/discovery/mod.ts
@@ -1,6 +1,8 @@
 /** Directory of the backend servers that may be sent requests. @module */
 export { ServerDirectory } from "./server_directory.ts";
 export { incarnationOf } from "./server_record.ts";
+export { FIRST_POSITION, isLater, laterOf } from "./store_position.ts";
+export type { StorePosition } from "./store_position.ts";
 export type {
   ServerChange,
   ServerRecord,
--- a/packages/decisions/src/discovery/server_directory.ts
+++ b/packages/decisions/src/discovery/server_directory.ts
@@ -3,9 +3,14 @@
  * store and from what they state in their responses.
  *
  * Changes arrive from the store and from peers, and an older one may arrive
- * after a newer one. Each record and each removal therefore has the store
- * revision at which it was written, and only a newer one replaces it. A server
- * that leaves never takes that back, whatever is written later.
+ * after a newer one. Each record and each removal therefore has the position in
+ * the store's history at which it was written, and only a later one replaces
+ * it. A server that leaves never takes that back, whatever is written later.
+ *
+ * When the store is restored from an older copy, a server that the copy lacks
+ * is retained like one whose lease expired during an outage. A server that the
+ * copy still holds although its removal, or a later start, is known stays
+ * removed until it is written again.
  *
  * Each record is bound to a lease and may expire during an outage of the store
  * although its server is alive. A record that disappears around an outage is
@@ -28,6 +33,8 @@
   ServerRecord,
   ServerState,
 } from "./server_record.ts";
+import { FIRST_POSITION, isLater, laterOf } from "./store_position.ts";
+import type { StorePosition } from "./store_position.ts";
 
 /**
  * Milliseconds after an outage within which every live server has registered
@@ -42,28 +49,34 @@
 /** Maximum number of removals that are remembered; the oldest is evicted. */
 const MAXIMUM_REMOVALS = 4096;
 
-/** A server with the time until which a removed record is retained. */
-type KnownServer = { state: ServerState; retainedUntil?: number };
+/** A server; a removed record is retained until a time. */
+type KnownServer = {
+  state: ServerState;
+  retained?: { until: number; removedAt: StorePosition };
+};
+
+/** A removal; `last` is what had been written before, if that was known. */
+type Removal = { position: StorePosition; last: ServerState | undefined };
 
 /** Servers by id, including those retained after an outage. */
 export class ServerDirectory {
   readonly #servers = new Map<string, KnownServer>();
-  /** Revisions of removals by id, oldest first. */
-  readonly #removals = new Map<string, number>();
+  /** Removals by id, oldest first. */
+  readonly #removals = new Map<string, Removal>();
   readonly #leaving = new LeavingServers();
   #lastContactAt: number | undefined;
   /** A call to the store has failed since its last response. */
   #callFailed = false;
   #outageEndedAt = -Infinity;
-  #revision = 0;
+  #position = FIRST_POSITION;
   /**
    * The server that started last at each address; `undefined` after a change.
    */
   #newestByAddress: Map<string, ServerRecord> | undefined;
 
-  /** Store revision up to which all changes are known here. */
-  get revision(): number {
-    return this.#revision;
+  /** Position up to which all changes of the store are known here. */
+  get position(): StorePosition {
+    return this.#position;
   }
 
   /** Records a response of the store to this entry. */
@@ -86,35 +99,45 @@
     this.#lastContactAt = at;
   }
 
+  /**
+   * Records that the store has been restored from an older copy. Servers that
+   * the copy lacks register again as after an outage.
+   */
+  recordRestore(now: number): void {
+    this.#outageEndedAt = now;
+  }
+
   /** Records a failed call to the store. */
   recordStoreFailure(): void {
     this.#callFailed = true;
   }
 
   /**
-   * Merges a complete read of the store as of `revision`. A record that it
+   * Merges a complete read of the store as of `position`. A record that it
    * holds corrects an earlier view of a peer that lacked it. Returns what has
    * changed.
    */
   mergeStoreRead(
     states: readonly ServerState[],
-    revision: number,
+    position: StorePosition,
     now: number,
   ): ServerChange[] {
-    for (const { id, record } of states) {
+    for (const state of states) {
+      const { id, record } = state;
       if (record === undefined || this.#servers.has(id)) continue;
-      if (this.#knownRevision(id) <= revision) this.#recordRemoval(id, 0);
+      if (isLater(this.#knownPosition(id), position)) continue;
+      if (!this.#isOutlived(state)) this.#recordRemoval(id, FIRST_POSITION);
     }
-    return this.merge(states, revision, now);
+    return this.merge(states, position, now);
   }
 
   /**
-   * Merges a complete view of all servers as of `revision`: a server that it
+   * Merges a complete view of all servers as of `position`: a server that it
    * lacks was removed by then. Returns what has changed.
    */
   merge(
     states: readonly ServerState[],
-    revision: number,
+    position: StorePosition,
     now: number,
   ): ServerChange[] {
     const changes: ServerChange[] = [];
@@ -125,9 +148,9 @@
     }
     for (const id of [...this.#servers.keys()]) {
       if (found.has(id)) continue;
-      changes.push(...this.apply({ id, revision, record: undefined }, now));
+      changes.push(...this.apply({ id, position, record: undefined }, now));
     }
-    this.advance(revision);
+    this.advance(position);
     return changes;
   }
 
@@ -136,22 +159,22 @@
    * what has changed.
    */
   apply(state: ServerState, now: number): ServerChange[] {
-    const { id, revision, record } = state;
+    const { id, position, record } = state;
     if (record?.draining) this.#leaving.add(incarnationOf(record));
-    if (revision <= this.#knownRevision(id)) return [];
+    if (!isLater(position, this.#knownPosition(id))) return [];
     const before = this.#servers.get(id);
     this.#newestByAddress = undefined;
-    if (record !== undefined) {
+    if (record !== undefined && !this.#isOutlived(state)) {
       this.#removals.delete(id);
       this.#servers.set(id, { state });
-    } else if (before !== undefined) this.#remove(id, before, revision, now);
-    else this.#recordRemoval(id, revision);
+    } else if (before !== undefined) this.#remove(id, before, position, now);
+    else if (record === undefined) this.#recordRemoval(id, position);
     return changesBetween(before, this.#servers.get(id), state);
   }
 
-  /** Records that all changes up to `revision` were applied. */
-  advance(revision: number): void {
-    this.#revision = Math.max(this.#revision, revision);
+  /** Records that all changes up to `position` were applied. */
+  advance(position: StorePosition): void {
+    this.#position = laterOf(this.#position, position);
   }
 
   /**
@@ -175,10 +198,10 @@
 
   /** Returns all servers that may be sent requests now. */
   usable(now: number): ServerRecord[] {
-    for (const [id, { state, retainedUntil }] of this.#servers) {
-      if (retainedUntil === undefined || now < retainedUntil) continue;
+    for (const [id, { state, retained }] of this.#servers) {
+      if (retained === undefined || now < retained.until) continue;
       this.#servers.delete(id);
-      this.#recordRemoval(id, state.revision);
+      this.#recordRemoval(id, retained.removedAt, state);
       this.#newestByAddress = undefined;
     }
     return this.#records().filter((record) =>
@@ -197,7 +220,7 @@
    */
   registered(): ServerState[] {
     return [...this.#servers.values()]
-      .filter(({ retainedUntil }) => retainedUntil === undefined)
+      .filter(({ retained }) => retained === undefined)
       .map(({ state }) => state);
   }
 
@@ -228,33 +251,54 @@
   }
 
   /**
-   * Revision of the newest change of this id that is known. An id that is not
-   * known has no record as of the revision of the directory.
+   * Position of the newest change of this id that is known. An id that is not
+   * known has no record as of the position of the directory.
    */
-  #knownRevision(id: string): number {
-    return this.#servers.get(id)?.state.revision ??
-      this.#removals.get(id) ?? this.#revision;
+  #knownPosition(id: string): StorePosition {
+    const known = this.#servers.get(id);
+    return known?.retained?.removedAt ?? known?.state.position ??
+      this.#removals.get(id)?.position ?? this.#position;
+  }
+
+  /**
+   * Whether the record is one that a restored copy of the store still holds: a
+   * later start of the server is known, or the removal of the same write.
+   */
+  #isOutlived({ id, position, record }: ServerState): boolean {
+    const known = this.#servers.get(id)?.state;
+    const last = known ?? this.#removals.get(id)?.last;
+    if (record === undefined || last?.record === undefined) return false;
+    if (position.era <= last.position.era) return false;
+    if (record.startedAt !== last.record.startedAt) {
+      return record.startedAt < last.record.startedAt;
+    }
+    return known === undefined && position.revision <= last.position.revision;
   }
 
   #remove(
     id: string,
-    { state, retainedUntil }: KnownServer,
-    revision: number,
+    { state, retained }: KnownServer,
+    position: StorePosition,
     now: number,
   ): void {
-    const until = retainedUntil ?? this.#outageEndedAt + REREGISTRATION_TIME;
+    const until = retained?.until ?? this.#outageEndedAt + REREGISTRATION_TIME;
     if (now < until) {
-      const retained = { ...state, revision };
-      this.#servers.set(id, { state: retained, retainedUntil: until });
+      const removedAt = position;
+      this.#servers.set(id, { state, retained: { until, removedAt } });
       return;
     }
     this.#servers.delete(id);
-    this.#recordRemoval(id, revision);
+    this.#recordRemoval(id, position, state);
   }
 
-  #recordRemoval(id: string, revision: number): void {
+  /** `last`: what had been written; by default what is known of it. */
+  #recordRemoval(
+    id: string,
+    position: StorePosition,
+    last = this.#removals.get(id)?.last,
+  ): void {
     this.#removals.delete(id);
-    this.#removals.set(id, revision);
+    this.#removals.set(id, { position, last });
     if (this.#removals.size <= MAXIMUM_REMOVALS) return;
     const [oldest] = this.#removals.keys();
     if (oldest !== undefined) this.#removals.delete(oldest);
@@ -265,19 +309,19 @@
 function changesBetween(
   before: KnownServer | undefined,
   after: KnownServer | undefined,
-  { id, revision }: ServerState,
+  { id, position }: ServerState,
 ): ServerChange[] {
   const availabilityBefore = availabilityOf(before);
   const availability = availabilityOf(after);
   if (availability === availabilityBefore) return [];
-  return [{ server: id, change: availability, revision }];
+  return [{ server: id, change: availability, ...position }];
 }
 
 function availabilityOf(
   server: KnownServer | undefined,
 ): ServerChange["change"] {
   if (server?.state.record === undefined) return "gone";
-  if (server.retainedUntil !== undefined) return "retained";
+  if (server.retained !== undefined) return "retained";
   return server.state.record.draining ? "draining" : "ready";
 }
 
--- a/packages/decisions/src/discovery/server_record.ts
+++ b/packages/decisions/src/discovery/server_record.ts
@@ -1,4 +1,5 @@
 /** A backend server as it is registered in the store. @module */
+import type { StorePosition } from "./store_position.ts";
 
 /** One start of a backend server. */
 export type ServerRecord = {
@@ -23,8 +24,8 @@
 /** What was written under a server's id; no record if it was removed. */
 export type ServerState = {
   id: string;
-  /** Store revision of the change; of two states the one with more is newer. */
-  revision: number;
+  /** Where the store wrote the change; of two states the later one is newer. */
+  position: StorePosition;
   record: ServerRecord | undefined;
 };
 
@@ -33,8 +34,7 @@
   server: string;
   /** `retained`: removed around an outage, and expected to register again. */
   change: "ready" | "draining" | "retained" | "gone";
-  revision: number;
-};
+} & StorePosition;
 
 /** Key that differs for every start, even with the same id or address. */
 export function incarnationOf(record: ServerRecord): string {
--- a/packages/decisions/src/fleet/mod.ts
+++ b/packages/decisions/src/fleet/mod.ts
@@ -21,7 +21,12 @@
 } from "./membership_list.ts";
 export { StatePull } from "./state_pull.ts";
 export { WatchTimeouts } from "./watch_timeouts.ts";
-export type { StatePart, StateRequest, StateStep } from "./state_pull.ts";
+export type {
+  StatePart,
+  StatePosition,
+  StateRequest,
+  StateStep,
+} from "./state_pull.ts";
 export type { HeartbeatPeer } from "./heartbeat_plan.ts";
 export type { WatchGroup } from "./watch_timeouts.ts";
 export type {
--- a/packages/decisions/src/fleet/state_pull.ts
+++ b/packages/decisions/src/fleet/state_pull.ts
@@ -9,6 +9,7 @@
  * state.
  * @module
  */
+import type { StorePosition } from "../discovery/mod.ts";
 
 /** Milliseconds that a peer may be ahead before state is requested from it. */
 const PULL_DELAY = 250;
@@ -17,12 +18,22 @@
  */
 const PART_TIMEOUT = 700;
 
+/**
+ * Identifies a state: where the store wrote it, and its own version if it has
+ * one.
+ */
+export type StatePosition = StorePosition & { version?: number | undefined };
+
 /** A request for the part of a peer's state that begins at byte `offset`. */
-export type StateRequest = { peer: string; revision: number; offset: number };
+export type StateRequest = {
+  peer: string;
+  position: StatePosition;
+  offset: number;
+};
 
 /** A part of a peer's state; `total` is the size of the whole in bytes. */
 export type StatePart = {
-  revision: number;
+  position: StatePosition;
   offset: number;
   total: number;
   bytes: Uint8Array;
@@ -34,30 +45,35 @@
  */
 export type StateStep =
   | { kind: "ask"; request: StateRequest }
-  | { kind: "whole"; revision: number; parts: Uint8Array[] }
+  | { kind: "whole"; position: StatePosition; parts: Uint8Array[] }
   | { kind: "ignored" };
 
 type Transfer = {
   peer: string;
-  revision: number;
+  position: StatePosition;
   offset: number;
   parts: Uint8Array[];
   requestedAt: number;
 };
 
+const NO_STATE: StatePosition = { era: 0, revision: 0, version: 0 };
+
 /** Transfers of one kind of state; times in milliseconds. */
-export class StatePull {
-  readonly #offers = new Map<string, number>();
+export abstract class StatePull {
+  readonly #offers = new Map<string, StatePosition>();
   /** Peers that did not send a requested part, or sent corrupted data. */
   readonly #failedPeers = new Set<string>();
-  /** Newest revision that was received completely but can't be used here. */
-  #unusableRevision = 0;
+  /** Newest state that was received completely but can't be used here. */
+  #unusable = NO_STATE;
   #behindSince: number | undefined;
   #transfer: Transfer | undefined;
 
-  /** Records the revision that a peer announces. */
-  recordOffer(peer: string, revision: number): void {
-    this.#offers.set(peer, revision);
+  /** True if a state is newer than another one of the same kind. */
+  abstract isNewer(position: StatePosition, other: StatePosition): boolean;
+
+  /** Records the state that a peer announces. */
+  recordOffer(peer: string, position: StatePosition): void {
+    this.#offers.set(peer, position);
   }
 
   /** Removes a peer whose link is lost. */
@@ -74,25 +90,24 @@
   }
 
   /**
-   * Excludes a revision that was received completely but can't be used from
-   * further requests.
+   * Excludes a state that was received completely but can't be used from further
+   * requests.
    */
-  markUnusable(revision: number): void {
-    this.#unusableRevision = Math.max(this.#unusableRevision, revision);
+  markUnusable(position: StatePosition): void {
+    this.#unusable = this.#newest([this.#unusable, position]);
     this.#transfer = undefined;
   }
 
   /**
    * Returns the request that starts a transfer, or `undefined` if none is due.
-   * `known` is the revision held here; `draw`, in [0, 1), selects the peer.
+   * `known` is the state held here; `draw`, in [0, 1), selects the peer.
    */
   nextRequest(
-    known: number,
+    known: StatePosition,
     now: number,
     draw: number,
   ): StateRequest | undefined {
-    const newest = Math.max(0, ...this.#offers.values());
-    if (newest <= Math.max(known, this.#unusableRevision)) {
+    if (this.#peersAhead(known).length === 0) {
       this.#behindSince = undefined;
       this.#transfer = undefined;
       this.#failedPeers.clear();
@@ -101,11 +116,11 @@
     this.#behindSince ??= now;
     if (this.#isTransferActive(known, now)) return undefined;
     if (now - this.#behindSince < PULL_DELAY) return undefined;
-    const peers = this.#peersAhead(known);
+    const peers = this.#preferredPeers(known);
     const peer = peers[Math.floor(draw * peers.length)]!;
     return this.#continueTransfer({
       peer,
-      revision: this.#offers.get(peer)!,
+      position: this.#offers.get(peer)!,
       offset: 0,
       parts: [],
       requestedAt: now,
@@ -116,12 +131,12 @@
   receivePart(peer: string, part: StatePart, now: number): StateStep {
     const transfer = this.#transfer;
     if (transfer?.peer !== peer) return { kind: "ignored" };
-    const { revision, offset, total, bytes } = part;
-    if (revision !== transfer.revision) {
-      // The peer has moved on to another revision and sends that one.
+    const { position, offset, total, bytes } = part;
+    if (!this.#isSame(position, transfer.position)) {
+      // The peer has moved on to another state and sends that one.
       const restarted = {
         peer,
-        revision,
+        position,
         offset: 0,
         parts: [],
         requestedAt: now,
@@ -140,39 +155,56 @@
     if (transfer.offset < total) {
       return { kind: "ask", request: this.#continueTransfer(transfer) };
     }
-    // The transfer stays until its state is applied, so that the same revision
-    // is not requested again meanwhile.
-    return { kind: "whole", revision, parts: transfer.parts };
+    // The transfer stays until its state is applied, so that the same state is
+    // not requested again meanwhile.
+    return { kind: "whole", position, parts: transfer.parts };
   }
 
   #continueTransfer(transfer: Transfer): StateRequest {
     this.#transfer = transfer;
-    const { peer, revision, offset } = transfer;
-    return { peer, revision, offset };
+    const { peer, position, offset } = transfer;
+    return { peer, position, offset };
   }
 
-  #isTransferActive(known: number, now: number): boolean {
+  #isTransferActive(known: StatePosition, now: number): boolean {
     const transfer = this.#transfer;
     if (transfer === undefined) return false;
     const stalled = now - transfer.requestedAt >= PART_TIMEOUT;
-    if (transfer.revision > known && !stalled) return true;
+    if (!stalled && this.isNewer(transfer.position, known)) return true;
     if (stalled) this.#failedPeers.add(transfer.peer);
     this.#transfer = undefined;
     return false;
   }
 
+  /** Returns the peers whose state is newer than `known` and may be usable. */
+  #peersAhead(known: StatePosition): string[] {
+    return [...this.#offers].filter(([, offer]) =>
+      this.isNewer(offer, known) && this.isNewer(offer, this.#unusable)
+    ).map(([peer]) => peer);
+  }
+
   /**
-   * Returns the peers with the newest revision among those that have not
-   * failed, or among all of them if each one that is ahead of `known` has.
+   * Returns the peers with the newest state among those that have not failed,
+   * or among all of them if each one that is ahead of `known` has.
    */
-  #peersAhead(known: number): string[] {
-    const ahead = [...this.#offers]
-      .filter(([, offer]) => offer > Math.max(known, this.#unusableRevision));
-    const working = ahead.filter(([peer]) => !this.#failedPeers.has(peer));
+  #preferredPeers(known: StatePosition): string[] {
+    const ahead = this.#peersAhead(known);
+    const working = ahead.filter((peer) => !this.#failedPeers.has(peer));
     if (working.length === 0) this.#failedPeers.clear();
     const candidates = working.length > 0 ? working : ahead;
-    const newest = Math.max(...candidates.map(([, offer]) => offer));
-    return candidates.filter(([, offer]) => offer === newest)
-      .map(([peer]) => peer);
+    const offerOf = (peer: string) => this.#offers.get(peer) ?? NO_STATE;
+    const newest = this.#newest(candidates.map(offerOf));
+    return candidates
+      .filter((peer) => this.#isSame(offerOf(peer), newest));
+  }
+
+  #newest(positions: readonly StatePosition[]): StatePosition {
+    return positions.reduce((newest, position) =>
+      this.isNewer(position, newest) ? position : newest
+    );
+  }
+
+  #isSame(position: StatePosition, other: StatePosition): boolean {
+    return !this.isNewer(position, other) && !this.isNewer(other, position);
   }
 }
--- a/packages/decisions/test/server_directory_test.ts
+++ b/packages/decisions/test/server_directory_test.ts
@@ -1,6 +1,11 @@
 import t from "tap";
 import { ServerDirectory } from "../src/mod.ts";
-import { removed, serverRecord as server, written } from "./server_record.ts";
+import {
+  at,
+  removed,
+  serverRecord as server,
+  written,
+} from "./server_record.ts";
 
 function usableIds(directory: ServerDirectory, now: number): string[] {
   return directory.usable(now).map(({ id }) => id);
@@ -9,7 +14,7 @@
 t.test("a record that disappears without an outage is removed at once", (t) => {
   const directory = new ServerDirectory();
   directory.recordStoreResponse(0);
-  directory.merge([written(3, server("x")), written(4, server("y"))], 5, 0);
+  directory.merge([written(3, server("x")), written(4, server("y"))], at(5), 0);
   directory.recordStoreResponse(1000);
   directory.apply(removed(6, "x"), 1000);
   t.same(usableIds(directory, 1000), ["y"]);
@@ -20,7 +25,7 @@
   // Otherwise a stopped server is sent requests for another 2.1 s.
   const directory = new ServerDirectory();
   directory.recordStoreResponse(0);
-  directory.merge([written(3, server("x")), written(4, server("y"))], 5, 0);
+  directory.merge([written(3, server("x")), written(4, server("y"))], at(5), 0);
   directory.recordStoreResponse(6000);
   directory.apply(removed(6, "x"), 6000);
   t.same(usableIds(directory, 6000), ["y"]);
@@ -35,10 +40,10 @@
   // Otherwise all requests are refused until the servers register again.
   const directory = new ServerDirectory();
   directory.recordStoreResponse(0);
-  directory.merge([written(3, server("x")), written(4, server("y"))], 5, 0);
+  directory.merge([written(3, server("x")), written(4, server("y"))], at(5), 0);
   directory.recordStoreFailure();
   directory.recordStoreResponse(6000);
-  directory.merge([], 9, 6000);
+  directory.merge([], at(9), 6000);
   t.same(usableIds(directory, 7900), ["x", "y"]);
   directory.apply(written(10, server("x")), 7950);
   t.same(
@@ -53,7 +58,7 @@
   const directory = new ServerDirectory();
   directory.recordStoreResponse(0);
   const first = server("x");
-  directory.merge([written(5, first)], 5, 0);
+  directory.merge([written(5, first)], at(5), 0);
   t.ok(directory.isUsable(first));
   directory.apply(written(6, server("x", { startedAt: 2 })), 10);
   t.notOk(directory.isUsable(first), "an earlier start with the same id");
@@ -75,7 +80,7 @@
   const old = server("old");
   directory.merge(
     [written(4, old), written(5, server("z", { port: 81 }))],
-    5,
+    at(5),
     0,
   );
   t.same(usableIds(directory, 10), ["old", "z"]);
--- a/packages/decisions/test/server_order_test.ts
+++ b/packages/decisions/test/server_order_test.ts
@@ -1,7 +1,12 @@
 import fc from "fast-check";
 import t from "tap";
 import { ServerDirectory } from "../src/mod.ts";
-import { removed, serverRecord as server, written } from "./server_record.ts";
+import {
+  at,
+  removed,
+  serverRecord as server,
+  written,
+} from "./server_record.ts";
 
 function usableIds(directory: ServerDirectory, now: number): string[] {
   return directory.usable(now).map(({ id }) => id);
@@ -11,7 +16,7 @@
 function directoryOfTwo(): ServerDirectory {
   const directory = new ServerDirectory();
   directory.recordStoreResponse(0);
-  directory.merge([written(3, server("x")), Y], 5, 0);
+  directory.merge([written(3, server("x")), Y], at(5), 0);
   return directory;
 }
 
@@ -20,35 +25,35 @@
 
 t.test("an older complete read does not bring back a draining server", (t) => {
   const directory = directoryOfTwo();
-  directory.merge([DRAINING_X, Y], 10, 100);
-  directory.merge([written(3, server("x")), Y], 8, 200);
+  directory.merge([DRAINING_X, Y], at(10), 100);
+  directory.merge([written(3, server("x")), Y], at(8), 200);
   t.same(usableIds(directory, 200), ["y"]);
-  t.equal(directory.revision, 10);
+  t.same(directory.position, at(10));
   t.end();
 });
 
 t.test("an older complete read does not bring back a removed server", (t) => {
   const directory = directoryOfTwo();
-  directory.merge([Y], 10, 100);
-  directory.merge([written(3, server("x")), Y], 8, 200);
+  directory.merge([Y], at(10), 100);
+  directory.merge([written(3, server("x")), Y], at(8), 200);
   t.same(usableIds(directory, 200), ["y"]);
   t.end();
 });
 
 t.test("an older watch batch does not bring back a draining server", (t) => {
   const directory = directoryOfTwo();
-  directory.merge([DRAINING_X, Y], 10, 100);
+  directory.merge([DRAINING_X, Y], at(10), 100);
   directory.apply(written(8, server("x")), 200);
-  directory.advance(8);
+  directory.advance(at(8));
   t.same(usableIds(directory, 200), ["y"]);
   t.end();
 });
 
 t.test("an older watch batch does not bring back a removed server", (t) => {
   const directory = directoryOfTwo();
-  directory.merge([Y], 10, 100);
+  directory.merge([Y], at(10), 100);
   directory.apply(written(8, server("x")), 200);
-  directory.advance(8);
+  directory.advance(at(8));
   t.same(usableIds(directory, 200), ["y"]);
   t.end();
 });
@@ -59,14 +64,14 @@
   cutOff.recordStoreFailure();
   cutOff.recordStoreResponse(6000);
   cutOff.apply(removed(9, "x"), 6100);
-  cutOff.advance(9);
+  cutOff.advance(at(9));
   const peer = directoryOfTwo();
   peer.recordStoreResponse(6000);
   peer.apply(removed(9, "x"), 6100);
-  peer.advance(9);
+  peer.advance(at(9));
   cutOff.apply(written(10, server("z", { port: 82 })), 6500);
-  cutOff.advance(10);
-  peer.merge(cutOff.registered(), cutOff.revision, 6500);
+  cutOff.advance(at(10));
+  peer.merge(cutOff.registered(), cutOff.position, 6500);
   t.same(usableIds(cutOff, 8001), ["y", "z"], "the entry that was cut off");
   t.same(usableIds(peer, 8001), ["y", "z"], "its peer");
   t.end();
@@ -119,7 +124,7 @@
         const [state] = remaining.splice(index, 1);
         shuffled.apply(state!, 0);
         // A peer's view in between is older than what is known here.
-        if (index % 3 === 0) shuffled.merge(ordered.registered(), 0, 0);
+        if (index % 3 === 0) shuffled.merge(ordered.registered(), at(0), 0);
       }
       return usableIds(ordered, 0).sort().join() ===
         usableIds(shuffled, 0).sort().join();
@@ -131,25 +136,25 @@
 
 t.test("a late view of a peer does not bring back a server that was never known", (t) => {
   const directory = directoryOfTwo();
-  directory.mergeStoreRead([Y], 105, 100);
-  directory.merge([written(50, server("z", { port: 82 })), Y], 100, 200);
+  directory.mergeStoreRead([Y], at(105), 100);
+  directory.merge([written(50, server("z", { port: 82 })), Y], at(100), 200);
   t.same(usableIds(directory, 200), ["y"]);
   t.end();
 });
 
 t.test("a read of the store brings back a server that a peer's view lacked", (t) => {
   const directory = directoryOfTwo();
-  directory.merge([Y], 100, 100);
+  directory.merge([Y], at(100), 100);
   t.same(usableIds(directory, 100), ["y"]);
-  directory.mergeStoreRead([written(3, server("x")), Y], 120, 200);
+  directory.mergeStoreRead([written(3, server("x")), Y], at(120), 200);
   t.same(usableIds(directory, 200).sort(), ["x", "y"]);
   t.end();
 });
 
 t.test("a read of the store shows a server that a peer's view never had", (t) => {
   const directory = new ServerDirectory();
-  directory.merge([Y], 100, 100);
-  directory.mergeStoreRead([written(3, server("x")), Y], 120, 200);
+  directory.merge([Y], at(100), 100);
+  directory.mergeStoreRead([written(3, server("x")), Y], at(120), 200);
   t.same(usableIds(directory, 200).sort(), ["x", "y"]);
   t.end();
 });
--- a/packages/decisions/test/server_record.ts
+++ b/packages/decisions/test/server_record.ts
@@ -1,13 +1,22 @@
-import type { ServerRecord, ServerState } from "../src/mod.ts";
+import type { ServerRecord, ServerState, StorePosition } from "../src/mod.ts";
+
+/** A position in the store's history, by default in its first era. */
+export function at(revision: number, era = 1): StorePosition {
+  return { era, revision };
+}
 
 /** Returns a record as it was written at `revision` of the store. */
-export function written(revision: number, record: ServerRecord): ServerState {
-  return { id: record.id, revision, record };
+export function written(
+  revision: number,
+  record: ServerRecord,
+  era = 1,
+): ServerState {
+  return { id: record.id, position: at(revision, era), record };
 }
 
 /** Returns the removal of a record at `revision` of the store. */
-export function removed(revision: number, id: string): ServerState {
-  return { id, revision, record: undefined };
+export function removed(revision: number, id: string, era = 1): ServerState {
+  return { id, position: at(revision, era), record: undefined };
 }
 
 /** Returns a backend server's record with the given changes. */
--- a/packages/gateway/src/entry_status.ts
+++ b/packages/gateway/src/entry_status.ts
@@ -38,10 +38,16 @@
   ownStatus(): PeerStatus {
     const { state, grantClient, storeContact } = this.#options;
     const { processors, leaving, listed } = this.#ownEntry();
+    const { version, position } = state.publishedConfiguration;
+    const servers = state.directory.position;
     return {
-      configurationRevision: state.publishedConfiguration.revision,
+      configurationRevision: position.revision,
+      configurationVersion: version,
       configurationConfirmed: state.configurationConfirmed,
-      serverRevision: state.directory.revision,
+      serverRevision: servers.era === (storeContact.era ?? 0)
+        ? servers.revision
+        : 0,
+      storeEra: storeContact.era,
       storeContactAge: storeContact.age,
       leaving,
       processors,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -37,6 +37,7 @@
 import { FleetState } from "./state/fleet_state.ts";
 import { startStoreFollowers } from "./state/store_followers.ts";
 import { EntryRegistration } from "./state/entry_registration.ts";
+import { EraCheckedStore } from "./state/era_checked_store.ts";
 import type { PrefixFollower } from "./state/prefix_follower.ts";
 import type { RecordCodec } from "./state/record_codec.ts";
 import { QuarantineRecords } from "./state/quarantine_records.ts";
@@ -65,7 +66,7 @@
 
 export class Gateway {
   #settings: GatewaySettings;
-  readonly #store: MetadataStore;
+  readonly #store: EraCheckedStore;
   readonly #codec: RecordCodec;
   readonly #lifecycle = new ProcessLifecycle();
   /**
@@ -100,9 +101,8 @@
   readonly #timers: NodeJS.Timeout[] = [];
 
   constructor(options: GatewayOptions) {
-    const { settings, store, codec, headerNames } = options;
+    const { settings, codec, headerNames } = options;
     this.#settings = settings;
-    this.#store = store;
     this.#codec = codec;
     const { instance } = settings;
     const incarnation = randomBytes(6).toString("hex");
@@ -115,6 +115,8 @@
     });
     const log = this.#log;
     this.#storeContact = new StoreContact({ log, clock });
+    this.#store = new EraCheckedStore(options.store, this.#storeContact);
+    const store = this.#store;
     this.#fleetState = new FleetState({
       codec,
       log,
@@ -140,6 +142,11 @@
       signal: this.#stopController.signal,
       onRead: (statements) => this.#handleQuarantines(statements),
     });
+    this.#storeContact.addListener({
+      recordStoreResponse: () => {},
+      recordStoreFailure: () => {},
+      recordRestore: () => this.#writeQuarantinesAgain(),
+    });
     this.#peers = new Peers({
       instance,
       incarnation,
@@ -152,6 +159,7 @@
     this.#stateSharing = new StateSharing({
       state: this.#fleetState,
       peers: this.#peers,
+      contact: this.#storeContact,
       log,
       clock,
       random,
@@ -314,6 +322,8 @@
       this.#fleetState.mergeMembers(message.members);
     }
     if (message.type === "heartbeat") {
+      const { storeEra } = message;
+      if (storeEra !== undefined) this.#storeContact.recordEra(storeEra, peer);
       if (message.leaving) this.#fleetState.membershipList.markDraining(peer);
       this.#fleetState.recordLeaving(message.leavingServers, peer);
       this.#fleetState.recordPeerContact(message.storeContactAge);
@@ -394,7 +404,7 @@
         activeConfiguration.configuration.version,
       );
       this.#configurationFollower?.advanceTo(
-        this.#fleetState.publishedConfiguration.revision,
+        this.#fleetState.publishedConfiguration.position,
       );
       this.#peers.announce("grantPeers");
     } else if (kind === "servers") {
@@ -409,6 +419,15 @@
     if (this.#isStateLoaded()) this.#openStartGate();
   }
 
+  /** Writes what a restored store may have lost; one entry of a group does. */
+  #writeQuarantinesAgain(): void {
+    const { grantingEntry, suspects } = this.#grantClient;
+    if (grantingEntry !== this.#settings.instance) return;
+    for (const statement of suspects.quarantines()) {
+      void this.#quarantineRecords.write(statement);
+    }
+  }
+
   /**
    * Opens the start gate once the quarantines have been read and a peer, if
    * there is any, has sent its state.
--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -1,5 +1,5 @@
 /** All events that the gateway may log; durations in milliseconds. @module */
-import type { ServerChange } from "@sycamorepulley/decisions";
+import type { ServerChange, StatePosition } from "@sycamorepulley/decisions";
 
 /** A decision, or a change of what the process knows. */
 export type LogEvent =
@@ -8,21 +8,39 @@
   /** `cut`: number of requests that were still running. */
   | { event: "stopped"; cut: number }
   | { event: "reloaded"; changed: boolean; detail: string }
-  | { event: "registered"; lease: number }
-  | { event: "registration_lapsed"; lease: number }
+  | { event: "registered"; lease: number; era: number }
+  | { event: "registration_lapsed"; lease: number; era: number }
   | {
     event: "configuration_adopted";
     version: number;
     revision: number;
+    era: number;
     from: string;
   }
   | {
     event: "configuration_unreadable";
     revision: number;
+    era: number;
     from: string;
     detail: string;
   }
-  | { event: "servers_adopted"; from: string; revision: number; count: number }
+  /** It is not newer than the version in force, and changes nothing. */
+  | {
+    event: "configuration_outdated";
+    version: number;
+    revision: number;
+    era: number;
+    from: string;
+  }
+  | {
+    event: "servers_adopted";
+    from: string;
+    revision: number;
+    era: number;
+    count: number;
+  }
+  /** The store was restored from a copy; `from` is the store or a peer. */
+  | { event: "store_restored"; era: number; before: number; from: string }
   /** `from` is the store or the peer that the change was learned from. */
   | ({ event: "server_changed"; from: string } & ServerChange)
   | {
@@ -36,22 +54,20 @@
     time: number;
   }
   /** Newer state was requested from a peer, or sent to one. */
-  | { event: "state_requested"; state: string; from: string; revision: number }
-  | {
+  | ({ event: "state_requested"; state: string; from: string } & StatePosition)
+  | ({
     event: "state_sent";
     state: string;
     to: string;
-    revision: number;
     /** Bytes as sent. */
     size: number;
-  }
-  | {
+  } & StatePosition)
+  | ({
     event: "state_unreadable";
     state: string;
     from: string;
-    revision: number;
     detail: string;
-  }
+  } & StatePosition)
   | {
     event: "dependency_lost";
     dependency: string;
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -89,6 +89,13 @@
   remaining: duration,
 });
 
+/** Fields of a `StatePosition`; earlier versions state the revision only. */
+const statePosition = {
+  revision: count,
+  era: v.optional(count, 0),
+  version: v.optional(count),
+};
+
 const stateNameSchema = v.picklist(["configuration", "servers"]);
 /** State of the store that entries pass on to each other. */
 export type StateName = v.InferOutput<typeof stateNameSchema>;
@@ -111,9 +118,14 @@
   v.object({
     type: v.literal("heartbeat"),
     configurationRevision: count,
+    /** Earlier versions state a revision only. */
+    configurationVersion: v.optional(count),
     /** The store confirmed it to the sender, and no call has failed since. */
     configurationConfirmed: v.optional(v.boolean(), false),
+    /** 0 if the sender's view of the servers is not of `storeEra`. */
     serverRevision: count,
+    /** Newest era of the store that the sender knows, if it knows any. */
+    storeEra: v.optional(count),
     /** Milliseconds since the store responded to the sender, if it ever has. */
     storeContactAge: v.optional(duration),
     /** The sender is draining. */
@@ -150,14 +162,14 @@
   v.object({
     type: v.literal("pull_state"),
     state: stateNameSchema,
-    revision: count,
+    ...statePosition,
     offset: count,
   }),
   /** Compressed bytes from `offset` on, out of `total` bytes. */
   v.object({
     type: v.literal("state_part"),
     state: stateNameSchema,
-    revision: count,
+    ...statePosition,
     offset: count,
     total: count,
     bytes: v.instance(Uint8Array<ArrayBufferLike>),
--- a/packages/gateway/src/peers/peer_link.ts
+++ b/packages/gateway/src/peers/peer_link.ts
@@ -11,9 +11,14 @@
 /** Status that a peer announces in its heartbeats. */
 export type PeerStatus = {
   configurationRevision: number;
+  /** Version of the configuration; earlier versions don't state it. */
+  configurationVersion?: number | undefined;
   /** The store confirmed it to the peer, and no call has failed since. */
   configurationConfirmed: boolean;
+  /** 0 if the peer's view of the servers is not of `storeEra`. */
   serverRevision: number;
+  /** Newest era of the store that the peer knows, if it knows any. */
+  storeEra?: number | undefined;
   /** Milliseconds since the store responded to the peer, if it ever has. */
   storeContactAge?: number | undefined;
   /** The peer is draining. */
--- a/packages/gateway/src/peers/shared_suspects.ts
+++ b/packages/gateway/src/peers/shared_suspects.ts
@@ -54,10 +54,15 @@
     return this.known.verdict(fingerprint, this.#clock());
   }
 
+  /** The quarantines in force. */
+  quarantines(): SuspectStatement[] {
+    return this.known.statements(this.#clock())
+      .filter(({ kind }) => kind === "quarantined");
+  }
+
   /** Number of quarantined fingerprints. */
   countQuarantined(): number {
-    return this.known.statements(this.#clock())
-      .filter(({ kind }) => kind === "quarantined").length;
+    return this.quarantines().length;
   }
 
   /** Logs a crash that this entry has recorded as the granting entry. */
--- a/packages/gateway/src/peers/state_documents.ts
+++ b/packages/gateway/src/peers/state_documents.ts
@@ -4,6 +4,7 @@
  */
 import { promisify } from "node:util";
 import { constants, gunzip, gzip } from "node:zlib";
+import type { StatePosition } from "@sycamorepulley/decisions";
 import { Result } from "true-myth/result";
 
 const compress = promisify(gzip);
@@ -13,11 +14,11 @@
 const PART_BYTES = 32 * 1024;
 /** Maximum decompressed size of a state from a peer, in bytes. */
 const MAXIMUM_STATE_BYTES = 16 * 1024 * 1024;
-/** Revisions in the cache: a peer may still read one that is not the newest. */
-const CACHED_REVISIONS = 4;
+/** States in the cache: a peer may still read one that is not the newest. */
+const CACHED_STATES = 4;
 
-/** One revision, compressed. */
-export type StateDocument = { revision: number; bytes: Uint8Array };
+/** One state, compressed. */
+export type StateDocument = { position: StatePosition; bytes: Uint8Array };
 
 /** A part of a document from `offset` on. */
 export function documentPart(
@@ -42,28 +43,34 @@
 
 /** Cache of the documents of one kind of state; each is compressed once. */
 export class StateDocuments {
-  readonly #cache = new Map<number, Promise<StateDocument>>();
+  readonly #cache = new Map<string, Promise<StateDocument>>();
 
-  /** Returns the document of `revision` if cached, otherwise of `newest`. */
+  /** Returns the document of `position` if cached, otherwise of `newest`. */
   async get(
-    revision: number,
-    newest: { revision: number; text: () => string },
+    position: StatePosition,
+    newest: { position: StatePosition; text: () => string },
   ): Promise<StateDocument> {
-    const cached = this.#cache.get(revision) ??
-      this.#cache.get(newest.revision);
+    const newestKey = cacheKey(newest.position);
+    const cached = this.#cache.get(cacheKey(position)) ??
+      this.#cache.get(newestKey);
     if (cached !== undefined) return await cached;
-    const document = compressDocument(newest.revision, newest.text());
-    this.#cache.set(newest.revision, document);
+    const document = compressDocument(newest.position, newest.text());
+    this.#cache.set(newestKey, document);
     const [oldest] = this.#cache.keys();
-    if (this.#cache.size > CACHED_REVISIONS) this.#cache.delete(oldest!);
+    if (this.#cache.size > CACHED_STATES) this.#cache.delete(oldest!);
     return await document;
   }
 }
 
+/** A state with a version of its own is the same wherever it was written. */
+function cacheKey({ era, revision, version }: StatePosition): string {
+  return version === undefined ? `${era}/${revision}` : `version ${version}`;
+}
+
 async function compressDocument(
-  revision: number,
+  position: StatePosition,
   text: string,
 ): Promise<StateDocument> {
   const bytes = await compress(text, { level: constants.Z_BEST_SPEED });
-  return { revision, bytes };
+  return { position, bytes };
 }
--- a/packages/gateway/src/peers/state_sharing.ts
+++ b/packages/gateway/src/peers/state_sharing.ts
@@ -4,15 +4,22 @@
  * new configurations and draining servers from their peers.
  * @module
  */
-import { StatePull } from "@sycamorepulley/decisions";
-import type { ServerState, StateRequest } from "@sycamorepulley/decisions";
+import type {
+  ServerState,
+  StatePosition,
+  StatePull,
+  StateRequest,
+  StorePosition,
+} from "@sycamorepulley/decisions";
 import * as v from "valibot";
 import type { EventLog } from "../observe/event_log.ts";
 import type { FleetState } from "../state/fleet_state.ts";
+import type { StoreContact } from "../state/store_contact.ts";
 import { serverSchema } from "./messages.ts";
 import type { PeerMessage, StateName } from "./messages.ts";
 import type { PeerStatus } from "./peer_link.ts";
 import type { Peers } from "./peers.ts";
+import { ConfigurationPull, ServerPull } from "./state_pulls.ts";
 import {
   decompressDocument,
   documentPart,
@@ -26,31 +33,38 @@
 
 /** Transfers of one kind of state: `pull` from peers, `documents` to peers. */
 class StateTransfer {
-  readonly pull = new StatePull();
+  readonly pull: StatePull;
   readonly documents = new StateDocuments();
+
+  constructor(pull: StatePull) {
+    this.pull = pull;
+  }
 }
 
 /** Requests newer state from peers, and answers their requests. */
 export class StateSharing {
   readonly #state: FleetState;
   readonly #peers: Peers;
+  readonly #contact: StoreContact;
   readonly #log: EventLog;
   readonly #clock: () => number;
   readonly #random: () => number;
   readonly #transfers: Record<StateName, StateTransfer> = {
-    configuration: new StateTransfer(),
-    servers: new StateTransfer(),
+    configuration: new StateTransfer(new ConfigurationPull()),
+    servers: new StateTransfer(new ServerPull()),
   };
 
   constructor(options: {
     state: FleetState;
     peers: Peers;
+    contact: StoreContact;
     log: EventLog;
     clock: () => number;
     random: () => number;
   }) {
     this.#state = options.state;
     this.#peers = options.peers;
+    this.#contact = options.contact;
     this.#log = options.log;
     this.#clock = options.clock;
     this.#random = options.random;
@@ -61,16 +75,17 @@
    * confirms it to this entry or to a peer, and no peer has a newer one.
    */
   configurationIsNewest(): boolean {
-    const { revision } = this.#state.publishedConfiguration;
-    const statuses = this.#peers.statuses();
-    const newer = statuses.some((status) =>
-      status.configurationRevision > revision
+    const { pull } = this.#transfers.configuration;
+    const known = this.#position("configuration");
+    const newer = this.#peers.statuses().some((status) =>
+      pull.isNewer(offeredConfiguration(status), known)
     );
     if (newer) return false;
     return this.#state.configurationConfirmed ||
       this.#peers.currentStatuses().some((status) =>
         status.configurationConfirmed &&
-        status.configurationRevision === revision
+        status.storeEra === this.#contact.era &&
+        !pull.isNewer(known, offeredConfiguration(status))
       );
   }
 
@@ -104,54 +119,55 @@
 
   #recordOffer(peer: string, status: PeerStatus): void {
     const { configuration, servers } = this.#transfers;
-    configuration.pull.recordOffer(peer, status.configurationRevision);
-    servers.pull.recordOffer(peer, status.serverRevision);
+    configuration.pull.recordOffer(peer, offeredConfiguration(status));
+    const { storeEra: era = 0, serverRevision: revision } = status;
+    servers.pull.recordOffer(peer, { era, revision });
     this.tick();
   }
 
   #requestIfDue(state: StateName): void {
     const { pull } = this.#transfers[state];
-    const known = this.#revision(state);
+    const known = this.#position(state);
     const request = pull.nextRequest(known, this.#clock(), this.#random());
     if (request !== undefined) this.#sendRequest(state, request);
   }
 
   #sendRequest(
     state: StateName,
-    { peer, revision, offset }: StateRequest,
+    { peer, position, offset }: StateRequest,
   ): void {
     if (offset === 0) {
       this.#log.write({
         event: "state_requested",
         state,
         from: peer,
-        revision,
+        ...position,
       });
     }
-    this.#peers.send(peer, { type: "pull_state", state, revision, offset });
+    this.#peers.send(peer, { type: "pull_state", state, ...position, offset });
   }
 
   async #sendPart(peer: string, message: PullStateMessage): Promise<void> {
     const { state, offset } = message;
     const document = await this.#transfers[state].documents.get(
-      message.revision,
-      { revision: this.#revision(state), text: () => this.#text(state) },
+      positionOf(message),
+      { position: this.#position(state), text: () => this.#text(state) },
     );
-    const { revision, bytes } = document;
+    const { position, bytes } = document;
     const total = bytes.length;
     if (offset === 0) {
       this.#log.write({
         event: "state_sent",
         state,
         to: peer,
-        revision,
+        ...position,
         size: total,
       });
     }
     this.#peers.send(peer, {
       type: "state_part",
       state,
-      revision,
+      ...position,
       offset,
       total,
       bytes: documentPart(document, offset),
@@ -161,50 +177,58 @@
   async #receivePart(peer: string, message: StatePartMessage): Promise<void> {
     const { state } = message;
     const { pull } = this.#transfers[state];
-    const step = pull.receivePart(peer, message, this.#clock());
+    const part = { ...message, position: positionOf(message) };
+    const step = pull.receivePart(peer, part, this.#clock());
     if (step.kind === "ask") this.#sendRequest(state, step.request);
     if (step.kind !== "whole") return;
-    const { revision } = step;
+    const { position } = step;
     const text = await decompressDocument(step.parts);
     if (text.isErr) {
       pull.markCorrupted(peer);
-      this.#logUnreadable(state, { from: peer, revision, detail: text.error });
+      this.#logUnreadable(state, { from: peer, position, detail: text.error });
       return;
     }
-    const received = { revision, text: text.value };
+    const { era, revision } = position;
+    const received = { text: text.value, position: { era, revision } };
     const usable = state === "configuration"
-      ? this.#state.adoptConfiguration(received.text, revision, peer)
+      ? this.#state.adoptConfiguration(received.text, received.position, peer)
       : this.#adoptServers(received, peer);
-    if (!usable) pull.markUnusable(revision);
+    if (!usable) pull.markUnusable(position);
   }
 
   /** Returns false for records that can't be read. */
   #adoptServers(
-    { revision, text }: { revision: number; text: string },
+    { position, text }: { position: StorePosition; text: string },
     from: string,
   ): boolean {
     const records = v.safeParse(serversSchema, parseJson(text));
     if (!records.success) {
       const detail = records.issues[0].message;
-      this.#logUnreadable("servers", { from, revision, detail });
+      this.#logUnreadable("servers", { from, position, detail });
       return false;
     }
-    const servers = records.output.map(decodeServerState);
-    this.#state.adoptServers(servers, revision, from);
+    const servers = records.output
+      .map((record) => decodeServerState(record, position.era));
+    this.#state.adoptServers(servers, position, from);
     return true;
   }
 
   #logUnreadable(
     state: StateName,
-    details: { from: string; revision: number; detail: string },
+    { position, ...details }: {
+      from: string;
+      position: StatePosition;
+      detail: string;
+    },
   ): void {
-    this.#log.write({ event: "state_unreadable", state, ...details });
+    this.#log
+      .write({ event: "state_unreadable", state, ...position, ...details });
   }
 
-  #revision(state: StateName): number {
-    return state === "configuration"
-      ? this.#state.publishedConfiguration.revision
-      : this.#state.directory.revision;
+  #position(state: StateName): StatePosition {
+    if (state === "servers") return this.#state.directory.position;
+    const { version, position } = this.#state.publishedConfiguration;
+    return { ...position, version };
   }
 
   #text(state: StateName): string {
@@ -214,14 +238,28 @@
   }
 }
 
-function encodeServer({ revision, record }: ServerState): object {
-  return { ...record, revision };
+/** A peer's configuration; its era does not matter to its order. */
+function offeredConfiguration(
+  { configurationRevision, configurationVersion }: PeerStatus,
+): StatePosition {
+  const version = configurationVersion;
+  return { era: 0, revision: configurationRevision, version };
+}
+
+function positionOf({ era, revision, version }: StatePosition): StatePosition {
+  return { era, revision, version };
+}
+
+function encodeServer({ position, record }: ServerState): object {
+  return { ...record, revision: position.revision };
 }
 
+/** `era`: the one of the view that contains the record. */
 function decodeServerState(
   { revision, ...record }: v.InferOutput<typeof serverSchema>,
+  era: number,
 ): ServerState {
-  return { id: record.id, revision, record };
+  return { id: record.id, position: { era, revision }, record };
 }
 
 function parseJson(text: string): unknown {
--- a/packages/gateway/src/state/entry_registration.ts
+++ b/packages/gateway/src/state/entry_registration.ts
@@ -1,12 +1,17 @@
 /**
  * Registers this entry in the store under a lease, so that other entries find
  * it and count its share of the fleet.
+ *
+ * A store that was restored from an older copy has lost the lease, or has given
+ * its number to another entry: a renewal that succeeds shows nothing then. The
+ * entry registers anew whenever a restore is known.
  * @module
  */
 import { UNREGISTERED_GRACE_PERIOD } from "@sycamorepulley/decisions";
-import type { MetadataStore, PlatformError } from "@sycamorepulley/store";
+import type { Lease, PlatformError } from "@sycamorepulley/store";
 import type { EventLog } from "../observe/event_log.ts";
 import type { Address } from "../settings.ts";
+import type { EraCheckedStore } from "./era_checked_store.ts";
 import type { Member } from "./fleet_state.ts";
 import { pause } from "./pause.ts";
 import type { StoreContact } from "./store_contact.ts";
@@ -25,19 +30,21 @@
 
 /** Keeps the entry registered until {@link EntryRegistration.leave}. */
 export class EntryRegistration {
-  readonly #store: MetadataStore;
+  readonly #store: EraCheckedStore;
   readonly #instance: string;
   readonly #log: EventLog;
   readonly #clock: () => number;
   readonly #contact: StoreContact;
   readonly #stopController = new AbortController();
-  #lease: number | undefined;
+  #lease: Lease | undefined;
   #registered = false;
+  /** Start of the last call that showed the registration to be valid. */
+  #confirmedAt = -Infinity;
   #leaseExpiresAt = -Infinity;
 
   constructor(
     options: {
-      store: MetadataStore;
+      store: EraCheckedStore;
       instance: string;
       log: EventLog;
       clock: () => number;
@@ -49,6 +56,11 @@
     this.#instance = options.instance;
     this.#log = options.log;
     this.#clock = options.clock;
+    options.contact.addListener({
+      recordStoreResponse: () => {},
+      recordStoreFailure: () => {},
+      recordRestore: () => this.#handleRestore(),
+    });
   }
 
   /**
@@ -79,8 +91,17 @@
   /** Ends the registration, so that no other entry waits for this one. */
   async leave(): Promise<void> {
     this.#stopController.abort();
-    if (this.#lease === undefined) return;
-    await this.#store.revokeLease(this.#lease);
+    // The number of an older lease may belong to another entry.
+    if (this.#lease?.era !== this.#contact.era) return;
+    if (this.#lease !== undefined) {
+      await this.#store.revokeLease(this.#lease.id);
+    }
+  }
+
+  /** Other entries that read the restored store no longer find this one. */
+  #handleRestore(): void {
+    this.#registered = false;
+    this.#leaseExpiresAt = Math.min(this.#leaseExpiresAt, this.#confirmedAt);
   }
 
   async #register(member: Member): Promise<boolean> {
@@ -94,30 +115,38 @@
       writes: [{
         key: MEMBER_PREFIX + member.instance,
         value: JSON.stringify(member),
-        lease: lease.value,
+        lease: lease.value.id,
       }],
       removals: [],
     });
     if (written.isErr) return this.#recordFailure(written.error, startedAt);
     this.#contact.recordStoreResponse();
-    if (written.value.kind !== "committed") return false;
+    const { kind, era } = written.value;
+    if (kind !== "committed" || era !== lease.value.era) return false;
     this.#registered = true;
-    this.#leaseExpiresAt = startedAt + LEASE_DURATION;
-    this.#log.write({ event: "registered", lease: lease.value });
+    this.#recordValidLease(startedAt);
+    this.#log.write({ event: "registered", lease: lease.value.id, era });
     return true;
   }
 
+  #recordValidLease(startedAt: number): void {
+    this.#confirmedAt = startedAt;
+    this.#leaseExpiresAt = startedAt + LEASE_DURATION;
+  }
+
   async #renew(): Promise<boolean> {
     const startedAt = this.#clock();
-    const renewed = await this.#store.renewLease(this.#lease ?? 0);
-    if (renewed.isErr) return this.#recordFailure(renewed.error, startedAt);
+    const id = this.#lease?.id ?? 0;
+    const renewal = await this.#store.renewLease(id);
+    if (renewal.isErr) return this.#recordFailure(renewal.error, startedAt);
     this.#contact.recordStoreResponse();
-    if (renewed.value) {
-      this.#leaseExpiresAt = startedAt + LEASE_DURATION;
+    const { renewed, era } = renewal.value;
+    if (renewed && era === this.#lease?.era) {
+      this.#recordValidLease(startedAt);
       return true;
     }
     this.#registered = false;
-    this.#log.write({ event: "registration_lapsed", lease: this.#lease ?? 0 });
+    this.#log.write({ event: "registration_lapsed", lease: id, era });
     return false;
   }
 
--- a/packages/gateway/src/state/fleet_state.ts
+++ b/packages/gateway/src/state/fleet_state.ts
@@ -1,14 +1,27 @@
 /**
  * The fleet as known to this process: the configuration, the backend servers
  * and the other entries. Updated from the store, and from peers while the store
- * can't be reached; never goes back to an older revision.
+ * can't be reached; never goes back to an older state, also when the store is
+ * restored from an older copy.
  * @module
  */
-import { MembershipList, ServerDirectory } from "@sycamorepulley/decisions";
-import type { ServerChange, ServerState } from "@sycamorepulley/decisions";
+import {
+  FIRST_POSITION,
+  isLater,
+  laterOf,
+  MembershipList,
+  ServerDirectory,
+} from "@sycamorepulley/decisions";
+import type {
+  ServerChange,
+  ServerState,
+  StorePosition,
+} from "@sycamorepulley/decisions";
 import type { ItemChange, StoredItem } from "@sycamorepulley/store";
+import { Result } from "true-myth/result";
 import type { EventLog } from "../observe/event_log.ts";
 import { ActiveConfiguration } from "./gateway_configuration.ts";
+import type { GatewayConfiguration } from "./gateway_configuration.ts";
 import type { PrefixListener } from "./prefix_follower.ts";
 import type { RecordCodec } from "./record_codec.ts";
 import { StateListener } from "./state_listener.ts";
@@ -20,8 +33,15 @@
 /** An entry, and the milliseconds for which it will still be counted. */
 export type KnownMember = Member & { countedFor: number };
 
-/** Stored text of the configuration, for peers that can't reach the store. */
-export type PublishedConfiguration = { revision: number; value: string };
+/**
+ * Stored text of the configuration, for peers that can't reach the store, and
+ * where it was written; version 0 if there is none.
+ */
+export type PublishedConfiguration = {
+  version: number;
+  position: StorePosition;
+  value: string;
+};
 
 /** Called on every change of the state. */
 export type StateChangeCallback = (
@@ -40,7 +60,11 @@
   readonly #clock: () => number;
   readonly #onChange: StateChangeCallback;
   #activeConfiguration: ActiveConfiguration | undefined;
-  #publishedConfiguration: PublishedConfiguration = { revision: 0, value: "" };
+  #publishedConfiguration: PublishedConfiguration = {
+    version: 0,
+    position: FIRST_POSITION,
+    value: "",
+  };
   #configurationConfirmed = false;
   #serversKnown = false;
   #membersKnown = false;
@@ -63,6 +87,7 @@
     options.contact.addListener({
       recordStoreResponse: () => {},
       recordStoreFailure: () => this.#configurationConfirmed = false,
+      recordRestore: () => this.#configurationConfirmed = false,
     });
   }
 
@@ -98,48 +123,61 @@
   }
 
   /**
-   * Adopts a newer configuration; older and unreadable ones change nothing.
-   * Returns false for one that can't be read.
+   * Adopts a configuration of a newer version; others and unreadable ones
+   * change nothing. Returns true if its version is in force then.
    */
-  adoptConfiguration(value: string, revision: number, from: string): boolean {
-    if (revision <= this.#publishedConfiguration.revision) return true;
-    const decoded = this.#codec.decodeConfiguration(value);
+  adoptConfiguration(
+    value: string,
+    position: StorePosition,
+    from: string,
+  ): boolean {
+    const decoded = this.#decodeConfiguration(value);
     if (decoded.isErr) {
       this.#log.write({
         event: "configuration_unreadable",
-        revision,
+        ...position,
         from,
         detail: decoded.error,
       });
       return false;
     }
-    this.#publishedConfiguration = { revision, value };
+    const { version } = decoded.value;
+    const published = this.#publishedConfiguration;
+    const isNewer = this.#activeConfiguration === undefined ||
+      version > published.version;
+    if (!isNewer && version === published.version) {
+      const later = laterOf(published.position, position);
+      this.#publishedConfiguration = { ...published, position: later };
+      return true;
+    }
+    const event = isNewer ? "configuration_adopted" : "configuration_outdated";
+    this.#log.write({ event, version, ...position, from });
+    if (!isNewer) return false;
+    this.#publishedConfiguration = { version, position, value };
     this.#activeConfiguration = new ActiveConfiguration(decoded.value);
-    this.#log.write({
-      event: "configuration_adopted",
-      version: decoded.value.version,
-      revision,
-      from,
-    });
     this.#onChange("configuration");
     return true;
   }
 
+  /** Decodes a stored configuration, except for the one in force. */
+  #decodeConfiguration(value: string): Result<GatewayConfiguration, string> {
+    return this.#activeConfiguration !== undefined &&
+        value === this.#publishedConfiguration.value
+      ? Result.ok(this.#activeConfiguration.configuration)
+      : this.#codec.decodeConfiguration(value);
+  }
+
   /** Merges a peer's servers if they are newer than those known here. */
   adoptServers(
     servers: readonly ServerState[],
-    revision: number,
+    position: StorePosition,
     from: string,
   ): void {
-    if (revision <= this.directory.revision) return;
-    const changes = this.directory.merge(servers, revision, this.#clock());
+    if (!isLater(position, this.directory.position)) return;
+    const changes = this.directory.merge(servers, position, this.#clock());
     this.#serversKnown = true;
-    this.#log.write({
-      event: "servers_adopted",
-      from,
-      revision,
-      count: servers.length,
-    });
+    const count = servers.length;
+    this.#log.write({ event: "servers_adopted", from, ...position, count });
     this.#logServerChanges(changes, from);
     this.#onChange("servers");
   }
@@ -208,25 +246,37 @@
   /** Returns a listener for the configuration's key. */
   configurationListener(): PrefixListener {
     return new StateListener({
-      onSnapshot: (items) => {
-        items.forEach((item) => this.#readConfiguration(item));
-        this.#configurationConfirmed = true;
+      onSnapshot: (items, { era }) => {
+        items.forEach((item) => this.#readConfiguration(item, era));
+        this.#confirmConfiguration(era);
       },
-      onChange: (change) => {
-        if (change.kind === "written") this.#readConfiguration(change.item);
+      onChange: (change, era) => {
+        if (change.kind === "written") {
+          this.#readConfiguration(change.item, era);
+        }
       },
-      onBatchEnd: () => this.#configurationConfirmed = true,
+      onBatchEnd: (era) => this.#confirmConfiguration(era),
     });
   }
 
+  /**
+   * Confirms the configuration in force after a read of the store. A store that
+   * was restored and holds an older version confirms nothing, since nobody
+   * knows what else it has lost.
+   */
+  #confirmConfiguration(era: number): void {
+    const { position } = this.#publishedConfiguration;
+    this.#configurationConfirmed = position.era === era;
+  }
+
   /** Returns a listener for the backend servers' keys. */
   serverListener(): PrefixListener {
-    // Several changes may have the same revision, so the directory's advances
+    // Several changes may have the same position, so the directory's advances
     // only after the last of a batch.
-    let newestRevision = 0;
+    let newest = FIRST_POSITION;
     return new StateListener({
       onSnapshot: (items, asOf) => {
-        const states = items.map((item) => this.#decodeServer(item));
+        const states = items.map((item) => this.#decodeServer(item, asOf.era));
         const changes = this.directory.mergeStoreRead(
           states,
           asOf,
@@ -236,12 +286,11 @@
         this.#logServerChanges(changes, "store");
         this.#onChange("servers");
       },
-      onChange: (change) => {
-        const revision = this.#applyServerChange(change);
-        newestRevision = Math.max(newestRevision, revision);
+      onChange: (change, era) => {
+        newest = laterOf(newest, this.#applyServerChange(change, era));
       },
-      onBatchEnd: (_asOf, hasChanges) => {
-        this.directory.advance(newestRevision);
+      onBatchEnd: (_era, hasChanges) => {
+        this.directory.advance(newest);
         if (hasChanges) this.#onChange("servers");
       },
     });
@@ -275,7 +324,7 @@
         if (change.kind === "written") put(change.item);
         else this.#unregister(change.key.slice(prefix.length));
       },
-      onBatchEnd: (_asOf, hasChanges) => {
+      onBatchEnd: (_era, hasChanges) => {
         if (hasChanges) this.#onChange("members");
       },
     });
@@ -288,31 +337,39 @@
     this.membershipList.markUnregistered(name, this.#clock());
   }
 
-  #readConfiguration(item: StoredItem): void {
-    if (item.key !== this.#codec.configurationKey) return;
-    this.adoptConfiguration(item.value, item.revision, "store");
+  #readConfiguration(
+    { key, value, revision }: StoredItem,
+    era: number,
+  ): void {
+    if (key !== this.#codec.configurationKey) return;
+    this.adoptConfiguration(value, { era, revision }, "store");
   }
 
-  #decodeServer({ key, value, revision }: StoredItem): ServerState {
+  #decodeServer(
+    { key, value, revision }: StoredItem,
+    era: number,
+  ): ServerState {
     const id = key.slice(this.#codec.serverPrefix.length);
-    return { id, revision, record: this.#codec.decodeServer(id, value) };
+    const record = this.#codec.decodeServer(id, value);
+    return { id, position: { era, revision }, record };
   }
 
-  /** Applies a change, and returns its revision. */
-  #applyServerChange(change: ItemChange): number {
+  /** Applies a change, and returns its position. */
+  #applyServerChange(change: ItemChange, era: number): StorePosition {
     const state = change.kind === "written"
-      ? this.#decodeServer(change.item)
-      : this.#removedServer(change);
+      ? this.#decodeServer(change.item, era)
+      : this.#removedServer(change, era);
     const changes = this.directory.apply(state, this.#clock());
     this.#logServerChanges(changes, "store");
-    return state.revision;
+    return state.position;
   }
 
   #removedServer(
     { key, revision }: { key: string; revision: number },
+    era: number,
   ): ServerState {
     const id = key.slice(this.#codec.serverPrefix.length);
-    return { id, revision, record: undefined };
+    return { id, position: { era, revision }, record: undefined };
   }
 
   #logServerChanges(changes: readonly ServerChange[], from: string): void {
--- a/packages/gateway/src/state/prefix_follower.ts
+++ b/packages/gateway/src/state/prefix_follower.ts
@@ -7,16 +7,16 @@
  * call that is pending when the store stops responding, or responds again, may
  * have been lost, and is repeated at once. The store may report missed changes,
  * or that it has compacted its history, only at the end of a watch, so the
- * first watch after a call that ended early does not wait for changes.
+ * first watch after a call that ended early does not wait for changes. When the
+ * store has been restored from a copy, everything is read again.
  * @module
  */
-import type {
-  ItemChange,
-  MetadataStore,
-  StoredItem,
-} from "@sycamorepulley/store";
+import { isLater, laterOf } from "@sycamorepulley/decisions";
+import type { StorePosition } from "@sycamorepulley/decisions";
+import type { ItemChange, StoredItem } from "@sycamorepulley/store";
 import type { PlatformError } from "@sycamorepulley/store";
 import { Result } from "true-myth/result";
+import type { EraCheckedStore } from "./era_checked_store.ts";
 import { pause } from "./pause.ts";
 import type { StoreContact } from "./store_contact.ts";
 
@@ -26,18 +26,19 @@
 /** Milliseconds that the store holds a watch that only catches up. */
 const CATCH_UP_TIMEOUT = 1;
 
-/** Receives what a follower reads. `asOf` is the store's revision. */
+/** Receives what a follower reads. */
 export abstract class PrefixListener {
-  abstract onSnapshot(items: readonly StoredItem[], asOf: number): void;
-  abstract onChanges(changes: readonly ItemChange[], asOf: number): void;
+  abstract onSnapshot(items: readonly StoredItem[], asOf: StorePosition): void;
+  /** `era` is the one that all changes belong to. */
+  abstract onChanges(changes: readonly ItemChange[], era: number): void;
 }
 
-/** The revision to watch from; undefined if all keys have to be read. */
-type WatchPosition = number | undefined;
+/** The position to watch from; undefined if all keys have to be read. */
+type WatchPosition = StorePosition | undefined;
 
 /** Follows the keys below one prefix. */
 export class PrefixFollower {
-  readonly #store: MetadataStore;
+  readonly #store: EraCheckedStore;
   readonly #prefix: string;
   readonly #listener: PrefixListener;
   readonly #contact: StoreContact;
@@ -49,12 +50,12 @@
   #lastCallFailed = false;
   /** The last watch returned changes. */
   #changesReceived = false;
-  /** Revision up to which all changes are known from another source. */
-  #knownRevision: WatchPosition;
+  /** Position up to which all changes are known from another source. */
+  #knownPosition: WatchPosition;
 
   constructor(
     options: {
-      store: MetadataStore;
+      store: EraCheckedStore;
       prefix: string;
       listener: PrefixListener;
       contact: StoreContact;
@@ -75,13 +76,14 @@
   }
 
   /**
-   * States that all changes up to `revision` are known from another source.
+   * States that all changes up to `position` are known from another source.
    * Aborts a pending call for older ones, whose response could saturate a slow
    * link.
    */
-  advanceTo(revision: number): void {
-    if (revision <= (this.#knownRevision ?? 0)) return;
-    this.#knownRevision = revision;
+  advanceTo(position: StorePosition): void {
+    const known = this.#knownPosition;
+    if (known !== undefined && !isLater(position, known)) return;
+    this.#knownPosition = position;
     this.#pendingCall.abort();
   }
 
@@ -138,27 +140,34 @@
     return next;
   }
 
-  /** Moves a position forward to the known revision, and clears that. */
+  /**
+   * Moves a position forward to the known one, and clears that. A position from
+   * before a restore of the store is none.
+   */
   #advance(position: WatchPosition): WatchPosition {
-    const knownRevision = this.#knownRevision;
-    this.#knownRevision = undefined;
-    if (knownRevision === undefined) return position;
-    return Math.max(position ?? 0, knownRevision);
+    const known = this.#knownPosition;
+    this.#knownPosition = undefined;
+    const advanced = known === undefined
+      ? position
+      : laterOf(position ?? known, known);
+    return advanced?.era === this.#contact.era ? advanced : undefined;
   }
 
   async #readAll(
     signal: AbortSignal,
   ): Promise<Result<WatchPosition, PlatformError>> {
     const items: StoredItem[] = [];
-    let asOf: number | undefined;
+    let asOf: WatchPosition;
     let after: string | undefined;
     for (;;) {
       const page = await this.#store.readPage(this.#prefix, after, signal);
       if (page.isErr) return Result.err(page.error);
       this.#contact.recordStoreResponse();
+      const { era, asOf: revision } = page.value;
       // Pages are no snapshot: the watch starts at the revision of the first
       // one.
-      asOf ??= page.value.asOf;
+      asOf ??= { era, revision };
+      if (era !== asOf.era) return Result.ok(undefined);
       items.push(...page.value.items);
       after = page.value.items.at(-1)?.key;
       if (!page.value.more || after === undefined) break;
@@ -168,20 +177,25 @@
   }
 
   async #watch(
-    position: number,
+    position: StorePosition,
     signal: AbortSignal,
   ): Promise<Result<WatchPosition, PlatformError>> {
     const batch = await this.#store.watchPrefix({
       prefix: this.#prefix,
-      after: position,
+      after: position.revision,
       wait: this.#lastCallFailed ? CATCH_UP_TIMEOUT : this.#watchTimeout(),
       signal,
     });
     if (batch.isErr) return Result.err(batch.error);
     this.#contact.recordStoreResponse();
-    if (batch.value.kind === "compacted") return Result.ok(undefined);
+    const { era } = batch.value;
+    // The new history may have reached the revision that was watched from.
+    if (era !== position.era || batch.value.kind === "compacted") {
+      return Result.ok(undefined);
+    }
     this.#changesReceived = batch.value.changes.length > 0;
-    this.#listener.onChanges(batch.value.changes, batch.value.asOf);
-    return Result.ok(Math.max(position, batch.value.asOf));
+    this.#listener.onChanges(batch.value.changes, era);
+    const revision = Math.max(position.revision, batch.value.asOf);
+    return Result.ok({ era, revision });
   }
 }
--- a/packages/gateway/src/state/quarantine_records.ts
+++ b/packages/gateway/src/state/quarantine_records.ts
@@ -3,18 +3,17 @@
  * same time refuse the same requests as before.
  *
  * Each quarantine is a key under a lease that ends with it. Running entries
- * share quarantines directly, so the keys are only read at the start.
+ * share quarantines directly, so the keys are only read at the start. When the
+ * store has been restored from an older copy, the granting entry writes all that
+ * it knows again.
  * @module
  */
 import { setTimeout } from "node:timers/promises";
 import type { SuspectStatement } from "@sycamorepulley/decisions";
-import type {
-  MetadataStore,
-  PlatformError,
-  StoredItem,
-} from "@sycamorepulley/store";
+import type { PlatformError, StoredItem } from "@sycamorepulley/store";
 import * as v from "valibot";
 import { suspectStatementSchema } from "../peers/messages.ts";
+import type { EraCheckedStore } from "./era_checked_store.ts";
 import type { StoreContact } from "./store_contact.ts";
 
 /** Prefix of the keys of quarantines; the fingerprint follows. */
@@ -24,7 +23,7 @@
 
 /** Reads and writes quarantines until `signal` is aborted. */
 export class QuarantineRecords {
-  readonly #store: MetadataStore;
+  readonly #store: EraCheckedStore;
   readonly #contact: StoreContact;
   readonly #clock: () => number;
   readonly #signal: AbortSignal;
@@ -33,7 +32,7 @@
 
   constructor(
     options: {
-      store: MetadataStore;
+      store: EraCheckedStore;
       contact: StoreContact;
       clock: () => number;
       signal: AbortSignal;
@@ -112,13 +111,16 @@
       writes: [{
         key: QUARANTINE_PREFIX + statement.fingerprint,
         value: JSON.stringify({ ...statement, remaining }),
-        lease: lease.value,
+        lease: lease.value.id,
       }],
       removals: [],
     });
     if (written.isErr) return this.#recordFailure(written.error, startedAt);
     this.#contact.recordStoreResponse();
-    return written.value.kind === "committed" ? true : undefined;
+    const { kind, era } = written.value;
+    // A lease of an older era may belong to another key now.
+    const valid = kind === "committed" && era === lease.value.era;
+    return valid ? true : undefined;
   }
 
   #recordFailure(error: PlatformError, startedAt: number): undefined {
--- a/packages/gateway/src/state/state_listener.ts
+++ b/packages/gateway/src/state/state_listener.ts
@@ -1,12 +1,14 @@
 /** A {@link PrefixListener} made of callbacks. @module */
+import type { StorePosition } from "@sycamorepulley/decisions";
 import type { ItemChange, StoredItem } from "@sycamorepulley/store";
 import { PrefixListener } from "./prefix_follower.ts";
 
 /** Callbacks of a listener; `onBatchEnd` follows each batch, even if empty. */
 export type ListenerCallbacks = {
-  onSnapshot: (items: readonly StoredItem[], asOf: number) => void;
-  onChange: (change: ItemChange) => void;
-  onBatchEnd?: (asOf: number, hasChanges: boolean) => void;
+  onSnapshot: (items: readonly StoredItem[], asOf: StorePosition) => void;
+  /** The change belongs to `era` of the store. */
+  onChange: (change: ItemChange, era: number) => void;
+  onBatchEnd?: (era: number, hasChanges: boolean) => void;
 };
 
 /** Passes what a follower reads on to callbacks. */
@@ -18,12 +20,12 @@
     this.#callbacks = callbacks;
   }
 
-  override onSnapshot(items: readonly StoredItem[], asOf: number): void {
+  override onSnapshot(items: readonly StoredItem[], asOf: StorePosition): void {
     this.#callbacks.onSnapshot(items, asOf);
   }
 
-  override onChanges(changes: readonly ItemChange[], asOf: number): void {
-    for (const change of changes) this.#callbacks.onChange(change);
-    this.#callbacks.onBatchEnd?.(asOf, changes.length > 0);
+  override onChanges(changes: readonly ItemChange[], era: number): void {
+    for (const change of changes) this.#callbacks.onChange(change, era);
+    this.#callbacks.onBatchEnd?.(era, changes.length > 0);
   }
 }
--- a/packages/gateway/src/state/store_contact.ts
+++ b/packages/gateway/src/state/store_contact.ts
@@ -1,10 +1,11 @@
 /**
- * Whether the store responds to this process.
+ * Whether the store responds to this process, and its newest known era.
  *
  * A call that the store accepted just before it went silent never gets a
  * response, and watches wait longest for theirs. So pending calls are notified
  * when the store stops responding and when it responds again, and are then
- * repeated.
+ * repeated. They are notified of a restore as well, as they build on what may
+ * have been lost.
  * @module
  */
 import type { PlatformError } from "@sycamorepulley/store";
@@ -26,6 +27,8 @@
 export abstract class ContactListener {
   abstract recordStoreResponse(now: number): void;
   abstract recordStoreFailure(): void;
+  /** The store has been restored from an older copy. */
+  abstract recordRestore(now: number): void;
 }
 
 /** Collects the outcomes of all calls to the store. */
@@ -37,6 +40,7 @@
   #hasResponded = false;
   #failing = false;
   #lost = false;
+  #era: number | undefined;
   #availabilityChange = new AbortController();
 
   constructor(options: { log: EventLog; clock: () => number }) {
@@ -52,11 +56,34 @@
       : undefined;
   }
 
-  /** Aborted when the store stops responding, and when it responds again. */
+  /**
+   * Newest era of the store that a response or a peer has stated; `undefined`
+   * before the first one.
+   */
+  get era(): number | undefined {
+    return this.#era;
+  }
+
+  /**
+   * Aborted when the store stops responding, when it responds again and when it
+   * has been restored.
+   */
   get availabilityChange(): AbortSignal {
     return this.#availabilityChange.signal;
   }
 
+  /** Records an era that the store or a peer, `from`, has stated. */
+  recordEra(era: number, from: string): void {
+    const before = this.#era;
+    if (before !== undefined && era <= before) return;
+    this.#era = era;
+    if (before === undefined) return;
+    this.#log.write({ event: "store_restored", era, before, from });
+    const now = this.#clock();
+    for (const listener of this.#listeners) listener.recordRestore(now);
+    this.#notifyPendingCalls();
+  }
+
   addListener(listener: ContactListener): void {
     this.#listeners.push(listener);
   }
@@ -99,6 +126,10 @@
   #setFailing(failing: boolean): void {
     if (failing === this.#failing) return;
     this.#failing = failing;
+    this.#notifyPendingCalls();
+  }
+
+  #notifyPendingCalls(): void {
     const ended = this.#availabilityChange;
     this.#availabilityChange = new AbortController();
     ended.abort();
--- a/packages/gateway/src/state/store_followers.ts
+++ b/packages/gateway/src/state/store_followers.ts
@@ -1,7 +1,7 @@
 /** Followers of all that a gateway needs from the store. @module */
 import { WatchTimeouts } from "@sycamorepulley/decisions";
 import type { WatchGroup } from "@sycamorepulley/decisions";
-import type { MetadataStore } from "@sycamorepulley/store";
+import type { EraCheckedStore } from "./era_checked_store.ts";
 import type { FleetState } from "./fleet_state.ts";
 import { decodeMember } from "./member_record.ts";
 import { MEMBER_PREFIX } from "./entry_registration.ts";
@@ -25,7 +25,7 @@
  */
 export function startStoreFollowers(
   options: {
-    store: MetadataStore;
+    store: EraCheckedStore;
     codec: RecordCodec;
     state: FleetState;
     contact: StoreContact;
--- a/packages/gateway/test/crashing_request_test.ts
+++ b/packages/gateway/test/crashing_request_test.ts
@@ -1,5 +1,6 @@
 import { setTimeout } from "node:timers/promises";
 import t from "tap";
+import { QUARANTINE_PREFIX } from "../src/state/quarantine_records.ts";
 import { CRASHING_BODY, CrashingServers } from "./crashing_servers.ts";
 import { grantingEntry, startGroup, stopAll } from "./entry_group.ts";
 import { writeSealedHead } from "./fake_backend_server.ts";
@@ -146,6 +147,21 @@
   await stopAll([restarted]);
 });
 
+t.test("a quarantine that a restored store has lost is written again", async (t) => {
+  // Guards against a restart of all entries that forgets it.
+  const { store, entries, servers } = await startCrashingGroup();
+  const backup = store.backup();
+  const isStored = () =>
+    store.keys().some((key) => key.startsWith(QUARANTINE_PREFIX));
+  await sendCrashing(entries, 4);
+  t.ok(await waitUntil(isStored));
+  store.restore(backup);
+  t.notOk(isStored());
+  t.ok(await waitUntil(isStored));
+  await servers.stop();
+  await stopAll(entries);
+});
+
 t.test("a request that only runs beside a crashing one is not refused", async (t) => {
   // Guards against convicting every request that runs during crashes.
   const { entries, servers } = await startCrashingGroup(40);
--- a/packages/gateway/test/fleet_state_test.ts
+++ b/packages/gateway/test/fleet_state_test.ts
@@ -1,4 +1,5 @@
 import t from "tap";
+import { at } from "../../decisions/test/server_record.ts";
 import { EventLog } from "../src/mod.ts";
 import { FleetState } from "../src/state/fleet_state.ts";
 import type { Member } from "../src/state/fleet_state.ts";
@@ -33,7 +34,7 @@
   } as RecordCodec;
   const { state } = createState(codec, () => 0);
   const listener = state.serverListener();
-  listener.onSnapshot([], 4);
+  listener.onSnapshot([], at(4));
   const changes = [1, 2].map((port) => ({
     kind: "written" as const,
     item: {
@@ -42,9 +43,9 @@
       revision: 5,
     },
   }));
-  listener.onChanges(changes, 5);
+  listener.onChanges(changes, 1);
   t.same(state.directory.usable(0).map(({ id }) => id), ["s1", "s2"]);
-  t.equal(state.directory.revision, 5);
+  t.same(state.directory.position, at(5));
   t.end();
 });
 
@@ -60,9 +61,9 @@
     value: name,
     revision: 1,
   }));
-  listener.onSnapshot(items, 1);
+  listener.onSnapshot(items, at(1));
   const removed = { kind: "removed" as const, key: `${PREFIX}b`, revision: 2 };
-  listener.onChanges([removed], 2);
+  listener.onChanges([removed], 1);
   const reported = (connected: string[]) =>
     state.knownMembers(new Set(connected)).map(({ instance }) => instance)
       .sort();
--- a/packages/gateway/test/state_documents_test.ts
+++ b/packages/gateway/test/state_documents_test.ts
@@ -1,5 +1,6 @@
 import { createHash } from "node:crypto";
 import t from "tap";
+import { at } from "../../decisions/test/server_record.ts";
 import {
   decompressDocument,
   documentPart,
@@ -13,8 +14,8 @@
 ).join("");
 
 t.test("a document that is sent in parts is restored unchanged", async (t) => {
-  const newest = { revision: 3, text: () => TEXT };
-  const document = await new StateDocuments().get(3, newest);
+  const newest = { position: at(3), text: () => TEXT };
+  const document = await new StateDocuments().get(at(3), newest);
   const parts: Uint8Array[] = [];
   for (let offset = 0; offset < document.bytes.length;) {
     const part = documentPart(document, offset);
@@ -34,9 +35,15 @@
   const documents = new StateDocuments();
   let created = 0;
   const text = () => `text ${++created}`;
-  const first = await documents.get(3, { revision: 3, text });
-  t.equal(await documents.get(3, { revision: 4, text }), first);
-  t.equal((await documents.get(9, { revision: 4, text })).revision, 4);
-  t.equal((await documents.get(4, { revision: 4, text })).revision, 4);
+  const first = await documents.get(at(3), { position: at(3), text });
+  t.equal(await documents.get(at(3), { position: at(4), text }), first);
+  t.same(
+    (await documents.get(at(9), { position: at(4), text })).position,
+    at(4),
+  );
+  t.same(
+    (await documents.get(at(4), { position: at(4), text })).position,
+    at(4),
+  );
   t.equal(created, 2);
 });
--- a/packages/gateway/test/watch_coalescing_test.ts
+++ b/packages/gateway/test/watch_coalescing_test.ts
@@ -2,6 +2,7 @@
 import type { ItemChange, WatchPrefixOptions } from "@sycamorepulley/store";
 import t from "tap";
 import { EventLog } from "../src/mod.ts";
+import { EraCheckedStore } from "../src/state/era_checked_store.ts";
 import {
   PrefixFollower,
   PrefixListener,
@@ -45,11 +46,12 @@
   });
   const listener = new KeyListener();
   const stopped = new AbortController();
+  const contact = new StoreContact({ log, clock });
   const follower = new PrefixFollower({
-    store,
+    store: new EraCheckedStore(store, contact),
     prefix: "entries/",
     listener,
-    contact: new StoreContact({ log, clock }),
+    contact,
     watchTimeout: () => 2000,
     coalescingDelay: () => delay,
     clock,
--- a/packages/store/src/http_client.ts
+++ b/packages/store/src/http_client.ts
@@ -41,7 +41,13 @@
 };
 
 /** A complete response. */
-export type HttpResponse = { status: number; etag: string; text: string };
+export type HttpResponse = {
+  status: number;
+  etag: string;
+  /** Headers that occur once, by their names in lower case. */
+  headers: Readonly<Record<string, string>>;
+  text: string;
+};
 
 /** The fields that are read of an error that undici or Node.js throws. */
 type TransportFailure = {
@@ -153,10 +159,11 @@
       timer.recordProgress();
       chunks.push(chunk);
     }
-    const etag = response.headers.etag;
+    const headers = singleHeaders(response.headers);
     return {
       status: response.statusCode,
-      etag: typeof etag === "string" ? etag : "",
+      etag: headers["etag"] ?? "",
+      headers,
       text: Buffer.concat(chunks).toString("utf8"),
     };
   }
@@ -172,6 +179,16 @@
   }
 }
 
+function singleHeaders(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): Record<string, string> {
+  const single: Record<string, string> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (typeof value === "string") single[name] = value;
+  }
+  return single;
+}
+
 function neverConnected(failure: TransportFailure): boolean {
   if (failure.errors !== undefined && failure.errors.length > 0) {
     return failure.errors.every(neverConnected);
--- a/packages/store/src/memory_metadata_store.ts
+++ b/packages/store/src/memory_metadata_store.ts
@@ -5,6 +5,8 @@
   ChangeBatch,
   ItemChange,
   ItemPage,
+  Lease,
+  LeaseRenewal,
   StoredItem,
   Transaction,
   TransactionOutcome,
@@ -38,6 +40,7 @@
   #history: ItemChange[] = [];
   #leases = new Set<number>();
   #revision = 1;
+  #era = 1;
   #oldestRevision = 1;
   /** Number of times that all waiting watches were aborted. */
   #watchAborts = 0;
@@ -54,6 +57,11 @@
     this.#history.push({ kind: "removed", key, revision: this.#revision });
   }
 
+  /** Returns all keys that are present. */
+  keys(): string[] {
+    return [...this.#items.keys()];
+  }
+
   /** Makes all waiting watches fail as unreachable. */
   abortWatches(): void {
     this.#watchAborts++;
@@ -68,6 +76,10 @@
     this.#history.length = 0;
   }
 
+  get era(): number {
+    return this.#era;
+  }
+
   backup(): MetadataBackup {
     return {
       items: [...this.#items],
@@ -79,8 +91,8 @@
   }
 
   /**
-   * Restores an older state, as a store does that lost its newest writes:
-   * revisions and leases are given out again, and waiting watches fail.
+   * Begins an era with an older state, as a store does that lost its newest
+   * writes: revisions and leases are given out again, and waiting watches fail.
    */
   restore(backup: MetadataBackup): void {
     this.#items = new Map(backup.items);
@@ -88,6 +100,7 @@
     this.#leases = new Set(backup.leases);
     this.#revision = backup.revision;
     this.#oldestRevision = backup.oldestRevision;
+    this.#era++;
     this.abortWatches();
   }
 
@@ -102,7 +115,8 @@
     const items = all.slice(0, PAGE_SIZE)
       .map(({ key, value, revision }) => ({ key, value, revision }));
     const more = all.length > items.length;
-    return Promise.resolve(Result.ok({ items, more, asOf: this.#revision }));
+    const asOf = this.#revision;
+    return Promise.resolve(Result.ok({ items, more, asOf, era: this.#era }));
   }
 
   override async watchPrefix(
@@ -131,9 +145,10 @@
   }
 
   #changeBatch(changes: ItemChange[], after: number): ChangeBatch {
+    const era = this.#era;
     return after < this.#oldestRevision || after > this.#revision
-      ? { kind: "compacted" }
-      : { kind: "changes", changes, asOf: this.#revision };
+      ? { kind: "compacted", era }
+      : { kind: "changes", changes, asOf: this.#revision, era };
   }
 
   override transact(
@@ -143,16 +158,19 @@
     return Promise.resolve(Result.ok(this.#transact(transaction)));
   }
 
-  override grantLease(): Promise<Result<number, PlatformError>> {
+  override grantLease(): Promise<Result<Lease, PlatformError>> {
     if (this.outage) return Promise.resolve(this.#unreachable("grant lease"));
-    const lease = ++this.#revision;
-    this.#leases.add(lease);
-    return Promise.resolve(Result.ok(lease));
+    const id = ++this.#revision;
+    this.#leases.add(id);
+    return Promise.resolve(Result.ok({ id, era: this.#era }));
   }
 
-  override renewLease(lease: number): Promise<Result<boolean, PlatformError>> {
+  override renewLease(
+    lease: number,
+  ): Promise<Result<LeaseRenewal, PlatformError>> {
     if (this.outage) return Promise.resolve(this.#unreachable("renew lease"));
-    return Promise.resolve(Result.ok(this.#leases.has(lease)));
+    const renewed = this.#leases.has(lease);
+    return Promise.resolve(Result.ok({ renewed, era: this.#era }));
   }
 
   override revokeLease(lease: number): Promise<Result<void, PlatformError>> {
@@ -173,17 +191,18 @@
     const conflict = transaction.expected.some(({ key, revision }) =>
       (this.#items.get(key)?.revision ?? 0) !== revision
     );
-    if (conflict) return { kind: "conflict" };
+    const era = this.#era;
+    if (conflict) return { kind: "conflict", era };
     for (const { lease } of transaction.writes) {
       if (lease !== undefined && !this.#leases.has(lease)) {
-        return { kind: "no_lease" };
+        return { kind: "no_lease", era };
       }
     }
     for (const { key, value, lease } of transaction.writes) {
       this.#write(key, value, lease ?? 0);
     }
     for (const key of transaction.removals) this.remove(key);
-    return { kind: "committed", revision: this.#revision };
+    return { kind: "committed", revision: this.#revision, era };
   }
 
   #write(key: string, value: string, lease: number): void {
--- a/packages/store/src/metadata_store.ts
+++ b/packages/store/src/metadata_store.ts
@@ -2,6 +2,11 @@
  * A store with ordered keys, prefix reads, prefix watches, transactions over
  * several keys, and leases. Where the platform offers one, an entry keeps its
  * state there and follows the state of others. Every call has a cost.
+ *
+ * The store may be restored from an older copy, and then has lost its newest
+ * writes and gives out their revisions and leases again. Each outcome therefore
+ * states its era, a number that rises with each restore; a store that knows no
+ * eras is a single one, 0. Revisions and leases are valid in their era only.
  * @module
  */
 import type { Result } from "true-myth/result";
@@ -10,8 +15,11 @@
 /** A stored key, with the store's revision at its last write. */
 export type StoredItem = { key: string; value: string; revision: number };
 
+/** What each outcome of a call states; see the module's description. */
+export type EraStatement = { era: number };
+
 /** A page of the keys with a prefix, as of a revision of the whole store. */
-export type ItemPage = {
+export type ItemPage = EraStatement & {
   items: StoredItem[];
   /** Whether more keys follow the last one of this page. */
   more: boolean;
@@ -23,11 +31,17 @@
   | { kind: "written"; item: StoredItem }
   | { kind: "removed"; key: string; revision: number };
 
-/** Result of a watch. */
+/**
+ * Result of a watch. It misses changes if its era is not the one of the
+ * revision that was watched from.
+ */
 export type ChangeBatch =
-  | { kind: "changes"; changes: ItemChange[]; asOf: number }
-  /** The store has discarded the history: read all items again. */
-  | { kind: "compacted" };
+  & EraStatement
+  & (
+    | { kind: "changes"; changes: ItemChange[]; asOf: number }
+    /** The store lacks the history: read all items again. */
+    | { kind: "compacted" }
+  );
 
 /** Writes and removals that take effect all together or not at all. */
 export type Transaction = {
@@ -39,9 +53,18 @@
 
 /** Result of a transaction; `no_lease`: a write names an unknown lease. */
 export type TransactionOutcome =
-  | { kind: "committed"; revision: number }
-  | { kind: "conflict" }
-  | { kind: "no_lease" };
+  & EraStatement
+  & (
+    | { kind: "committed"; revision: number }
+    | { kind: "conflict" }
+    | { kind: "no_lease" }
+  );
+
+/** A granted lease; `id` may be given out again in a later era. */
+export type Lease = EraStatement & { id: number };
+
+/** Result of a renewal; `renewed` is false if the lease has expired. */
+export type LeaseRenewal = EraStatement & { renewed: boolean };
 
 /**
  * Prefix to watch, the revision that the watcher has already, and the maximum
@@ -76,11 +99,12 @@
     transaction: Transaction,
   ): Promise<Result<TransactionOutcome, PlatformError>>;
 
-  /** Grants a lease of `duration` milliseconds; resolves to its identifier. */
-  abstract grantLease(duration: number): Promise<Result<number, PlatformError>>;
+  /** Grants a lease of `duration` milliseconds. */
+  abstract grantLease(duration: number): Promise<Result<Lease, PlatformError>>;
 
-  /** Extends a lease; resolves to `false` if it has already expired. */
-  abstract renewLease(lease: number): Promise<Result<boolean, PlatformError>>;
+  abstract renewLease(
+    lease: number,
+  ): Promise<Result<LeaseRenewal, PlatformError>>;
 
   abstract revokeLease(lease: number): Promise<Result<void, PlatformError>>;
 }
--- a/packages/store/src/mod.ts
+++ b/packages/store/src/mod.ts
@@ -16,8 +16,11 @@
 export { MetadataStore } from "./metadata_store.ts";
 export type {
   ChangeBatch,
+  EraStatement,
   ItemChange,
   ItemPage,
+  Lease,
+  LeaseRenewal,
   StoredItem,
   Transaction,
   TransactionOutcome,
--- a/packages/store/src/platform_error.ts
+++ b/packages/store/src/platform_error.ts
@@ -2,7 +2,8 @@
 
 /**
  * Why it failed. `budget`: a limit of this process on calls, conflicts or
- * pending operations was reached; `too_large`: the value was not sent.
+ * pending operations was reached; `too_large`: the value was not sent;
+ * `outdated`: the response is from before a restore of the service.
  */
 export type PlatformErrorReason =
   | "unreachable"
@@ -10,7 +11,8 @@
   | "status"
   | "malformed"
   | "budget"
-  | "too_large";
+  | "too_large"
+  | "outdated";
 
 /**
  * A failed call. `peer` is the service's address or the key concerned.
