Keep claims of idempotency keys when the key-value service is restored

What callers would see: a booking that runs twice. After a restore from an older copy the service has lost claims that it had acknowledged, and gives out their revisions again; a retry of such a key was granted as if it were new, and a swap that expected a revision of before could match another head.

Change: the service states its era (Store-Era), and responses of an older one fail. A swap names the era of the revision that it expects; leases are valid in their era. Each process adds the claims and outcomes that it knew last to the restored head, at once, and keeps that knowledge through failed calls. The follower of the configuration reads again after a restore, publishes and records of moves name their era.

--- a/packages/configuration/src/configuration_follower.ts
+++ b/packages/configuration/src/configuration_follower.ts
@@ -1,9 +1,11 @@
 /** Keeps the configuration of a process up to date. @module */
 import { setTimeout as sleep } from "node:timers/promises";
+import type { Result } from "true-myth/result";
 import type {
   KeyValueEntry,
   KeyValueStore,
   PlatformError,
+  WatchOutcome,
 } from "@sycamorepulley/store";
 import { decodeManifest, MANIFEST_KEY } from "./manifest.ts";
 import { pollDelay, watchDuration } from "./poll_schedule.ts";
@@ -56,6 +58,8 @@
   #activeSnapshot: Snapshot | undefined;
   /** The key-value service's revision of the key, as last read. */
   #keyRevision = 0;
+  /** Era of the service in which it was read. */
+  #keyEra: number | undefined;
   /**
    * Revision of the configuration in the manifest, as last read; 0 if absent.
    */
@@ -111,11 +115,7 @@
 
   /** Makes one call to the key-value service and handles its response. */
   async poll(): Promise<void> {
-    const outcome = await this.#options.store.watch({
-      key: this.#key,
-      after: this.#keyRevision,
-      wait: watchDuration(this.#options.fleetSize()),
-    });
+    const outcome = await this.#watch();
     this.#lastError = outcome.isErr ? outcome.error : undefined;
     this.#consecutiveFailures = outcome.isErr
       ? this.#consecutiveFailures + 1
@@ -132,8 +132,23 @@
     }
   }
 
+  async #watch(): Promise<Result<WatchOutcome, PlatformError>> {
+    const { store, fleetSize } = this.#options;
+    const outcome = await store.watch({
+      key: this.#key,
+      after: this.#keyRevision,
+      wait: watchDuration(fleetSize()),
+    });
+    const isRestored = this.#keyEra !== undefined && this.#keyEra !== store.era;
+    if (outcome.isErr || outcome.value.changed || !isRestored) return outcome;
+    // A restored service may have given out the revision for another value.
+    const entry = await store.get(this.#key);
+    return entry.map((entry) => ({ changed: true, entry }));
+  }
+
   #handleStoredEntry(entry: KeyValueEntry | undefined): void {
     this.#keyRevision = entry?.revision ?? 0;
+    this.#keyEra = this.#options.store.era;
     this.#manifestRevision = 0;
     if (entry === undefined) {
       return;
@@ -182,6 +197,7 @@
     const outcome = await this.#options.store.compareAndSwap({
       key: this.#key,
       expected: this.#keyRevision,
+      era: this.#keyEra ?? this.#options.store.era,
       value: snapshot.text,
     });
     if (outcome.isOk && outcome.value.swapped) {
--- a/packages/configuration/src/publish.ts
+++ b/packages/configuration/src/publish.ts
@@ -57,6 +57,8 @@
 
 /** The manifest as read; both fields are absent before the first publish. */
 type StoredConfiguration = {
+  /** Era of the service in which it was read. */
+  era: number;
   entry: KeyValueEntry | undefined;
   snapshot: Snapshot | undefined;
 };
@@ -108,13 +110,14 @@
   if (entry.isErr) {
     return Result.err({ kind: "not_published", error: entry.error });
   }
+  const { era } = store;
   if (entry.value === undefined) {
-    return Result.ok({ entry: undefined, snapshot: undefined });
+    return Result.ok({ era, entry: undefined, snapshot: undefined });
   }
   const snapshot = decodeManifest(entry.value.value);
   return snapshot.isErr
     ? Result.err({ kind: "malformed", detail: snapshot.error })
-    : Result.ok({ entry: entry.value, snapshot: snapshot.value });
+    : Result.ok({ era, entry: entry.value, snapshot: snapshot.value });
 }
 
 /**
@@ -205,6 +208,7 @@
     const outcome = await options.store.compareAndSwap({
       key: options.key ?? MANIFEST_KEY,
       expected: current.entry?.revision ?? 0,
+      era: current.era,
       value,
     });
     if (outcome.isOk) {
--- a/packages/configuration/test/configuration_follower_test.ts
+++ b/packages/configuration/test/configuration_follower_test.ts
@@ -97,6 +97,19 @@
   t.same(newProcess.adopted, [9]);
 });
 
+t.test("a publish that gets the revision of a lost one comes into force", async (t) => {
+  // Guards against a watch that takes it for the value that was read.
+  const { memory, follow } = createFixture();
+  const { follower, adopted } = follow();
+  const backup = memory.backup();
+  await storeManifest(memory, encodedManifest(5));
+  await follower.poll();
+  memory.restore(backup);
+  await storeManifest(memory, encodedManifest(9));
+  await follower.poll();
+  t.same(adopted, [5, 9]);
+});
+
 // Guards against processes rejecting a publish based on a restored older state.
 t.test("a publish on a restored state comes into force", async (t) => {
   const { memory, store, follow } = createFixture();
--- a/packages/daemon/src/moves/move_driver.ts
+++ b/packages/daemon/src/moves/move_driver.ts
@@ -56,6 +56,8 @@
    * first.
    */
   #keyRevision: number | undefined;
+  /** Era of the store in which the record was read or written last. */
+  #keyEra = 0;
   /** Whether this driver has written the record with its own fencing number. */
   #hasRaisedFencing = false;
 
@@ -143,6 +145,7 @@
     const found = await store.get(moveKey(move.name));
     if (found.isErr) return false;
     this.#keyRevision = found.value?.revision ?? 0;
+    this.#keyEra = store.era;
     const stored = found.value
       ? decodeStoredMove(found.value.value)
       : undefined;
@@ -193,6 +196,7 @@
     const swapped = await store.compareAndSwap({
       key: moveKey(move.name),
       expected: this.#keyRevision ?? 0,
+      era: this.#keyEra,
       value: encodeStoredMove(stored),
     });
     if (swapped.isErr || !swapped.value.swapped) {
--- a/packages/emulator/src/platform/fault_injecting_server.ts
+++ b/packages/emulator/src/platform/fault_injecting_server.ts
@@ -47,9 +47,15 @@
   readonly #schema: v.GenericSchema<unknown, ServiceFaults>;
   readonly #counter = new CallCounter();
   readonly #application: Polka = polka();
+  readonly #commonHeaders: () => Record<string, string>;
 
-  constructor(schema: v.GenericSchema<unknown, ServiceFaults>) {
+  /** `commonHeaders`: headers of all responses of the service. */
+  constructor(
+    schema: v.GenericSchema<unknown, ServiceFaults>,
+    commonHeaders: () => Record<string, string> = () => ({}),
+  ) {
     this.#schema = schema;
+    this.#commonHeaders = commonHeaders;
     this.faults = v.parse(schema, {});
     this.#addControlRoute("put", "/faults", (call) => this.#setFaults(call));
     this.#addControlRoute(
@@ -76,7 +82,9 @@
       if (await this.#applyDelayAndOutage(request, response)) {
         return;
       }
-      const serviceResponse = await handleCall(request, handler);
+      const handled = await handleCall(request, handler);
+      const headers = { ...handled.headers, ...this.#commonHeaders() };
+      const serviceResponse = { ...handled, headers };
       if (
         kind === "write" && serviceResponse.status < 300 &&
         this.#takeLostWriteResponse()
--- a/packages/emulator/src/platform/key_value_service.ts
+++ b/packages/emulator/src/platform/key_value_service.ts
@@ -1,7 +1,7 @@
 /**
  * The emulated key-value service of docs/platform-protocol.md. `PUT /backup`
  * saves a copy of the state and `PUT /restore` restores it, which emulates a
- * service that loses its latest writes.
+ * service that loses its latest writes and begins an era.
  * @module
  */
 import { MemoryKeyValueStore } from "@sycamorepulley/store";
@@ -26,8 +26,11 @@
 export function startKeyValueStore(
   options: StartOptions = {},
 ): Promise<StartedService> {
-  const server = new FaultInjectingServer(platformFaultsSchema);
   const store = new MemoryKeyValueStore();
+  const server = new FaultInjectingServer(
+    platformFaultsSchema,
+    () => ({ "store-era": String(store.era) }),
+  );
   addKeyRoutes(server, store);
   addLeaseRoutes(server, store);
   addBackupRoutes(server, store);
--- a/packages/emulator/test/platform/key_value_service_test.ts
+++ b/packages/emulator/test/platform/key_value_service_test.ts
@@ -98,3 +98,25 @@
   await putControl("/restore");
   t.match(await store.get("k"), { value: { value: "old", revision: 1 } });
 });
+
+t.test("leases and revisions of before a restore are not valid after it", async (t) => {
+  // Guards against a lease whose number was given out again.
+  const { store, putControl } = await startStore(t);
+  await putControl("/backup");
+  const lost = (await store.grantLease(60_000)).unwrapOr("");
+  const swap = { key: "k", expected: 0, value: "1", era: store.era };
+  let restores = 0;
+  store.onRestore(() => restores++);
+  await putControl("/restore");
+  t.match(await store.compareAndSwap(swap), { error: { reason: "outdated" } });
+  t.equal(restores, 1);
+  const other = (await store.grantLease(60_000)).unwrapOr("");
+  t.match(await store.renewLease(other), { value: true });
+  t.match(await store.renewLease(lost), { value: false });
+  t.ok((await store.revokeLease(lost)).isOk);
+  t.match(await store.renewLease(other), { value: true });
+  const bound = { key: "b", expected: 0, value: "", lease: lost };
+  t.match(await store.compareAndSwap(bound), {
+    error: { reason: "outdated", applied: "no" },
+  });
+});
--- a/packages/store/src/claims/claim_shard.ts
+++ b/packages/store/src/claims/claim_shard.ts
@@ -18,7 +18,10 @@
 const MAX_BATCH_OPERATIONS = 200;
 /** Operations that may be pending; bounds memory, as outcomes have bodies. */
 const MAX_PENDING_OPERATIONS = 200;
-/** Milliseconds after which storing an outcome or a release is given up. */
+/**
+ * Milliseconds after which storing an outcome, a release or lost claims is given
+ * up.
+ */
 const SETTLEMENT_TIMEOUT = 10 * 60 * 1000;
 /** Milliseconds, before jitter, that outcomes wait at most after failures. */
 const MAX_BACKOFF = 15_000;
@@ -59,11 +62,18 @@
   #loop: Promise<void> | undefined;
   #consecutiveFailures = 0;
   #cached: CachedHead | undefined;
+  #lastKnown: CachedHead | undefined;
+  /**
+   * Milliseconds since 1970 until which claims that a restored service may have
+   * lost are written again; undefined if there are none.
+   */
+  #lostClaimsDeadline: number | undefined;
   #onClaimSubmitted: () => void = () => {};
 
   constructor(options: ClaimShardOptions) {
     this.#options = options;
     this.#sealed = new SealedClaims(options.store);
+    options.store.onRestore(() => this.#handleRestore());
   }
 
   /** Resolves once the operation is committed or has finally failed. */
@@ -103,31 +113,60 @@
   #startLoop(): void {
     this.#loop ??= this.#runLoop().finally(() => {
       this.#loop = undefined;
-      if (this.#pending.length > 0) {
+      if (this.#hasWork()) {
         this.#startLoop();
       }
     });
   }
 
   async #runLoop(): Promise<void> {
-    while (this.#pending.length > 0) {
-      await this.#waitUntilDue();
+    while (this.#hasWork()) {
+      const hasLostClaims = this.#lostClaimsDeadline !== undefined;
+      if (!hasLostClaims) await this.#waitUntilDue();
       await this.#options.rateLimiter.waitForTurn();
       const batch = this.#pending.splice(0, MAX_BATCH_OPERATIONS);
-      if (batch.length === 0) {
+      if (batch.length === 0 && !hasLostClaims) {
         continue;
       }
       const outcome = await commitBatch({
         ...this.#options,
         cached: this.#cached,
+        lastKnown: this.#lastKnown,
         sealed: this.#sealed,
         operations: batch.map(({ operation }) => operation),
       });
       this.#cached = outcome.cached;
+      this.#lastKnown = outcome.lastKnown;
       this.#resolveBatch(batch, outcome);
+      if (hasLostClaims) await this.#settleLostClaims(outcome);
     }
   }
 
+  #hasWork(): boolean {
+    return this.#pending.length > 0 || this.#lostClaimsDeadline !== undefined;
+  }
+
+  /**
+   * Writes lost claims again at once, since another process may claim their keys
+   * meanwhile.
+   */
+  #handleRestore(): void {
+    if (this.#lastKnown === undefined) return;
+    this.#lostClaimsDeadline = this.#options.now() + SETTLEMENT_TIMEOUT;
+    this.#cached = undefined;
+    this.#startLoop();
+  }
+
+  /** A failed commit is repeated after a pause. */
+  async #settleLostClaims(outcome: CommitOutcome): Promise<void> {
+    const { store, batchDelay, pause, now } = this.#options;
+    const isWritten = outcome.results.isOk &&
+      this.#lastKnown?.era === store.era;
+    const isOver = now() >= (this.#lostClaimsDeadline ?? 0);
+    if (isWritten || isOver) this.#lostClaimsDeadline = undefined;
+    else await pause(batchDelay);
+  }
+
   /**
    * Claims are committed at once. Without any, outcomes and releases wait for
    * others to share their write, or for a backoff after failures.
--- a/packages/store/src/claims/commit_batch.ts
+++ b/packages/store/src/claims/commit_batch.ts
@@ -6,7 +6,12 @@
 import { applyOperations } from "./apply_operations.ts";
 import type { ClaimResult } from "./claim_result.ts";
 import type { CommitRateLimiter } from "./commit_rate_limiter.ts";
-import { decodeHead, EMPTY_HEAD, encodeHead } from "./shard_head.ts";
+import {
+  decodeHead,
+  EMPTY_HEAD,
+  encodeHead,
+  mergeLostClaims,
+} from "./shard_head.ts";
 import type { ShardHead } from "./shard_head.ts";
 import type { Operation } from "./operation.ts";
 import type { SealedClaims } from "./sealed_claims.ts";
@@ -21,14 +26,16 @@
 /** Maximum milliseconds that each further conflict adds to the pause. */
 const CONFLICT_PAUSE = 5;
 
-/** A shard's head with its revision in the key-value service. */
-export type CachedHead = { head: ShardHead; revision: number };
+/** A shard's head with its revision in the key-value service, and its era. */
+export type CachedHead = { head: ShardHead; revision: number; era: number };
 
 /** A batch of operations and the shard that it is for. */
 export type BatchOptions = {
   store: KeyValueStore;
   key: string;
   cached: CachedHead | undefined;
+  /** The head that was read or written last, also if it may be out of date. */
+  lastKnown: CachedHead | undefined;
   sealed: SealedClaims;
   operations: readonly Operation[];
   retention: () => number;
@@ -42,6 +49,7 @@
 export type CommitOutcome = {
   results: Result<ReadonlyMap<Operation, ClaimResult>, PlatformError>;
   cached: CachedHead | undefined;
+  lastKnown: CachedHead | undefined;
 };
 
 type ClaimResults = ReadonlyMap<Operation, ClaimResult>;
@@ -58,7 +66,10 @@
 class BatchCommit {
   readonly #options: BatchOptions;
   #cached: CachedHead | undefined;
+  #lastKnown: CachedHead | undefined;
   #headReadInBatch = false;
+  /** The head holds claims that a restored service has lost. */
+  #hasLostClaims = false;
   #ambiguousError: PlatformError | undefined;
   #ambiguousWrites = 0;
   #conflicts = 0;
@@ -66,13 +77,18 @@
   constructor(options: BatchOptions) {
     this.#options = options;
     this.#cached = options.cached;
+    this.#lastKnown = options.lastKnown;
   }
 
   async run(): Promise<CommitOutcome> {
     for (;;) {
       const results = await this.#attempt();
       if (results !== undefined) {
-        return { results, cached: this.#cached };
+        return {
+          results,
+          cached: this.#cached,
+          lastKnown: this.#cached ?? this.#lastKnown,
+        };
       }
     }
   }
@@ -89,7 +105,7 @@
       return this.#fail(sealed.error);
     }
     const applied = applyOperations(current.head, operations, sealed.value);
-    if (applied.changed) {
+    if (applied.changed || this.#hasLostClaims) {
       return this.#swap(current, applied.head, applied.results);
     }
     if (this.#headReadInBatch) {
@@ -116,11 +132,22 @@
         "the stored value is not a shard of claims",
       );
     }
-    this.#cached = { head, revision: entry?.revision ?? 0 };
+    const { era } = this.#options.store;
+    const complete = this.#withLostClaims(head, era);
+    this.#hasLostClaims = complete !== head;
+    this.#cached = { head: complete, revision: entry?.revision ?? 0, era };
     this.#headReadInBatch = true;
     return this.#cached;
   }
 
+  /** Adds what this process knows of an era that a restore has ended. */
+  #withLostClaims(head: ShardHead, era: number): ShardHead {
+    const known = this.#lastKnown;
+    return known === undefined || known.era === era
+      ? head
+      : mergeLostClaims(head, known.head);
+  }
+
   async #swap(
     current: CachedHead,
     next: ShardHead,
@@ -136,13 +163,16 @@
         ),
       );
     }
-    const expected = current.revision;
-    const outcome = await store.compareAndSwap({ key, expected, value });
+    const { revision: expected, era } = current;
+    const outcome = await store.compareAndSwap({ key, expected, era, value });
     if (outcome.isErr) {
-      return this.#handleAmbiguousWrite(outcome.error);
+      return outcome.error.reason === "outdated"
+        ? this.#handleRestore(outcome.error)
+        : this.#handleAmbiguousWrite(outcome.error);
     }
     if (outcome.value.swapped) {
-      this.#cached = { head, revision: outcome.value.revision };
+      this.#hasLostClaims = false;
+      this.#cached = { head, revision: outcome.value.revision, era };
       return Result.ok(results);
     }
     const newest = this.#cacheHead(outcome.value.current);
@@ -192,6 +222,16 @@
     return undefined;
   }
 
+  /** The head belongs to an era that has ended: it is read again. */
+  #handleRestore(
+    error: PlatformError,
+  ): Promise<Result<ClaimResults, PlatformError> | undefined> {
+    if (error.applied === "unknown") this.#ambiguousError ??= error;
+    this.#lastKnown = this.#cached ?? this.#lastKnown;
+    this.#cached = undefined;
+    return this.#handleConflict();
+  }
+
   /**
    * The refused swap returned the newest head. It is used at once, because
    * under contention it is soon stale again; the jitter separates processes
@@ -216,6 +256,7 @@
   }
 
   #fail(error: PlatformError): Result<ClaimResults, PlatformError> {
+    this.#lastKnown = this.#cached ?? this.#lastKnown;
     this.#cached = undefined;
     return Result.err(
       this.#ambiguousError === undefined
--- a/packages/store/src/claims/shard_head.ts
+++ b/packages/store/src/claims/shard_head.ts
@@ -20,6 +20,26 @@
 /** Head of a shard without claims. */
 export const EMPTY_HEAD: ShardHead = { claims: new Map(), index: undefined };
 
+/**
+ * Returns `head`, as a restored service holds it, with the claims and outcomes
+ * of `known` that it has lost; the same object if it has lost none. A claim that
+ * was released or sealed since `known` comes back: its key then runs once less,
+ * never twice.
+ */
+export function mergeLostClaims(head: ShardHead, known: ShardHead): ShardHead {
+  const claims = new Map(head.claims);
+  let changed = false;
+  for (const [identity, claim] of known.claims) {
+    const stored = claims.get(identity);
+    const hasLostOutcome = stored?.claimant === claim.claimant &&
+      stored.outcome === undefined && claim.outcome !== undefined;
+    if (stored !== undefined && !hasLostOutcome) continue;
+    claims.set(identity, claim);
+    changed = true;
+  }
+  return changed ? { ...head, claims } : head;
+}
+
 /** Returns the value to store. */
 export function encodeHead(head: ShardHead): string {
   const claims = Object.fromEntries(head.claims);
--- a/packages/store/src/faulty_key_value_store.ts
+++ b/packages/store/src/faulty_key_value_store.ts
@@ -37,6 +37,14 @@
     this.#inner = inner;
   }
 
+  override get era(): number {
+    return this.#inner.era;
+  }
+
+  override onRestore(listener: () => void): void {
+    this.#inner.onRestore(listener);
+  }
+
   override get(
     key: string,
   ): Promise<Result<KeyValueEntry | undefined, PlatformError>> {
--- a/packages/store/src/http_key_value_store.ts
+++ b/packages/store/src/http_key_value_store.ts
@@ -4,6 +4,7 @@
  */
 import { Result } from "true-myth/result";
 import * as v from "valibot";
+import { EraTracker } from "./era_tracker.ts";
 import { HttpClient } from "./http_client.ts";
 import type {
   HttpCall,
@@ -20,22 +21,40 @@
 } from "./key_value_store.ts";
 import type { PlatformError } from "./platform_error.ts";
 
+/** Header of each response, in lower case: the era of the service. */
+const ERA_HEADER = "store-era";
+const eraSchema = v.optional(
+  v.pipe(v.string(), v.digits(), v.transform(Number)),
+  "0",
+);
 const leaseSchema = v.object({ lease: v.string() });
 
+/** A lease as the service names it, and the era in which it did. */
+type ServiceLease = { id: string; era: number };
+
 /** Create one per process, and close it at the end. */
 export class HttpKeyValueStore extends KeyValueStore {
   #client: HttpClient;
+  readonly #eras = new EraTracker();
 
   constructor(options: HttpServiceOptions) {
     super();
     this.#client = new HttpClient(options);
   }
 
+  override get era(): number {
+    return this.#eras.newest;
+  }
+
+  override onRestore(listener: () => void): void {
+    this.#eras.onRestore(listener);
+  }
+
   override async get(
     key: string,
   ): Promise<Result<KeyValueEntry | undefined, PlatformError>> {
     const call: HttpCall = { step: "get", method: "GET", path: keyPath(key) };
-    const response = await this.#client.call(call);
+    const response = await this.#call(call);
     return response.andThen((response) => this.#entryIfFound(call, response));
   }
 
@@ -49,7 +68,7 @@
       path: keyPath(options.key) + query,
       wait: options.wait,
     };
-    const response = await this.#client.call(call);
+    const response = await this.#call(call);
     return response.andThen((response): Result<WatchOutcome, PlatformError> =>
       response.status === 304
         ? Result.ok({ changed: false })
@@ -63,7 +82,12 @@
   override async compareAndSwap(
     options: SwapOptions,
   ): Promise<Result<SwapOutcome, PlatformError>> {
-    const call = swapCall(options);
+    const { lease: leaseName, era = this.era } = options;
+    const lease = leaseName === undefined ? undefined : decodeLease(leaseName);
+    const call = swapCall(options, lease);
+    if (Math.min(era, lease?.era ?? era) < this.era) {
+      return Result.err(this.#outdated(call, era, "no"));
+    }
     const size = Buffer.byteLength(options.value);
     if (size > MAXIMUM_VALUE_BYTES) {
       const detail =
@@ -72,7 +96,10 @@
         this.#client.createError(call, "too_large", detail, "no"),
       );
     }
-    const response = await this.#client.call(call);
+    const response = await this.#call(call);
+    if (response.isOk && this.era > era && era > 0) {
+      return Result.err(this.#outdated(call, era, "unknown"));
+    }
     return response.andThen((response) => this.#swapOutcome(call, response));
   }
 
@@ -86,25 +113,28 @@
       headers: { "content-type": "application/json" },
       body: JSON.stringify({ duration }),
     };
-    const response = await this.#client.call(call);
-    return response.andThen((response) => this.#lease(call, response));
+    const response = await this.#call(call);
+    return response.andThen((response) => this.#lease(call, response))
+      .map((id) => encodeLease({ id, era: this.era }));
   }
 
   override async renewLease(
     lease: string,
   ): Promise<Result<boolean, PlatformError>> {
+    const { id, era } = decodeLease(lease);
+    if (era < this.era) return Result.ok(false);
     const call: HttpCall = {
       step: "renew lease",
       method: "PUT",
-      path: leasePath(lease),
+      path: leasePath(id),
     };
-    const response = await this.#client.call(call);
+    const response = await this.#call(call);
     return response.andThen((response): Result<boolean, PlatformError> => {
       if (response.status === 404) {
         return Result.ok(false);
       }
       return response.status === 200
-        ? Result.ok(true)
+        ? Result.ok(era === this.era)
         : Result.err(this.#client.unexpectedStatusError(call, response));
     });
   }
@@ -112,12 +142,15 @@
   override async revokeLease(
     lease: string,
   ): Promise<Result<void, PlatformError>> {
+    const { id, era } = decodeLease(lease);
+    // Its number may belong to another lease.
+    if (era < this.era) return Result.ok(undefined);
     const call: HttpCall = {
       step: "revoke lease",
       method: "DELETE",
-      path: leasePath(lease),
+      path: leasePath(id),
     };
-    const response = await this.#client.call(call);
+    const response = await this.#call(call);
     return response.andThen((response): Result<void, PlatformError> =>
       response.status === 204 || response.status === 404
         ? Result.ok(undefined)
@@ -130,6 +163,32 @@
     return this.#client.close();
   }
 
+  /** Makes a call, and rejects a response of an older era. */
+  async #call(call: HttpCall): Promise<Result<HttpResponse, PlatformError>> {
+    const response = await this.#client.call(call);
+    if (response.isErr) return response;
+    const era = v.safeParse(eraSchema, response.value.headers[ERA_HEADER]);
+    if (!era.success) {
+      const detail = `the header ${ERA_HEADER} is not a whole number`;
+      return Result.err(
+        this.#client.createError(call, "malformed", detail, "unknown"),
+      );
+    }
+    this.#eras.record(era.output);
+    return era.output < this.era
+      ? Result.err(this.#outdated(call, era.output, "unknown"))
+      : response;
+  }
+
+  #outdated(
+    call: HttpCall,
+    era: number,
+    applied: "no" | "unknown",
+  ): PlatformError {
+    const detail = `era ${era} has ended, the service is in era ${this.era}`;
+    return this.#client.createError(call, "outdated", detail, applied);
+  }
+
   #entryIfFound(
     call: HttpCall,
     response: HttpResponse,
@@ -199,10 +258,13 @@
   }
 }
 
-function swapCall(options: SwapOptions): HttpCall {
-  const query = options.lease === undefined
+function swapCall(
+  options: SwapOptions,
+  lease: ServiceLease | undefined,
+): HttpCall {
+  const query = lease === undefined
     ? ""
-    : `?lease=${encodeURIComponent(options.lease)}`;
+    : `?lease=${encodeURIComponent(lease.id)}`;
   return {
     step: "compare-and-swap",
     method: "PUT",
@@ -222,3 +284,15 @@
 function leasePath(lease: string): string {
   return `/leases/${encodeURIComponent(lease)}`;
 }
+
+function encodeLease({ id, era }: ServiceLease): string {
+  return `${era}/${id}`;
+}
+
+function decodeLease(lease: string): ServiceLease {
+  const separator = lease.indexOf("/");
+  return {
+    id: lease.slice(separator + 1),
+    era: Number(lease.slice(0, separator)),
+  };
+}
--- a/packages/store/src/key_value_store.ts
+++ b/packages/store/src/key_value_store.ts
@@ -2,6 +2,12 @@
  * The platform's small key-value service, as far as this project uses it. Every
  * call counts towards the call budget; a watch counts as one call, however long
  * it waits.
+ *
+ * The service may be restored from an older copy, and then has lost its newest
+ * writes and gives out their revisions and leases again. It states its era, a
+ * number that rises with each restore; a service that knows no eras is a single
+ * one, 0. A response of an older era than the newest known one fails as
+ * `outdated`.
  * @module
  */
 import type { Result } from "true-myth/result";
@@ -21,6 +27,12 @@
   key: string;
   /** Revision that the key must have; 0: the key must be absent. */
   expected: number;
+  /**
+   * Era in which `expected` was read; by default the newest known one. In a
+   * newer era the write fails as `outdated`. If the service was restored just
+   * before the write arrived, it may have taken effect nevertheless.
+   */
+  era?: number;
   value: string;
   /** Lease that the key is bound to; the key is removed when it expires. */
   lease?: string;
@@ -48,6 +60,12 @@
  * key to find out.
  */
 export abstract class KeyValueStore {
+  /** Newest era that is known; 0 before the first response. */
+  abstract get era(): number;
+
+  /** Calls `listener` after each restore of the service that is noticed. */
+  abstract onRestore(listener: () => void): void;
+
   abstract get(
     key: string,
   ): Promise<Result<KeyValueEntry | undefined, PlatformError>>;
@@ -57,7 +75,10 @@
     options: SwapOptions,
   ): Promise<Result<SwapOutcome, PlatformError>>;
 
-  /** Grants a lease of `duration` milliseconds; resolves to its identifier. */
+  /**
+   * Grants a lease of `duration` milliseconds; resolves to its identifier, which
+   * is valid in the present era.
+   */
   abstract grantLease(duration: number): Promise<Result<string, PlatformError>>;
 
   /** Extends a lease; resolves to `false` if it has already expired. */
--- a/packages/store/src/memory_key_value_store.ts
+++ b/packages/store/src/memory_key_value_store.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { Result } from "true-myth/result";
+import { EraTracker } from "./era_tracker.ts";
 import { KeyValueStore, MAXIMUM_VALUE_BYTES } from "./key_value_store.ts";
 import type {
   KeyValueEntry,
@@ -20,6 +21,8 @@
 /** A copy of the whole state, which a test can restore later. */
 export type KeyValueBackup = {
   entries: [string, StoredEntry][];
+  leases: [string, Lease][];
+  counter: number;
 };
 
 /** Maximum milliseconds between two checks of a waiting watch. */
@@ -32,10 +35,20 @@
   #leases = new Map<string, Lease>();
   #wakeups = new Set<() => void>();
   #counter = 0;
+  readonly #eras = new EraTracker();
 
   constructor(options: { clock?: () => number } = {}) {
     super();
     this.#clock = options.clock ?? (() => performance.now());
+    this.#eras.record(1);
+  }
+
+  override get era(): number {
+    return this.#eras.newest;
+  }
+
+  override onRestore(listener: () => void): void {
+    this.#eras.onRestore(listener);
   }
 
   override get(
@@ -108,12 +121,23 @@
   }
 
   backup(): KeyValueBackup {
-    return { entries: structuredClone([...this.#entries]) };
+    return structuredClone({
+      entries: [...this.#entries],
+      leases: [...this.#leases],
+      counter: this.#counter,
+    });
   }
 
-  /** Restores an older state, as a service does that lost its newest writes. */
+  /**
+   * Begins an era with an older state, as a service does that lost its newest
+   * writes. Revisions and leases are given out again.
+   */
   restore(backup: KeyValueBackup): void {
-    this.#entries = new Map(structuredClone(backup.entries));
+    const { entries, leases, counter } = structuredClone(backup);
+    this.#entries = new Map(entries);
+    this.#leases = new Map(leases);
+    this.#counter = counter;
+    this.#eras.record(this.era + 1);
     this.#wakeWatches();
   }
 
@@ -125,6 +149,9 @@
 
   #findError(options: SwapOptions): PlatformError | undefined {
     this.#expireLeases();
+    if (options.era !== undefined && options.era < this.era) {
+      return swapError("outdated", `the service is in era ${this.era}`);
+    }
     const size = Buffer.byteLength(options.value);
     if (size > MAXIMUM_VALUE_BYTES) {
       return swapError("too_large", `${size} bytes do not fit a value`);
--- a/packages/store/test/claims/claim_races_test.ts
+++ b/packages/store/test/claims/claim_races_test.ts
@@ -65,6 +65,14 @@
     return this.#scheduler.schedule(Promise.resolve());
   }
 
+  override get era(): number {
+    return this.#inner.era;
+  }
+
+  override onRestore(listener: () => void): void {
+    this.#inner.onRestore(listener);
+  }
+
   override async get(
     key: string,
   ): Promise<Result<KeyValueEntry | undefined, PlatformError>> {
