--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -93,7 +93,7 @@
 const statePosition = {
   revision: count,
   era: v.optional(count, 0),
-  version: v.optional(count),
+  version: v.optional(amount),
 };
 
 const stateNameSchema = v.picklist(["configuration", "servers"]);
@@ -119,7 +119,7 @@
     type: v.literal("heartbeat"),
     configurationRevision: count,
     /** Earlier versions state a revision only. */
-    configurationVersion: v.optional(count),
+    configurationVersion: v.optional(amount),
     /** The store confirmed it to the sender, and no call has failed since. */
     configurationConfirmed: v.optional(v.boolean(), false),
     /** 0 if the sender's view of the servers is not of `storeEra`. */
--- a/packages/protocol/src/key_map.ts
+++ b/packages/protocol/src/key_map.ts
@@ -61,6 +61,8 @@
   "failed",
   "slow",
   "firstTokenRemaining",
+  "storeEra",
+  "configurationVersion",
 ] as const;
 
 /** Maps field names to the integers sent; the `keyMap` option of `cbor-x`. */
