Use a server that registers after a restore at a revision of a lost write

Cause: a removed server's record was taken for one that the restored copy still holds whenever its revision wasn't higher than that of the last write before the restore. A server whose last write was lost, and which registers later than two seconds after the restore, can get such a revision, and would have got no request until its record changes again. Found in review.

Change: a removal that a complete read of the new era confirms belongs to that era; only removals of an older one outlive a record.

Measured: the test 'a server that registers late, at a revision of a lost write, is used' fails before the change in both of its cases and passes with it.

--- a/packages/decisions/src/discovery/server_directory.ts
+++ b/packages/decisions/src/discovery/server_directory.ts
@@ -128,9 +128,22 @@
       if (isLater(this.#knownPosition(id), position)) continue;
       if (!this.#isOutlived(state)) this.#recordRemoval(id, FIRST_POSITION);
     }
+    this.#confirmRemovals(states, position);
     return this.merge(states, position, now);
   }
 
+  /** A removed server that the store lacks can only be written anew. */
+  #confirmRemovals(
+    states: readonly ServerState[],
+    position: StorePosition,
+  ): void {
+    const stored = new Set(states.map(({ id }) => id));
+    for (const [id, removal] of this.#removals) {
+      if (stored.has(id) || removal.position.era >= position.era) continue;
+      this.#removals.set(id, { ...removal, position });
+    }
+  }
+
   /**
    * Merges a complete view of all servers as of `position`: a server that it
    * lacks was removed by then. Returns what has changed.
@@ -266,13 +279,16 @@
    */
   #isOutlived({ id, position, record }: ServerState): boolean {
     const known = this.#servers.get(id)?.state;
-    const last = known ?? this.#removals.get(id)?.last;
+    const removal = this.#removals.get(id);
+    const last = known ?? removal?.last;
     if (record === undefined || last?.record === undefined) return false;
     if (position.era <= last.position.era) return false;
     if (record.startedAt !== last.record.startedAt) {
       return record.startedAt < last.record.startedAt;
     }
-    return known === undefined && position.revision <= last.position.revision;
+    const isRemovedBefore = known === undefined && removal !== undefined &&
+      removal.position.era < position.era;
+    return isRemovedBefore && position.revision <= last.position.revision;
   }
 
   #remove(
--- a/packages/decisions/test/restored_store_test.ts
+++ b/packages/decisions/test/restored_store_test.ts
@@ -76,6 +76,31 @@
   t.end();
 });
 
+t.test("a server that registers late, at a revision of a lost write, is used", (t) => {
+  // Guards against taking it for a record that the copy still holds.
+  for (const lost of ["retained", "removed"]) {
+    const directory = directoryOfTwo();
+    directory.apply(written(48, Y), 500);
+    if (lost === "removed") directory.apply(removed(49, "y"), 600);
+    readCopy(directory, [written(30, server("x"), 2)]);
+    t.same(usableIds(directory, 3000), ["x"], lost);
+    directory.apply(written(44, Y, 2), 3500);
+    t.same(usableIds(directory, 3500), ["x", "y"], lost);
+  }
+  t.end();
+});
+
+t.test("an earlier start that the copy holds stays away when it is read again", (t) => {
+  const directory = directoryOfTwo();
+  directory.apply(written(48, server("x", { startedAt: 5 })), 500);
+  const copy = [written(30, server("x"), 2), written(31, Y, 2)];
+  readCopy(directory, copy);
+  t.same(usableIds(directory, 4000), ["y"]);
+  directory.mergeStoreRead(copy, at(60, 2), 5000);
+  t.same(usableIds(directory, 5000), ["y"]);
+  t.end();
+});
+
 t.test("an earlier start in the copy does not replace a later one", (t) => {
   const directory = directoryOfTwo();
   directory.apply(written(48, server("x", { startedAt: 5 })), 500);
