--- a/packages/gateway/test/restore_soak_test.ts
+++ b/packages/gateway/test/restore_soak_test.ts
@@ -17,8 +17,11 @@
 const [FIRST_SEED = 1, LAST_SEED = FIRST_SEED] =
   (process.env["RESTORE_SOAK_SEEDS"] ?? "1").split("-").map(Number);
 const ROUNDS = 4;
-const STEPS = 6;
+/** Changes before and after the restore of each round. */
+const STEPS = 4;
 const ENTRIES = 3;
+/** More than the revisions that a round uses after its restore. */
+const LOST_WRITES = 100;
 
 type Entry = { fixture: Fixture; view: StoreView };
 
@@ -49,25 +52,35 @@
     await this.settle();
   }
 
-  /** One change; several of them overlap. */
-  async step(): Promise<void> {
+  /** Changes around a restore; they overlap. */
+  async round(): Promise<void> {
+    this.#backup = this.store.backup();
+    for (let count = 0; count < LOST_WRITES; count++) {
+      this.store.put("other", "");
+    }
+    this.#version++;
+    this.#writeAgain();
+    for (let step = 0; step < STEPS; step++) await this.#step();
+    this.#restore();
+    for (let step = 0; step < STEPS; step++) await this.#step();
+    await this.settle();
+  }
+
+  async #step(): Promise<void> {
     const entry = this.#random(ENTRIES);
-    switch (this.#random(7)) {
+    switch (this.#random(6)) {
       case 0:
         this.#version++;
         return this.#writeConfiguration();
       case 1:
-        this.#backup = this.store.backup();
-        return;
-      case 2:
         return this.#restore();
-      case 3:
+      case 2:
         await this.#entries[entry]!.fixture.gateway.stop();
         return await this.#startEntry(entry);
-      case 4:
+      case 3:
         this.#entries[entry]!.view.rejects = true;
         return;
-      case 5:
+      case 4:
         return this.#leave();
       default:
         await sleep(this.#random(300));
@@ -170,8 +183,7 @@
     const soak = new RestoreSoak(seed);
     await soak.start();
     for (let round = 0; round < ROUNDS; round++) {
-      for (let step = 0; step < STEPS; step++) await soak.step();
-      await soak.settle();
+      await soak.round();
       t.same(await soak.statuses(), [200, 200, 200], `round ${round}`);
       await sleep(2500);
       const before = soak.requestsToLeaving();
