Give restores a callback of their own in StoreContact; reword comments

Three listeners had empty methods for calls that don't concern them. No change of behaviour; the tests of restores, leases and crashing requests pass.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -142,11 +142,7 @@
       signal: this.#stopController.signal,
       onRead: (statements) => this.#handleQuarantines(statements),
     });
-    this.#storeContact.addListener({
-      recordStoreResponse: () => {},
-      recordStoreFailure: () => {},
-      recordRestore: () => this.#writeQuarantinesAgain(),
-    });
+    this.#storeContact.onRestore(() => this.#writeQuarantinesAgain());
     this.#peers = new Peers({
       instance,
       incarnation,
--- a/packages/gateway/src/peers/state_documents.ts
+++ b/packages/gateway/src/peers/state_documents.ts
@@ -62,7 +62,7 @@
   }
 }
 
-/** A state with a version of its own is the same wherever it was written. */
+/** A state that has a version is the same wherever it was written. */
 function cacheKey({ era, revision, version }: StatePosition): string {
   return version === undefined ? `${era}/${revision}` : `version ${version}`;
 }
--- a/packages/gateway/src/state/entry_registration.ts
+++ b/packages/gateway/src/state/entry_registration.ts
@@ -56,11 +56,7 @@
     this.#instance = options.instance;
     this.#log = options.log;
     this.#clock = options.clock;
-    options.contact.addListener({
-      recordStoreResponse: () => {},
-      recordStoreFailure: () => {},
-      recordRestore: () => this.#handleRestore(),
-    });
+    options.contact.onRestore(() => this.#handleRestore());
   }
 
   /**
--- a/packages/gateway/src/state/fleet_state.ts
+++ b/packages/gateway/src/state/fleet_state.ts
@@ -83,11 +83,15 @@
     this.#log = options.log;
     this.#clock = options.clock;
     this.#onChange = options.onChange;
-    options.contact.addListener(this.directory);
-    options.contact.addListener({
+    const { contact } = options;
+    contact.addListener(this.directory);
+    contact.addListener({
       recordStoreResponse: () => {},
       recordStoreFailure: () => this.#configurationConfirmed = false,
-      recordRestore: () => this.#configurationConfirmed = false,
+    });
+    contact.onRestore((now) => {
+      this.directory.recordRestore(now);
+      this.#configurationConfirmed = false;
     });
   }
 
--- a/packages/gateway/src/state/store_contact.ts
+++ b/packages/gateway/src/state/store_contact.ts
@@ -27,15 +27,17 @@
 export abstract class ContactListener {
   abstract recordStoreResponse(now: number): void;
   abstract recordStoreFailure(): void;
-  /** The store has been restored from an older copy. */
-  abstract recordRestore(now: number): void;
 }
 
+/** Called after a restore of the store from an older copy; `now` as above. */
+export type RestoreCallback = (now: number) => void;
+
 /** Collects the outcomes of all calls to the store. */
 export class StoreContact {
   readonly #log: EventLog;
   readonly #clock: () => number;
   readonly #listeners: ContactListener[] = [];
+  readonly #restoreCallbacks: RestoreCallback[] = [];
   #lastResponseAt: number;
   #hasResponded = false;
   #failing = false;
@@ -80,7 +82,7 @@
     if (before === undefined) return;
     this.#log.write({ event: "store_restored", era, before, from });
     const now = this.#clock();
-    for (const listener of this.#listeners) listener.recordRestore(now);
+    for (const callback of this.#restoreCallbacks) callback(now);
     this.#notifyPendingCalls();
   }
 
@@ -88,6 +90,10 @@
     this.#listeners.push(listener);
   }
 
+  onRestore(callback: RestoreCallback): void {
+    this.#restoreCallbacks.push(callback);
+  }
+
   recordStoreResponse(): void {
     const now = this.#clock();
     this.#lastResponseAt = now;
--- a/packages/gateway/test/store_restore_test.ts
+++ b/packages/gateway/test/store_restore_test.ts
@@ -20,7 +20,7 @@
   return new Promise((resolve) => setTimeout(resolve, duration));
 }
 
-/** Writes `version` and all servers at revisions that a restore takes back. */
+/** Writes `version` and all servers at revisions that a restore discards. */
 async function writeLost(
   store: MemoryMetadataStore,
   servers: readonly FakeBackendServer[],
--- a/packages/store/src/claims/claim_shard.ts
+++ b/packages/store/src/claims/claim_shard.ts
@@ -147,8 +147,8 @@
   }
 
   /**
-   * Writes lost claims again at once, since another process may claim their keys
-   * meanwhile.
+   * Writes lost claims again without delay, since another process may claim
+   * their keys meanwhile.
    */
   #handleRestore(): void {
     if (this.#lastKnown === undefined) return;
--- a/packages/store/src/metadata_store.ts
+++ b/packages/store/src/metadata_store.ts
@@ -15,7 +15,7 @@
 /** A stored key, with the store's revision at its last write. */
 export type StoredItem = { key: string; value: string; revision: number };
 
-/** What each outcome of a call states; see the module's description. */
+/** The era of a call's outcome. */
 export type EraStatement = { era: number };
 
 /** A page of the keys with a prefix, as of a revision of the whole store. */
