Write lost claims again without waiting for the backoff of outcomes

Cause: after a restore the loop of a shard that waits for the backoff of a stored outcome, up to 15 s, began to write lost claims only then; meanwhile another process could claim their keys.

Change: a restore ends that delay, as a new claim does.

Measured: the test of that name fails before the change (the key was claimed a second time) and passes with it.

--- a/packages/store/src/claims/claim_shard.ts
+++ b/packages/store/src/claims/claim_shard.ts
@@ -68,7 +68,8 @@
    * lost are written again; undefined if there are none.
    */
   #lostClaimsDeadline: number | undefined;
-  #onClaimSubmitted: () => void = () => {};
+  /** Ends the time that outcomes and releases wait for their commit. */
+  #endDelay: () => void = () => {};
 
   constructor(options: ClaimShardOptions) {
     this.#options = options;
@@ -84,7 +85,7 @@
     return new Promise((resolve) => {
       const pending = this.#enqueue(operation, resolve);
       if (operation.type === "claim") {
-        this.#onClaimSubmitted();
+        this.#endDelay();
         void this.#options.pause(this.#options.claimTimeout)
           .then(() => this.#abandon(pending));
       }
@@ -154,6 +155,7 @@
     if (this.#lastKnown === undefined) return;
     this.#lostClaimsDeadline = this.#options.now() + SETTLEMENT_TIMEOUT;
     this.#cached = undefined;
+    this.#endDelay();
     this.#startLoop();
   }
 
@@ -178,10 +180,10 @@
     const { pause, batchDelay, random } = this.#options;
     const backoff = batchDelay * 2 ** Math.min(this.#consecutiveFailures, 10);
     const delay = Math.min(MAX_BACKOFF, backoff) * (0.5 + random());
-    const arrived = new Promise<void>((resolve) => {
-      this.#onClaimSubmitted = resolve;
+    const ended = new Promise<void>((resolve) => {
+      this.#endDelay = resolve;
     });
-    return Promise.race([pause(delay), arrived]);
+    return Promise.race([pause(delay), ended]);
   }
 
   #resolveBatch(batch: PendingOperation[], outcome: CommitOutcome): void {
--- a/packages/store/test/claims/restored_claims_test.ts
+++ b/packages/store/test/claims/restored_claims_test.ts
@@ -1,3 +1,4 @@
+import { setImmediate as nextTurn } from "node:timers/promises";
 import t from "tap";
 import { FaultyKeyValueStore, MemoryKeyValueStore } from "../../src/mod.ts";
 import { claimIdentity, shardOf } from "../../src/claims/claim_identity.ts";
@@ -61,6 +62,25 @@
   t.match(again, { value: { kind: "running" } });
 });
 
+t.test("lost claims are written again without the backoff of outcomes", async (t) => {
+  const memory = new MemoryKeyValueStore();
+  const store = new FaultyKeyValueStore(memory);
+  const first = createLedger(store, "entry-1", {
+    pause: (duration) => duration > 1000 ? new Promise(() => {}) : nextTurn(),
+  });
+  const backup = memory.backup();
+  const claim = expectClaimed(await first.claim(createRequest()));
+  store.outage = true;
+  void first.record({ claim, outcome: OUTCOME });
+  for (let turn = 0; turn < 20; turn++) await nextTurn();
+  store.outage = false;
+  memory.restore(backup);
+  for (let turn = 0; turn < 20; turn++) await nextTurn();
+  const second = createLedger(memory, "entry-2");
+  const again = await second.claim(createRequest());
+  t.not(again.isOk && again.value.kind, "claimed");
+});
+
 t.test("a revision that is given out twice does not replace another's claim", async (t) => {
   const memory = new MemoryKeyValueStore();
   const store = new FaultyKeyValueStore(memory);
