Keep lost claims until their write has succeeded

Cause: after a restore a batch that had read the head, added the lost claims and then failed to write it kept that head as the one known last, of the new era. The next batch saw nothing lost and forgot the claims; another process could claim their keys.

Change: a head whose lost claims were not written yet doesn't replace the one that is known last.

Measured: the test of that name fails before the change (the key was claimed a second time) and passes with it.

--- a/packages/store/src/claims/commit_batch.ts
+++ b/packages/store/src/claims/commit_batch.ts
@@ -227,11 +227,18 @@
     error: PlatformError,
   ): Promise<Result<ClaimResults, PlatformError> | undefined> {
     if (error.applied === "unknown") this.#ambiguousError ??= error;
-    this.#lastKnown = this.#cached ?? this.#lastKnown;
-    this.#cached = undefined;
+    this.#dropCachedHead();
     return this.#handleConflict();
   }
 
+  /** A head with lost claims that was not written yet is not known as stored. */
+  #dropCachedHead(): void {
+    if (!this.#hasLostClaims) {
+      this.#lastKnown = this.#cached ?? this.#lastKnown;
+    }
+    this.#cached = undefined;
+  }
+
   /**
    * The refused swap returned the newest head. It is used at once, because
    * under contention it is soon stale again; the jitter separates processes
@@ -256,8 +263,7 @@
   }
 
   #fail(error: PlatformError): Result<ClaimResults, PlatformError> {
-    this.#lastKnown = this.#cached ?? this.#lastKnown;
-    this.#cached = undefined;
+    this.#dropCachedHead();
     return Result.err(
       this.#ambiguousError === undefined
         ? error
--- a/packages/store/test/claims/restored_claims_test.ts
+++ b/packages/store/test/claims/restored_claims_test.ts
@@ -81,6 +81,22 @@
   t.not(again.isOk && again.value.kind, "claimed");
 });
 
+t.test("lost claims are kept until their write has succeeded", async (t) => {
+  // Guards against taking a head that was never stored for the stored one.
+  const memory = new MemoryKeyValueStore();
+  const store = new FaultyKeyValueStore(memory);
+  const first = createLedger(store, "entry-1");
+  const backup = memory.backup();
+  expectClaimed(await first.claim(createRequest()));
+  for (let write = 0; write < 6; write++) {
+    store.writeFaults.push("lost_request");
+  }
+  memory.restore(backup);
+  await first.waitForDrain();
+  const second = createLedger(memory, "entry-2");
+  t.match(await second.claim(createRequest()), { value: { kind: "running" } });
+});
+
 t.test("a revision that is given out twice does not replace another's claim", async (t) => {
   const memory = new MemoryKeyValueStore();
   const store = new FaultyKeyValueStore(memory);
