Reproduce requests that share only one part of a prompt, which crashes servers

Callers saw: sound requests fail or wait, as servers crash as soon as they are back; the series of crashing requests ends only with its callers.

Evidence: in the record each crash is counted, with requests that hardly ever occur twice.

--- a/packages/gateway/test/crashing_servers.ts
+++ b/packages/gateway/test/crashing_servers.ts
@@ -1,11 +1,16 @@
 import { setTimeout } from "node:timers/promises";
 import type { MemoryMetadataStore } from "@sycamorepulley/store";
 import { writeSealedHead } from "./fake_backend_server.ts";
-import type { FakeBackendServer } from "./fake_backend_server.ts";
+import type {
+  FakeBackendServer,
+  ReceivedRequest,
+} from "./fake_backend_server.ts";
 import { storedServer } from "./fixture.ts";
 
 /** Body of a request that crashes each server that runs it. */
 export const CRASHING_BODY = "crash";
+/** Id of a part of a prompt under which each server crashes. */
+export const CRASHING_PART = "bad0";
 /** Milliseconds from the start of the run until the crash. */
 const CRASH_DELAY = 20;
 /** Milliseconds after which a crashed server listens again. */
@@ -15,6 +20,10 @@
 export class CrashingServers {
   /** Number of crashes of all servers together. */
   crashes = 0;
+  /** Times at which requests with the crashing part were received. */
+  readonly partReceivedAt: number[] = [];
+  /** Times of the crashes. */
+  readonly crashedAt: number[] = [];
   readonly #store: MemoryMetadataStore;
   readonly #runTime: number;
   readonly #restarts = new Set<Promise<void>>();
@@ -46,6 +55,7 @@
     const crash = async () => {
       running = false;
       this.crashes++;
+      this.crashedAt.push(performance.now());
       await server.crash();
       await setTimeout(RESTART_DELAY);
       if (this.#stopped) return;
@@ -58,7 +68,9 @@
       this.#store.put(`servers/${id}`, record);
     };
     server.respond = async (response, received) => {
-      const crashes = received.body === CRASHING_BODY;
+      const hasPart = hasCrashingPart(received);
+      if (hasPart) this.partReceivedAt.push(performance.now());
+      const crashes = hasPart || received.body === CRASHING_BODY;
       await setTimeout(crashes ? CRASH_DELAY : this.#runTime);
       if (!crashes) writeSealedHead(response, received).end("ok");
       else if (running) this.#track(crash());
@@ -70,3 +82,8 @@
     void restart.finally(() => this.#restarts.delete(restart));
   }
 }
+
+function hasCrashingPart({ headers }: ReceivedRequest): boolean {
+  const parts = String(headers["x-prompt"] ?? "").split(",");
+  return parts.some((part) => part.startsWith(`${CRASHING_PART}:`));
+}
