--- a/packages/decisions/src/dispatch/grant_request.ts
+++ b/packages/decisions/src/dispatch/grant_request.ts
@@ -34,6 +34,11 @@
   deadline: number;
   /** Identical for all attempts of callers to send the same request. */
   fingerprint: string;
+  /**
+   * Fingerprints of the parts of its prompt that other requests may share; see
+   * `PROMPT_PART_PREFIX`.
+   */
+  promptParts: readonly string[];
   /**
    * Random number in [0, 1) that varies the retry delay, so that callers that
    * are refused together do not retry together.
@@ -43,6 +48,16 @@
   excludedServers: readonly string[];
 };
 
+/** All fingerprints of a request, that of the whole request first. */
+export function fingerprintsOf(
+  { fingerprint, promptParts }: Pick<
+    GrantRequest,
+    "fingerprint" | "promptParts"
+  >,
+): string[] {
+  return [fingerprint, ...promptParts];
+}
+
 /** Why a request was refused. No server has run it. */
 export type GrantRefusalReason =
   | "quota"
--- a/packages/decisions/src/dispatch/granted_requests.ts
+++ b/packages/decisions/src/dispatch/granted_requests.ts
@@ -1,4 +1,5 @@
 /** Granted requests of a service by id, and which fingerprints run. @module */
+import { fingerprintsOf } from "./grant_request.ts";
 import type { GrantedRequest } from "./server_pool.ts";
 
 export class GrantedRequests {
@@ -19,20 +20,22 @@
   }
 
   add(granted: GrantedRequest): void {
-    const { id, fingerprint } = granted.request;
-    this.#byId.set(id, granted);
-    const count = this.#fingerprints.get(fingerprint) ?? 0;
-    this.#fingerprints.set(fingerprint, count + 1);
+    this.#byId.set(granted.request.id, granted);
+    for (const fingerprint of fingerprintsOf(granted.request)) {
+      const count = this.#fingerprints.get(fingerprint) ?? 0;
+      this.#fingerprints.set(fingerprint, count + 1);
+    }
   }
 
   remove(id: string): void {
     const granted = this.#byId.get(id);
     if (granted === undefined) return;
     this.#byId.delete(id);
-    const { fingerprint } = granted.request;
-    const count = this.#fingerprints.get(fingerprint) ?? 0;
-    if (count > 1) this.#fingerprints.set(fingerprint, count - 1);
-    else this.#fingerprints.delete(fingerprint);
+    for (const fingerprint of fingerprintsOf(granted.request)) {
+      const count = this.#fingerprints.get(fingerprint) ?? 0;
+      if (count > 1) this.#fingerprints.set(fingerprint, count - 1);
+      else this.#fingerprints.delete(fingerprint);
+    }
   }
 
   removeEntry(entry: string): void {
@@ -41,7 +44,10 @@
     }
   }
 
-  isRunning(fingerprint: string): boolean {
-    return this.#fingerprints.has(fingerprint);
+  /** Whether a request with any of these fingerprints is running. */
+  isRunning(fingerprints: readonly string[]): boolean {
+    return fingerprints.some((fingerprint) =>
+      this.#fingerprints.has(fingerprint)
+    );
   }
 }
--- a/packages/decisions/src/dispatch/group_scheduler.ts
+++ b/packages/decisions/src/dispatch/group_scheduler.ts
@@ -11,6 +11,7 @@
 import { ServerLimits } from "../server_limits/mod.ts";
 import { CrashSuspects, SoleSuspectRule } from "../suspects/mod.ts";
 import type { ServerCrash } from "../suspects/mod.ts";
+import { fingerprintsOf } from "./grant_request.ts";
 import type {
   GrantDecision,
   GrantRequest,
@@ -117,7 +118,7 @@
   /** Queues a request, or refuses it at once; ignores one that is known. */
   submit(request: GrantRequest, now: number): GrantDecision | undefined {
     if (this.#requests.has(request.id)) return undefined;
-    const verdict = this.#suspects.verdict(request.fingerprint, now);
+    const verdict = this.#suspects.verdictOf(fingerprintsOf(request), now);
     if (verdict.kind === "quarantined") {
       const inputs = this.#service(request.service).refusalInputs(request, now);
       const { retryAfter } = verdict;
@@ -191,7 +192,9 @@
     const scheduler = this.#services.get(request.service);
     const crash = scheduler?.recordEnd(id, outcome, now);
     if (outcome === "answered") {
-      this.#suspects.recordCleanRun(request.fingerprint, now);
+      for (const fingerprint of fingerprintsOf(request)) {
+        this.#suspects.recordCleanRun(fingerprint, now);
+      }
     }
     if (NOT_RUN_OUTCOMES.has(outcome)) {
       this.#quotas.refund(request.organisation, request.charge);
--- a/packages/decisions/src/dispatch/pooled_server.ts
+++ b/packages/decisions/src/dispatch/pooled_server.ts
@@ -8,6 +8,9 @@
 import type { Cost } from "../queueing/mod.ts";
 import { allowedRate, ServerRateLimiter } from "../server_limits/mod.ts";
 import type { ServerLimit } from "../server_limits/mod.ts";
+import { ISOLATED_FROM } from "../suspects/mod.ts";
+import type { CrashedRun } from "../suspects/mod.ts";
+import { fingerprintsOf } from "./grant_request.ts";
 import type { GrantRequest } from "./grant_request.ts";
 import {
   LatencyRatio,
@@ -55,7 +58,7 @@
   pausePart: number;
 };
 
-type Run = RunIdentity & {
+type Run = CrashedRun & {
   entry: string;
   cost: Cost;
   /** Its prompt counts as pending prefill, as the response has not started. */
@@ -66,21 +69,11 @@
   precedesCrash: boolean;
 };
 
-/** A run as it is counted for crashes of its server. */
-export type RunIdentity = {
-  fingerprint: string;
-  /** Crashes for which it was a suspect when it started; 0 if it was none. */
-  suspectedCrashes: number;
-};
-
 /**
  * Milliseconds for which a run that broke counts as running when its server
  * turns out to have crashed: other entries may notice the crash later.
  */
 const CRASH_WINDOW = 1000;
-/** Crashes from which on a suspect runs where no other suspect does. */
-const SEPARATED_FROM = 2;
-
 /** What the group may use of a server; see {@link GroupFractions}. */
 export type UsageBounds = {
   fractions: GroupFractions;
@@ -101,7 +94,7 @@
   /** It has crashed, and no request granted since has got a response. */
   #crashed = false;
   /** Runs without a complete response that ended lately. */
-  #interrupted: (RunIdentity & { endedAt: number })[] = [];
+  #interrupted: (CrashedRun & { endedAt: number })[] = [];
   #backoff = 0;
   /** Entries that failed to connect, and until when they are not sent here. */
   readonly #unreachableFrom = new Map<string, number>();
@@ -118,12 +111,17 @@
 
   /**
    * False if a suspect of this number of crashes, or one that is running, has
-   * to be the only suspect here.
+   * to be the only suspect here. `crashesOf` returns the crashes for which
+   * fingerprints are suspects now.
    */
-  admitsSuspect(crashes: number): boolean {
-    for (const { suspectedCrashes } of this.#runs.values()) {
-      if (suspectedCrashes === 0) continue;
-      if (Math.max(suspectedCrashes, crashes) >= SEPARATED_FROM) return false;
+  admitsSuspect(
+    crashes: number,
+    crashesOf: (fingerprints: readonly string[]) => number,
+  ): boolean {
+    for (const { fingerprints, suspects } of this.#runs.values()) {
+      const runCrashes = crashesOf(fingerprints);
+      if (suspects.length === 0 && runCrashes === 0) continue;
+      if (Math.max(runCrashes, crashes) >= ISOLATED_FROM) return false;
     }
     return true;
   }
@@ -218,14 +216,15 @@
       nominalDecodeTime(cost);
   }
 
-  recordStart(request: GrantRequest, suspectedCrashes: number): void {
-    const { entry, cost, fingerprint } = request;
+  /** `suspects`: fingerprints of the request that are suspects. */
+  recordStart(request: GrantRequest, suspects: readonly string[]): void {
+    const { entry, cost } = request;
     const inPrefill = cost.promptTokens > 0;
     if (inPrefill) this.#pendingPrefillTokens += cost.promptTokens;
     this.#runs.set(request.id, {
       entry,
-      fingerprint,
-      suspectedCrashes,
+      fingerprints: fingerprintsOf(request),
+      suspects,
       cost,
       inPrefill,
       maximumPendingPrefill: 0,
@@ -306,23 +305,24 @@
   recordInterruption(id: string, now: number): void {
     const run = this.#runs.get(id);
     if (run === undefined) return;
-    const { fingerprint, suspectedCrashes } = run;
+    const { fingerprints, suspects } = run;
     this.#interrupted = this.#interrupted
       .filter(({ endedAt }) => now - endedAt < CRASH_WINDOW);
-    this.#interrupted.push({ fingerprint, suspectedCrashes, endedAt: now });
+    this.#interrupted.push({ fingerprints, suspects, endedAt: now });
   }
 
   /**
    * Records that the server has crashed. Returns what it was running, or
    * `undefined` if the crash is known.
    */
-  recordCrash(now: number): RunIdentity[] | undefined {
+  recordCrash(now: number): CrashedRun[] | undefined {
     if (this.#crashed) return undefined;
     this.#crashed = true;
     for (const run of this.#runs.values()) run.precedesCrash = true;
     const interrupted = this.#interrupted
       .filter(({ endedAt }) => now - endedAt < CRASH_WINDOW);
-    return [...this.#runs.values(), ...interrupted];
+    return [...this.#runs.values(), ...interrupted]
+      .map(({ fingerprints, suspects }) => ({ fingerprints, suspects }));
   }
 
   /**
--- a/packages/decisions/src/dispatch/server_pool.ts
+++ b/packages/decisions/src/dispatch/server_pool.ts
@@ -52,8 +52,8 @@
 export type GrantedRequest = {
   request: GrantRequest;
   server: string;
-  /** Crashes for which it was a suspect when it was granted, or 0. */
-  suspectedCrashes: number;
+  /** Its fingerprints that were suspects when it was granted. */
+  suspects: readonly string[];
 };
 
 /** The servers of one service, by incarnation. */
@@ -188,18 +188,20 @@
    * Returns the free server that is expected to respond soonest. A suspect is
    * sent where the next crash will show its cause, and preferably not to a
    * server that has crashed while it ran it, as that server may be at fault.
+   * `crashesOf`: see {@link PooledServer.admitsSuspect}.
    */
   selectServer(
     request: GrantRequest,
     snapshot: PoolSnapshot,
     verdict: SuspectVerdict,
+    crashesOf: (fingerprints: readonly string[]) => number,
     now: number,
   ): string | undefined {
     if (verdict.kind !== "suspect") {
       return this.#selectFrom(snapshot.free, request, snapshot, now);
     }
     const free = [...snapshot.free].filter(([, server]) =>
-      server.admitsSuspect(verdict.crashes)
+      server.admitsSuspect(verdict.crashes, crashesOf)
     );
     const others = free.filter(([, server]) =>
       !verdict.servers.includes(server.address)
@@ -236,12 +238,12 @@
   }
 
   recordStart(
-    { request, server: name, suspectedCrashes }: GrantedRequest,
+    { request, server: name, suspects }: GrantedRequest,
     snapshot: PoolSnapshot,
     now: number,
   ): void {
     const server = this.#servers.get(name);
-    server?.recordStart(request, suspectedCrashes);
+    server?.recordStart(request, suspects);
     server?.countAgainstLimit(now);
     const bounds = this.#bounds(name);
     if (!server?.hasFreeSlot(bounds, now)) snapshot.free.delete(name);
@@ -252,9 +254,9 @@
    * Counts a run that another entry has granted; false if its server is
    * unknown.
    */
-  adopt({ request, server: name, suspectedCrashes }: GrantedRequest): boolean {
+  adopt({ request, server: name, suspects }: GrantedRequest): boolean {
     const server = this.#servers.get(name);
-    server?.recordStart(request, suspectedCrashes);
+    server?.recordStart(request, suspects);
     return server !== undefined;
   }
 
@@ -297,14 +299,7 @@
     const server = this.#servers.get(name);
     const runs = server?.recordCrash(now);
     if (server === undefined || runs === undefined) return undefined;
-    const suspects = runs.filter(({ suspectedCrashes }) =>
-      suspectedCrashes > 0
-    );
-    return {
-      server: server.address,
-      running: runs.map(({ fingerprint }) => fingerprint),
-      suspects: suspects.map(({ fingerprint }) => fingerprint),
-    };
+    return { server: server.address, runs };
   }
 
   /** Removes a run without any effect on the health of its server. */
--- a/packages/decisions/src/dispatch/service_scheduler.ts
+++ b/packages/decisions/src/dispatch/service_scheduler.ts
@@ -18,6 +18,7 @@
 import { CrashSuspects, SoleSuspectRule } from "../suspects/mod.ts";
 import type { ServerCrash, SuspectVerdict } from "../suspects/mod.ts";
 import { ResponseValue } from "./response_value.ts";
+import { fingerprintsOf } from "./grant_request.ts";
 import type {
   GrantDecision,
   GrantRefusalReason,
@@ -162,9 +163,8 @@
   /** Counts a run that another entry has granted. */
   adopt(request: GrantRequest, server: string, now: number): void {
     if (this.#granted.has(request.id)) return;
-    const verdict = this.#suspects.verdict(request.fingerprint, now);
-    const suspectedCrashes = crashesOf(verdict);
-    const granted = { request, server, suspectedCrashes };
+    const verdict = this.#suspects.verdictOf(fingerprintsOf(request), now);
+    const granted = { request, server, suspects: suspectsOf(verdict) };
     if (this.#pool.adopt(granted)) this.#granted.add(granted);
   }
 
@@ -261,7 +261,7 @@
       if (snapshot.free.size === 0 || passedOver >= MAXIMUM_PASSED_OVER) {
         return "stop";
       }
-      const verdict = this.#suspects.verdict(request.fingerprint, now);
+      const verdict = this.#suspects.verdictOf(fingerprintsOf(request), now);
       if (verdict.kind === "quarantined") {
         const { standing } = queued;
         decisions.push(this.#refusal(request, "quarantined", now, standing));
@@ -279,25 +279,23 @@
       this.#sizeClassCounter.countGrant(queued.requestClass);
       this.#sizeFairness.recordGrant(queued.requestClass);
       this.#routeFairness.recordGrant(request);
-      const suspectedCrashes = crashesOf(verdict);
-      const granted = { request, server, suspectedCrashes };
+      const granted = { request, server, suspects: suspectsOf(verdict) };
       decisions.push(this.#grant(granted, snapshot, now));
       return "taken";
     });
   }
 
-  /** A suspect waits while another request with its fingerprint runs. */
+  /** A suspect waits while another request with a suspect fingerprint runs. */
   #selectServer(
     request: GrantRequest,
     verdict: SuspectVerdict,
     snapshot: PoolSnapshot,
     now: number,
   ): string | undefined {
-    const isSuspect = verdict.kind === "suspect";
-    if (isSuspect && this.#granted.isRunning(request.fingerprint)) {
-      return undefined;
-    }
-    return this.#pool.selectServer(request, snapshot, verdict, now);
+    if (this.#granted.isRunning(suspectsOf(verdict))) return undefined;
+    const crashesOf = (fingerprints: readonly string[]) =>
+      crashesIn(this.#suspects.verdictOf(fingerprints, now));
+    return this.#pool.selectServer(request, snapshot, verdict, crashesOf, now);
   }
 
   #grant(
@@ -421,6 +419,10 @@
   }
 }
 
-function crashesOf(verdict: SuspectVerdict): number {
+function suspectsOf(verdict: SuspectVerdict): readonly string[] {
+  return verdict.kind === "suspect" ? verdict.fingerprints : [];
+}
+
+function crashesIn(verdict: SuspectVerdict): number {
   return verdict.kind === "suspect" ? verdict.crashes : 0;
 }
--- a/packages/decisions/src/suspects/quarantine_rule.ts
+++ b/packages/decisions/src/suspects/quarantine_rule.ts
@@ -1,10 +1,10 @@
 /**
- * When crashes prove that a request causes them. The rule depends on how
- * suspects are run; see {@link CrashSuspects}.
+ * When crashes prove that a request, or a part of its prompt, causes them. The
+ * rule depends on how suspects are run; see {@link CrashSuspects}.
  * @module
  */
 
-/** Crashes of servers that ran a request, since its last successful run. */
+/** Crashes of servers under a fingerprint since its last successful run. */
 export type CrashHistory = {
   crashes: number;
   /** Of these, crashes in which it was the only suspect at its server. */
@@ -13,9 +13,23 @@
   ranAlone: boolean;
 };
 
+/**
+ * Crashes under other requests that a prompt part needs in addition: those of
+ * one request alone show that the request causes them.
+ */
+const MINIMUM_OTHER_CRASHES = 2;
+
 /** Decides whether a suspect is quarantined. */
 export abstract class QuarantineRule {
   abstract isProven(history: CrashHistory): boolean;
+
+  /**
+   * The same for a part of a prompt. `otherCrashes`: those in which another
+   * request with the part ran than in the last one.
+   */
+  isPartProven(history: CrashHistory, otherCrashes: number): boolean {
+    return otherCrashes >= MINIMUM_OTHER_CRASHES && this.isProven(history);
+  }
 }
 
 /** For suspects that run alone: the second crash proves the cause. */
--- a/packages/decisions/src/suspects/suspects.ts
+++ b/packages/decisions/src/suspects/suspects.ts
@@ -1,100 +1,168 @@
 /**
- * Detects requests that crash backend servers ("queries of death").
+ * Detects requests that crash backend servers ("queries of death"), and parts of
+ * prompts that do so in whichever request they are.
  *
  * Such a request kills each server that runs it and is sent again by its
  * caller, so it could take down the whole service, one server after the other.
- * All requests that were running on a server when it crashed become suspects,
- * and a {@link QuarantineRule} decides when further crashes prove the cause. A
- * successful run clears a suspect, so a harmless request that is sent often is
- * not quarantined for having run during crashes.
+ * A request is known by its fingerprints: one of the whole request, and one of
+ * each part of its prompt that other requests may share. All fingerprints of
+ * the requests that were running on a server when it crashed become suspects,
+ * and a {@link QuarantineRule} decides when further crashes prove the cause.
+ *
+ * A successful run clears all fingerprints of its request, so that a harmless
+ * request that is sent often is not quarantined for having run during crashes.
+ * A prompt part that has run successfully lately is no suspect, unless servers
+ * continue to crash under it and none succeeds. Once a cause is proved, the
+ * crashes that it explains no longer count against requests that ran beside it.
  *
  * Sidecars run a suspect alone on its server, and only one suspect at a time. A
- * granting entry runs suspects beside other requests; one that two servers have
- * crashed under runs where no other suspect does.
+ * granting entry runs suspects beside other requests, one request with each
+ * suspect fingerprint at a time; one that two servers have crashed under runs
+ * where no other suspect does.
  *
  * A suspicion lasts 10 minutes, longer than callers continue to retry. A
  * quarantine lasts as long; afterwards the fingerprint is a suspect again and
  * may crash one more server. 4096 fingerprints of about 150 bytes are kept,
- * half a megabyte; a crash adds at most one batch of a server, about 64.
+ * half a megabyte; a crash adds at most one batch of a server, about 64 requests
+ * with a few parts each.
  * @module
  */
+import { CompleteRuns } from "./complete_runs.ts";
 import { IsolatedRunRule } from "./quarantine_rule.ts";
 import type { QuarantineRule } from "./quarantine_rule.ts";
-import { supersedes } from "./fingerprint_status.ts";
+import { CrashReports } from "./crash_reports.ts";
+import { RecentCrashes } from "./recent_crashes.ts";
+import type { ClearedCrash } from "./recent_crashes.ts";
+import { isPromptPart } from "./prompt_part.ts";
+import { FingerprintStatuses } from "./fingerprint_statuses.ts";
+import {
+  fingerprintsOfKey,
+  FIRST_PART_QUARANTINE_DURATION,
+  QUARANTINE_DURATION,
+  quarantineKey,
+  SUSPICION_DURATION,
+} from "./fingerprint_status.ts";
 import type {
   FingerprintStatus,
   SuspectStatement,
 } from "./fingerprint_status.ts";
 
 /**
- * How a request with the fingerprint has to be handled; `retryAfter` in
- * milliseconds.
+ * How a request has to be handled, and the fingerprints that are the reason;
+ * `retryAfter` in milliseconds.
  */
 export type SuspectVerdict =
   | { kind: "clear" }
-  /** `servers`: addresses of the servers that crashed last while it ran. */
-  | { kind: "suspect"; crashes: number; servers: readonly string[] }
-  | { kind: "quarantined"; retryAfter: number };
+  | {
+    kind: "suspect";
+    fingerprints: readonly string[];
+    /** Crashes under the fingerprint that has the most. */
+    crashes: number;
+    /** Addresses of the servers that crashed last under any of them. */
+    servers: readonly string[];
+  }
+  | {
+    kind: "quarantined";
+    fingerprints: readonly string[];
+    retryAfter: number;
+  };
 
-/** Milliseconds for which a fingerprint remains a suspect. */
-const SUSPICION_DURATION = 600_000;
-/** Milliseconds for which a fingerprint remains quarantined. */
-const QUARANTINE_DURATION = 600_000;
 /**
  * Milliseconds after which a run whose end was not reported no longer blocks
  * other suspects.
  */
 const RUN_TIMEOUT = 300_000;
-/**
- * Milliseconds within which reports of the same crash from several links are
- * treated as one.
- */
-const DUPLICATE_CRASH_WINDOW = 10_000;
-const MAXIMUM_FINGERPRINTS = 4096;
 /** Maximum number of addresses that are kept for a fingerprint. */
 const MAXIMUM_SERVERS = 4;
-/** Maximum number of servers of which the last crash is remembered. */
-const MAXIMUM_CRASHES = 256;
+/** Crashes from which on a suspect must not run beside another one. */
+export const ISOLATED_FROM = 2;
+/**
+ * A prompt part that has run successfully lately becomes a suspect after this
+ * number of crashes without another successful run, in at least this number of
+ * milliseconds. Several servers that fail at the same moment are not enough.
+ */
+const UNTRUSTED_CRASHES = 5;
+const UNTRUSTED_AFTER = 1500;
+/**
+ * Crashes by which a prompt part leads one that has crashed servers only in the
+ * same request, so that the other one is not the cause.
+ */
+const CLEAR_LEAD = 3;
+/** Maximum number of prompt parts that are quarantined together. */
+const MAXIMUM_SET = 3;
+
+/** A request that ran at a server when it crashed. */
+export type CrashedRun = {
+  /** Of the whole request first, then of the parts of its prompt. */
+  fingerprints: readonly string[];
+  /** Those of them that were suspects when the run started. */
+  suspects: readonly string[];
+};
 
-/** A crash of a server, with the fingerprints of what it was running. */
+/** A crash of a server, and what it was running. */
 export type ServerCrash = {
   /** Address of the server, or its instance name. */
   server: string;
-  running: readonly string[];
-  /** Those of them that were started as suspects. */
-  suspects: readonly string[];
+  runs: readonly CrashedRun[];
 };
 
-type Crash = { at: number; fingerprints: ReadonlySet<string> };
-
 type Run = { fingerprint: string; backendServer: string; expiresAt: number };
 
 /** Suspects, quarantined fingerprints and the one suspect that is running. */
 export class CrashSuspects {
-  /** Ordered by the last change, oldest first. */
-  readonly #statuses = new Map<string, FingerprintStatus>();
-  /** Last crash of each server, oldest first. */
-  readonly #crashes = new Map<string, Crash>();
+  readonly #statuses = new FingerprintStatuses();
   readonly #rule: QuarantineRule;
-  /** Fingerprints whose status has changed since it was last taken. */
-  readonly #changed = new Set<string>();
+  readonly #reports = new CrashReports();
+  readonly #recentCrashes = new RecentCrashes();
+  readonly #completeRuns = new CompleteRuns();
   #run: Run | undefined;
 
   constructor(rule: QuarantineRule = new IsolatedRunRule()) {
     this.#rule = rule;
   }
 
-  /** Returns how to handle a request with this fingerprint now. */
+  /** Returns how to handle a request with this fingerprint alone now. */
   verdict(fingerprint: string, now: number): SuspectVerdict {
-    const status = this.#currentStatus(fingerprint, now);
-    if (status === undefined || status.kind === "clear") {
-      return { kind: "clear" };
-    }
-    if (status.kind === "suspect") {
-      const { crashes, servers } = status;
-      return { kind: "suspect", crashes, servers };
+    return this.verdictOf([fingerprint], now);
+  }
+
+  /** Returns how to handle a request with all these fingerprints now. */
+  verdictOf(fingerprints: readonly string[], now: number): SuspectVerdict {
+    if (this.#statuses.isEmpty) return { kind: "clear" };
+    const [key] = this.#statuses.quarantinesOf(fingerprints, now);
+    if (key !== undefined) {
+      const { expiresAt } = this.#statuses.get(key, now)!;
+      return {
+        kind: "quarantined",
+        fingerprints: fingerprintsOfKey(key),
+        retryAfter: expiresAt - now,
+      };
     }
-    return { kind: "quarantined", retryAfter: status.expiresAt - now };
+    const suspects = fingerprints
+      .filter((fingerprint) => this.#isSuspect(fingerprint, now));
+    if (suspects.length === 0) return { kind: "clear" };
+    const statuses = suspects
+      .map((fingerprint) => this.#statuses.get(fingerprint, now)!);
+    return {
+      kind: "suspect",
+      fingerprints: suspects,
+      crashes: Math.max(...statuses.map(({ crashes }) => crashes)),
+      servers: [...new Set(statuses.flatMap(({ servers }) => servers))],
+    };
+  }
+
+  /**
+   * Crashes under a fingerprint since its last complete run, and the complete
+   * runs of a prompt part that are remembered.
+   */
+  evidence(
+    fingerprint: string,
+    now: number,
+  ): { crashes: number; completeRuns: number } {
+    return {
+      crashes: this.#statuses.get(fingerprint, now)?.crashes ?? 0,
+      completeRuns: this.#completeRuns.count(fingerprint, now),
+    };
   }
 
   /** Whether no other suspect is running. */
@@ -110,7 +178,7 @@
   ): boolean {
     if (!this.mayStartRun(now)) return false;
     this.#run = { fingerprint, backendServer, expiresAt: now + RUN_TIMEOUT };
-    this.#crashes.delete(backendServer);
+    this.#reports.forget(backendServer);
     return true;
   }
 
@@ -122,16 +190,17 @@
   /** Records a successful run, which clears the fingerprint. */
   recordCleanRun(fingerprint: string, now: number): void {
     this.cancelRun(fingerprint);
-    const status = this.#currentStatus(fingerprint, now);
-    if (status?.kind !== "suspect") return;
-    this.#store(fingerprint, {
-      kind: "clear",
-      revision: status.revision + 1,
-      crashes: 0,
-      soleSuspectCrashes: 0,
-      servers: [],
-      expiresAt: now + SUSPICION_DURATION,
-    });
+    this.recordServedPart(fingerprint, now);
+    const status = this.#statuses.get(fingerprint, now);
+    if (status?.kind === "suspect") this.#clear(fingerprint, status, now);
+  }
+
+  /**
+   * Records a successful run under a prompt part without any effect on a
+   * suspicion, which only the granting entry clears.
+   */
+  recordServedPart(fingerprint: string, now: number): void {
+    if (isPromptPart(fingerprint)) this.#completeRuns.record(fingerprint, now);
   }
 
   /**
@@ -145,156 +214,240 @@
   ): void {
     if (this.#run?.backendServer === backendServer) this.#run = undefined;
     const running = new Set(fingerprints);
-    if (this.#isDuplicate(running, backendServer, now)) return;
-    this.#crashes.delete(backendServer);
-    this.#crashes.set(backendServer, { at: now, fingerprints: running });
-    evictOldest(this.#crashes, MAXIMUM_CRASHES);
-    this.recordServerCrash({
-      server: backendServer,
-      running: [...running],
+    if (!this.#reports.isNew(running, backendServer, now)) return;
+    const runs = [...running].map((fingerprint) => ({
+      fingerprints: [fingerprint],
       suspects: [],
-    }, now);
+    }));
+    this.recordServerCrash({ server: backendServer, runs }, now);
   }
 
   /** Records a crash that is reported once. */
-  recordServerCrash(crash: ServerCrash, now: number): void {
-    for (const fingerprint of new Set(crash.running)) {
-      this.#addCrash(fingerprint, crash, now);
+  recordServerCrash({ server, runs }: ServerCrash, now: number): void {
+    const causes = runs.filter(({ fingerprints }) =>
+      this.#statuses.quarantinesOf(fingerprints, now).length > 0
+    );
+    if (causes.length > 0) {
+      for (const { fingerprints } of causes) {
+        this.#addQuarantinedCrash(fingerprints, server, now);
+      }
+      return;
+    }
+    this.#recentCrashes
+      .record(runs.map(({ fingerprints }) => fingerprints), now);
+    const soleSuspect = this.#soleSuspect(runs, now);
+    const sole = this.#currentSuspects(soleSuspect, now);
+    for (const fingerprint of namesOf(runs)) {
+      this.#addCrash(fingerprint, server, sole.includes(fingerprint), now);
+    }
+    const ranAlone = runs.length === 1;
+    for (const { fingerprints: [request] } of runs) {
+      this.#quarantineIfProven(request!, ranAlone, now);
+    }
+    if (soleSuspect !== undefined) {
+      this.#quarantinePartsIfProven(soleSuspect.fingerprints, ranAlone, now);
     }
   }
 
   /** Returns the statuses that are valid now, to be sent to peers. */
   statements(now: number): SuspectStatement[] {
-    return this.#statementsOf(this.#statuses.keys(), now);
+    return this.#statuses.statements(now);
   }
 
   /** Returns the statuses that have changed since the last call. */
   takeChanges(now: number): SuspectStatement[] {
-    const changes = this.#statementsOf(this.#changed, now);
-    this.#changed.clear();
-    return changes;
+    return this.#statuses.takeChanges(now);
   }
 
-  /**
-   * Merges a peer's statements; the result does not depend on order or
-   * repetition.
-   */
+  /** See {@link FingerprintStatuses.merge}. */
   merge(statements: readonly SuspectStatement[], now: number): void {
-    for (const statement of statements) {
-      const { fingerprint, remaining, ...stated } = statement;
-      const status = this.#currentStatus(fingerprint, now);
-      if (!supersedes(statement, status)) continue;
-      this.#store(fingerprint, { ...stated, expiresAt: now + remaining });
-    }
+    this.#statuses.merge(statements, now);
+  }
+
+  /** Whether the fingerprint is suspected, and not trusted for its runs. */
+  #isSuspect(fingerprint: string, now: number): boolean {
+    const status = this.#statuses.get(fingerprint, now);
+    if (status?.kind !== "suspect") return false;
+    if (this.#completeRuns.count(fingerprint, now) === 0) return true;
+    const duration = status.lastCrashAt - status.firstCrashAt;
+    return status.crashes >= UNTRUSTED_CRASHES && duration >= UNTRUSTED_AFTER;
   }
 
   /**
-   * Whether this crash, identified by its server and the requests, was reported
-   * before.
+   * The run that was started as a suspect, if no other run at the server was,
+   * or should be by now.
    */
-  #isDuplicate(
-    running: ReadonlySet<string>,
-    backendServer: string,
+  #soleSuspect(
+    runs: readonly CrashedRun[],
     now: number,
-  ): boolean {
-    const last = this.#crashes.get(backendServer);
-    if (last === undefined || now - last.at >= DUPLICATE_CRASH_WINDOW) {
-      return false;
-    }
-    if (last.fingerprints.size !== running.size) return false;
-    return [...running].every((fingerprint) =>
-      last.fingerprints.has(fingerprint)
-    );
+  ): CrashedRun | undefined {
+    const suspectRuns = runs.filter(({ fingerprints, suspects }) => {
+      if (suspects.length > 0) return true;
+      const verdict = this.verdictOf(fingerprints, now);
+      return verdict.kind === "suspect" && verdict.crashes >= ISOLATED_FROM;
+    });
+    const [run, ...others] = suspectRuns;
+    return others.length === 0 && run?.suspects.length ? run : undefined;
   }
 
-  #statementsOf(
-    fingerprints: Iterable<string>,
-    now: number,
-  ): SuspectStatement[] {
-    const statements: SuspectStatement[] = [];
-    for (const fingerprint of fingerprints) {
-      const status = this.#statuses.get(fingerprint);
-      if (status === undefined || status.expiresAt <= now) continue;
-      const { expiresAt, ...stated } = status;
-      statements.push({ fingerprint, ...stated, remaining: expiresAt - now });
-    }
-    return statements;
+  /** What a run was started as a suspect for and has not been cleared of. */
+  #currentSuspects(run: CrashedRun | undefined, now: number): string[] {
+    return run === undefined
+      ? []
+      : run.suspects.filter((fingerprint) =>
+        this.#statuses.get(fingerprint, now)?.kind !== "clear"
+      );
   }
 
   #addCrash(
     fingerprint: string,
-    { server, running, suspects }: ServerCrash,
+    server: string,
+    wasSoleSuspect: boolean,
     now: number,
   ): void {
-    const status = this.#currentStatus(fingerprint, now);
-    const crashes = (status?.crashes ?? 0) + 1;
-    const soleSuspectCrashes = (status?.soleSuspectCrashes ?? 0) +
-      (suspects.length === 1 && suspects[0] === fingerprint ? 1 : 0);
-    const ranAlone = running.length === 1;
-    const quarantined = this.#rule
-      .isProven({ crashes, soleSuspectCrashes, ranAlone });
+    const status = this.#statuses.get(fingerprint, now);
+    const isCounting = status !== undefined && status.crashes > 0;
+    const soleSuspectCrashes = status?.soleSuspectCrashes ?? 0;
     const others = (status?.servers ?? []).filter((other) => other !== server);
-    this.#store(fingerprint, {
-      kind: quarantined ? "quarantined" : "suspect",
+    this.#statuses.set(fingerprint, {
+      kind: "suspect",
       revision: (status?.revision ?? 0) + 1,
-      crashes,
-      soleSuspectCrashes,
+      crashes: (status?.crashes ?? 0) + 1,
+      soleSuspectCrashes: soleSuspectCrashes + (wasSoleSuspect ? 1 : 0),
+      quarantines: status?.quarantines ?? 0,
       servers: [server, ...others].slice(0, MAXIMUM_SERVERS),
-      expiresAt: now + (quarantined ? QUARANTINE_DURATION : SUSPICION_DURATION),
+      firstCrashAt: isCounting ? status.firstCrashAt : now,
+      lastCrashAt: now,
+      expiresAt: now + SUSPICION_DURATION,
     });
   }
 
   /**
-   * Returns the status at `now`; a quarantine that has ended becomes a
-   * suspicion.
+   * Counts a crash under a request that was granted before its quarantine. If
+   * only the whole request is quarantined, its parts remain possible causes.
    */
-  #currentStatus(
-    fingerprint: string,
+  #addQuarantinedCrash(
+    fingerprints: readonly string[],
+    server: string,
     now: number,
-  ): FingerprintStatus | undefined {
-    const status = this.#statuses.get(fingerprint);
-    if (status === undefined || now < status.expiresAt) return status;
-    if (
-      status.kind !== "quarantined" ||
-      now >= status.expiresAt + SUSPICION_DURATION
-    ) {
-      this.#forget(fingerprint);
-      return undefined;
+  ): void {
+    const keys = this.#statuses.quarantinesOf(fingerprints, now);
+    for (const key of keys) {
+      const status = this.#statuses.get(key, now)!;
+      const others = status.servers.filter((other) => other !== server);
+      this.#statuses.set(key, {
+        ...status,
+        revision: status.revision + 1,
+        crashes: status.crashes + 1,
+        servers: [server, ...others].slice(0, MAXIMUM_SERVERS),
+        lastCrashAt: now,
+      });
     }
-    const renewed: FingerprintStatus = {
-      ...status,
-      kind: "suspect",
-      revision: status.revision + 1,
-      expiresAt: status.expiresAt + SUSPICION_DURATION,
-    };
-    this.#store(fingerprint, renewed);
-    return renewed;
+    const [request, ...parts] = fingerprints;
+    if (keys.some((key) => key !== request)) return;
+    for (const part of parts) this.#addCrash(part, server, false, now);
   }
 
-  #store(fingerprint: string, status: FingerprintStatus): void {
-    this.#statuses.delete(fingerprint);
-    this.#statuses.set(fingerprint, status);
-    this.#changed.add(fingerprint);
-    if (this.#statuses.size > MAXIMUM_FINGERPRINTS) this.#evict();
+  #quarantineIfProven(request: string, ranAlone: boolean, now: number): void {
+    const status = this.#statuses.get(request, now);
+    if (status?.kind !== "suspect") return;
+    if (this.#rule.isProven({ ...status, ranAlone })) {
+      this.#quarantine([request], now);
+    }
   }
 
-  /** Evicts the status that changed longest ago, quarantines last. */
-  #evict(): void {
-    for (const [fingerprint, { kind }] of this.#statuses) {
-      if (kind !== "quarantined") return this.#forget(fingerprint);
+  /**
+   * Quarantines a part of the prompt of a request that was the only suspect at
+   * its server, if the crashes prove it. Parts that may as well be the cause are
+   * quarantined only together, so that a request with one of them and without
+   * the others shows which it is.
+   */
+  #quarantinePartsIfProven(
+    [request, ...parts]: readonly string[],
+    ranAlone: boolean,
+    now: number,
+  ): void {
+    const requestCrashes = this.#statuses.get(request!, now)?.crashes ?? 0;
+    const suspects = parts
+      .filter((part) => this.#isSuspect(part, now))
+      .map((part) => ({ part, status: this.#statuses.get(part, now)! }))
+      .sort((one, other) => other.status.crashes - one.status.crashes);
+    const isProven = suspects.some(({ status }) =>
+      this.#rule.isPartProven(
+        { ...status, ranAlone },
+        status.crashes - requestCrashes,
+      )
+    );
+    if (!isProven) return;
+    const mostCrashes = suspects[0]!.status.crashes;
+    const possible = suspects.filter(({ status: { crashes } }) =>
+      crashes >= ISOLATED_FROM &&
+      (crashes > requestCrashes || mostCrashes - crashes < CLEAR_LEAD)
+    );
+    this.#quarantine(
+      possible.slice(0, MAXIMUM_SET).map(({ part }) => part),
+      now,
+    );
+  }
+
+  /** Quarantines requests that have all these fingerprints. */
+  #quarantine(fingerprints: readonly string[], now: number): void {
+    const key = quarantineKey(fingerprints);
+    const statuses = fingerprints
+      .map((fingerprint) => this.#statuses.get(fingerprint, now)!);
+    const previous = this.#statuses.get(key, now);
+    const quarantines = 1 + (previous?.quarantines ?? 0);
+    const isFirstOfPart = quarantines === 1 && isPromptPart(fingerprints[0]!);
+    const duration = isFirstOfPart
+      ? FIRST_PART_QUARANTINE_DURATION
+      : QUARANTINE_DURATION;
+    // Each part remains a suspect when the quarantine has ended.
+    const suspectUntil = now + duration + SUSPICION_DURATION;
+    for (const [index, fingerprint] of fingerprints.entries()) {
+      const status = { ...statuses[index]!, expiresAt: suspectUntil };
+      this.#statuses.set(fingerprint, status);
+    }
+    this.#statuses.set(key, {
+      ...statuses[0]!,
+      kind: "quarantined",
+      revision: (previous?.revision ?? 0) + 1,
+      quarantines,
+      expiresAt: now + duration,
+    });
+    for (const cleared of this.#recentCrashes.explain(fingerprints)) {
+      this.#removeCrash(cleared, now);
     }
-    const [oldest] = this.#statuses.keys();
-    if (oldest !== undefined) this.#forget(oldest);
   }
 
-  #forget(fingerprint: string): void {
-    this.#statuses.delete(fingerprint);
-    this.#changed.delete(fingerprint);
+  /** Takes back a crash of which the cause was found. */
+  #removeCrash({ fingerprint, at }: ClearedCrash, now: number): void {
+    const status = this.#statuses.get(fingerprint, now);
+    if (status?.kind !== "suspect" || status.firstCrashAt > at) return;
+    if (status.crashes <= 1) return this.#clear(fingerprint, status, now);
+    const { revision, crashes } = status;
+    this.#statuses.set(fingerprint, {
+      ...status,
+      revision: revision + 1,
+      crashes: crashes - 1,
+    });
+  }
+
+  #clear(fingerprint: string, status: FingerprintStatus, now: number): void {
+    this.#statuses.set(fingerprint, {
+      kind: "clear",
+      revision: status.revision + 1,
+      crashes: 0,
+      soleSuspectCrashes: 0,
+      quarantines: 0,
+      servers: [],
+      firstCrashAt: now,
+      lastCrashAt: now,
+      expiresAt: now + SUSPICION_DURATION,
+    });
   }
 }
 
-function evictOldest<Value>(map: Map<string, Value>, capacity: number): void {
-  if (map.size <= capacity) return;
-  const [oldest] = map.keys();
-  if (oldest !== undefined) map.delete(oldest);
+/** All fingerprints of the runs, each once. */
+function namesOf(runs: readonly CrashedRun[]): Set<string> {
+  return new Set(runs.flatMap(({ fingerprints }) => fingerprints));
 }
--- a/packages/decisions/test/burst_test.ts
+++ b/packages/decisions/test/burst_test.ts
@@ -75,6 +75,7 @@
     expiresAt: now + 1600,
     deadline: now + 12_000,
     fingerprint: String(index),
+    promptParts: [],
     jitter: 0.5,
     excludedServers: [],
   };
--- a/packages/decisions/test/crash_containment_test.ts
+++ b/packages/decisions/test/crash_containment_test.ts
@@ -3,6 +3,7 @@
 import { CrashSuspects, GroupScheduler, SoleSuspectRule } from "../src/mod.ts";
 import type { GrantDecision, RunOutcome } from "../src/mod.ts";
 import { grantRequest } from "./grant_requests.ts";
+import { serverCrash } from "./server_crash.ts";
 import { serverRecord } from "./server_record.ts";
 
 const LEEWAY = { window: 8000, overage: 0, slack: 0 };
@@ -99,8 +100,7 @@
   const names = ["one", "two", "three"];
   for (const port of [80, 81]) {
     const server = `10.0.0.1:${port}`;
-    fixture.suspects
-      .recordServerCrash({ server, running: names, suspects: [] }, 0);
+    fixture.suspects.recordServerCrash(serverCrash(server, names), 0);
   }
   for (const name of names) fixture.submit(name);
   const servers = names.map((name) => fixture.serverOf(name));
@@ -114,8 +114,7 @@
   const fixture = new Fixture(2);
   const names = Array.from({ length: 16 }, (_, index) => `cut-${index}`);
   const server = "10.0.0.1:80";
-  fixture.suspects
-    .recordServerCrash({ server, running: names, suspects: [] }, 0);
+  fixture.suspects.recordServerCrash(serverCrash(server, names), 0);
   for (const name of names) fixture.submit(name);
   t.ok(fixture.running.size > 2, `${fixture.running.size} run`);
   t.end();
@@ -186,7 +185,7 @@
   let crashes = 0;
   while (fixture.kindOf("fatal") !== "quarantined" && crashes < 10) {
     const running = [`victim-${crashes}`];
-    fixture.suspects.recordServerCrash({ server, running, suspects: [] }, 0);
+    fixture.suspects.recordServerCrash(serverCrash(server, running), 0);
     fixture.submit(`victim-${crashes}`);
     fixture.submit("fatal");
     fixture.crash(fixture.serverOf("fatal")!);
--- a/packages/decisions/test/fleet_simulation.ts
+++ b/packages/decisions/test/fleet_simulation.ts
@@ -214,6 +214,7 @@
       expiresAt: now + Math.min(profile.maximumWait, (deadline - now) / 4),
       deadline,
       fingerprint: `${profile.name}-${call.arrivedAt}`,
+      promptParts: [],
       jitter: this.#random(),
       excludedServers: [],
     };
--- a/packages/decisions/test/grant_requests.ts
+++ b/packages/decisions/test/grant_requests.ts
@@ -26,6 +26,7 @@
     expiresAt: arrived + 2000,
     deadline: arrived + 12_000,
     fingerprint: `print-${number}`,
+    promptParts: [],
     jitter: 0.5,
     excludedServers: [],
     ...changes,
--- a/packages/decisions/test/suspects_test.ts
+++ b/packages/decisions/test/suspects_test.ts
@@ -1,6 +1,7 @@
 import fc from "fast-check";
 import t from "tap";
 import { CrashSuspects, SoleSuspectRule } from "../src/mod.ts";
+import { serverCrash } from "./server_crash.ts";
 
 t.test("a second crash while alone quarantines, a successful run clears", (t) => {
   // A request that crashes its engine makes its neighbours suspects as well.
@@ -20,6 +21,7 @@
   suspects.recordCrash(["poison"], "s2", 12);
   t.strictSame(suspects.verdict("poison", 13), {
     kind: "quarantined",
+    fingerprints: ["poison"],
     retryAfter: 599_999,
   });
   t.ok(
@@ -168,10 +170,10 @@
   const other = new CrashSuspects(new SoleSuspectRule());
   const running = ["poison", "neighbour"];
   for (let crash = 0; crash < 5; crash++) {
-    other.recordServerCrash({ server: `t${crash}`, running, suspects: [] }, 0);
+    other.recordServerCrash(serverCrash(`t${crash}`, running), 0);
     const suspects = crash < 3 ? ["poison"] : [];
     if (crash > 2) continue;
-    one.recordServerCrash({ server: `s${crash}`, running, suspects }, 0);
+    one.recordServerCrash(serverCrash(`s${crash}`, running, suspects), 0);
   }
   other.merge(one.statements(1), 1);
   one.merge(other.statements(1), 1);
--- a/packages/gateway/src/front/header_names.ts
+++ b/packages/gateway/src/front/header_names.ts
@@ -21,6 +21,13 @@
   seal: string;
   /** Prompt tokens and maximum output tokens, separated by a comma. */
   tokenUsage: string;
+  /** Name of the model that the request is for. */
+  model: string;
+  /**
+   * Parts of the prompt in order, as `id:tokens` entries separated by commas;
+   * the last one belongs to the request alone.
+   */
+  promptParts: string;
   /** A caller's estimate of the output tokens. */
   expectedOutputTokens: string;
   /** Id of the last event received, to resume a stream after it. */
--- a/packages/gateway/src/front/parsed_request.ts
+++ b/packages/gateway/src/front/parsed_request.ts
@@ -3,6 +3,7 @@
 import type { Cost } from "@sycamorepulley/decisions";
 import { forwardedHeaders } from "./forwarded_headers.ts";
 import type { HeaderNames } from "./header_names.ts";
+import { parsePromptParts } from "./prompt_parts.ts";
 
 /** A caller's request as received. Times are in milliseconds. */
 export type ParsedRequest = {
@@ -14,6 +15,8 @@
   credential: string | undefined;
   /** Prompt tokens and maximum output tokens, as the caller states. */
   statedTokens: Cost | undefined;
+  /** Fingerprints of the parts of the prompt that other requests may share. */
+  promptParts: string[];
   /** The caller's estimate of the output tokens. */
   expectedOutputTokens: number | undefined;
   /** How long the caller waits from the time of sending. */
@@ -44,6 +47,8 @@
       [
         headerNames.requestId,
         headerNames.tokenUsage,
+        headerNames.model,
+        headerNames.promptParts,
         headerNames.lastEventId,
         "host",
       ]
@@ -62,6 +67,10 @@
       statedTokens: parseTokenUsage(
         headerValue(message, headerNames.tokenUsage),
       ),
+      promptParts: parsePromptParts(
+        headerValue(message, headerNames.promptParts),
+        headerValue(message, headerNames.model),
+      ),
       expectedOutputTokens: parsePositive(
         headerValue(message, headerNames.expectedOutputTokens),
       ),
--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -1,6 +1,15 @@
 /** All events that the gateway may log; durations in milliseconds. @module */
 import type { ServerChange, StatePosition } from "@sycamorepulley/decisions";
 
+/** What speaks against and for a part of a prompt. */
+export type PartEvidence = {
+  part: string;
+  /** Crashes since its last complete run. */
+  crashes: number;
+  /** Complete runs lately, also those before the crashes. */
+  completeRuns: number;
+};
+
 /** A decision, or a change of what the process knows. */
 export type LogEvent =
   | { event: "started"; dataCentre: string; startTime: number }
@@ -95,8 +104,8 @@
     organisation: string;
     /** Charge to the quota: tokens, or 1 if the quota counts requests. */
     charge: number;
-    /** Set if the request may crash servers. */
-    suspect?: string;
+    /** Fingerprints of the request under which servers have crashed. */
+    suspects?: string[];
     /**
      * Requests per second that the server states, the entry that observed it,
      * and the age of the observation. Absent while the server states no limit.
@@ -120,20 +129,26 @@
   | { event: "server_leaving"; server: string; by: string }
   /**
    * A server crashed while it ran requests with these fingerprints; `suspects`
-   * are those that had run during a crash before.
+   * are the fingerprints that had run during a crash before.
    */
   | {
     event: "server_crashed";
     server: string;
     running: string[];
+    /** Parts of the prompts of these requests. */
+    parts: PartEvidence[];
     suspects: string[];
   }
-  /** A request is refused from now on; `servers` crashed last under it. */
+  /**
+   * A request, or requests with some prompt parts, are refused for `duration`
+   * milliseconds; `servers` crashed last under them.
+   */
   | {
     event: "request_quarantined";
     fingerprint: string;
     crashes: number;
     servers: string[];
+    duration: number;
   }
   /** A server wants no requests of this entry for `duration` milliseconds. */
   | { event: "server_backoff"; server: string; duration: number }
@@ -153,6 +168,8 @@
     organisation?: string;
     tierRank?: number;
     routeRank?: number;
+    /** Fingerprints of the request that are quarantined together. */
+    quarantined?: string[];
     /** The entry that decided, and its inputs; see `RefusalInputs`. */
     by?: string;
     free?: number;
--- a/packages/gateway/src/peers/grant_client.ts
+++ b/packages/gateway/src/peers/grant_client.ts
@@ -221,6 +221,9 @@
     if (pending === undefined) return;
     this.#pending.delete(id);
     const backoff = this.#requestedBackoff(pending);
+    if (outcome === "answered") {
+      this.suspects.recordServed(pending.request.promptParts);
+    }
     if (this.#grantsLocally) {
       this.#localGranter.recordRequestedBackoff(id, backoff);
       this.#localGranter.recordEnd(id, outcome, timing);
--- a/packages/gateway/src/peers/grant_request_message.ts
+++ b/packages/gateway/src/peers/grant_request_message.ts
@@ -28,6 +28,7 @@
     lapsesIn: request.expiresAt - now,
     endsIn: request.deadline - now,
     fingerprint: request.fingerprint,
+    promptParts: [...request.promptParts],
     spread: request.jitter,
     avoid: [...request.excludedServers],
     ...(runsAt === undefined ? {} : { runsAt }),
@@ -58,6 +59,7 @@
     expiresAt: now + message.lapsesIn,
     deadline: now + message.endsIn,
     fingerprint: message.fingerprint,
+    promptParts: message.promptParts,
     jitter: message.spread,
     excludedServers: message.avoid,
   };
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -30,6 +30,8 @@
   lapsesIn: duration,
   endsIn: duration,
   fingerprint: text,
+  /** Earlier versions don't state them. */
+  promptParts: v.optional(v.array(text), []),
   spread: duration,
   avoid: v.array(text),
   /**
@@ -84,6 +86,8 @@
   revision: count,
   crashes: count,
   soleSuspectCrashes: count,
+  /** Earlier versions don't count them. */
+  quarantines: v.optional(count, 0),
   servers: v.array(text),
   /** Milliseconds for which the statement is valid. */
   remaining: duration,
--- a/packages/gateway/src/peers/shared_suspects.ts
+++ b/packages/gateway/src/peers/shared_suspects.ts
@@ -16,6 +16,7 @@
   SuspectVerdict,
 } from "@sycamorepulley/decisions";
 import type { EventLog } from "../observe/event_log.ts";
+import type { PartEvidence } from "../observe/events.ts";
 import type { PeerMessage } from "./messages.ts";
 import type { Peers } from "./peers.ts";
 
@@ -49,9 +50,18 @@
     this.#onQuarantine = options.onQuarantine;
   }
 
-  /** How to handle a request with this fingerprint now. */
-  verdict(fingerprint: string): SuspectVerdict {
-    return this.known.verdict(fingerprint, this.#clock());
+  /** How to handle a request with these fingerprints now. */
+  verdict(fingerprints: readonly string[]): SuspectVerdict {
+    return this.known.verdictOf(fingerprints, this.#clock());
+  }
+
+  /**
+   * Records that a request of this entry was served. If this entry becomes the
+   * granting entry, it trusts the parts of the prompt.
+   */
+  recordServed(promptParts: readonly string[]): void {
+    const now = this.#clock();
+    for (const part of promptParts) this.known.recordServedPart(part, now);
   }
 
   /** The quarantines in force. */
@@ -66,12 +76,16 @@
   }
 
   /** Logs a crash that this entry has recorded as the granting entry. */
-  logCrash({ server, running, suspects }: ServerCrash): void {
+  logCrash({ server, runs }: ServerCrash): void {
+    const parts = new Set(
+      runs.flatMap(({ fingerprints }) => fingerprints.slice(1)),
+    );
     this.#log.write({
       event: "server_crashed",
       server,
-      running: [...running],
-      suspects: [...suspects],
+      running: runs.map(({ fingerprints }) => fingerprints[0]!),
+      parts: [...parts].map((part) => this.#partEvidence(part)),
+      suspects: [...new Set(runs.flatMap(({ suspects }) => suspects))],
     });
   }
 
@@ -125,11 +139,20 @@
     }
   }
 
+  #partEvidence(part: string): PartEvidence {
+    return { part, ...this.known.evidence(part, this.#clock()) };
+  }
+
   #logQuarantines(changes: readonly SuspectStatement[]): void {
-    for (const { fingerprint, kind, crashes, servers } of changes) {
+    for (const { fingerprint, kind, crashes, servers, remaining } of changes) {
       if (kind !== "quarantined") continue;
-      const event = "request_quarantined";
-      this.#log.write({ event, fingerprint, crashes, servers });
+      this.#log.write({
+        event: "request_quarantined",
+        fingerprint,
+        crashes,
+        servers,
+        duration: Math.round(remaining),
+      });
     }
   }
 }
--- a/packages/gateway/src/request/final_response.ts
+++ b/packages/gateway/src/request/final_response.ts
@@ -20,6 +20,8 @@
   /** Until the deadline of the request. */
   remainingTime: number;
   retryAfter?: number | undefined;
+  /** Fingerprints of the request that are quarantined together. */
+  quarantined?: readonly string[];
   /** The entry that refused the request, and the inputs of its decision. */
   decision?: { by: string; inputs: RefusalInputs } | undefined;
 };
@@ -85,7 +87,8 @@
   /** Sends an error, or aborts a response that has already started. */
   giveUp(options: GiveUpOptions): void {
     if (this.#caller.disconnected || this.#settled) return;
-    const { reason, mayHaveRun, remainingTime, retryAfter, decision } = options;
+    const { reason, mayHaveRun, remainingTime, retryAfter } = options;
+    const { decision, quarantined } = options;
     if (this.#caller.responseStarted) {
       this.abort(undefined, reason);
       return;
@@ -102,6 +105,7 @@
       retryAfter: limitedRetryAfter ?? 0,
       mayHaveRun,
       ...(decision && { decision }),
+      ...(quarantined && { quarantined }),
     });
   }
 }
--- a/packages/gateway/src/request/request_report.ts
+++ b/packages/gateway/src/request/request_report.ts
@@ -31,8 +31,8 @@
       waited: number;
       by: string;
       attempt: number;
-      /** Fingerprint, if the request may crash servers. */
-      suspect: string | undefined;
+      /** Its fingerprints under which servers have crashed. */
+      suspects: readonly string[];
     },
   ): void {
     const { metrics, log, grantClient, clock } = this.#context;
@@ -51,7 +51,7 @@
       attempt: grant.attempt,
       organisation,
       charge,
-      ...(grant.suspect !== undefined && { suspect: grant.suspect }),
+      ...(grant.suspects.length > 0 && { suspects: [...grant.suspects] }),
       ...(limit && {
         limit: limit.perSecond,
         limitBy: limit.by,
@@ -93,12 +93,14 @@
       mayHaveRun: boolean;
       /** Set if a granting entry refused the request. */
       decision?: { by: string; inputs: RefusalInputs };
+      /** Fingerprints of the request that are quarantined together. */
+      quarantined?: readonly string[];
     },
   ): void {
     const { metrics, log } = this.#context;
     const { service, organisation, tierRank, routeRank } = this.#resolved;
     const { cost, charge } = this.#resolved;
-    const { decision } = response;
+    const { decision, quarantined } = response;
     if (response.mayHaveRun) metrics.failures.inc({ service, reason });
     else metrics.refusals.inc({ service, reason });
     log.write({
@@ -115,6 +117,7 @@
       promptTokens: cost.promptTokens,
       outputTokens: cost.outputTokens,
       charge,
+      ...(quarantined && { quarantined: [...quarantined] }),
       ...(decision && {
         by: decision.by,
         free: decision.inputs.free,
--- a/packages/gateway/src/request/request_task.ts
+++ b/packages/gateway/src/request/request_task.ts
@@ -8,8 +8,12 @@
  * route allows repetition, and it is never reported to the caller as not run.
  * @module
  */
-import { incarnationOf, isRepeatable } from "@sycamorepulley/decisions";
-import type { ServerRecord } from "@sycamorepulley/decisions";
+import {
+  fingerprintsOf,
+  incarnationOf,
+  isRepeatable,
+} from "@sycamorepulley/decisions";
+import type { ServerRecord, SuspectVerdict } from "@sycamorepulley/decisions";
 import type { ParsedRequest } from "../front/parsed_request.ts";
 import type { GrantResult } from "../peers/pending_grant.ts";
 import { ResponseProgress } from "./response_progress.ts";
@@ -143,7 +147,7 @@
     grant: number,
   ): Promise<{ id: string; server: ServerRecord } | undefined> {
     const { grantClient, clock, findServer } = this.#context;
-    const verdict = grantClient.suspects.verdict(this.#fingerprint);
+    const verdict = this.#suspectVerdict();
     if (verdict.kind === "quarantined") {
       this.#giveUp("quarantined", verdict.retryAfter);
       return undefined;
@@ -171,6 +175,7 @@
       ),
       deadline: this.#resolved.deadline,
       fingerprint: this.#fingerprint,
+      promptParts: this.#parsed.promptParts,
       jitter: this.#context.random(),
       excludedServers: [...this.#excludedServers],
     });
@@ -193,8 +198,8 @@
     }
     const waited = clock() - requestedAt;
     const { by } = grantResult;
-    const suspect = verdict.kind === "suspect" ? this.#fingerprint : undefined;
-    this.#report.recordGrant(record, { waited, by, attempt: grant, suspect });
+    const suspects = verdict.kind === "suspect" ? verdict.fingerprints : [];
+    this.#report.recordGrant(record, { waited, by, attempt: grant, suspects });
     return { id, server: record };
   }
 
@@ -212,6 +217,7 @@
     }
     if (
       this.#caller.disconnected || this.#timedOut ||
+      this.#suspectVerdict().kind === "quarantined" ||
       this.#excludeIfUnusable(incarnation)
     ) {
       grantClient.withdraw(grantId);
@@ -222,6 +228,15 @@
     this.#handleResult(target, await this.#runAttempt(target));
   }
 
+  #suspectVerdict(): SuspectVerdict {
+    return this.#context.grantClient.suspects.verdict(
+      fingerprintsOf({
+        fingerprint: this.#fingerprint,
+        promptParts: this.#parsed.promptParts,
+      }),
+    );
+  }
+
   /** Excludes the server if it may not be used any more; returns true if so. */
   #excludeIfUnusable(incarnation: string): boolean {
     if (this.#context.findServer(incarnation) !== undefined) return false;
@@ -357,8 +372,11 @@
     retryAfter?: number,
     decision?: GiveUpOptions["decision"],
   ): void {
+    const verdict = this.#suspectVerdict();
     this.#response.giveUp({
       reason,
+      ...(verdict.kind === "quarantined" &&
+        { quarantined: verdict.fingerprints }),
       mayHaveRun: this.#mayHaveRun,
       remainingTime: this.#resolved.deadline - this.#context.clock(),
       retryAfter,
--- a/packages/gateway/src/state/quarantine_records.ts
+++ b/packages/gateway/src/state/quarantine_records.ts
@@ -2,7 +2,7 @@
  * Keeps quarantines in the store, so that entries that are all restarted at the
  * same time refuse the same requests as before.
  *
- * Each quarantine is a key under a lease that ends with it. Running entries
+ * Each quarantine is a key under a lease that ends with it or later. Running entries
  * share quarantines directly, so the keys are only read at the start. When the
  * store has been restored from an older copy, the granting entry writes all that
  * it knows again.
@@ -18,6 +18,11 @@
 
 /** Prefix of the keys of quarantines; the fingerprint follows. */
 export const QUARANTINE_PREFIX = "sycamorepulley/quarantines/";
+/**
+ * Milliseconds for which a record is kept at least. The first quarantine of a
+ * prompt part is short and usually followed by a long one.
+ */
+const MINIMUM_LEASE = 60_000;
 /** Milliseconds until a failed call is repeated. */
 const RETRY_DELAY = 400;
 
@@ -104,7 +109,8 @@
     const startedAt = this.#clock();
     const remaining = Math.floor(endsAt - startedAt);
     if (remaining <= 0) return true;
-    const lease = await this.#store.grantLease(remaining);
+    const lease = await this.#store
+      .grantLease(Math.max(remaining, MINIMUM_LEASE));
     if (lease.isErr) return this.#recordFailure(lease.error, startedAt);
     const written = await this.#store.transact({
       expected: [],
--- a/packages/gateway/test/era_checked_store_test.ts
+++ b/packages/gateway/test/era_checked_store_test.ts
@@ -13,6 +13,7 @@
   kind: "quarantined" as const,
   revision: 3,
   crashes: 3,
+  quarantines: 1,
   soleSuspectCrashes: 1,
   servers: [],
   remaining: 60_000,
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -25,6 +25,8 @@
   serverLeaving: "X-Server-Leaving",
   seal: "X-Seal",
   tokenUsage: "X-Tokens",
+  model: "X-Model",
+  promptParts: "X-Prompt",
   expectedOutputTokens: "X-Expected-Tokens",
   lastEventId: "Last-Event-Id",
   reserved: ["X-Hold"],
--- a/packages/gateway/test/grant_client_test.ts
+++ b/packages/gateway/test/grant_client_test.ts
@@ -73,6 +73,7 @@
   expiresAt: 2000,
   deadline: 2000,
   fingerprint: "print",
+  promptParts: [],
   jitter: 0.5,
   excludedServers: [],
 };
--- a/packages/gateway/test/request_task_test.ts
+++ b/packages/gateway/test/request_task_test.ts
@@ -58,6 +58,7 @@
   } as unknown as CallerConnection;
   const parsed = {
     requestId: "r",
+    promptParts: [],
     forwardedHeaders: [],
     arrivedAt: 0,
   } as unknown as ParsedRequest;
