Suspect the messages of prompts in sidecars, and let the emulator crash under one

The daemon's entries and sidecars counted crashes for whole requests as well. Each message of a chat but the last has a fingerprint now; reservations and reports of crashes state them in fields that earlier versions ignore.

--- a/benchmarks/src/policies/entry.ts
+++ b/benchmarks/src/policies/entry.ts
@@ -187,7 +187,8 @@
   override handleCrash(fingerprints: readonly string[], server: number): void {
     const { now } = this.#fleet.loop;
     const name = this.#nameOf(server);
-    this.#suspects.recordCrash(fingerprints, name, now);
+    const requests = fingerprints.map((fingerprint) => [fingerprint]);
+    this.#suspects.recordCrash(requests, name, now);
     this.#ejection.recordFailure(name, "crash", now);
   }
 
--- a/packages/daemon/src/entry/chat_completion.ts
+++ b/packages/daemon/src/entry/chat_completion.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { createHash } from "node:crypto";
+import { PROMPT_PART_PREFIX } from "@sycamorepulley/decisions";
 import * as v from "valibot";
 
 const schema = v.looseObject({
@@ -22,6 +23,9 @@
  */
 const PREFIX_LENGTH = 1024;
 
+/** Maximum number of messages that are told apart; the first ones. */
+const MAXIMUM_PROMPT_PARTS = 32;
+
 /** Fields that determine a completion's backend server and estimated cost. */
 export type ChatCompletion = {
   model: string;
@@ -29,6 +33,11 @@
   maximumOutputTokens?: number | undefined;
   /** Hash of the model and the prompt's beginning; equal if both are equal. */
   prefixKey: string;
+  /**
+   * Fingerprints of the messages that other requests may share: all but the
+   * last.
+   */
+  promptParts: string[];
 };
 
 /** Returns undefined if the body is not a chat completion. */
@@ -48,9 +57,17 @@
     maximumOutputTokens: max_completion_tokens ?? max_tokens ?? undefined,
     prefixKey: createHash("sha256").update(model).update(beginning)
       .digest("base64url").slice(0, 16),
+    promptParts: messages.slice(0, -1).slice(0, MAXIMUM_PROMPT_PARTS)
+      .map((message) => partFingerprint(model, message)),
   };
 }
 
+function partFingerprint(model: string, message: unknown): string {
+  const hash = createHash("sha256").update(model)
+    .update(JSON.stringify(message));
+  return PROMPT_PART_PREFIX + hash.digest("base64url").slice(0, 22);
+}
+
 function parseJson(body: Uint8Array): unknown {
   try {
     return JSON.parse(Buffer.from(body).toString("utf8"));
--- a/packages/daemon/src/entry/directory_listener.ts
+++ b/packages/daemon/src/entry/directory_listener.ts
@@ -6,6 +6,7 @@
   Message,
 } from "@sycamorepulley/protocol";
 import { monotonicNow } from "../common/clock.ts";
+import { crashedRuns } from "../common/crashed_runs.ts";
 import type { ServiceState } from "./service_state.ts";
 import type {
   SidecarDirectory,
@@ -98,7 +99,7 @@
     if (service === undefined) return;
     const serviceState = this.#options.serviceState(service);
     serviceState.suspects.recordCrash(
-      crash.fingerprints,
+      crashedRuns(crash),
       crash.backendServer,
       now,
     );
--- a/packages/daemon/src/entry/placement_task.ts
+++ b/packages/daemon/src/entry/placement_task.ts
@@ -4,7 +4,7 @@
  * slot, and withdraws the other reservations.
  * @module
  */
-import { ReservationPlan } from "@sycamorepulley/decisions";
+import { fingerprintsOf, ReservationPlan } from "@sycamorepulley/decisions";
 import type { HandOverMessage, ReserveMessage } from "@sycamorepulley/protocol";
 import { monotonicNow } from "../common/clock.ts";
 import type { Metrics } from "../common/metrics.ts";
@@ -51,9 +51,10 @@
 
   constructor(options: PlacementTaskOptions) {
     this.#options = options;
-    const { prefixKey, arrived, fingerprint } = options.request;
+    const { prefixKey, arrived } = options.request;
     const { suspects } = options.serviceState;
-    const verdict = suspects.verdict(fingerprint, monotonicNow());
+    const verdict = suspects
+      .verdictOf(fingerprintsOf(options.request), monotonicNow());
     this.#suspect = verdict.kind === "suspect";
     this.#plan = new ReservationPlan({
       prefixKey,
@@ -240,6 +241,7 @@
       cost: request.cost,
       remaining: request.deadline - now,
       fingerprint: request.fingerprint,
+      promptParts: [...request.promptParts],
       ...(request.firstTokenBy === undefined
         ? {}
         : { firstTokenRemaining: request.firstTokenBy - now }),
--- a/packages/daemon/src/entry/request_task.ts
+++ b/packages/daemon/src/entry/request_task.ts
@@ -2,7 +2,7 @@
  * The task that runs one caller's request from admission to the final response.
  * @module
  */
-import { RequestLifecycle } from "@sycamorepulley/decisions";
+import { fingerprintsOf, RequestLifecycle } from "@sycamorepulley/decisions";
 import { monotonicNow } from "../common/clock.ts";
 import type { ResponseSink } from "./response_sink.ts";
 import { Mailbox } from "./mailbox.ts";
@@ -98,11 +98,12 @@
 
   /** Refuses a quarantined request or a shed tier without letting it wait. */
   #earlyRefusal(): Refusal | undefined {
-    const { service, tier, fingerprint } = this.#request;
+    const { service, tier } = this.#request;
     const { serviceState } = this.#context;
     const now = monotonicNow();
     const state = serviceState(service.name);
-    const verdict = state.suspects.verdict(fingerprint, now);
+    const verdict = state.suspects
+      .verdictOf(fingerprintsOf(this.#request), now);
     if (verdict.kind === "quarantined") {
       return retryableRefusal(
         "quarantined",
@@ -236,8 +237,11 @@
     const now = monotonicNow();
     const { service, fingerprint } = this.#request;
     const { ejection, suspects } = this.#context.serviceState(service.name);
-    if (outcome.kind === "complete") suspects.recordCleanRun(fingerprint, now);
-    else suspects.cancelRun(fingerprint);
+    if (outcome.kind === "complete") {
+      for (const each of fingerprintsOf(this.#request)) {
+        suspects.recordCleanRun(each, now);
+      }
+    } else suspects.cancelRun(fingerprint);
     if (outcome.kind === "callerDisconnected") {
       this.#lifecycle.apply("abandon");
       return { kind: "callerDisconnected", ran: "unknown" };
--- a/packages/daemon/src/entry/resolve_request.ts
+++ b/packages/daemon/src/entry/resolve_request.ts
@@ -289,6 +289,7 @@
       : { promptTokens: 0, outputTokens: 1 },
     prefixKey: completion?.prefixKey,
     fingerprint: fingerprintOf(raw, service),
+    promptParts: completion?.promptParts ?? [],
     method: raw.method,
     path,
     headers: endToEndHeaders(raw.headers, OWN_HEADERS),
--- a/packages/daemon/src/entry/resolved_request.ts
+++ b/packages/daemon/src/entry/resolved_request.ts
@@ -20,6 +20,8 @@
   cost: Cost;
   prefixKey?: string | undefined;
   fingerprint: string;
+  /** Fingerprints of the messages of its prompt but the last. */
+  promptParts: readonly string[];
   method: string;
   path: string;
   headers: HttpHeaders;
--- a/packages/daemon/src/sidecar/crash_reporter.ts
+++ b/packages/daemon/src/sidecar/crash_reporter.ts
@@ -7,6 +7,7 @@
 import type { CrashSuspects } from "@sycamorepulley/decisions";
 import type { CrashedMessage } from "@sycamorepulley/protocol";
 import { monotonicNow } from "../common/clock.ts";
+import { crashedRuns } from "../common/crashed_runs.ts";
 import { InterruptedRequests } from "./interrupted_requests.ts";
 import type { HealthProbe } from "./health_probe.ts";
 
@@ -39,8 +40,8 @@
    * Checks the server after the connection of a running request broke. Resolves
    * once a crash has been reported or ruled out.
    */
-  async diagnose(fingerprint: string | undefined): Promise<void> {
-    this.#interrupted.record(fingerprint, monotonicNow());
+  async diagnose(fingerprints: readonly string[]): Promise<void> {
+    this.#interrupted.record(fingerprints, monotonicNow());
     const probe = this.#options.probe();
     const isAlive = await Promise.race([
       probe.check(),
@@ -55,12 +56,13 @@
 
   /** Reports the requests that were running when the server crashed, if any. */
   reportCrash(now: number): void {
-    const fingerprints = this.#interrupted.flush(now);
-    if (fingerprints.length === 0) return;
+    const runs = this.#interrupted.flush(now);
+    if (runs.length === 0) return;
     const backendServer = this.#options.instance;
     const crash: CrashedMessage = {
       type: "crashed",
-      fingerprints,
+      fingerprints: runs.map(([request]) => request!),
+      promptPartLists: runs.map(([, ...parts]) => parts),
       backendServer,
     };
     this.recordCrash(crash);
@@ -68,10 +70,10 @@
   }
 
   /** Records a crash of this or another server of the service. */
-  recordCrash({ fingerprints, backendServer }: CrashedMessage): void {
+  recordCrash(crash: CrashedMessage): void {
     this.#options.suspects.recordCrash(
-      fingerprints,
-      backendServer,
+      crashedRuns(crash),
+      crash.backendServer,
       monotonicNow(),
     );
   }
--- a/packages/daemon/src/sidecar/interrupted_requests.ts
+++ b/packages/daemon/src/sidecar/interrupted_requests.ts
@@ -12,31 +12,34 @@
 /** Interruptions within this many milliseconds belong to the same crash. */
 const CRASH_WINDOW = 2000;
 
-type Interruption = { fingerprint: string; at: number };
+type Interruption = { fingerprints: readonly string[]; at: number };
 
 /** Collects interrupted requests until it is known if the server crashed. */
 export class InterruptedRequests {
   #interruptions: Interruption[] = [];
 
   /** Records that the connection of a running request broke. */
-  record(fingerprint: string | undefined, now: number): void {
+  record(fingerprints: readonly string[], now: number): void {
     this.#interruptions = this.#interruptions.filter((interruption) =>
       interruption.at > now - CRASH_WINDOW
     );
-    if (fingerprint !== undefined) {
-      this.#interruptions.push({ fingerprint, at: now });
+    if (fingerprints.length > 0) {
+      this.#interruptions.push({ fingerprints, at: now });
     }
   }
 
   /**
-   * Returns the fingerprints of the requests that were running when the server
+   * Returns the fingerprints of each request that was running when the server
    * crashed, and clears the collection.
    */
-  flush(now: number): string[] {
+  flush(now: number): (readonly string[])[] {
     const recent = this.#interruptions.filter((interruption) =>
       interruption.at > now - CRASH_WINDOW
     );
     this.#interruptions = [];
-    return [...new Set(recent.map((interruption) => interruption.fingerprint))];
+    const byRequest = new Map(
+      recent.map(({ fingerprints }) => [fingerprints[0], fingerprints]),
+    );
+    return [...byRequest.values()];
   }
 }
--- a/packages/daemon/src/sidecar/sidecar.ts
+++ b/packages/daemon/src/sidecar/sidecar.ts
@@ -4,6 +4,7 @@
  * response the entry hands over the request, which runs once.
  * @module
  */
+import { fingerprintsOf } from "@sycamorepulley/decisions";
 import type {
   ReservationDecision,
   ReservationScheduler,
@@ -73,7 +74,7 @@
           ),
       },
       diagnose: (request) =>
-        this.#crashReporter.diagnose(request.reserve.fingerprint),
+        this.#crashReporter.diagnose(fingerprintsOfReserve(request.reserve)),
       onFinished: (request, outcome, now) =>
         this.#finishRun(request, outcome, now),
     });
@@ -207,7 +208,7 @@
       versionStopped: this.#options.versionGuard.isStopped(now),
     });
     if (reason) return this.#refuse(connection, reserve.reservation, reason);
-    const verdict = suspects.verdict(reserve.fingerprint ?? "", now);
+    const verdict = suspects.verdictOf(fingerprintsOfReserve(reserve), now);
     if (verdict.kind === "quarantined") {
       return this.#refuse(connection, reserve.reservation, "quarantined");
     }
@@ -266,8 +267,8 @@
     const { suspects } = this.#options;
     if (outcome.kind === "complete") {
       this.#options.onResponseComplete(request.measure(now), now);
-      if (reserve.fingerprint) {
-        suspects.recordCleanRun(reserve.fingerprint, now);
+      for (const fingerprint of fingerprintsOfReserve(reserve)) {
+        suspects.recordCleanRun(fingerprint, now);
       }
     } else if (outcome.reason === "connect_failed") {
       this.#options.probe().markUnhealthy();
@@ -372,3 +373,12 @@
     }, TICK_INTERVAL);
   }
 }
+
+/** Fingerprints of the request; earlier versions of entries state none. */
+function fingerprintsOfReserve(
+  { fingerprint, promptParts }: ReserveMessage,
+): string[] {
+  return fingerprint === undefined
+    ? []
+    : fingerprintsOf({ fingerprint, promptParts: promptParts ?? [] });
+}
--- a/packages/decisions/src/suspects/suspects.ts
+++ b/packages/decisions/src/suspects/suspects.ts
@@ -138,8 +138,7 @@
         retryAfter: expiresAt - now,
       };
     }
-    const suspects = fingerprints
-      .filter((fingerprint) => this.#isSuspect(fingerprint, now));
+    const suspects = this.#suspectsAmong(fingerprints, now);
     if (suspects.length === 0) return { kind: "clear" };
     const statuses = suspects
       .map((fingerprint) => this.#statuses.get(fingerprint, now)!);
@@ -204,20 +203,20 @@
   }
 
   /**
-   * Records that a server crashed while it ran these requests. Reports of the
-   * same crash over several links count once.
+   * Records that a server crashed while it ran requests with these fingerprints.
+   * Reports of the same crash over several links count once.
    */
   recordCrash(
-    fingerprints: readonly string[],
+    requests: readonly (readonly string[])[],
     backendServer: string,
     now: number,
   ): void {
     if (this.#run?.backendServer === backendServer) this.#run = undefined;
-    const running = new Set(fingerprints);
+    const running = new Set(requests.map(([fingerprint]) => fingerprint!));
     if (!this.#reports.isNew(running, backendServer, now)) return;
-    const runs = [...running].map((fingerprint) => ({
-      fingerprints: [fingerprint],
-      suspects: [],
+    const runs = requests.map((fingerprints) => ({
+      fingerprints,
+      suspects: this.#suspectsAmong(fingerprints, now),
     }));
     this.recordServerCrash({ server: backendServer, runs }, now);
   }
@@ -264,6 +263,11 @@
     this.#statuses.merge(statements, now);
   }
 
+  #suspectsAmong(fingerprints: readonly string[], now: number): string[] {
+    return fingerprints
+      .filter((fingerprint) => this.#isSuspect(fingerprint, now));
+  }
+
   /** Whether the fingerprint is suspected, and not trusted for its runs. */
   #isSuspect(fingerprint: string, now: number): boolean {
     const status = this.#statuses.get(fingerprint, now);
--- a/packages/decisions/test/suspects_test.ts
+++ b/packages/decisions/test/suspects_test.ts
@@ -6,7 +6,7 @@
 t.test("a second crash while alone quarantines, a successful run clears", (t) => {
   // A request that crashes its engine makes its neighbours suspects as well.
   const suspects = new CrashSuspects();
-  suspects.recordCrash(["poison", "first", "second"], "s0", 0);
+  suspects.recordCrash([["poison"], ["first"], ["second"]], "s0", 0);
   for (const fingerprint of ["poison", "first", "second"]) {
     t.equal(suspects.verdict(fingerprint, 1).kind, "suspect");
   }
@@ -18,7 +18,7 @@
   suspects.recordCleanRun("first", 10);
   t.equal(suspects.verdict("first", 10).kind, "clear");
   t.ok(suspects.tryStartRun("poison", "s2", 11));
-  suspects.recordCrash(["poison"], "s2", 12);
+  suspects.recordCrash([["poison"]], "s2", 12);
   t.strictSame(suspects.verdict("poison", 13), {
     kind: "quarantined",
     fingerprints: ["poison"],
@@ -35,19 +35,19 @@
 
 t.test("a crash that is reported twice counts once", (t) => {
   const suspects = new CrashSuspects();
-  suspects.recordCrash(["poison"], "s0", 0);
-  suspects.recordCrash(["poison"], "s0", 5);
+  suspects.recordCrash([["poison"]], "s0", 0);
+  suspects.recordCrash([["poison"]], "s0", 5);
   t.equal(suspects.verdict("poison", 6).kind, "suspect");
   suspects.tryStartRun("poison", "s0", 7);
-  suspects.recordCrash(["poison"], "s0", 8);
+  suspects.recordCrash([["poison"]], "s0", 8);
   t.equal(suspects.verdict("poison", 9).kind, "quarantined");
   t.end();
 });
 
 t.test("a frequent request that ran during two crashes is not quarantined", (t) => {
   const suspects = new CrashSuspects();
-  suspects.recordCrash(["poison", "popular"], "s0", 0);
-  suspects.recordCrash(["poison", "popular"], "s1", 1);
+  suspects.recordCrash([["poison"], ["popular"]], "s0", 0);
+  suspects.recordCrash([["poison"], ["popular"]], "s1", 1);
   t.equal(suspects.verdict("popular", 2).kind, "suspect");
   suspects.tryStartRun("popular", "s2", 3);
   suspects.recordCleanRun("popular", 4);
@@ -57,9 +57,9 @@
 
 t.test("a quarantine becomes a suspicion, which expires", (t) => {
   const suspects = new CrashSuspects();
-  suspects.recordCrash(["poison"], "s0", 0);
+  suspects.recordCrash([["poison"]], "s0", 0);
   suspects.tryStartRun("poison", "s1", 1);
-  suspects.recordCrash(["poison"], "s1", 2);
+  suspects.recordCrash([["poison"]], "s1", 2);
   t.equal(suspects.verdict("poison", 600_001).kind, "quarantined");
   t.equal(suspects.verdict("poison", 600_002).kind, "suspect");
   t.equal(suspects.verdict("poison", 1_200_002).kind, "clear");
@@ -105,7 +105,11 @@
           batch.add(name);
           if (fingerprint >= poisons) continue;
           crashes.set(name, (crashes.get(name) ?? 0) + 1);
-          suspects.recordCrash([...batch], `s${server}`, now);
+          suspects.recordCrash(
+            [...batch].map((name) => [name]),
+            `s${server}`,
+            now,
+          );
           batch.clear();
           alone.delete(server);
         }
@@ -120,7 +124,7 @@
 
 t.test("peers that exchange their statements agree", (t) => {
   const peers = [new CrashSuspects(), new CrashSuspects(), new CrashSuspects()];
-  peers[0]!.recordCrash(["poison", "innocent"], "s0", 0);
+  peers[0]!.recordCrash([["poison"], ["innocent"]], "s0", 0);
   const exchange = (now: number) => {
     for (const from of peers) {
       for (const to of peers) to.merge(from.statements(now), now);
@@ -129,7 +133,7 @@
   exchange(1);
   t.equal(peers[1]!.verdict("poison", 2).kind, "suspect");
   peers[1]!.tryStartRun("poison", "s1", 2);
-  peers[1]!.recordCrash(["poison"], "s1", 3);
+  peers[1]!.recordCrash([["poison"]], "s1", 3);
   peers[2]!.tryStartRun("innocent", "s2", 3);
   peers[2]!.recordCleanRun("innocent", 4);
   exchange(5);
@@ -144,7 +148,10 @@
 t.test("the number of stored fingerprints is bounded", (t) => {
   const suspects = new CrashSuspects();
   for (let crash = 0; crash < 200; crash++) {
-    const batch = Array.from({ length: 64 }, (_, index) => `${crash}/${index}`);
+    const batch = Array.from(
+      { length: 64 },
+      (_, index) => [`${crash}/${index}`],
+    );
     suspects.recordCrash(batch, `s${crash}`, crash);
   }
   t.equal(suspects.statements(200).length, 4096);
@@ -155,10 +162,13 @@
 
 t.test("many later suspects do not evict a quarantine", (t) => {
   const suspects = new CrashSuspects();
-  suspects.recordCrash(["poison"], "s0", 0);
-  suspects.recordCrash(["poison"], "s1", 1);
+  suspects.recordCrash([["poison"]], "s0", 0);
+  suspects.recordCrash([["poison"]], "s1", 1);
   for (let crash = 0; crash < 200; crash++) {
-    const batch = Array.from({ length: 64 }, (_, index) => `${crash}/${index}`);
+    const batch = Array.from(
+      { length: 64 },
+      (_, index) => [`${crash}/${index}`],
+    );
     suspects.recordCrash(batch, `t${crash}`, crash);
   }
   t.equal(suspects.verdict("poison", 200).kind, "quarantined");
--- a/packages/emulator/src/commands/load_command.ts
+++ b/packages/emulator/src/commands/load_command.ts
@@ -14,6 +14,9 @@
   bookingService: v.string(),
   promptTokens: v.number(),
   outputTokens: v.number(),
+  messages: v.optional(v.string()),
+  rareMessage: v.optional(v.string()),
+  rareMessageEvery: v.pipe(v.number(), v.integer(), v.minValue(1)),
   deadline: v.optional(v.number()),
   token: v.optional(v.string()),
   direct: v.optional(v.boolean(), false),
@@ -44,6 +47,11 @@
     })
     .option("--prompt-tokens <count>", "length of prompts", { default: 200 })
     .option("--output-tokens <count>", "length of responses", { default: 32 })
+    .option("--messages <texts>", "first messages of chats, as text,text,…")
+    .option("--rare-message <text>", "a further message of some chats")
+    .option("--rare-message-every <count>", "it is in each of so many chats", {
+      default: 10,
+    })
     .option("--deadline <ms>", "deadline of each request")
     .option("--token <token>", "bearer token")
     .option("--direct", "the target is an emulated backend server")
@@ -54,10 +62,8 @@
 }
 
 async function load(options: unknown): Promise<void> {
-  const { target, rate, seconds, mix, seed, json, ...requestOptions } = v.parse(
-    loadCommandSchema,
-    options,
-  );
+  const parsed = v.parse(loadCommandSchema, options);
+  const { target, rate, seconds, mix, seed, json, messages } = parsed;
   const summaries = await runLoad({
     target,
     rate,
@@ -65,9 +71,11 @@
     seed,
     mix: parseMix(mix),
     requestOptions: {
-      ...requestOptions,
-      deadline: requestOptions.deadline,
-      token: requestOptions.token,
+      ...parsed,
+      firstMessages: messages?.split(",") ?? [],
+      rareMessage: parsed.rareMessage,
+      deadline: parsed.deadline,
+      token: parsed.token,
     },
   });
   console.log(
--- a/packages/emulator/src/engine/chat_completion.ts
+++ b/packages/emulator/src/engine/chat_completion.ts
@@ -31,6 +31,11 @@
     .join("");
 }
 
+/** Texts of the messages, in order. */
+export function messageTexts(request: ChatCompletionRequest): string[] {
+  return request.messages.map(({ content }) => contentToText(content));
+}
+
 function contentToText(content: unknown): string {
   return typeof content === "string" ? content : JSON.stringify(content ?? "");
 }
--- a/packages/emulator/src/engine/engine.ts
+++ b/packages/emulator/src/engine/engine.ts
@@ -21,6 +21,7 @@
   chatCompletionRequestSchema,
   createUsage,
   formatPrompt,
+  messageTexts,
   requestedOutputTokens,
 } from "./chat_completion.ts";
 import type { ChatCompletionRequest } from "./chat_completion.ts";
@@ -121,8 +122,7 @@
   /** Returns true if the request must not be processed any further. */
   #injectFault(record: HistoryRecord, response: ServerResponse): boolean {
     if (this.faultInjector.shouldCrash(record.marker)) {
-      recordFailure(record, Date.now());
-      this.#onCrash();
+      this.#crash(record);
       return true;
     }
     const status = this.faultInjector.drawErrorStatus(COMPLETIONS_ROUTE);
@@ -142,6 +142,7 @@
     const outputTokens = requestedOutputTokens(request);
     const promptTokens = record.promptTokens ?? 0;
     const cachedTokens = record.cachedTokens ?? 0;
+    const messages = messageTexts(request);
     const writer = this.#createWriter(request, response, {
       id: `${this.#settings.name}-${record.number}`,
       model: request.model,
@@ -155,6 +156,10 @@
       remainingOutputTokens: outputTokens,
       onToken: () => {
         const index = outputTokens - sequence.remainingOutputTokens;
+        if (this.faultInjector.shouldCrashAtFirstToken(messages)) {
+          this.#crash(record);
+          return;
+        }
         this.#emitToken({ writer, record, sequence, index });
       },
     };
@@ -162,6 +167,11 @@
     this.#loop.add(sequence);
   }
 
+  #crash(record: HistoryRecord): void {
+    recordFailure(record, Date.now());
+    this.#onCrash();
+  }
+
   #createWriter(
     request: ChatCompletionRequest,
     response: ServerResponse,
@@ -194,8 +204,7 @@
     }
     writer.writeToken(index);
     if (index > 1 && this.faultInjector.shouldCrashMidResponse(record.marker)) {
-      recordFailure(record, Date.now());
-      this.#onCrash();
+      this.#crash(record);
       return;
     }
     if (sequence.remainingOutputTokens <= 0) {
--- a/packages/emulator/src/faults/fault_injector.ts
+++ b/packages/emulator/src/faults/fault_injector.ts
@@ -40,6 +40,12 @@
     return marker !== undefined && this.#faults.crashMarkers.includes(marker);
   }
 
+  /** `messages`: texts of a prompt's messages, in order. */
+  shouldCrashAtFirstToken(messages: readonly string[]): boolean {
+    return messages.slice(0, -1)
+      .some((message) => this.#faults.crashMessages.includes(message));
+  }
+
   shouldCrashMidResponse(marker: string | undefined): boolean {
     return marker !== undefined &&
       this.#faults.crashMidAnswerMarkers.includes(marker);
--- a/packages/emulator/src/faults/faults.ts
+++ b/packages/emulator/src/faults/faults.ts
@@ -33,6 +33,11 @@
   crashMarkers: v.optional(v.array(v.string()), []),
   /** Requests with these markers crash the server while it responds. */
   crashMidAnswerMarkers: v.optional(v.array(v.string()), []),
+  /**
+   * Texts of messages that crash the server at the first token of a response,
+   * in any prompt in which they are not the last message.
+   */
+  crashMessages: v.optional(v.array(v.string()), []),
   /** Requests are accepted, but never get a response. */
   hang: v.optional(v.boolean(), false),
   /**
--- a/packages/emulator/src/load/load_request.ts
+++ b/packages/emulator/src/load/load_request.ts
@@ -9,6 +9,12 @@
   bookingService: string;
   promptTokens: number;
   outputTokens: number;
+  /** Texts of the messages with which each chat begins. */
+  firstMessages: readonly string[];
+  /** Text of another message of some chats, such as one that crashes engines. */
+  rareMessage: string | undefined;
+  /** It is sent with each chat of which the number is a multiple of this. */
+  rareMessageEvery: number;
   /** Deadline in milliseconds; undefined for the tier's default. */
   deadline: number | undefined;
   /** Bearer token. */
@@ -31,7 +37,7 @@
   options: LoadRequestOptions,
   number: number,
 ): LoadRequest {
-  const marker = `#load-${number}#`;
+  const marker = markerOf(number);
   const headers = createHeaders(part, options);
   const prefix = options.direct ? "" : `/services/${options.bookingService}`;
   if (part.kind === "lookup") {
@@ -42,7 +48,7 @@
     const body = JSON.stringify({ note: marker });
     return { method: "POST", path: `${prefix}/bookings`, headers, body };
   }
-  const body = createChatBody(options, marker, part.kind === "stream");
+  const body = createChatBody(options, number, part.kind === "stream");
   return { method: "POST", path: "/v1/chat/completions", headers, body };
 }
 
@@ -65,16 +71,27 @@
   return headers;
 }
 
+function markerOf(number: number): string {
+  return `#load-${number}#`;
+}
+
 function createChatBody(
   options: LoadRequestOptions,
-  marker: string,
+  number: number,
   stream: boolean,
 ): string {
+  const marker = markerOf(number);
   const length = options.promptTokens * CHARACTERS_PER_TOKEN - marker.length;
   const content = marker + "x".repeat(Math.max(0, length));
+  const { firstMessages, rareMessage, rareMessageEvery } = options;
+  const isRare = rareMessage !== undefined && number % rareMessageEvery === 0;
+  const texts = isRare ? [...firstMessages, rareMessage] : firstMessages;
   return JSON.stringify({
     model: options.model,
-    messages: [{ role: "user", content }],
+    messages: [...texts, content].map((text) => ({
+      role: "user",
+      content: text,
+    })),
     max_tokens: options.outputTokens,
     stream,
   });
--- a/packages/emulator/test/load_test.ts
+++ b/packages/emulator/test/load_test.ts
@@ -44,6 +44,9 @@
       bookingService: "bookings",
       promptTokens: 10,
       outputTokens: 3,
+      firstMessages: [],
+      rareMessage: undefined,
+      rareMessageEvery: 1,
       deadline: undefined,
       token: undefined,
       direct: true,
@@ -53,3 +56,30 @@
   t.ok(answered > 0);
   t.equal(answered, engine.records.length);
 });
+
+t.test("a message that some requests of a load share crashes an engine", async (t) => {
+  const engine = await startEngine({ settings: { speed: 100 } });
+  t.teardown(() => engine.close());
+  engine.setFaults({ crashMessages: ["bad"] });
+  const [summary] = await runLoad({
+    target: engine.url,
+    rate: 200,
+    seconds: 0.5,
+    seed: 7,
+    mix: parseMix("chat=1"),
+    requestOptions: {
+      model: "assistant",
+      bookingService: "bookings",
+      promptTokens: 10,
+      outputTokens: 3,
+      firstMessages: ["common"],
+      rareMessage: "bad",
+      rareMessageEvery: 40,
+      deadline: undefined,
+      token: undefined,
+      direct: true,
+    },
+  });
+  t.ok(summary!.answered > 0, "others are answered before");
+  t.ok(summary!.others["broken"]! > 0, "the engine crashes");
+});
--- a/packages/protocol/src/key_map.ts
+++ b/packages/protocol/src/key_map.ts
@@ -63,6 +63,8 @@
   "firstTokenRemaining",
   "storeEra",
   "configurationVersion",
+  "promptParts",
+  "promptPartLists",
 ] as const;
 
 /** Maps field names to the integers sent; the `keyMap` option of `cbor-x`. */
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -71,6 +71,8 @@
   prefixKey: v.optional(text),
   /** Hash of the request; a retry has the same. */
   fingerprint: v.optional(text),
+  /** Fingerprints of its prompt's parts; earlier versions don't state them. */
+  promptParts: v.optional(v.array(text)),
   /** The request may have crashed a server: it runs with no other beside it. */
   suspect: v.optional(v.boolean()),
 });
@@ -200,6 +202,11 @@
   /** Instance name of its sidecar: a crash that several report counts once. */
   backendServer: text,
   fingerprints: v.array(text),
+  /**
+   * Parts of the prompts of these requests, in the same order; earlier versions
+   * don't state them.
+   */
+  promptPartLists: v.optional(v.array(v.array(text))),
 });
 
 /** Shows that an idle link is alive. */
--- a/packages/testing/src/caller/caller.ts
+++ b/packages/testing/src/caller/caller.ts
@@ -22,6 +22,8 @@
 
 /** A call of a model engine. */
 export type ChatCall = Call & {
+  /** Texts of the messages before the last one. */
+  firstMessages?: readonly string[];
   /** Text in front of the marker. */
   prompt?: string;
   outputTokens?: number;
@@ -60,9 +62,10 @@
   /** Sends a chat completion to the model that is named like the service. */
   chat(call: ChatCall): Promise<CallOutcome> {
     const { prompt = "", outputTokens = 8, stream = false } = call;
+    const texts = [...call.firstMessages ?? [], `${prompt}#${call.marker}#`];
     const body = {
       model: call.service,
-      messages: [{ role: "user", content: `${prompt}#${call.marker}#` }],
+      messages: texts.map((content) => ({ role: "user", content })),
       max_tokens: outputTokens,
       stream,
     };
