Reset a response that ends with its connection when it is aborted

Callers saw: a stream without a length or chunks, whose server ended it inside an event, ended like a complete one.

Cause: aborting closed the caller's connection in the usual way, which is how such a response ends.

Change: the connection is reset. The tests' caller now reports a reset response as incomplete, which Node.js's parser doesn't.

Measured: the test of that name fails before the change; whole streams of that kind, chunked ones that end inside an event and resumed ones passed before.

--- a/packages/gateway/src/request/caller_connection.ts
+++ b/packages/gateway/src/request/caller_connection.ts
@@ -107,8 +107,12 @@
     else this.#response.end();
   }
 
-  /** Closes the connection, so that the response doesn't look complete. */
+  /**
+   * Closes the connection, so that the response doesn't look complete. A
+   * response that ends with its connection is complete unless it is reset.
+   */
   abortResponse(): void {
+    if (this.#closeDelimited) this.#request.socket.resetAndDestroy();
     this.#response.destroy();
   }
 
--- /dev/null
+++ b/packages/gateway/test/close_delimited_test.ts
@@ -0,0 +1,80 @@
+import t from "tap";
+import {
+  rawResponseHead,
+  startEventStream,
+  streamEvent,
+} from "./fake_backend_server.ts";
+import type { FakeBackendServer, Respond } from "./fake_backend_server.ts";
+import { Fixture } from "./fixture.ts";
+import type { CallerResponse } from "./fixture.ts";
+
+const STREAM_HEAD = "Content-Type: text/event-stream\r\n\r\n";
+/** Milliseconds until a response is cut off. */
+const CUT_DELAY = 30;
+
+/** Sends a request to servers that all respond in one way. */
+async function callWith(
+  path: string,
+  respondOf: (server: FakeBackendServer, attempt: () => number) => Respond,
+): Promise<{ response: CallerResponse; attempts: number }> {
+  const fixture = await Fixture.startReady();
+  let attempts = 0;
+  for (const server of fixture.servers) {
+    server.respond = respondOf(server, () => ++attempts);
+  }
+  const response = await fixture.call(path, { method: "POST", body: "{}" });
+  await fixture.stop();
+  return { response, attempts };
+}
+
+t.test("a stream that ends with its connection is passed on whole", async (t) => {
+  const { response } = await callWith(
+    "/stream/",
+    () => (_response, received, socket) =>
+      socket.end(
+        rawResponseHead(received) + STREAM_HEAD + streamEvent(1) +
+          streamEvent(2),
+      ),
+  );
+  t.equal(response.body, streamEvent(1) + streamEvent(2));
+  t.ok(response.complete);
+});
+
+t.test("a stream that ends with its connection inside an event does not look complete", async (t) => {
+  const { response } = await callWith(
+    "/stream/",
+    () => (_response, received, socket) => {
+      socket.write(rawResponseHead(received) + STREAM_HEAD + streamEvent(1));
+      setTimeout(() => socket.end("id: 2\ndata: pie"), CUT_DELAY);
+    },
+  );
+  t.equal(response.body, streamEvent(1));
+  t.notOk(response.complete);
+});
+
+t.test("a chunked stream that ends inside an event does not look complete", async (t) => {
+  const { response } = await callWith(
+    "/stream/",
+    () => (response, received) =>
+      startEventStream(response, received)
+        .end(streamEvent(1) + "id: 2\ndata: pie"),
+  );
+  t.equal(response.body, streamEvent(1));
+  t.notOk(response.complete);
+});
+
+t.test("a stream that ended inside an event is resumed", async (t) => {
+  const { response, attempts } = await callWith(
+    "/resumed/",
+    (_server, attempt) => (_response, received, socket) => {
+      const isFirst = attempt() === 1;
+      socket.end(
+        rawResponseHead(received) + STREAM_HEAD +
+          (isFirst ? streamEvent(1) + "id: 2\nda" : streamEvent(2)),
+      );
+    },
+  );
+  t.equal(response.body, streamEvent(1) + streamEvent(2));
+  t.ok(response.complete);
+  t.equal(attempts, 2);
+});
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -232,6 +232,8 @@
     } = {},
   ): Promise<CallerResponse> {
     return new Promise((resolve, reject) => {
+      let hasStarted = false;
+      let wasReset = false;
       const request = httpRequest({
         host: "127.0.0.1",
         port: this.ports.front,
@@ -247,6 +249,7 @@
           ...options.headers,
         },
       }, (response) => {
+        hasStarted = true;
         let body = "";
         response.on("data", (chunk: Buffer) => body += chunk.toString());
         response.on("error", () => {});
@@ -255,10 +258,13 @@
             status: response.statusCode ?? 0,
             headers: response.headers,
             body,
-            complete: response.complete,
+            complete: response.complete && !wasReset,
           }));
       });
-      request.on("error", reject);
+      request.on("error", (error) => {
+        wasReset = true;
+        if (!hasStarted) reject(error);
+      });
       request.end(options.body);
     });
   }
