Ask whether a server has crashed that ended a response with its connection

Callers saw: a response without a length or chunks that a crash cut off between two events, or anywhere in a plain body, was passed on as complete; a resumed stream that such a server completed was aborted.

Cause: the end of the connection was taken for the end of the response, whatever ended it. For the count of crashes it was even a complete run, which clears suspects.

Change: as after a broken connection, the entry asks whether the server refuses new ones, unless it is leaving. If it does, the response has broken off. Otherwise a chunked stream may be completed by such a response. Responses that have no body by their status don't count as ended by their connection.

Measured: three tests (chunked stream completed, stream and plain response cut by a crash) fail before the change and pass with it.

--- a/packages/gateway/src/request/caller_connection.ts
+++ b/packages/gateway/src/request/caller_connection.ts
@@ -95,16 +95,9 @@
     if (!this.#disconnected) this.#response.write(events);
   }
 
-  /**
-   * Ends a stream. The end of a close-delimited response (one that ends with
-   * its connection) can't be told from a crash of its server. A caller whose
-   * own response is chunked would take the end for a complete stream, so its
-   * connection is aborted instead.
-   */
-  endStream(closeDelimited: boolean): void {
-    if (this.#disconnected) return;
-    if (closeDelimited && !this.#closeDelimited) this.abortResponse();
-    else this.#response.end();
+  /** Ends a stream that is complete. */
+  endStream(): void {
+    if (!this.#disconnected) this.#response.end();
   }
 
   /**
@@ -134,8 +127,12 @@
   }
 }
 
+/** HTTP status codes of responses that have no body. */
+const BODILESS_STATUSES: readonly number[] = [204, 304];
+
 /** True if only the end of the connection marks the end of the response. */
-export function isCloseDelimited(head: ResponseHead): boolean {
-  return head.headers["content-length"] === undefined &&
-    head.headers["transfer-encoding"] === undefined;
+export function isCloseDelimited({ status, headers }: ResponseHead): boolean {
+  return headers["content-length"] === undefined &&
+    headers["transfer-encoding"] === undefined &&
+    !BODILESS_STATUSES.includes(status);
 }
--- a/packages/gateway/src/request/final_response.ts
+++ b/packages/gateway/src/request/final_response.ts
@@ -49,13 +49,9 @@
   }
 
   /** Ends a stream that was passed on completely. */
-  endStream(
-    server: ServerRecord,
-    closeDelimited: boolean,
-    progress: ResponseProgress,
-  ): void {
+  endStream(server: ServerRecord, progress: ResponseProgress): void {
     this.#settled = true;
-    this.#caller.endStream(closeDelimited);
+    this.#caller.endStream();
     this.#report.recordResponse(server, 200, progress);
   }
 
--- a/packages/gateway/src/request/request_task.ts
+++ b/packages/gateway/src/request/request_task.ts
@@ -292,7 +292,7 @@
     switch (result.kind) {
       case "stream":
         connectionPool.release(server, connection);
-        this.#response.endStream(server, result.closeDelimited, this.#progress);
+        this.#response.endStream(server, this.#progress);
         return;
       case "plain":
         connectionPool.release(server, connection);
--- a/packages/gateway/src/request/server_attempt.ts
+++ b/packages/gateway/src/request/server_attempt.ts
@@ -8,6 +8,7 @@
 import type { ParsedRequest } from "../front/parsed_request.ts";
 import type { ResponseProgress } from "./response_progress.ts";
 import { backendHeaders } from "./backend_headers.ts";
+import { isCloseDelimited } from "./caller_connection.ts";
 import type { CallerConnection } from "./caller_connection.ts";
 import { Exchange } from "./exchange.ts";
 import type { ExchangeResult } from "./exchange.ts";
@@ -103,9 +104,26 @@
     // is judged by that.
     const cancelledUnresponsive = result.kind === "aborted" && unresponsive;
     if (cancelledUnresponsive) return { result, runOutcome: "broken" };
-    const crashed = result.kind === "broken" && !this.#wasSilent &&
-      await context.connectionPool.isRefusing(server);
-    return { result, runOutcome: crashed ? "crashed" : runOutcomeOf(result) };
+    if (await this.#hasCrashed(result)) {
+      const detail = "the server has crashed";
+      return { result: { kind: "broken", detail }, runOutcome: "crashed" };
+    }
+    return { result, runOutcome: runOutcomeOf(result) };
+  }
+
+  /**
+   * Whether the response ended because its server crashed. A response that ends
+   * with its connection looks complete even then. A server that is leaving may
+   * stop after its last response.
+   */
+  async #hasCrashed(result: ExchangeResult): Promise<boolean> {
+    const { connectionPool, findServer } = this.#request.context;
+    const { server } = this.#target;
+    const isLeaving = findServer(incarnationOf(server)) === undefined;
+    const mayHaveCrashed = result.kind === "broken"
+      ? !this.#wasSilent
+      : endsWithConnection(result) && !isLeaving;
+    return mayHaveCrashed && await connectionPool.isRefusing(server);
   }
 
   #createWatchdog(onSilence: () => boolean): SilenceWatchdog {
@@ -170,6 +188,12 @@
   }
 }
 
+/** Whether only the end of the connection marked the end of the response. */
+function endsWithConnection(result: ExchangeResult): boolean {
+  if (result.kind === "stream") return result.closeDelimited;
+  return result.kind === "plain" && isCloseDelimited(result.head);
+}
+
 function runOutcomeOf(result: ExchangeResult): RunOutcome {
   switch (result.kind) {
     case "stream":
--- a/packages/gateway/test/close_delimited_test.ts
+++ b/packages/gateway/test/close_delimited_test.ts
@@ -78,3 +78,53 @@
   t.ok(response.complete);
   t.equal(attempts, 2);
 });
+
+t.test("a chunked stream is completed by a server that closes its connection", async (t) => {
+  // Guards against aborting a complete response because it changed its kind.
+  const { response } = await callWith(
+    "/resumed/",
+    (_server, attempt) => (response, received, socket) => {
+      if (attempt() === 1) {
+        startEventStream(response, received).write(streamEvent(1));
+        setTimeout(() => socket.destroy(), CUT_DELAY);
+        return;
+      }
+      socket.end(rawResponseHead(received) + STREAM_HEAD + streamEvent(2));
+    },
+  );
+  t.equal(response.body, streamEvent(1) + streamEvent(2));
+  t.ok(response.complete);
+});
+
+t.test("a stream that its server ended by crashing is resumed", async (t) => {
+  // Guards against taking the end of a crashed server's connection for an end.
+  const { response, attempts } = await callWith(
+    "/resumed/",
+    (server, attempt) => (_response, received, socket) => {
+      const isFirst = attempt() === 1;
+      const head = rawResponseHead(received) + STREAM_HEAD;
+      if (!isFirst) {
+        socket.end(head + streamEvent(2));
+        return;
+      }
+      socket.write(head + streamEvent(1));
+      setTimeout(() => void server.crash(), CUT_DELAY);
+    },
+  );
+  t.equal(response.body, streamEvent(1) + streamEvent(2));
+  t.ok(response.complete);
+  t.equal(attempts, 2);
+});
+
+t.test("a plain response that its server ended by crashing is not passed on", async (t) => {
+  const { response, attempts } = await callWith(
+    "/once/",
+    (server, attempt) => (_response, received, socket) => {
+      attempt();
+      socket.write(rawResponseHead(received) + "\r\npart");
+      setTimeout(() => void server.crash(), CUT_DELAY);
+    },
+  );
+  t.equal(response.status, 502);
+  t.equal(attempts, 1);
+});
