Let fewer new connections wait than an entry can handle in half a second

Callers may see: while most new connections of a zone go to one entry, it serves hardly any of the requests that it reads.

Cause: 511 connections wait in the accept queue. On a small instance this takes longer than callers wait for their request to be read, so that it reads only requests whose callers have left, and spends its processor time on them.

Callers that get no place connect to another entry.

--- a/packages/gateway/src/front/http_frontend.ts
+++ b/packages/gateway/src/front/http_frontend.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { listen } from "../listen.ts";
+import { acceptQueueLength } from "./accept_queue.ts";
 import type { Address } from "../settings.ts";
 import type { CallerLimits } from "../state/gateway_configuration.ts";
 
@@ -67,8 +68,9 @@
     this.#server.keepAliveTimeout = limits.idleTimeout + IDLE_MARGIN;
   }
 
-  listen(address: Address): Promise<number> {
-    return listen(this.#server, address);
+  /** `cores`: processor cores that this process may use. */
+  listen(address: Address, cores: number): Promise<number> {
+    return listen(this.#server, address, acceptQueueLength(cores));
   }
 
   /** Responses now close their connections; new ones are still accepted. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,7 +31,7 @@
 import { DrainAdmission } from "./request/drain_admission.ts";
 import { RequestHandler } from "./request/request_handler.ts";
 import { createRetryBudgets } from "./request/retry_budgets.ts";
-import { quotaLeeway } from "./settings.ts";
+import { processorCapacity, quotaLeeway } from "./settings.ts";
 import type { GatewaySettings } from "./settings.ts";
 import { settingsAfterReload } from "./settings_reload.ts";
 import { FleetState } from "./state/fleet_state.ts";
@@ -241,7 +241,8 @@
     const ports = {
       peers,
       readiness: await this.#statusServer.listen(readiness, metrics),
-      front: await this.#frontend.listen(settings.front),
+      front: await this.#frontend
+        .listen(settings.front, processorCapacity(settings)),
     };
     this.#startGate.startTimer();
     this.#repeat(HEARTBEAT_EVERY, () => this.#tick());
