--- a/packages/emulator/src/main.ts
+++ b/packages/emulator/src/main.ts
@@ -3,6 +3,7 @@
 import { cac } from "cac";
 import process from "node:process";
 import * as v from "valibot";
+import { registerDayCommand } from "./commands/day_command.ts";
 import { registerEngineCommand } from "./commands/engine_command.ts";
 import { registerLoadCommand } from "./commands/load_command.ts";
 import { registerPlainCommand } from "./commands/plain_command.ts";
@@ -13,6 +14,7 @@
 registerPlainCommand(program);
 registerPlatformCommands(program);
 registerLoadCommand(program);
+registerDayCommand(program);
 program.help();
 program.addEventListener("command:*", () => {
   fail(new Error(`unknown command "${program.args[0]}"; see --help`));
--- a/packages/emulator/src/mod.ts
+++ b/packages/emulator/src/mod.ts
@@ -21,6 +21,8 @@
 export { formatLoadSummaries } from "./load/format_load_summaries.ts";
 export type { LoadRequestOptions } from "./load/load_request.ts";
 export type { LoadSummary, Percentiles } from "./load/load_results.ts";
+export { playDay, readDay } from "./load/day.ts";
+export type { Day, DayLoadResult, DayTarget } from "./load/day.ts";
 export { parseMix } from "./load/mix.ts";
 export { runLoad } from "./load/run_load.ts";
 export type { LoadOptions } from "./load/run_load.ts";
