--- a/packages/decisions/src/suspects/mod.ts
+++ b/packages/decisions/src/suspects/mod.ts
@@ -1,5 +1,6 @@
 /** Quarantine of requests that crash backend servers. @module */
-export { CrashSuspects, ISOLATED_FROM } from "./suspects.ts";
+export { CrashSuspects } from "./suspects.ts";
+export { ISOLATED_FROM } from "./part_causes.ts";
 export type { CrashedRun, ServerCrash, SuspectVerdict } from "./suspects.ts";
 export { IsolatedRunRule, SoleSuspectRule } from "./quarantine_rule.ts";
 export { isPromptPart, PROMPT_PART_PREFIX } from "./prompt_part.ts";
--- a/packages/decisions/src/suspects/suspects.ts
+++ b/packages/decisions/src/suspects/suspects.ts
@@ -33,6 +33,7 @@
 import { CrashReports } from "./crash_reports.ts";
 import { RecentCrashes } from "./recent_crashes.ts";
 import type { ClearedCrash } from "./recent_crashes.ts";
+import { ISOLATED_FROM, partCauses } from "./part_causes.ts";
 import { isPromptPart } from "./prompt_part.ts";
 import { FingerprintStatuses } from "./fingerprint_statuses.ts";
 import {
@@ -74,8 +75,6 @@
 const RUN_TIMEOUT = 300_000;
 /** Maximum number of addresses that are kept for a fingerprint. */
 const MAXIMUM_SERVERS = 4;
-/** Crashes from which on a suspect must not run beside another one. */
-export const ISOLATED_FROM = 2;
 /**
  * A prompt part that has run successfully lately becomes a suspect after this
  * number of crashes without another successful run, in at least this number of
@@ -83,14 +82,6 @@
  */
 const UNTRUSTED_CRASHES = 5;
 const UNTRUSTED_AFTER = 1500;
-/**
- * Crashes by which a prompt part leads one that has crashed servers only in the
- * same request, so that the other one is not the cause.
- */
-const CLEAR_LEAD = 3;
-/** Maximum number of prompt parts that are quarantined together. */
-const MAXIMUM_SET = 3;
-
 /** A request that ran at a server when it crashed. */
 export type CrashedRun = {
   /** Of the whole request first, then of the parts of its prompt. */
@@ -236,7 +227,7 @@
       .record(runs.map(({ fingerprints }) => fingerprints), now);
     const soleSuspect = this.#soleSuspect(runs, now);
     const sole = this.#currentSuspects(soleSuspect, now);
-    for (const fingerprint of namesOf(runs)) {
+    for (const fingerprint of fingerprintsOfRuns(runs)) {
       this.#addCrash(fingerprint, server, sole.includes(fingerprint), now);
     }
     const ranAlone = runs.length === 1;
@@ -361,10 +352,8 @@
   }
 
   /**
-   * Quarantines a part of the prompt of a request that was the only suspect at
-   * its server, if the crashes prove it. Parts that may as well be the cause are
-   * quarantined only together, so that a request with one of them and without
-   * the others shows which it is.
+   * Quarantines parts of the prompt of a request that was the only suspect at
+   * its server; see {@link partCauses}.
    */
   #quarantinePartsIfProven(
     [request, ...parts]: readonly string[],
@@ -372,26 +361,12 @@
     now: number,
   ): void {
     const requestCrashes = this.#statuses.get(request!, now)?.crashes ?? 0;
-    const suspects = parts
-      .filter((part) => this.#isSuspect(part, now))
-      .map((part) => ({ part, status: this.#statuses.get(part, now)! }))
-      .sort((one, other) => other.status.crashes - one.status.crashes);
-    const isProven = suspects.some(({ status }) =>
-      this.#rule.isPartProven(
-        { ...status, ranAlone },
-        status.crashes - requestCrashes,
-      )
-    );
-    if (!isProven) return;
-    const mostCrashes = suspects[0]!.status.crashes;
-    const possible = suspects.filter(({ status: { crashes } }) =>
-      crashes >= ISOLATED_FROM &&
-      (crashes > requestCrashes || mostCrashes - crashes < CLEAR_LEAD)
-    );
-    this.#quarantine(
-      possible.slice(0, MAXIMUM_SET).map(({ part }) => part),
-      now,
-    );
+    const suspects = this.#suspectsAmong(parts, now).map((part) => {
+      const { crashes, soleSuspectCrashes } = this.#statuses.get(part, now)!;
+      return { part, crashes, soleSuspectCrashes, ranAlone };
+    });
+    const causes = partCauses(suspects, requestCrashes, this.#rule);
+    if (causes.length > 0) this.#quarantine(causes, now);
   }
 
   /** Quarantines requests that have all these fingerprints. */
@@ -452,6 +427,6 @@
 }
 
 /** All fingerprints of the runs, each once. */
-function namesOf(runs: readonly CrashedRun[]): Set<string> {
+function fingerprintsOfRuns(runs: readonly CrashedRun[]): Set<string> {
   return new Set(runs.flatMap(({ fingerprints }) => fingerprints));
 }
