Let a suspect wait at its entry while another one of the service runs

Callers saw 503 no_backend_server for sound requests of which a message was a suspect at their entry: each time another suspect ran, the reservation of one that was granted was given back and lost, until none was left. With whole requests this was rare; a message is in many requests.

Found by crashing_message_test, which failed once beside load (one of four sound requests refused).

Change: a suspect places no reservation while another one of the service runs, and the verdict is asked for again then, as the other run may have cleared it.

--- a/packages/daemon/src/entry/placement_task.ts
+++ b/packages/daemon/src/entry/placement_task.ts
@@ -38,6 +38,9 @@
   random: () => number;
 };
 
+/** Milliseconds until a suspect that waits for another one looks again. */
+const SUSPECT_INTERVAL = 20;
+
 /** Manages one request's reservations until it is handed over or refused. */
 export class PlacementTask {
   readonly #options: PlacementTaskOptions;
@@ -47,15 +50,12 @@
   /** Refused reservations and those of lost links, not replaced yet. */
   #lostReservations = 0;
   #refusal: Refusal | undefined;
-  readonly #suspect: boolean;
+  /** It may have crashed a server; decided again before each reservation. */
+  #suspect = false;
 
   constructor(options: PlacementTaskOptions) {
     this.#options = options;
     const { prefixKey, arrived } = options.request;
-    const { suspects } = options.serviceState;
-    const verdict = suspects
-      .verdictOf(fingerprintsOf(options.request), monotonicNow());
-    this.#suspect = verdict.kind === "suspect";
     this.#plan = new ReservationPlan({
       prefixKey,
       arrived,
@@ -73,17 +73,33 @@
     for (;;) {
       const now = monotonicNow();
       if (now >= request.deadline) return this.#deadlineOutcome();
-      const progress = this.#placeReservations(now);
+      if (this.#reservations.size === 0) this.#suspect = this.#isSuspect(now);
+      const mayStart = this.#mayStart(now);
+      const progress = mayStart ? this.#placeReservations(now) : "pending";
       if (progress === "exhausted") {
         return { kind: "refused", refusal: this.#finalRefusal() };
       }
-      const event = await mailbox.take(this.#nextWakeTime(now) - now);
+      const wait = mayStart ? this.#nextWakeTime(now) - now : SUSPECT_INTERVAL;
+      const event = await mailbox.take(wait);
       if (!event) continue;
       const outcome = this.#handleEvent(event);
       if (outcome) return outcome;
     }
   }
 
+  #isSuspect(now: number): boolean {
+    const { request, serviceState } = this.#options;
+    const verdict = serviceState.suspects
+      .verdictOf(fingerprintsOf(request), now);
+    return verdict.kind === "suspect";
+  }
+
+  /** False while another suspect of the service runs, unless it has a place. */
+  #mayStart(now: number): boolean {
+    if (!this.#suspect || this.#reservations.size > 0) return true;
+    return this.#options.serviceState.suspects.mayStartRun(now);
+  }
+
   #handleEvent(event: RequestEvent): PlacementOutcome | undefined {
     const { request } = this.#options;
     switch (event.kind) {
