--- a/packages/daemon/src/entry/chat_completion.ts
+++ b/packages/daemon/src/entry/chat_completion.ts
@@ -23,7 +23,7 @@
  */
 const PREFIX_LENGTH = 1024;
 
-/** Maximum number of messages that are told apart; the first ones. */
+/** Maximum number of messages with a fingerprint: the first ones. */
 const MAXIMUM_PROMPT_PARTS = 32;
 
 /** Fields that determine a completion's backend server and estimated cost. */
--- a/packages/decisions/src/suspects/part_causes.ts
+++ b/packages/decisions/src/suspects/part_causes.ts
@@ -20,7 +20,7 @@
 /**
  * Returns the parts of a request to quarantine after a crash in which it was the
  * only suspect; none if the crashes don't prove a cause. Several parts may be
- * the cause if the crashes don't tell them apart; they are quarantined only
+ * the cause if the crashes don't distinguish them; they are quarantined only
  * together, so that a request with one of them and without the others shows
  * which it is. `requestCrashes`: crashes under the request itself.
  */
--- a/packages/decisions/src/suspects/suspects.ts
+++ b/packages/decisions/src/suspects/suspects.ts
@@ -398,7 +398,7 @@
     }
   }
 
-  /** Takes back a crash of which the cause was found. */
+  /** Uncounts a crash whose cause was found. */
   #removeCrash({ fingerprint, at }: ClearedCrash, now: number): void {
     const status = this.#statuses.get(fingerprint, now);
     if (status?.kind !== "suspect" || status.firstCrashAt > at) return;
--- a/packages/gateway/src/front/prompt_parts.ts
+++ b/packages/gateway/src/front/prompt_parts.ts
@@ -2,7 +2,7 @@
 import { createHash } from "node:crypto";
 import { PROMPT_PART_PREFIX } from "@sycamorepulley/decisions";
 
-/** Maximum number of parts of a prompt that are told apart; the first ones. */
+/** Maximum number of parts of a prompt with a fingerprint: the first ones. */
 const MAXIMUM_PARTS = 32;
 /** Maximum number of characters of a model and an id that are kept as sent. */
 const MAXIMUM_READABLE_LENGTH = 40;
--- a/packages/gateway/test/accept_queue_test.ts
+++ b/packages/gateway/test/accept_queue_test.ts
@@ -12,7 +12,7 @@
 /** Milliseconds in which connections that have a place are established. */
 const CONNECT_TIME = 500;
 
-/** Starts a front in a process of its own; returns it and its port. */
+/** Starts a front end in a child process; returns it and its port. */
 async function startFrontend() {
   const script = `
     import { HttpFrontend } from "${FRONTEND}";
