--- a/packages/gateway/test/crashing_part_test.ts
+++ b/packages/gateway/test/crashing_part_test.ts
@@ -1,7 +1,8 @@
 import { setTimeout } from "node:timers/promises";
 import t from "tap";
-import { CRASHING_PART, CrashingServers } from "./crashing_servers.ts";
-import { grantingEntry, startGroup, stopAll } from "./entry_group.ts";
+import { CRASHING_PART, startCrashingGroup } from "./crashing_servers.ts";
+import type { CrashingServers } from "./crashing_servers.ts";
+import { grantingEntry, stopAll } from "./entry_group.ts";
 import { Fixture } from "./fixture.ts";
 import type { CallerResponse } from "./fixture.ts";
 
@@ -63,16 +64,6 @@
   return ["c0", `d${index % 4}`];
 }
 
-async function startCrashingGroup(): Promise<{
-  store: Awaited<ReturnType<typeof startGroup>>["store"];
-  entries: Fixture[];
-  servers: CrashingServers;
-}> {
-  const { store, entries } = await startGroup(3, SERVER_COUNT);
-  const servers = new CrashingServers(store, entries[0]!.servers, RUN_TIME);
-  return { store, entries, servers };
-}
-
 /** Fraction of requests sent from `from` on that were served. */
 function servedFraction(
   sent: readonly { at: number; status: number }[],
@@ -103,7 +94,10 @@
 for (const { name, partsOf } of POSITIONS) {
   t.test(`requests that share only ${name}, which crashes servers, are contained`, async (t) => {
     // Guards against counting crashes for whole requests only.
-    const { entries, servers } = await startCrashingGroup();
+    const { entries, servers } = await startCrashingGroup(
+      SERVER_COUNT,
+      RUN_TIME,
+    );
     const over = new AbortController();
     const sound = sendSeries(entries, SOUND_INTERVAL, soundParts, over.signal);
     await setTimeout(500);
@@ -129,7 +123,7 @@
 }
 
 t.test("a lost granting entry takes nothing known of a crashing part with it", async (t) => {
-  const { entries, servers } = await startCrashingGroup();
+  const { entries, servers } = await startCrashingGroup(SERVER_COUNT, RUN_TIME);
   const granting = grantingEntry(entries)!;
   const others = entries.filter((entry) => entry !== granting);
   const over = new AbortController();
@@ -152,7 +146,10 @@
 });
 
 t.test("entries that are all restarted refuse a crashing part as before", async (t) => {
-  const { store, entries, servers } = await startCrashingGroup();
+  const { store, entries, servers } = await startCrashingGroup(
+    SERVER_COUNT,
+    RUN_TIME,
+  );
   const over = new AbortController();
   const { partsOf } = POSITIONS[0]!;
   const crashing = sendSeries(
--- a/packages/gateway/test/crashing_request_test.ts
+++ b/packages/gateway/test/crashing_request_test.ts
@@ -1,7 +1,7 @@
 import { setTimeout } from "node:timers/promises";
 import t from "tap";
 import { QUARANTINE_PREFIX } from "../src/state/quarantine_records.ts";
-import { CRASHING_BODY, CrashingServers } from "./crashing_servers.ts";
+import { CRASHING_BODY, startCrashingGroup } from "./crashing_servers.ts";
 import { grantingEntry, startGroup, stopAll } from "./entry_group.ts";
 import { writeSealedHead } from "./fake_backend_server.ts";
 import { Fixture, waitUntil } from "./fixture.ts";
@@ -67,20 +67,9 @@
   return status === 503 && headers["retry-after"] !== undefined;
 }
 
-/** `runTime`: milliseconds that runs take that crash nothing. */
-async function startCrashingGroup(runTime = 0): Promise<{
-  store: Awaited<ReturnType<typeof startGroup>>["store"];
-  entries: Fixture[];
-  servers: CrashingServers;
-}> {
-  const { store, entries } = await startGroup(3, SERVER_COUNT);
-  const servers = new CrashingServers(store, entries[0]!.servers, runTime);
-  return { store, entries, servers };
-}
-
 t.test("a request that crashes servers is contained at all entries of a group", async (t) => {
   // Guards against counting crashes for each entry or each attempt only.
-  const { entries, servers } = await startCrashingGroup();
+  const { entries, servers } = await startCrashingGroup(SERVER_COUNT);
   const attempts = sendCrashing(entries, ATTEMPTS);
   const statuses = await sendOthers(entries, attempts);
   const responses = await attempts;
@@ -93,7 +82,7 @@
 });
 
 t.test("a lost granting entry takes nothing known of a crashing request with it", async (t) => {
-  const { entries, servers } = await startCrashingGroup();
+  const { entries, servers } = await startCrashingGroup(SERVER_COUNT);
   const granting = grantingEntry(entries)!;
   let attempts = 0;
   for (; servers.crashes < 3 && attempts < ATTEMPTS; attempts++) {
@@ -111,7 +100,7 @@
 });
 
 t.test("an entry that starts later refuses a crashing request as well", async (t) => {
-  const { store, entries, servers } = await startCrashingGroup();
+  const { store, entries, servers } = await startCrashingGroup(SERVER_COUNT);
   await sendCrashing(entries, 6);
   t.ok(servers.crashes >= 3, "the request crashes servers");
   const newest = await Fixture.start({
@@ -129,7 +118,7 @@
 });
 
 t.test("entries that are all restarted refuse a crashing request as before", async (t) => {
-  const { store, entries, servers } = await startCrashingGroup();
+  const { store, entries, servers } = await startCrashingGroup(SERVER_COUNT);
   await sendCrashing(entries, 4);
   t.ok(servers.crashes >= 3, "the request crashes servers");
   await Promise.all(entries.map(({ gateway }) => gateway.stop()));
@@ -149,7 +138,7 @@
 
 t.test("a quarantine that a restored store has lost is written again", async (t) => {
   // Guards against a restart of all entries that forgets it.
-  const { store, entries, servers } = await startCrashingGroup();
+  const { store, entries, servers } = await startCrashingGroup(SERVER_COUNT);
   const backup = store.backup();
   const isStored = () =>
     store.keys().some((key) => key.startsWith(QUARANTINE_PREFIX));
@@ -164,7 +153,7 @@
 
 t.test("a request that only runs beside a crashing one is not refused", async (t) => {
   // Guards against convicting every request that runs during crashes.
-  const { entries, servers } = await startCrashingGroup(40);
+  const { entries, servers } = await startCrashingGroup(SERVER_COUNT, 40);
   const attempts = sendCrashing(entries, 8);
   let crashing = true;
   void attempts.finally(() => crashing = false);
--- a/packages/gateway/test/crashing_servers.ts
+++ b/packages/gateway/test/crashing_servers.ts
@@ -1,5 +1,6 @@
 import { setTimeout } from "node:timers/promises";
 import type { MemoryMetadataStore } from "@sycamorepulley/store";
+import { startGroup } from "./entry_group.ts";
 import { writeSealedHead } from "./fake_backend_server.ts";
 import type {
   FakeBackendServer,
@@ -16,6 +17,21 @@
 /** Milliseconds after which a crashed server listens again. */
 const RESTART_DELAY = 200;
 
+/**
+ * Starts three entries of one group, and servers that crash. `runTime`:
+ * milliseconds that runs take that crash nothing.
+ */
+export async function startCrashingGroup(
+  serverCount: number,
+  runTime = 0,
+): Promise<
+  Awaited<ReturnType<typeof startGroup>> & { servers: CrashingServers }
+> {
+  const { store, entries } = await startGroup(3, serverCount);
+  const servers = new CrashingServers(store, entries[0]!.servers, runTime);
+  return { store, entries, servers };
+}
+
 /** Lets servers crash under a body; they start again under new records. */
 export class CrashingServers {
   /** Number of crashes of all servers together. */
