Let a test edit the deadline of a file, not the digits of its revision

Cause: a revision is the time in milliseconds and stands in the first line of what `get` prints. For the ten seconds from 02:06:40 UTC on 4 December it read 1796350000xxx, so that replacing the first "5000" of the file changed the revision in place of the deadline.

Change: the tests replace the deadline by its name.

--- a/packages/command_line/test/configuration_commands_test.ts
+++ b/packages/command_line/test/configuration_commands_test.ts
@@ -5,6 +5,14 @@
 import t from "tap";
 import { command, FILE, startPlatform } from "./example.ts";
 
+/** Sets another deadline; the revision in the first line may have its digits. */
+function withDeadline(text: string, milliseconds: number): string {
+  return text.replace(
+    '"defaultDeadline": 5000',
+    `"defaultDeadline": ${milliseconds}`,
+  );
+}
+
 t.test("publishes a file, then an edit of it based on the revision in its first line", async (t) => {
   const { command, file } = await startPlatform(t);
   t.match(await command("apply", file(FILE)), {
@@ -16,7 +24,7 @@
     output,
     /^\/\/ sycamorepulley: base revision \d+\n\{\n {2}\/\/ Served/,
   );
-  const edited = file(output.replace("5000", "6000"));
+  const edited = file(withDeadline(output, 6000));
   t.match(await command("diff", edited), {
     exitCode: 0,
     output: /~ tiers\/urgent\n {4}defaultDeadline: 5000 -> 6000/,
@@ -29,7 +37,7 @@
 t.test("without a base revision only a first publish is accepted", async (t) => {
   const { command, file } = await startPlatform(t);
   await command("apply", file(FILE));
-  t.match(await command("apply", file(FILE.replace("5000", "7000"))), {
+  t.match(await command("apply", file(withDeadline(FILE, 7000))), {
     exitCode: 2,
     errors: /revision that .* is based on is unknown: state it with --base N/,
   });
@@ -39,7 +47,7 @@
   const { command, file } = await startPlatform(t);
   await command("apply", file(FILE));
   const { output: mine } = await command("get");
-  const theirs = file(mine.replace("5000", "9000"));
+  const theirs = file(withDeadline(mine, 9000));
   await command("apply", theirs, "--by", "ana");
   const late = await command("apply", file(mine.replace("orders", "bookings")));
   t.equal(late.exitCode, 3);
