--- a/packages/decisions/src/suspects/suspects.ts
+++ b/packages/decisions/src/suspects/suspects.ts
@@ -32,21 +32,12 @@
 import type { QuarantineRule } from "./quarantine_rule.ts";
 import { CrashReports } from "./crash_reports.ts";
 import { RecentCrashes } from "./recent_crashes.ts";
-import type { ClearedCrash } from "./recent_crashes.ts";
 import { ISOLATED_FROM, partCauses } from "./part_causes.ts";
 import { isPromptPart } from "./prompt_part.ts";
-import { FingerprintStatuses } from "./fingerprint_statuses.ts";
-import {
-  fingerprintsOfKey,
-  FIRST_PART_QUARANTINE_DURATION,
-  QUARANTINE_DURATION,
-  quarantineKey,
-  SUSPICION_DURATION,
-} from "./fingerprint_status.ts";
-import type {
-  FingerprintStatus,
-  SuspectStatement,
-} from "./fingerprint_status.ts";
+import { CrashCounts } from "./crash_counts.ts";
+import { ReservedRun } from "./reserved_run.ts";
+import { fingerprintsOfKey } from "./fingerprint_status.ts";
+import type { SuspectStatement } from "./fingerprint_status.ts";
 
 /**
  * How a request has to be handled, and the fingerprints that are the reason;
@@ -68,13 +59,6 @@
     retryAfter: number;
   };
 
-/**
- * Milliseconds after which a run whose end was not reported no longer blocks
- * other suspects.
- */
-const RUN_TIMEOUT = 300_000;
-/** Maximum number of addresses that are kept for a fingerprint. */
-const MAXIMUM_SERVERS = 4;
 /**
  * A prompt part that has run successfully lately becomes a suspect after this
  * number of crashes without another successful run, in at least this number of
@@ -82,6 +66,7 @@
  */
 const UNTRUSTED_CRASHES = 5;
 const UNTRUSTED_AFTER = 1500;
+
 /** A request that ran at a server when it crashed. */
 export type CrashedRun = {
   /** Of the whole request first, then of the parts of its prompt. */
@@ -97,16 +82,14 @@
   runs: readonly CrashedRun[];
 };
 
-type Run = { fingerprint: string; backendServer: string; expiresAt: number };
-
-/** Suspects, quarantined fingerprints and the one suspect that is running. */
+/** Judges requests by the crashes of servers that ran them. */
 export class CrashSuspects {
-  readonly #statuses = new FingerprintStatuses();
+  readonly #counts = new CrashCounts();
   readonly #rule: QuarantineRule;
   readonly #reports = new CrashReports();
   readonly #recentCrashes = new RecentCrashes();
   readonly #completeRuns = new CompleteRuns();
-  #run: Run | undefined;
+  readonly #reservedRun = new ReservedRun();
 
   constructor(rule: QuarantineRule = new IsolatedRunRule()) {
     this.#rule = rule;
@@ -119,10 +102,10 @@
 
   /** Returns how to handle a request with all these fingerprints now. */
   verdictOf(fingerprints: readonly string[], now: number): SuspectVerdict {
-    if (this.#statuses.isEmpty) return { kind: "clear" };
-    const [key] = this.#statuses.quarantinesOf(fingerprints, now);
+    if (this.#counts.isEmpty) return { kind: "clear" };
+    const [key] = this.#counts.quarantinesOf(fingerprints, now);
     if (key !== undefined) {
-      const { expiresAt } = this.#statuses.get(key, now)!;
+      const { expiresAt } = this.#counts.get(key, now)!;
       return {
         kind: "quarantined",
         fingerprints: fingerprintsOfKey(key),
@@ -132,7 +115,7 @@
     const suspects = this.#suspectsAmong(fingerprints, now);
     if (suspects.length === 0) return { kind: "clear" };
     const statuses = suspects
-      .map((fingerprint) => this.#statuses.get(fingerprint, now)!);
+      .map((fingerprint) => this.#counts.get(fingerprint, now)!);
     return {
       kind: "suspect",
       fingerprints: suspects,
@@ -150,14 +133,14 @@
     now: number,
   ): { crashes: number; completeRuns: number } {
     return {
-      crashes: this.#statuses.get(fingerprint, now)?.crashes ?? 0,
+      crashes: this.#counts.get(fingerprint, now)?.crashes ?? 0,
       completeRuns: this.#completeRuns.count(fingerprint, now),
     };
   }
 
   /** Whether no other suspect is running. */
   mayStartRun(now: number): boolean {
-    return this.#run === undefined || now >= this.#run.expiresAt;
+    return this.#reservedRun.mayStart(now);
   }
 
   /** Reserves the run of a suspect; false if another one is running. */
@@ -166,23 +149,23 @@
     backendServer: string,
     now: number,
   ): boolean {
-    if (!this.mayStartRun(now)) return false;
-    this.#run = { fingerprint, backendServer, expiresAt: now + RUN_TIMEOUT };
+    if (!this.#reservedRun.tryStart(fingerprint, backendServer, now)) {
+      return false;
+    }
     this.#reports.forget(backendServer);
     return true;
   }
 
   /** Ends a run without a result: it was cancelled or never started. */
   cancelRun(fingerprint: string): void {
-    if (this.#run?.fingerprint === fingerprint) this.#run = undefined;
+    this.#reservedRun.end(fingerprint);
   }
 
   /** Records a successful run, which clears the fingerprint. */
   recordCleanRun(fingerprint: string, now: number): void {
     this.cancelRun(fingerprint);
     this.recordServedPart(fingerprint, now);
-    const status = this.#statuses.get(fingerprint, now);
-    if (status?.kind === "suspect") this.#clear(fingerprint, status, now);
+    this.#counts.clear(fingerprint, now);
   }
 
   /**
@@ -202,7 +185,7 @@
     backendServer: string,
     now: number,
   ): void {
-    if (this.#run?.backendServer === backendServer) this.#run = undefined;
+    this.#reservedRun.endAt(backendServer);
     const running = new Set(requests.map(([fingerprint]) => fingerprint!));
     if (!this.#reports.isNew(running, backendServer, now)) return;
     const runs = requests.map((fingerprints) => ({
@@ -215,11 +198,11 @@
   /** Records a crash that is reported once. */
   recordServerCrash({ server, runs }: ServerCrash, now: number): void {
     const causes = runs.filter(({ fingerprints }) =>
-      this.#statuses.quarantinesOf(fingerprints, now).length > 0
+      this.#counts.quarantinesOf(fingerprints, now).length > 0
     );
     if (causes.length > 0) {
       for (const { fingerprints } of causes) {
-        this.#addQuarantinedCrash(fingerprints, server, now);
+        this.#counts.addQuarantinedCrash(fingerprints, server, now);
       }
       return;
     }
@@ -228,7 +211,12 @@
     const soleSuspect = this.#soleSuspect(runs, now);
     const sole = this.#currentSuspects(soleSuspect, now);
     for (const fingerprint of fingerprintsOfRuns(runs)) {
-      this.#addCrash(fingerprint, server, sole.includes(fingerprint), now);
+      this.#counts.addCrash(
+        fingerprint,
+        server,
+        sole.includes(fingerprint),
+        now,
+      );
     }
     const ranAlone = runs.length === 1;
     for (const { fingerprints: [request] } of runs) {
@@ -241,17 +229,17 @@
 
   /** Returns the statuses that are valid now, to be sent to peers. */
   statements(now: number): SuspectStatement[] {
-    return this.#statuses.statements(now);
+    return this.#counts.statements(now);
   }
 
   /** Returns the statuses that have changed since the last call. */
   takeChanges(now: number): SuspectStatement[] {
-    return this.#statuses.takeChanges(now);
+    return this.#counts.takeChanges(now);
   }
 
-  /** See {@link FingerprintStatuses.merge}. */
+  /** Merges a peer's statements, in any order and however often. */
   merge(statements: readonly SuspectStatement[], now: number): void {
-    this.#statuses.merge(statements, now);
+    this.#counts.merge(statements, now);
   }
 
   #suspectsAmong(fingerprints: readonly string[], now: number): string[] {
@@ -261,7 +249,7 @@
 
   /** Whether the fingerprint is suspected, and not trusted for its runs. */
   #isSuspect(fingerprint: string, now: number): boolean {
-    const status = this.#statuses.get(fingerprint, now);
+    const status = this.#counts.get(fingerprint, now);
     if (status?.kind !== "suspect") return false;
     if (this.#completeRuns.count(fingerprint, now) === 0) return true;
     const duration = status.lastCrashAt - status.firstCrashAt;
@@ -290,61 +278,12 @@
     return run === undefined
       ? []
       : run.suspects.filter((fingerprint) =>
-        this.#statuses.get(fingerprint, now)?.kind !== "clear"
+        this.#counts.get(fingerprint, now)?.kind !== "clear"
       );
   }
 
-  #addCrash(
-    fingerprint: string,
-    server: string,
-    wasSoleSuspect: boolean,
-    now: number,
-  ): void {
-    const status = this.#statuses.get(fingerprint, now);
-    const isCounting = status !== undefined && status.crashes > 0;
-    const soleSuspectCrashes = status?.soleSuspectCrashes ?? 0;
-    const others = (status?.servers ?? []).filter((other) => other !== server);
-    this.#statuses.set(fingerprint, {
-      kind: "suspect",
-      revision: (status?.revision ?? 0) + 1,
-      crashes: (status?.crashes ?? 0) + 1,
-      soleSuspectCrashes: soleSuspectCrashes + (wasSoleSuspect ? 1 : 0),
-      quarantines: status?.quarantines ?? 0,
-      servers: [server, ...others].slice(0, MAXIMUM_SERVERS),
-      firstCrashAt: isCounting ? status.firstCrashAt : now,
-      lastCrashAt: now,
-      expiresAt: now + SUSPICION_DURATION,
-    });
-  }
-
-  /**
-   * Counts a crash under a request that was granted before its quarantine. If
-   * only the whole request is quarantined, its parts remain possible causes.
-   */
-  #addQuarantinedCrash(
-    fingerprints: readonly string[],
-    server: string,
-    now: number,
-  ): void {
-    const keys = this.#statuses.quarantinesOf(fingerprints, now);
-    for (const key of keys) {
-      const status = this.#statuses.get(key, now)!;
-      const others = status.servers.filter((other) => other !== server);
-      this.#statuses.set(key, {
-        ...status,
-        revision: status.revision + 1,
-        crashes: status.crashes + 1,
-        servers: [server, ...others].slice(0, MAXIMUM_SERVERS),
-        lastCrashAt: now,
-      });
-    }
-    const [request, ...parts] = fingerprints;
-    if (keys.some((key) => key !== request)) return;
-    for (const part of parts) this.#addCrash(part, server, false, now);
-  }
-
   #quarantineIfProven(request: string, ranAlone: boolean, now: number): void {
-    const status = this.#statuses.get(request, now);
+    const status = this.#counts.get(request, now);
     if (status?.kind !== "suspect") return;
     if (this.#rule.isProven({ ...status, ranAlone })) {
       this.#quarantine([request], now);
@@ -360,70 +299,22 @@
     ranAlone: boolean,
     now: number,
   ): void {
-    const requestCrashes = this.#statuses.get(request!, now)?.crashes ?? 0;
+    const requestCrashes = this.#counts.get(request!, now)?.crashes ?? 0;
     const suspects = this.#suspectsAmong(parts, now).map((part) => {
-      const { crashes, soleSuspectCrashes } = this.#statuses.get(part, now)!;
+      const { crashes, soleSuspectCrashes } = this.#counts.get(part, now)!;
       return { part, crashes, soleSuspectCrashes, ranAlone };
     });
     const causes = partCauses(suspects, requestCrashes, this.#rule);
     if (causes.length > 0) this.#quarantine(causes, now);
   }
 
-  /** Quarantines requests that have all these fingerprints. */
+  /** Quarantines the cause, and uncounts the crashes that it explains. */
   #quarantine(fingerprints: readonly string[], now: number): void {
-    const key = quarantineKey(fingerprints);
-    const statuses = fingerprints
-      .map((fingerprint) => this.#statuses.get(fingerprint, now)!);
-    const previous = this.#statuses.get(key, now);
-    const quarantines = 1 + (previous?.quarantines ?? 0);
-    const isFirstOfPart = quarantines === 1 && isPromptPart(fingerprints[0]!);
-    const duration = isFirstOfPart
-      ? FIRST_PART_QUARANTINE_DURATION
-      : QUARANTINE_DURATION;
-    // Each part remains a suspect when the quarantine has ended.
-    const suspectUntil = now + duration + SUSPICION_DURATION;
-    for (const [index, fingerprint] of fingerprints.entries()) {
-      const status = { ...statuses[index]!, expiresAt: suspectUntil };
-      this.#statuses.set(fingerprint, status);
-    }
-    this.#statuses.set(key, {
-      ...statuses[0]!,
-      kind: "quarantined",
-      revision: (previous?.revision ?? 0) + 1,
-      quarantines,
-      expiresAt: now + duration,
-    });
+    this.#counts.quarantine(fingerprints, now);
     for (const cleared of this.#recentCrashes.explain(fingerprints)) {
-      this.#removeCrash(cleared, now);
+      this.#counts.removeCrash(cleared, now);
     }
   }
-
-  /** Uncounts a crash whose cause was found. */
-  #removeCrash({ fingerprint, at }: ClearedCrash, now: number): void {
-    const status = this.#statuses.get(fingerprint, now);
-    if (status?.kind !== "suspect" || status.firstCrashAt > at) return;
-    if (status.crashes <= 1) return this.#clear(fingerprint, status, now);
-    const { revision, crashes } = status;
-    this.#statuses.set(fingerprint, {
-      ...status,
-      revision: revision + 1,
-      crashes: crashes - 1,
-    });
-  }
-
-  #clear(fingerprint: string, status: FingerprintStatus, now: number): void {
-    this.#statuses.set(fingerprint, {
-      kind: "clear",
-      revision: status.revision + 1,
-      crashes: 0,
-      soleSuspectCrashes: 0,
-      quarantines: 0,
-      servers: [],
-      firstCrashAt: now,
-      lastCrashAt: now,
-      expiresAt: now + SUSPICION_DURATION,
-    });
-  }
 }
 
 /** All fingerprints of the runs, each once. */
