--- a/packages/gateway/src/front/http_frontend.ts
+++ b/packages/gateway/src/front/http_frontend.ts
@@ -26,14 +26,25 @@
   response: ServerResponse,
 ) => void;
 
+/** Counts the connections of callers. */
+export type ConnectionCounters = {
+  accepted: () => void;
+  /** A connection ended before a request was read. */
+  unread: () => void;
+};
+
 /** Accepts callers' connections and passes their requests to a handler. */
 export class HttpFrontend {
   readonly #server: Server;
+  readonly #counters: ConnectionCounters;
+  /** Connections on which no request has been read. */
+  readonly #unreadConnections = new WeakSet<Socket>();
   /** Connections that the gateway has ended and the caller has not yet. */
   readonly #endedConnections = new WeakSet<Socket>();
   #draining = false;
 
-  constructor(handle: HandleRequest) {
+  constructor(handle: HandleRequest, counters: ConnectionCounters) {
+    this.#counters = counters;
     this.#server = createServer(
       {
         maxHeaderSize: MAX_HEAD_BYTES,
@@ -43,6 +54,7 @@
       },
       (request, response) => {
         response.sendDate = false;
+        this.#unreadConnections.delete(request.socket);
         if (this.#draining) response.setHeader("connection", "close");
         if (this.#endedConnections.has(request.socket)) {
           // The request was sent before the end of its connection arrived at
@@ -60,6 +72,7 @@
         handle(request, response);
       },
     );
+    this.#server.on("connection", (socket) => this.#countConnection(socket));
   }
 
   /** Applies the limits of a new configuration to requests from now on. */
@@ -93,6 +106,14 @@
     this.#server.closeAllConnections();
   }
 
+  #countConnection(socket: Socket): void {
+    this.#counters.accepted();
+    this.#unreadConnections.add(socket);
+    socket.once("close", () => {
+      if (this.#unreadConnections.has(socket)) this.#counters.unread();
+    });
+  }
+
   #endConnection(socket: Socket): void {
     this.#endedConnections.add(socket);
     socket.end();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -202,8 +202,12 @@
         ),
       },
     });
-    this.#frontend = new HttpFrontend((request, response) =>
-      this.#serve(request, response)
+    this.#frontend = new HttpFrontend(
+      (request, response) => this.#serve(request, response),
+      {
+        accepted: () => this.#metrics.connections.inc(),
+        unread: () => this.#metrics.unreadConnections.inc(),
+      },
     );
     this.#loadReport = new LoadReport({
       grantClient: this.#grantClient,
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -8,6 +8,21 @@
 export class GatewayMetrics {
   readonly registry = new Registry();
 
+  readonly connections = this.#counter(
+    "connections_total",
+    "Connections accepted from callers",
+    [],
+  );
+  readonly unreadConnections = this.#counter(
+    "connections_unread_total",
+    "Connections of callers that ended before a request was read",
+    [],
+  );
+  readonly abandonedRequests = this.#counter(
+    "abandoned_total",
+    "Requests whose callers had left before they were handled",
+    [],
+  );
   readonly requests = this.#counter("requests_total", "Requests received", [
     "service",
     "route",
--- a/packages/gateway/src/request/request_handler.ts
+++ b/packages/gateway/src/request/request_handler.ts
@@ -67,6 +67,8 @@
       if (body.error === "too_large") {
         response.setHeader("connection", "close");
         this.#refuse(response, parsed, "body_too_large");
+      } else {
+        metrics.abandonedRequests.inc();
       }
       return;
     }
@@ -77,7 +79,10 @@
     // this poll; the second one comes after the next poll.
     await nextTurn();
     await nextTurn();
-    if (caller.disconnected) return;
+    if (caller.disconnected) {
+      metrics.abandonedRequests.inc();
+      return;
+    }
     if (limits !== undefined && headSize(request) > limits.headerBytes) {
       this.#refuse(response, parsed, "head_too_large");
       return;
