Read stored quarantines again while entries can't reach each other

Callers may see: while entries are divided, a request that one group has quarantined crashes three servers more in each other group, although all of them reach the store, where the quarantine is kept.

Cause: entries read the stored quarantines at their start only.

Change: an entry that has had no link to a registered one for a second reads them again each second. A record is used once, as it may be stored for longer than its quarantine lasts.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -34,7 +34,9 @@
 import { processorCapacity, quotaLeeway } from "./settings.ts";
 import type { GatewaySettings } from "./settings.ts";
 import { settingsAfterReload } from "./settings_reload.ts";
+import { FleetDivision } from "./state/fleet_division.ts";
 import { FleetState } from "./state/fleet_state.ts";
+import type { Member } from "./state/fleet_state.ts";
 import { startStoreFollowers } from "./state/store_followers.ts";
 import { EntryRegistration } from "./state/entry_registration.ts";
 import { EraCheckedStore } from "./state/era_checked_store.ts";
@@ -84,6 +86,7 @@
   readonly #grantClient: GrantClient;
   readonly #quarantineRecords: QuarantineRecords;
   readonly #peers: Peers;
+  readonly #division = new FleetDivision();
   readonly #stateSharing: StateSharing;
   #configurationFollower: PrefixFollower | undefined;
   readonly #registration: EntryRegistration;
@@ -434,9 +437,7 @@
    * there is any, has sent its state.
    */
   #openStartGate(): void {
-    const { members } = this.#fleetState;
-    const others = [...members.values()]
-      .filter(({ instance }) => instance !== this.#settings.instance);
+    const others = this.#otherMembers();
     const hasPeerState = this.#peerStateReceived || others.length === 0;
     if (hasPeerState && this.#quarantineRecords.isRead) {
       this.#startGate.open();
@@ -471,6 +472,24 @@
     // change in the store.
     this.#refreshServers();
     this.#entryStatus.updateGroup();
+    this.#readQuarantinesIfDivided();
+  }
+
+  /** Entries that this one can't reach may have added quarantines. */
+  #readQuarantinesIfDivided(): void {
+    const now = this.#clock();
+    const linked = new Set(this.#peers.connectedPeers());
+    const registered = this.#otherMembers().map(({ instance }) => instance);
+    this.#division.update(registered, linked, now);
+    if (this.#division.isDivided(now)) {
+      void this.#quarantineRecords.readWhileDivided();
+    }
+  }
+
+  /** Entries that are registered in the store, without this one. */
+  #otherMembers(): Member[] {
+    return [...this.#fleetState.members.values()]
+      .filter(({ instance }) => instance !== this.#settings.instance);
   }
 
   #repeat(interval: number, action: () => void): void {
--- a/packages/gateway/src/state/quarantine_records.ts
+++ b/packages/gateway/src/state/quarantine_records.ts
@@ -2,10 +2,10 @@
  * Keeps quarantines in the store, so that entries that are all restarted at the
  * same time refuse the same requests as before.
  *
- * Each quarantine is a key under a lease that ends with it or later. Running entries
- * share quarantines directly, so the keys are only read at the start. When the
- * store has been restored from an older copy, the granting entry writes all that
- * it knows again.
+ * Each quarantine is a key under a lease that ends with it or later. Running
+ * entries share quarantines directly, so the keys are read at the start, and
+ * again while entries can't reach each other. When the store has been restored
+ * from an older copy, the granting entry writes all that it knows again.
  * @module
  */
 import { setTimeout } from "node:timers/promises";
@@ -25,6 +25,8 @@
 const MINIMUM_LEASE = 60_000;
 /** Milliseconds until a failed call is repeated. */
 const RETRY_DELAY = 400;
+/** Milliseconds between reads while entries can't reach each other. */
+const DIVIDED_READ_INTERVAL = 1000;
 
 /** Reads and writes quarantines until `signal` is aborted. */
 export class QuarantineRecords {
@@ -33,6 +35,10 @@
   readonly #clock: () => number;
   readonly #signal: AbortSignal;
   readonly #onRead: (statements: SuspectStatement[]) => void;
+  /** Revision at which each key was read last. */
+  #readRevisions = new Map<string, number>();
+  #readAt = -Infinity;
+  #isReading = false;
   #isRead = false;
 
   constructor(
@@ -58,21 +64,42 @@
 
   /** Reads all quarantines, however often the store fails. */
   async read(): Promise<void> {
+    this.#isReading = true;
     const items = await this.#repeat(() => this.#readItems());
+    this.#isReading = false;
     if (items === undefined) return;
     this.#isRead = true;
+    this.#readAt = this.#clock();
     this.#onRead(
-      items.map(({ value }) => decodeStatement(value))
+      this.#takeNew(items).map(({ value }) => decodeStatement(value))
         .filter((statement) => statement !== undefined),
     );
   }
 
+  /** Reads them again, once a second, while entries can't reach each other. */
+  async readWhileDivided(): Promise<void> {
+    const isDue = this.#clock() - this.#readAt >= DIVIDED_READ_INTERVAL;
+    if (isDue && !this.#isReading) await this.read();
+  }
+
   /** Writes a quarantine, however often the store fails. */
   async write(statement: SuspectStatement): Promise<void> {
     const endsAt = this.#clock() + statement.remaining;
     await this.#repeat(() => this.#writeOnce(statement, endsAt));
   }
 
+  /**
+   * Returns the items that have been written since the last read. A quarantine
+   * that has ended may still be stored.
+   */
+  #takeNew(items: readonly StoredItem[]): StoredItem[] {
+    const before = this.#readRevisions;
+    this.#readRevisions = new Map(
+      items.map(({ key, revision }) => [key, revision]),
+    );
+    return items.filter(({ key, revision }) => before.get(key) !== revision);
+  }
+
   /** Calls until it succeeds; `undefined` if the process stops before. */
   async #repeat<Value>(
     call: () => Promise<Value | undefined>,
--- a/packages/gateway/test/crashing_request_test.ts
+++ b/packages/gateway/test/crashing_request_test.ts
@@ -1,11 +1,17 @@
 import { setTimeout } from "node:timers/promises";
 import t from "tap";
 import { QUARANTINE_PREFIX } from "../src/state/quarantine_records.ts";
-import { CRASHING_BODY, startCrashingGroup } from "./crashing_servers.ts";
+import { MemoryMetadataStore } from "@sycamorepulley/store";
+import {
+  CRASHING_BODY,
+  CrashingServers,
+  startCrashingGroup,
+} from "./crashing_servers.ts";
 import { grantingEntry, startGroup, stopAll } from "./entry_group.ts";
 import { writeSealedHead } from "./fake_backend_server.ts";
-import { Fixture, waitUntil } from "./fixture.ts";
+import { Fixture, storedConfiguration, waitUntil } from "./fixture.ts";
 import type { CallerResponse } from "./fixture.ts";
+import { StoreView } from "./store_view.ts";
 
 const SERVER_COUNT = 6;
 const ATTEMPTS = 12;
@@ -151,6 +157,35 @@
   await stopAll(entries);
 });
 
+t.test("entries that can't reach each other refuse what one of them has quarantined", async (t) => {
+  // Guards against quarantines that are read at the start only.
+  const store = new MemoryMetadataStore();
+  store.put("configuration", storedConfiguration(1));
+  const start = (instance: string, servers?: Fixture["servers"]) => {
+    const storeView = new StoreView(store);
+    storeView.registersClosedPort = true;
+    const shared = servers === undefined ? {} : { servers };
+    return Fixture.start({ store, storeView, instance, ...shared });
+  };
+  const first = await start("entry-1");
+  const entries = [first, await start("entry-2", first.servers)];
+  for (const entry of entries) await entry.waitUntilReady();
+  const servers = new CrashingServers(store, first.servers, 0);
+  await sendCrashing([first], 4);
+  const { crashes } = servers;
+  t.ok(crashes >= 3, "the request crashes servers");
+  const isKnown = () =>
+    entries[1]!.events.some(({ message, context }) =>
+      message === "request_quarantined" && context["instance"] === "entry-2"
+    );
+  t.ok(await waitUntil(isKnown));
+  const [response] = await sendCrashing([entries[1]!], 1);
+  t.ok(isContained(response!), `status ${response!.status}`);
+  t.equal(servers.crashes, crashes);
+  await servers.stop();
+  await stopAll(entries);
+});
+
 t.test("a request that only runs beside a crashing one is not refused", async (t) => {
   // Guards against convicting every request that runs during crashes.
   const { entries, servers } = await startCrashingGroup(SERVER_COUNT, 40);
--- /dev/null
+++ b/packages/gateway/test/quarantine_records_test.ts
@@ -0,0 +1,53 @@
+import { MemoryMetadataStore } from "@sycamorepulley/store";
+import t from "tap";
+import { EventLog } from "../src/mod.ts";
+import { EraCheckedStore } from "../src/state/era_checked_store.ts";
+import { FleetDivision } from "../src/state/fleet_division.ts";
+import { QuarantineRecords } from "../src/state/quarantine_records.ts";
+import { StoreContact } from "../src/state/store_contact.ts";
+import { RecordingSink } from "./recording_sink.ts";
+
+const QUARANTINE = {
+  fingerprint: "fatal",
+  kind: "quarantined" as const,
+  revision: 3,
+  crashes: 3,
+  quarantines: 1,
+  soleSuspectCrashes: 1,
+  servers: [],
+  remaining: 1500,
+};
+
+t.test("quarantines are read again while entries are divided, each once", async (t) => {
+  // Guards against renewing a short quarantine for as long as it is stored.
+  let now = 0;
+  const clock = () => now;
+  const log = new EventLog({ instance: "a", sink: new RecordingSink(), clock });
+  const contact = new StoreContact({ log, clock });
+  const reads: string[][] = [];
+  const records = new QuarantineRecords({
+    store: new EraCheckedStore(new MemoryMetadataStore(), contact),
+    contact,
+    clock,
+    signal: new AbortController().signal,
+    onRead: (statements) =>
+      reads.push(statements.map(({ fingerprint }) => fingerprint)),
+  });
+  await records.read();
+  await records.write(QUARANTINE);
+  await records.readWhileDivided();
+  t.strictSame(reads, [[]]);
+  for (now = 1000; now <= 2000; now += 1000) await records.readWhileDivided();
+  t.strictSame(reads, [[], ["fatal"], []]);
+});
+
+t.test("entries are divided while a registered one has had no link for a second", (t) => {
+  const division = new FleetDivision();
+  division.update(["b", "c"], new Set(["b"]), 0);
+  t.notOk(division.isDivided(900));
+  division.update(["b", "c"], new Set(["b"]), 1000);
+  t.ok(division.isDivided(1000));
+  division.update(["b"], new Set(["b"]), 1200);
+  t.notOk(division.isDivided(1200));
+  t.end();
+});
--- a/packages/gateway/test/store_view.ts
+++ b/packages/gateway/test/store_view.ts
@@ -1,15 +1,21 @@
 import { MetadataStore } from "@sycamorepulley/store";
+import { MEMBER_PREFIX } from "../src/state/entry_registration.ts";
 import type {
   MemoryMetadataStore,
   Transaction,
   WatchPrefixOptions,
 } from "@sycamorepulley/store";
 
+/** A port of 127.0.0.1 at which nothing listens. */
+const CLOSED_PORT = 1;
+
 /** One entry's access to a test store that other entries use as well. */
 export class StoreView extends MetadataStore {
   readonly #store: MemoryMetadataStore;
   /** While true, the store rejects all calls of this entry. */
   rejects = false;
+  /** While true, the entry registers an address that refuses connections. */
+  registersClosedPort = false;
 
   constructor(store: MemoryMetadataStore) {
     super();
@@ -29,7 +35,12 @@
   }
 
   override transact(transaction: Transaction) {
-    return this.#call(() => this.#store.transact(transaction));
+    const writes = transaction.writes.map((write) =>
+      this.registersClosedPort && write.key.startsWith(MEMBER_PREFIX)
+        ? { ...write, value: withClosedPort(write.value) }
+        : write
+    );
+    return this.#call(() => this.#store.transact({ ...transaction, writes }));
   }
 
   override grantLease() {
@@ -52,3 +63,7 @@
     return outcome;
   }
 }
+
+function withClosedPort(member: string): string {
+  return JSON.stringify({ ...JSON.parse(member), port: CLOSED_PORT });
+}
