Let fewer new connections wait at the daemon's entries as well

Callers may see: an entry of the daemon that gets more connections than it can handle reads only requests whose callers have given up, as the gateway did.

Cause: the same; 511 connections wait to be accepted.

Change: both halves use one function for the length of the queue; the entry's setting `bounds.processors` says how many cores it may use, 1 if absent. The gateway's queue is as before.

--- a/packages/daemon/src/common/settings.ts
+++ b/packages/daemon/src/common/settings.ts
@@ -72,6 +72,11 @@
       connections: v.optional(positiveInteger, 10_000),
       headerBytes: v.optional(positiveInteger, 16 * 1024),
       links: v.optional(positiveInteger, 600),
+      /** Processor cores that this process may use; fractions are possible. */
+      processors: v.optional(
+        v.pipe(v.number(), v.finite(), v.minValue(0.01)),
+        1,
+      ),
     }),
     {},
   ),
--- a/packages/daemon/src/entry/http_frontend.ts
+++ b/packages/daemon/src/entry/http_frontend.ts
@@ -3,6 +3,7 @@
  * services by their names.
  * @module
  */
+import { acceptQueueLength } from "@sycamorepulley/decisions";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import polka from "polka";
@@ -29,6 +30,8 @@
   address: Address;
   maxHeaderBytes: number;
   maxConnections: number;
+  /** Processor cores that this process may use. */
+  processors: number;
   handle: RequestHandler;
   /** While it returns true, responses ask the load balancer to disconnect. */
   isDraining: () => boolean;
@@ -45,8 +48,8 @@
 export async function startHttpFrontend(
   options: HttpFrontendOptions,
 ): Promise<HttpFrontend> {
-  const { address, maxHeaderBytes, maxConnections, handle, isDraining } =
-    options;
+  const { address, maxHeaderBytes, maxConnections, processors } = options;
+  const { handle, isDraining } = options;
   const serve = (request: IncomingMessage, response: ServerResponse) => {
     // The load balancer's list lags a shutdown. The requests that it still
     // sends must be served and its connections asked to close; otherwise those
@@ -71,7 +74,7 @@
     (request, response) => application.handler(request as Request, response),
   );
   server.maxConnections = maxConnections;
-  const port = await listen(server, address);
+  const port = await listen(server, address, acceptQueueLength(processors));
   return { port, close: () => closeServer(server) };
 }
 
--- a/packages/gateway/src/front/http_frontend.ts
+++ b/packages/gateway/src/front/http_frontend.ts
@@ -2,8 +2,8 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { acceptQueueLength } from "@sycamorepulley/decisions";
 import { listen } from "../listen.ts";
-import { acceptQueueLength } from "./accept_queue.ts";
 import type { Address } from "../settings.ts";
 import type { CallerLimits } from "../state/gateway_configuration.ts";
 
--- a/packages/gateway/test/accept_queue_test.ts
+++ b/packages/gateway/test/accept_queue_test.ts
@@ -5,7 +5,7 @@
 import { execPath } from "node:process";
 import { setTimeout } from "node:timers/promises";
 import t from "tap";
-import { acceptQueueLength } from "../src/front/accept_queue.ts";
+import { acceptQueueLength } from "@sycamorepulley/decisions";
 
 const FRONTEND = new URL("../dist/front/http_frontend.js", import.meta.url);
 const CORES = 0.25;
