--- a/packages/gateway/test/era_checked_store_test.ts
+++ b/packages/gateway/test/era_checked_store_test.ts
@@ -1,29 +1,10 @@
 import { MemoryMetadataStore } from "@sycamorepulley/store";
 import t from "tap";
-import { EventLog } from "../src/mod.ts";
 import { EraCheckedStore } from "../src/state/era_checked_store.ts";
 import { PrefixFollower } from "../src/state/prefix_follower.ts";
 import { QuarantineRecords } from "../src/state/quarantine_records.ts";
 import { StateListener } from "../src/state/state_listener.ts";
-import { StoreContact } from "../src/state/store_contact.ts";
-import { RecordingSink } from "./recording_sink.ts";
-
-const QUARANTINE = {
-  fingerprint: "fatal",
-  kind: "quarantined" as const,
-  revision: 3,
-  crashes: 3,
-  quarantines: 1,
-  soleSuspectCrashes: 1,
-  servers: [],
-  remaining: 60_000,
-};
-
-function createContact(): StoreContact {
-  const clock = () => performance.now();
-  const log = new EventLog({ instance: "a", sink: new RecordingSink(), clock });
-  return new StoreContact({ log, clock });
-}
+import { createContact, QUARANTINE } from "./store_access.ts";
 
 t.test("a response from before a restore fails if it arrives after one", async (t) => {
   const data = new MemoryMetadataStore();
--- a/packages/gateway/test/quarantine_records_test.ts
+++ b/packages/gateway/test/quarantine_records_test.ts
@@ -1,29 +1,15 @@
 import { MemoryMetadataStore } from "@sycamorepulley/store";
 import t from "tap";
-import { EventLog } from "../src/mod.ts";
 import { EraCheckedStore } from "../src/state/era_checked_store.ts";
 import { FleetDivision } from "../src/state/fleet_division.ts";
 import { QuarantineRecords } from "../src/state/quarantine_records.ts";
-import { StoreContact } from "../src/state/store_contact.ts";
-import { RecordingSink } from "./recording_sink.ts";
-
-const QUARANTINE = {
-  fingerprint: "fatal",
-  kind: "quarantined" as const,
-  revision: 3,
-  crashes: 3,
-  quarantines: 1,
-  soleSuspectCrashes: 1,
-  servers: [],
-  remaining: 1500,
-};
+import { createContact, QUARANTINE } from "./store_access.ts";
 
 t.test("quarantines are read again while entries are divided, each once", async (t) => {
   // Guards against renewing a short quarantine for as long as it is stored.
   let now = 0;
   const clock = () => now;
-  const log = new EventLog({ instance: "a", sink: new RecordingSink(), clock });
-  const contact = new StoreContact({ log, clock });
+  const contact = createContact(clock);
   const reads: string[][] = [];
   const records = new QuarantineRecords({
     store: new EraCheckedStore(new MemoryMetadataStore(), contact),
@@ -34,7 +20,7 @@
       reads.push(statements.map(({ fingerprint }) => fingerprint)),
   });
   await records.read();
-  await records.write(QUARANTINE);
+  await records.write({ ...QUARANTINE, remaining: 1500 });
   await records.readWhileDivided();
   t.strictSame(reads, [[]]);
   for (now = 1000; now <= 2000; now += 1000) await records.readWhileDivided();
