Let only granting entries read stored quarantines while entries are divided

Each entry without a link to a registered one read them once a second: 68 calls a second to the store on the large deployment after each lost entry. The granting entry refuses for its whole group, so that it suffices if it knows them. The test of two entries that can't reach each other passes as before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -425,13 +425,17 @@
 
   /** Writes what a restored store may have lost; one entry of a group does. */
   #writeQuarantinesAgain(): void {
-    const { grantingEntry, suspects } = this.#grantClient;
-    if (grantingEntry !== this.#settings.instance) return;
-    for (const statement of suspects.quarantines()) {
+    if (!this.#isGranting()) return;
+    for (const statement of this.#grantClient.suspects.quarantines()) {
       void this.#quarantineRecords.write(statement);
     }
   }
 
+  /** Whether this entry grants for its group. */
+  #isGranting(): boolean {
+    return this.#grantClient.grantingEntry === this.#settings.instance;
+  }
+
   /**
    * Opens the start gate once the quarantines have been read and a peer, if
    * there is any, has sent its state.
@@ -475,13 +479,16 @@
     this.#readQuarantinesIfDivided();
   }
 
-  /** Entries that this one can't reach may have added quarantines. */
+  /**
+   * Entries that this one can't reach may have added quarantines. The granting
+   * entry reads them for its group.
+   */
   #readQuarantinesIfDivided(): void {
     const now = this.#clock();
     const linked = new Set(this.#peers.connectedPeers());
     const registered = this.#otherMembers().map(({ instance }) => instance);
     this.#division.update(registered, linked, now);
-    if (this.#division.isDivided(now)) {
+    if (this.#division.isDivided(now) && this.#isGranting()) {
       void this.#quarantineRecords.readWhileDivided();
     }
   }
