--- a/benchmarks/src/policies/entry.ts
+++ b/benchmarks/src/policies/entry.ts
@@ -179,7 +179,7 @@
       promptTokens,
       outputTokens,
     });
-    this.#suspects.recordCleanRun(fingerprint, now);
+    this.#suspects.recordCompleteRun(fingerprint, now);
     this.#removePending(pending);
     this.#caller.notifyFinished(outcome);
   }
--- a/packages/daemon/src/entry/request_task.ts
+++ b/packages/daemon/src/entry/request_task.ts
@@ -239,7 +239,7 @@
     const { ejection, suspects } = this.#context.serviceState(service.name);
     if (outcome.kind === "complete") {
       for (const each of fingerprintsOf(this.#request)) {
-        suspects.recordCleanRun(each, now);
+        suspects.recordCompleteRun(each, now);
       }
     } else suspects.cancelRun(fingerprint);
     if (outcome.kind === "callerDisconnected") {
--- a/packages/daemon/src/sidecar/sidecar.ts
+++ b/packages/daemon/src/sidecar/sidecar.ts
@@ -268,7 +268,7 @@
     if (outcome.kind === "complete") {
       this.#options.onResponseComplete(request.measure(now), now);
       for (const fingerprint of fingerprintsOfReserve(reserve)) {
-        suspects.recordCleanRun(fingerprint, now);
+        suspects.recordCompleteRun(fingerprint, now);
       }
     } else if (outcome.reason === "connect_failed") {
       this.#options.probe().markUnhealthy();
--- a/packages/decisions/src/dispatch/group_scheduler.ts
+++ b/packages/decisions/src/dispatch/group_scheduler.ts
@@ -193,7 +193,7 @@
     const crash = scheduler?.recordEnd(id, outcome, now);
     if (outcome === "answered") {
       for (const fingerprint of fingerprintsOf(request)) {
-        this.#suspects.recordCleanRun(fingerprint, now);
+        this.#suspects.recordCompleteRun(fingerprint, now);
       }
     }
     if (NOT_RUN_OUTCOMES.has(outcome)) {
--- a/packages/decisions/src/suspects/quarantine_rule.ts
+++ b/packages/decisions/src/suspects/quarantine_rule.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-/** Crashes of servers under a fingerprint since its last successful run. */
+/** Crashes of servers under a fingerprint since its last complete run. */
 export type CrashHistory = {
   crashes: number;
   /** Of these, crashes in which it was the only suspect at its server. */
--- a/packages/decisions/src/suspects/suspects.ts
+++ b/packages/decisions/src/suspects/suspects.ts
@@ -9,10 +9,10 @@
  * the requests that were running on a server when it crashed become suspects,
  * and a {@link QuarantineRule} decides when further crashes prove the cause.
  *
- * A successful run clears all fingerprints of its request, so that a harmless
+ * A complete run clears all fingerprints of its request, so that a harmless
  * request that is sent often is not quarantined for having run during crashes.
- * A prompt part that has run successfully lately is no suspect, unless servers
- * continue to crash under it and none succeeds. Once a cause is proved, the
+ * A prompt part that has had a complete run lately is no suspect, unless servers
+ * continue to crash under it and none completes. Once a cause is proved, the
  * crashes that it explains no longer count against requests that ran beside it.
  *
  * Sidecars run a suspect alone on its server, and only one suspect at a time. A
@@ -60,8 +60,8 @@
   };
 
 /**
- * A prompt part that has run successfully lately becomes a suspect after this
- * number of crashes without another successful run, in at least this number of
+ * A prompt part that has had a complete run lately becomes a suspect after this
+ * number of crashes without another complete run, in at least this number of
  * milliseconds. Several servers that fail at the same moment are not enough.
  */
 const UNTRUSTED_CRASHES = 5;
@@ -161,18 +161,18 @@
     this.#reservedRun.end(fingerprint);
   }
 
-  /** Records a successful run, which clears the fingerprint. */
-  recordCleanRun(fingerprint: string, now: number): void {
+  /** Records a complete run, which clears the fingerprint. */
+  recordCompleteRun(fingerprint: string, now: number): void {
     this.cancelRun(fingerprint);
-    this.recordServedPart(fingerprint, now);
+    this.recordCompletePartRun(fingerprint, now);
     this.#counts.clear(fingerprint, now);
   }
 
   /**
-   * Records a successful run under a prompt part without any effect on a
+   * Records a complete run under a prompt part without any effect on a
    * suspicion, which only the granting entry clears.
    */
-  recordServedPart(fingerprint: string, now: number): void {
+  recordCompletePartRun(fingerprint: string, now: number): void {
     if (isPromptPart(fingerprint)) this.#completeRuns.record(fingerprint, now);
   }
 
--- a/packages/decisions/test/part_causes_test.ts
+++ b/packages/decisions/test/part_causes_test.ts
@@ -29,7 +29,7 @@
   t.equal(kindOf(ALWAYS_TOGETHER), "quarantined");
   t.equal(kindOf(["part:companion"]), "suspect");
   t.equal(kindOf(["part:bad"]), "suspect");
-  suspects.recordCleanRun("part:companion", 1);
+  suspects.recordCompleteRun("part:companion", 1);
   t.equal(kindOf(["part:companion"]), "clear");
   t.equal(kindOf(ALWAYS_TOGETHER), "quarantined");
   t.end();
@@ -38,7 +38,7 @@
 t.test("a part with earlier complete runs is no suspect after a few crashes", (t) => {
   // Guards against holding back all requests that share their first part.
   const suspects = new CrashSuspects(new SoleSuspectRule());
-  suspects.recordCleanRun("part:common", 0);
+  suspects.recordCompleteRun("part:common", 0);
   crash(suspects, 8, ["part:common", "part:bad"], 1000);
   t.equal(suspects.verdict("part:common", 1001).kind, "clear");
   t.equal(suspects.verdict("part:bad", 1001).kind, "quarantined");
@@ -47,7 +47,7 @@
 
 t.test("a part that begins to crash servers is suspected despite earlier runs", (t) => {
   const suspects = new CrashSuspects(new SoleSuspectRule());
-  suspects.recordCleanRun("part:common", 0);
+  suspects.recordCompleteRun("part:common", 0);
   for (let now = 1000; now < 4000; now += 500) {
     crash(suspects, 1, ["part:common"], now);
   }
--- a/packages/decisions/test/suspects_test.ts
+++ b/packages/decisions/test/suspects_test.ts
@@ -3,7 +3,7 @@
 import { CrashSuspects, SoleSuspectRule } from "../src/mod.ts";
 import { serverCrash } from "./server_crash.ts";
 
-t.test("a second crash while alone quarantines, a successful run clears", (t) => {
+t.test("a second crash while alone quarantines, a complete run clears", (t) => {
   // A request that crashes its engine makes its neighbours suspects as well.
   const suspects = new CrashSuspects();
   suspects.recordCrash([["poison"], ["first"], ["second"]], "s0", 0);
@@ -15,7 +15,7 @@
     suspects.tryStartRun("poison", "s2", 2),
     "one suspect runs at a time",
   );
-  suspects.recordCleanRun("first", 10);
+  suspects.recordCompleteRun("first", 10);
   t.equal(suspects.verdict("first", 10).kind, "clear");
   t.ok(suspects.tryStartRun("poison", "s2", 11));
   suspects.recordCrash([["poison"]], "s2", 12);
@@ -28,7 +28,7 @@
     suspects.tryStartRun("second", "s1", 14),
     "the crash ended the run",
   );
-  suspects.recordCleanRun("second", 15);
+  suspects.recordCompleteRun("second", 15);
   t.equal(suspects.verdict("second", 15).kind, "clear");
   t.end();
 });
@@ -50,7 +50,7 @@
   suspects.recordCrash([["poison"], ["popular"]], "s1", 1);
   t.equal(suspects.verdict("popular", 2).kind, "suspect");
   suspects.tryStartRun("popular", "s2", 3);
-  suspects.recordCleanRun("popular", 4);
+  suspects.recordCompleteRun("popular", 4);
   t.equal(suspects.verdict("popular", 5).kind, "clear");
   t.end();
 });
@@ -93,7 +93,7 @@
           }
           if (alone.has(server)) {
             // The suspect that runs alone ends before another request starts.
-            for (const done of batch) suspects.recordCleanRun(done, now);
+            for (const done of batch) suspects.recordCompleteRun(done, now);
             batch.clear();
             alone.delete(server);
           }
@@ -135,7 +135,7 @@
   peers[1]!.tryStartRun("poison", "s1", 2);
   peers[1]!.recordCrash([["poison"]], "s1", 3);
   peers[2]!.tryStartRun("innocent", "s2", 3);
-  peers[2]!.recordCleanRun("innocent", 4);
+  peers[2]!.recordCompleteRun("innocent", 4);
   exchange(5);
   exchange(6);
   for (const peer of peers) {
--- a/packages/gateway/src/peers/shared_suspects.ts
+++ b/packages/gateway/src/peers/shared_suspects.ts
@@ -61,7 +61,7 @@
    */
   recordServed(promptParts: readonly string[]): void {
     const now = this.#clock();
-    for (const part of promptParts) this.known.recordServedPart(part, now);
+    for (const part of promptParts) this.known.recordCompletePartRun(part, now);
   }
 
   /** The quarantines in force. */
--- a/packages/gateway/src/state/fleet_division.ts
+++ b/packages/gateway/src/state/fleet_division.ts
@@ -3,7 +3,7 @@
 /** Milliseconds in which entries that have just registered are connected. */
 const CONNECT_TIME = 1000;
 
-/** Tells whether this entry has no link to a registered one. */
+/** Detects that this entry has no link to a registered one. */
 export class FleetDivision {
   #unlinkedSince: number | undefined;
 
