Count the crash of a server that has left the pool

Cause: the pool deleted a server with its runs as soon as its record went, so a crash reported afterwards found nobody and counted against nothing. A run that another entry had granted was dropped too if this entry did not know the server. A record may go at any moment: a departure that is not announced, a lapse while the store is away, draining. Nine servers and three entries by HTTP, requests that share a crashing part every 150 ms for 6 s, the record removed 30 ms before each crash: 3 of 4 checks failed, and the last request still crashed a server (502).

Change: runs are kept apart from the server's place in the pool, until the last one ends. A server that returns gets its runs back, so its slots are counted right, and it stays ejected. A server that ends after its drain time may have stopped as planned; only then a broken connection says nothing.

--- a/packages/decisions/src/dispatch/group_scheduler.ts
+++ b/packages/decisions/src/dispatch/group_scheduler.ts
@@ -11,6 +11,7 @@
 import { ServerLimits } from "../server_limits/mod.ts";
 import { CrashSuspects, SoleSuspectRule } from "../suspects/mod.ts";
 import type { ServerCrash } from "../suspects/mod.ts";
+import { DEFAULT_DRAIN_TIME } from "./departed_servers.ts";
 import { fingerprintsOf } from "./grant_request.ts";
 import type {
   GrantDecision,
@@ -65,24 +66,28 @@
   readonly #requests = new Map<string, GrantRequest>();
   readonly #limits: ServerLimits;
   readonly #suspects: CrashSuspects;
+  readonly #drainTime: number;
   #fractions: GroupFractions = { room: 1, quota: 1 };
 
   /**
    * `limits` holds the rates that servers accept, and `suspects` the requests
    * that may crash them; nothing is limited or suspected if they are absent.
+   * `drainTime`: see {@link DepartedServers}.
    */
   constructor(
     leeway: QuotaLeeway,
     limits = new ServerLimits(),
     suspects = new CrashSuspects(new SoleSuspectRule()),
+    drainTime = DEFAULT_DRAIN_TIME,
   ) {
     this.#limits = limits;
+    this.#drainTime = drainTime;
     this.#suspects = suspects;
     this.#quotas = new OrganisationQuotas(leeway);
   }
 
   /** Replaces the servers, of all services, that may be sent requests. */
-  setServers(records: readonly ServerRecord[]): void {
+  setServers(records: readonly ServerRecord[], now: number): void {
     const byService = new Map<string, ServerRecord[]>();
     for (const record of records) {
       const same = byService.get(record.service);
@@ -90,10 +95,10 @@
       else same.push(record);
     }
     for (const [name, scheduler] of this.#services) {
-      if (!byService.has(name)) scheduler.setServers([]);
+      if (!byService.has(name)) scheduler.setServers([], now);
     }
     for (const [name, servers] of byService) {
-      this.#service(name).setServers(servers);
+      this.#service(name).setServers(servers, now);
     }
   }
 
@@ -262,6 +267,7 @@
         this.#quotas,
         this.#limits,
         this.#suspects,
+        this.#drainTime,
       );
       scheduler.setFractions(this.#fractions);
       this.#services.set(name, scheduler);
--- a/packages/decisions/src/dispatch/pooled_server.ts
+++ b/packages/decisions/src/dispatch/pooled_server.ts
@@ -8,9 +8,6 @@
 import type { Cost } from "../queueing/mod.ts";
 import { allowedRate, ServerRateLimiter } from "../server_limits/mod.ts";
 import type { ServerLimit } from "../server_limits/mod.ts";
-import { ISOLATED_FROM } from "../suspects/mod.ts";
-import type { CrashedRun } from "../suspects/mod.ts";
-import { fingerprintsOf } from "./grant_request.ts";
 import type { GrantRequest } from "./grant_request.ts";
 import {
   LatencyRatio,
@@ -18,6 +15,7 @@
   nominalFirstTokenTime,
 } from "./latency_ratio.ts";
 import { PrefillLimit } from "./prefill_limit.ts";
+import { ServerRuns } from "./server_runs.ts";
 
 /**
  * Milliseconds of prefill that may be pending at a server at a time. Prefill is
@@ -58,22 +56,6 @@
   pausePart: number;
 };
 
-type Run = CrashedRun & {
-  entry: string;
-  cost: Cost;
-  /** Its prompt counts as pending prefill, as the response has not started. */
-  inPrefill: boolean;
-  /** Maximum prompt tokens of pending prefill at the server during the run. */
-  maximumPendingPrefill: number;
-  /** The server has crashed since the run was granted. */
-  precedesCrash: boolean;
-};
-
-/**
- * Milliseconds for which a run that broke counts as running when its server
- * turns out to have crashed: other entries may notice the crash later.
- */
-const CRASH_WINDOW = 1000;
 /** What the group may use of a server; see {@link GroupFractions}. */
 export type UsageBounds = {
   fractions: GroupFractions;
@@ -87,26 +69,23 @@
   readonly #firstTokenRatio = new LatencyRatio();
   readonly #decodeRatio = new LatencyRatio();
   readonly #prefillLimit = new PrefillLimit();
-  readonly #runs = new Map<string, Run>();
+  readonly runs: ServerRuns;
   #rateLimiter: ServerRateLimiter | undefined;
-  #pendingPrefillTokens = 0;
   #downUntil = -Infinity;
-  /** It has crashed, and no request granted since has got a response. */
-  #crashed = false;
-  /** Runs without a complete response that ended lately. */
-  #interrupted: (CrashedRun & { endedAt: number })[] = [];
   #backoff = 0;
   /** Entries that failed to connect, and until when they are not sent here. */
   readonly #unreachableFrom = new Map<string, number>();
   /** Entries of which the server requests a backoff, and until when. */
   readonly #requestedBackoffs = new Map<string, number>();
 
-  constructor(record: ServerRecord) {
+  /** `runs`: what it runs already, if it was in the pool before. */
+  constructor(record: ServerRecord, runs = new ServerRuns()) {
     this.record = record;
+    this.runs = runs;
   }
 
   get running(): number {
-    return this.#runs.size;
+    return this.runs.size;
   }
 
   /**
@@ -118,12 +97,7 @@
     crashes: number,
     crashesOf: (fingerprints: readonly string[]) => number,
   ): boolean {
-    for (const { fingerprints, suspects } of this.#runs.values()) {
-      const runCrashes = crashesOf(fingerprints);
-      if (suspects.length === 0 && runCrashes === 0) continue;
-      if (Math.max(runCrashes, crashes) >= ISOLATED_FROM) return false;
-    }
-    return true;
+    return this.runs.admitsSuspect(crashes, crashesOf);
   }
 
   /** Address as `host:port`, which the server keeps when it starts again. */
@@ -139,7 +113,7 @@
   /** True if the server can run another request. */
   hasFreeSlot(bounds: UsageBounds, now: number): boolean {
     if (!this.#rateAllows(bounds, now)) return false;
-    return this.#runs.size < this.#maximumRuns(bounds.fractions.room);
+    return this.runs.size < this.#maximumRuns(bounds.fractions.room);
   }
 
   /**
@@ -184,9 +158,9 @@
     if (
       isSlow && decodeTime > MAXIMUM_RUN_FRACTION * (request.deadline - now)
     ) return false;
-    if (this.#pendingPrefillTokens === 0) return true;
+    if (this.runs.pendingPrefillTokens === 0) return true;
     const prefillTime =
-      nominalFirstTokenTime(cost, this.#pendingPrefillTokens) -
+      nominalFirstTokenTime(cost, this.runs.pendingPrefillTokens) -
       nominalFirstTokenTime({ promptTokens: 1, outputTokens: 0 });
     return this.#firstTokenRatio.value(now, latencyRatios.firstToken) *
         prefillTime < MAXIMUM_PENDING_PREFILL;
@@ -201,8 +175,8 @@
     const isKnown = this.#firstTokenRatio.isKnown;
     const ratio = this.#firstTokenRatio.value(now, latencyRatios.firstToken) *
       (isKnown ? 1 : UNKNOWN_SERVER_RATIO);
-    const utilisation = this.#runs.size / Math.max(1, this.record.slots);
-    return ratio * nominalFirstTokenTime(cost, this.#pendingPrefillTokens) *
+    const utilisation = this.runs.size / Math.max(1, this.record.slots);
+    return ratio * nominalFirstTokenTime(cost, this.runs.pendingPrefillTokens) *
       (1 + utilisation);
   }
 
@@ -216,28 +190,6 @@
       nominalDecodeTime(cost);
   }
 
-  /** `suspects`: fingerprints of the request that are suspects. */
-  recordStart(request: GrantRequest, suspects: readonly string[]): void {
-    const { entry, cost } = request;
-    const inPrefill = cost.promptTokens > 0;
-    if (inPrefill) this.#pendingPrefillTokens += cost.promptTokens;
-    this.#runs.set(request.id, {
-      entry,
-      fingerprints: fingerprintsOf(request),
-      suspects,
-      cost,
-      inPrefill,
-      maximumPendingPrefill: 0,
-      precedesCrash: false,
-    });
-    for (const run of this.#runs.values()) {
-      run.maximumPendingPrefill = Math.max(
-        run.maximumPendingPrefill,
-        this.#pendingPrefillTokens,
-      );
-    }
-  }
-
   /** Counts a request, granted here, against the server's rate limit. */
   countAgainstLimit(now: number): void {
     this.#rateLimiter?.take(now);
@@ -257,13 +209,9 @@
     latency: number,
     now: number,
   ): Cost | undefined {
-    const run = this.#runs.get(id);
     this.#backoff = 0;
+    const run = this.runs.recordResponseStart(id);
     if (run === undefined) return undefined;
-    // Reports of several entries arrive in any order: a response that began
-    // before the crash may be reported after it.
-    if (!run.precedesCrash) this.#crashed = false;
-    this.#endPrefill(run);
     this.#firstTokenRatio.observe(
       latency,
       nominalFirstTokenTime(run.cost),
@@ -277,54 +225,21 @@
     const { tokens, measured, pausePart } = timing;
     const cost = { promptTokens: 1, outputTokens: tokens };
     this.#decodeRatio.observe(measured, nominalDecodeTime(cost), now);
-    const run = this.#runs.get(id);
+    const run = this.runs.get(id);
     if (run !== undefined) {
       this.#prefillLimit.observe(pausePart, run.maximumPendingPrefill, now);
     }
   }
 
-  removeRun(id: string): boolean {
-    const run = this.#runs.get(id);
-    if (run === undefined) return false;
-    this.#endPrefill(run);
-    return this.#runs.delete(id);
-  }
-
   /**
    * Removes the runs of an entry, whose connections to the server have ended,
    * and its backoff, which it reports again when it reconnects.
    */
   removeEntry(entry: string): void {
-    for (const [id, run] of this.#runs) {
-      if (run.entry === entry) this.removeRun(id);
-    }
+    this.runs.removeEntry(entry);
     this.#requestedBackoffs.delete(entry);
   }
 
-  /** Records that a run is about to end without a complete response. */
-  recordInterruption(id: string, now: number): void {
-    const run = this.#runs.get(id);
-    if (run === undefined) return;
-    const { fingerprints, suspects } = run;
-    this.#interrupted = this.#interrupted
-      .filter(({ endedAt }) => now - endedAt < CRASH_WINDOW);
-    this.#interrupted.push({ fingerprints, suspects, endedAt: now });
-  }
-
-  /**
-   * Records that the server has crashed. Returns what it was running, or
-   * `undefined` if the crash is known.
-   */
-  recordCrash(now: number): CrashedRun[] | undefined {
-    if (this.#crashed) return undefined;
-    this.#crashed = true;
-    for (const run of this.#runs.values()) run.precedesCrash = true;
-    const interrupted = this.#interrupted
-      .filter(({ endedAt }) => now - endedAt < CRASH_WINDOW);
-    return [...this.#runs.values(), ...interrupted]
-      .map(({ fingerprints, suspects }) => ({ fingerprints, suspects }));
-  }
-
   /**
    * Stops sending requests for the backoff time, because nothing listens at the
    * address or another server does. Otherwise a crashed server would look idle
@@ -386,10 +301,10 @@
    * with the largest limit, while no other prefill is pending there.
    */
   #admitsPrefill(tokens: number, largestPrefillLimit: number): boolean {
-    if (this.#pendingPrefillTokens + tokens <= this.#prefillLimit.tokens) {
+    if (this.runs.pendingPrefillTokens + tokens <= this.#prefillLimit.tokens) {
       return true;
     }
-    return this.#pendingPrefillTokens === 0 &&
+    return this.runs.pendingPrefillTokens === 0 &&
       this.#prefillLimit.tokens >= largestPrefillLimit;
   }
 
@@ -405,10 +320,4 @@
   #maximumRuns(fraction: number): number {
     return this.#backoff > 0 ? 1 : this.record.slots * fraction;
   }
-
-  #endPrefill(run: Run): void {
-    if (!run.inPrefill) return;
-    run.inPrefill = false;
-    this.#pendingPrefillTokens -= run.cost.promptTokens;
-  }
 }
--- a/packages/decisions/src/dispatch/server_pool.ts
+++ b/packages/decisions/src/dispatch/server_pool.ts
@@ -15,7 +15,9 @@
   nominalDecodeTime,
   nominalFirstTokenTime,
 } from "./latency_ratio.ts";
+import { DEFAULT_DRAIN_TIME, DepartedServers } from "./departed_servers.ts";
 import { PooledServer } from "./pooled_server.ts";
+import type { ServerRuns } from "./server_runs.ts";
 import type {
   ServiceLatencyRatios,
   StreamTiming,
@@ -59,15 +61,20 @@
 /** The servers of one service, by incarnation. */
 export class ServerPool {
   readonly #servers = new Map<string, PooledServer>();
+  readonly #departed: DepartedServers;
   readonly #ejection = new OutlierEjection();
   readonly #firstTokenRatio = new LatencyRatio();
   readonly #decodeRatio = new LatencyRatio();
   readonly #limits: ServerLimits;
   #fractions: GroupFractions = { room: 1, quota: 1 };
 
-  /** `limits` holds the rates that servers accept; no limits if absent. */
-  constructor(limits = new ServerLimits()) {
+  /**
+   * `limits` holds the rates that servers accept; no limits if absent.
+   * `drainTime`: see {@link DepartedServers}.
+   */
+  constructor(limits = new ServerLimits(), drainTime = DEFAULT_DRAIN_TIME) {
     this.#limits = limits;
+    this.#departed = new DepartedServers(drainTime);
   }
 
   get size(): number {
@@ -113,23 +120,45 @@
   }
 
   /** Replaces the set of servers that may be sent requests. */
-  setServers(records: readonly ServerRecord[]): void {
+  setServers(records: readonly ServerRecord[], now: number): void {
     const keep = new Set(records.map(incarnationOf));
-    for (const name of [...this.#servers.keys()]) {
-      if (keep.has(name)) continue;
-      this.#servers.delete(name);
-      this.#ejection.remove(name);
+    for (const [name, server] of [...this.#servers]) {
+      if (!keep.has(name)) this.#depart(name, server, now);
     }
     for (const record of records) {
       const name = incarnationOf(record);
       const server = this.#servers.get(name);
-      if (server !== undefined) {
-        server.record = record;
-        continue;
-      }
-      this.#servers.set(name, new PooledServer(record));
+      if (server === undefined) this.#enter(name, record);
+      else server.record = record;
+    }
+  }
+
+  #depart(name: string, server: PooledServer, now: number): void {
+    this.#servers.delete(name);
+    if (server.running > 0) this.#departed.add(name, server, now);
+    else this.#ejection.remove(name);
+  }
+
+  #enter(name: string, record: ServerRecord): void {
+    const { server, runs } = this.#departed.take(name);
+    if (server === undefined) {
+      this.#servers.set(name, new PooledServer(record, runs));
       this.#ejection.add(name);
+      return;
     }
+    server.record = record;
+    this.#servers.set(name, server);
+  }
+
+  /** What a server runs, also if it is not in the pool any more. */
+  #runsOf(name: string): ServerRuns | undefined {
+    return this.#servers.get(name)?.runs ?? this.#departed.runsOf(name);
+  }
+
+  /** Removes a run, and a departed server with its last one. */
+  #removeRun(name: string, id: string): void {
+    this.#runsOf(name)?.remove(id);
+    if (this.#departed.removeIfIdle(name)) this.#ejection.remove(name);
   }
 
   /**
@@ -145,7 +174,9 @@
     const free = new Map<string, PooledServer>();
     for (const [name, server] of this.#servers) {
       largestPrefillLimit = Math.max(largestPrefillLimit, server.prefillLimit);
-      if (server.hasFreeSlot(this.#bounds(name), now)) free.set(name, server);
+      if (server.hasFreeSlot(this.#bounds(name), now)) {
+        free.set(name, server);
+      }
     }
     return {
       latencyRatios: this.#latencyRatios(now),
@@ -243,7 +274,7 @@
     now: number,
   ): void {
     const server = this.#servers.get(name);
-    server?.recordStart(request, suspects);
+    server?.runs.add(request, suspects);
     server?.countAgainstLimit(now);
     const bounds = this.#bounds(name);
     if (!server?.hasFreeSlot(bounds, now)) snapshot.free.delete(name);
@@ -251,13 +282,12 @@
   }
 
   /**
-   * Counts a run that another entry has granted; false if its server is
-   * unknown.
+   * Counts a run that another entry has granted, also at a server that is not
+   * in the pool: it may crash like any other.
    */
-  adopt({ request, server: name, suspects }: GrantedRequest): boolean {
-    const server = this.#servers.get(name);
-    server?.recordStart(request, suspects);
-    return server !== undefined;
+  adopt({ request, server: name, suspects }: GrantedRequest): void {
+    const runs = this.#runsOf(name) ?? this.#departed.addUnknown(name);
+    runs.add(request, suspects);
   }
 
   /** Records that the response started `latency` milliseconds after sending. */
@@ -296,15 +326,17 @@
     { server: name }: GrantedRequest,
     now: number,
   ): ServerCrash | undefined {
-    const server = this.#servers.get(name);
-    const runs = server?.recordCrash(now);
-    if (server === undefined || runs === undefined) return undefined;
-    return { server: server.address, runs };
+    if (this.#departed.hasDrained(name, now)) return undefined;
+    const runs = this.#runsOf(name)?.recordCrash(now);
+    if (runs === undefined) return undefined;
+    const address = this.#servers.get(name)?.address ??
+      this.#departed.addressOf(name);
+    return { server: address ?? name, runs };
   }
 
   /** Removes a run without any effect on the health of its server. */
   release({ request, server }: GrantedRequest): void {
-    this.#servers.get(server)?.removeRun(request.id);
+    this.#removeRun(server, request.id);
   }
 
   /** Removes a run and updates the health of its server by the outcome. */
@@ -314,12 +346,12 @@
     now: number,
   ): void {
     const { request, server: name } = granted;
-    const server = this.#servers.get(name);
-    if (server === undefined) return;
     if (INTERRUPTED_OUTCOMES.has(outcome)) {
-      server.recordInterruption(request.id, now);
+      this.#runsOf(name)?.recordInterruption(request.id, now);
     }
-    server.removeRun(request.id);
+    this.#removeRun(name, request.id);
+    const server = this.#servers.get(name);
+    if (server === undefined) return;
     switch (outcome) {
       case "connection_refused":
         server.refundLimit();
@@ -348,6 +380,9 @@
   /** Removes all runs of an entry, which has disconnected. */
   removeEntry(entry: string): void {
     for (const server of this.#servers.values()) server.removeEntry(entry);
+    for (const name of this.#departed.removeEntry(entry)) {
+      this.#ejection.remove(name);
+    }
   }
 
   /** Milliseconds to the first token at a server of average speed. */
--- a/packages/decisions/src/dispatch/service_scheduler.ts
+++ b/packages/decisions/src/dispatch/service_scheduler.ts
@@ -17,6 +17,7 @@
 import { ServerLimits } from "../server_limits/mod.ts";
 import { CrashSuspects, SoleSuspectRule } from "../suspects/mod.ts";
 import type { ServerCrash, SuspectVerdict } from "../suspects/mod.ts";
+import { DEFAULT_DRAIN_TIME } from "./departed_servers.ts";
 import { ResponseValue } from "./response_value.ts";
 import { fingerprintsOf } from "./grant_request.ts";
 import type {
@@ -82,16 +83,17 @@
   /**
    * Grants are charged to `quotas`, and `limits` holds the rates that servers
    * accept; without them nothing is limited. `suspects` holds the requests that
-   * may crash servers.
+   * may crash servers. `drainTime`: see {@link DepartedServers}.
    */
   constructor(
     quotas = new OrganisationQuotas(NO_LEEWAY),
     limits = new ServerLimits(),
     suspects = new CrashSuspects(new SoleSuspectRule()),
+    drainTime = DEFAULT_DRAIN_TIME,
   ) {
     this.#suspects = suspects;
     this.#quotas = quotas;
-    this.#pool = new ServerPool(limits);
+    this.#pool = new ServerPool(limits, drainTime);
     this.#quotaReservations = new QuotaReservations(quotas);
   }
 
@@ -121,8 +123,8 @@
   }
 
   /** Replaces the set of servers that may be sent requests. */
-  setServers(records: readonly ServerRecord[]): void {
-    this.#pool.setServers(records);
+  setServers(records: readonly ServerRecord[], now: number): void {
+    this.#pool.setServers(records, now);
   }
 
   /** See {@link ServerPool.setFractions}. */
@@ -165,7 +167,8 @@
     if (this.#granted.has(request.id)) return;
     const verdict = this.#suspects.verdictOf(fingerprintsOf(request), now);
     const granted = { request, server, suspects: suspectsOf(verdict) };
-    if (this.#pool.adopt(granted)) this.#granted.add(granted);
+    this.#pool.adopt(granted);
+    this.#granted.add(granted);
   }
 
   /** Records that the response started `latency` milliseconds after sending. */
--- a/packages/decisions/test/burst_test.ts
+++ b/packages/decisions/test/burst_test.ts
@@ -33,6 +33,7 @@
       { length: SERVERS },
       (_, index) => serverRecord(`s${index}`, { slots: SLOTS }),
     ),
+    0,
   );
   const ends: { at: number; id: string }[] = [];
   let onTime = 0;
--- a/packages/decisions/test/crashing_part_simulation.ts
+++ b/packages/decisions/test/crashing_part_simulation.ts
@@ -242,6 +242,7 @@
           slots: this.#options.slots,
         })
       ),
+      this.#now,
     );
   }
 }
--- a/packages/decisions/test/route_order_test.ts
+++ b/packages/decisions/test/route_order_test.ts
@@ -56,6 +56,7 @@
   const scheduler = new GroupScheduler(LEEWAY);
   scheduler.setServers(
     ["x", "y", "z"].map((id) => serverRecord(id, { slots: 16 })),
+    0,
   );
   const simulation = new FleetSimulation({
     scheduler,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -135,6 +135,7 @@
       log,
       peers: () => this.#peers,
       leeway: quotaLeeway(settings.bounds),
+      drainTime: settings.bounds.drainTime,
       onQuarantine: (statement) =>
         void this.#quarantineRecords.write(statement),
     });
--- a/packages/gateway/src/peers/grant_client.ts
+++ b/packages/gateway/src/peers/grant_client.ts
@@ -75,6 +75,8 @@
       log: EventLog;
       peers: () => Peers;
       leeway: QuotaLeeway;
+      /** See {@link LocalGranter}. */
+      drainTime: number;
       /** See {@link SharedSuspects}. */
       onQuarantine: (statement: SuspectStatement) => void;
     },
--- a/packages/gateway/src/peers/local_granter.ts
+++ b/packages/gateway/src/peers/local_granter.ts
@@ -51,6 +51,8 @@
       leeway: QuotaLeeway;
       limits: SharedServerLimits;
       suspects: SharedSuspects;
+      /** Milliseconds that a server that leaves goes on serving. */
+      drainTime: number;
       /** Receives the result of a grant request of this entry. */
       onResult: (id: string, result: GrantResult) => void;
     },
@@ -65,6 +67,7 @@
       options.leeway,
       options.limits.known,
       options.suspects.known,
+      options.drainTime,
     );
   }
 
@@ -86,7 +89,7 @@
   }
 
   setServers(records: readonly ServerRecord[]): void {
-    this.#scheduler.setServers(records);
+    this.#scheduler.setServers(records, this.#clock());
     this.#scheduleDelivery();
   }
 
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -14,7 +14,7 @@
 );
 const positive = v.pipe(v.number(), v.finite(), v.minValue(0));
 
-/** Schema of the settings; all durations are in seconds. */
+/** Schema of the settings; durations are in seconds if their names say so. */
 export const gatewaySettingsSchema = v.object({
   /** Name of this instance; unique in the fleet. */
   instance: v.pipe(v.string(), v.minLength(1)),
@@ -36,6 +36,8 @@
   bounds: v.object({
     /** From the stop signal until the process is killed. */
     gracePeriodSeconds: positive,
+    /** Milliseconds that a backend server goes on serving when it leaves. */
+    drainTime: v.optional(positive, 2000),
     /** Retries allowed per request, in any window, over all entries. */
     retryRatio: positive,
     /** Retries allowed in a window beyond that ratio, over all entries. */
--- a/packages/gateway/test/crashing_servers.ts
+++ b/packages/gateway/test/crashing_servers.ts
@@ -14,6 +14,8 @@
 export const CRASHING_PART = "bad0";
 /** Milliseconds from the start of the run until the crash. */
 const CRASH_DELAY = 20;
+/** Milliseconds from the removal of a record until its server crashes. */
+const REMOVAL_LEAD = 30;
 /** Milliseconds after which a crashed server listens again. */
 const RESTART_DELAY = 200;
 
@@ -40,6 +42,8 @@
   readonly partReceivedAt: number[] = [];
   /** Times of the crashes. */
   readonly crashedAt: number[] = [];
+  /** Whether the store removes a server's record just before it crashes. */
+  removesRecords = false;
   readonly #store: MemoryMetadataStore;
   readonly #runTime: number;
   readonly #restarts = new Set<Promise<void>>();
@@ -72,6 +76,10 @@
       running = false;
       this.crashes++;
       this.crashedAt.push(performance.now());
+      if (this.removesRecords) {
+        this.#store.remove(`servers/${id}`);
+        await setTimeout(REMOVAL_LEAD);
+      }
       await server.crash();
       await setTimeout(RESTART_DELAY);
       if (this.#stopped) return;
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -170,6 +170,7 @@
         seeds: options.seeds ?? [],
         bounds: {
           gracePeriodSeconds: 2,
+          drainTime: 2000,
           retryRatio: 0.2,
           retrySlack: 50,
           retryWindowSeconds: 10,
--- a/packages/gateway/test/grant_client_test.ts
+++ b/packages/gateway/test/grant_client_test.ts
@@ -35,6 +35,7 @@
       log: new EventLog({ instance, sink: new DiscardingSink(), clock }),
       peers: () => peers as unknown as Peers,
       leeway: { window: 8000, overage: 0, slack: 0 },
+      drainTime: 2000,
       onQuarantine: () => {},
     });
     client.setServers([JSON.parse(storedServer("s", 1)) as ServerRecord]);
--- a/packages/gateway/test/retry_budgets_test.ts
+++ b/packages/gateway/test/retry_budgets_test.ts
@@ -3,6 +3,7 @@
 
 const BOUNDS = {
   gracePeriodSeconds: 8,
+  drainTime: 2000,
   retryRatio: 0.2,
   retrySlack: 50,
   retryWindowSeconds: 10,
