Refuse connections at an unused address in a test of the retry budget

Cause: the test freed a port and let records point to it.

Change: the records point to 127.0.0.9, where no test listens. The checks are the same: four rounds of five refused servers, status 200 each.

--- a/packages/gateway/test/request_path_test.ts
+++ b/packages/gateway/test/request_path_test.ts
@@ -2,13 +2,15 @@
 import t from "tap";
 import { Fixture, storedServer } from "./fixture.ts";
 import {
-  FakeBackendServer,
   rawResponseHead,
   startEventStream,
   streamEvent,
   writeSealedHead,
 } from "./fake_backend_server.ts";
 
+/** A loopback address at which no test listens, so connections are refused. */
+const UNUSED_ADDRESS = "127.0.0.9";
+
 t.test("a request is forwarded unchanged, except for the headers that the gateway sets or drops", async (t) => {
   const fixture = await Fixture.startReady();
   const response = await fixture.call("/calls/x?q=1", {
@@ -287,14 +289,12 @@
 t.test("refused connections do not consume the retry budget", async (t) => {
   // Otherwise a series of crashes uses up the budget (15 retries at once here).
   const fixture = await Fixture.startReady();
-  const closed = new FakeBackendServer();
-  await closed.start();
-  const { port } = closed;
-  closed.stop();
   for (let round = 0; round < 4; round++) {
     for (let count = 0; count < 5; count++) {
       const id = `down-${round}-${count}`;
-      fixture.store.put(`servers/${id}`, storedServer(id, port));
+      const record = JSON.parse(storedServer(id, 9));
+      const refusing = { ...record, host: UNUSED_ADDRESS };
+      fixture.store.put(`servers/${id}`, JSON.stringify(refusing));
     }
     await new Promise((resolve) => setTimeout(resolve, 100));
     const response = await fixture.call("/once/", {
