--- a/packages/decisions/src/discovery/mod.ts
+++ b/packages/decisions/src/discovery/mod.ts
@@ -1,4 +1,6 @@
 /** Directory of the backend servers that may be sent requests. @module */
+export { Evacuations } from "./evacuations.ts";
+export type { EvacuationChange } from "./evacuations.ts";
 export { ServerDirectory } from "./server_directory.ts";
 export { incarnationOf } from "./server_record.ts";
 export { FIRST_POSITION, isLater, laterOf } from "./store_position.ts";
--- a/packages/decisions/src/discovery/server_record.ts
+++ b/packages/decisions/src/discovery/server_record.ts
@@ -19,6 +19,11 @@
   slots: number;
   /** Finishes its running requests and accepts no new ones. */
   draining: boolean;
+  /**
+   * Time, of this entry's clock, until which the server is cold; absent if its
+   * record does not say so.
+   */
+  coldUntil?: number | undefined;
 };
 
 /** What was written under a server's id; no record if it was removed. */
--- a/packages/decisions/src/dispatch/grant_request.ts
+++ b/packages/decisions/src/dispatch/grant_request.ts
@@ -46,8 +46,19 @@
   jitter: number;
   /** Servers that have been tried for this request and must not be selected. */
   excludedServers: readonly string[];
+  /** Data centres in which it may run; any if absent. */
+  allowedDataCentres?: readonly string[] | undefined;
 };
 
+/** Whether a request may run at a server in this data centre. */
+export function mayRunIn(
+  { allowedDataCentres }: Pick<GrantRequest, "allowedDataCentres">,
+  dataCentre: string,
+): boolean {
+  return allowedDataCentres === undefined ||
+    allowedDataCentres.includes(dataCentre);
+}
+
 /** All fingerprints of a request, that of the whole request first. */
 export function fingerprintsOf(
   { fingerprint, promptParts }: Pick<
--- a/packages/decisions/src/dispatch/group_scheduler.ts
+++ b/packages/decisions/src/dispatch/group_scheduler.ts
@@ -68,6 +68,8 @@
   readonly #suspects: CrashSuspects;
   readonly #drainTime: number;
   #fractions: GroupFractions = { room: 1, quota: 1 };
+  /** Requests that a server accepts in a second, by service. */
+  #startLimits: ReadonlyMap<string, number> = new Map();
 
   /**
    * `limits` holds the rates that servers accept, and `suspects` the requests
@@ -120,6 +122,17 @@
     }
   }
 
+  /**
+   * Sets the requests that each server of a service accepts in any second while
+   * it is cold. Servers of services without a number are not limited.
+   */
+  setStartLimits(limits: ReadonlyMap<string, number>): void {
+    this.#startLimits = limits;
+    for (const [name, scheduler] of this.#services) {
+      scheduler.setStartLimit(limits.get(name));
+    }
+  }
+
   /** Queues a request, or refuses it at once; ignores one that is known. */
   submit(request: GrantRequest, now: number): GrantDecision | undefined {
     if (this.#requests.has(request.id)) return undefined;
@@ -270,6 +283,7 @@
         this.#drainTime,
       );
       scheduler.setFractions(this.#fractions);
+      scheduler.setStartLimit(this.#startLimits.get(name));
       this.#services.set(name, scheduler);
     }
     return scheduler;
--- a/packages/decisions/src/dispatch/mod.ts
+++ b/packages/decisions/src/dispatch/mod.ts
@@ -7,7 +7,7 @@
   RequestStanding,
   RunOutcome,
 } from "./grant_request.ts";
-export { fingerprintsOf } from "./grant_request.ts";
+export { fingerprintsOf, mayRunIn } from "./grant_request.ts";
 export { GroupScheduler } from "./group_scheduler.ts";
 export type { ServiceLoad, SizeClassReport } from "./group_scheduler.ts";
 export type { StreamTiming } from "./pooled_server.ts";
--- a/packages/decisions/src/dispatch/pooled_server.ts
+++ b/packages/decisions/src/dispatch/pooled_server.ts
@@ -6,7 +6,12 @@
 import type { ServerRecord } from "../discovery/mod.ts";
 import type { GroupFractions } from "../fleet/mod.ts";
 import type { Cost } from "../queueing/mod.ts";
-import { allowedRate, ServerRateLimiter } from "../server_limits/mod.ts";
+import {
+  allowedRate,
+  allowedStartRate,
+  StartRateLimiter,
+  StatedRateLimiter,
+} from "../server_limits/mod.ts";
 import type { ServerLimit } from "../server_limits/mod.ts";
 import type { GrantRequest } from "./grant_request.ts";
 import {
@@ -61,6 +66,8 @@
   fractions: GroupFractions;
   /** The rate limit for all entries together, if the server states one. */
   limit: ServerLimit | undefined;
+  /** Requests accepted in a second, if they are limited; see `StartLimit`. */
+  startLimit: number | undefined;
 };
 
 /** State of one backend server, with its runs by request id. */
@@ -70,7 +77,8 @@
   readonly #decodeRatio = new LatencyRatio();
   readonly #prefillLimit = new PrefillLimit();
   readonly runs: ServerRuns;
-  #rateLimiter: ServerRateLimiter | undefined;
+  #rateLimiter: StatedRateLimiter | undefined;
+  #startLimiter: StartRateLimiter | undefined;
   #downUntil = -Infinity;
   #backoff = 0;
   /** Entries that failed to connect, and until when they are not sent here. */
@@ -122,14 +130,16 @@
    * `runTime`, the mean run time of a request in milliseconds.
    */
   usableSlots(
-    { fractions, limit }: UsageBounds,
+    { fractions, limit, startLimit }: UsageBounds,
     runTime: number,
   ): number {
-    const slots = this.record.slots * fractions.room;
-    if (limit === undefined) return slots;
-    const started = allowedRate(limit.perSecond, fractions.quota) * runTime /
-      1000;
-    return Math.min(slots, started);
+    const { room, quota } = fractions;
+    const perSecond = Math.min(
+      limit === undefined ? Infinity : allowedRate(limit.perSecond, quota),
+      startLimit === undefined ? Infinity : allowedStartRate(startLimit, quota),
+    );
+    const slots = this.record.slots * room;
+    return Math.min(slots, perSecond * runTime / 1000);
   }
 
   /**
@@ -190,14 +200,22 @@
       nominalDecodeTime(cost);
   }
 
-  /** Counts a request, granted here, against the server's rate limit. */
+  /** Counts a request, granted here, against the server's limits. */
   countAgainstLimit(now: number): void {
     this.#rateLimiter?.take(now);
+    this.#startLimiter?.take(now);
   }
 
   /** Takes back the count of a request that did not reach the server. */
   refundLimit(): void {
     this.#rateLimiter?.refund();
+    this.#startLimiter?.refund();
+  }
+
+  /** Forgets the unused part of limits while another entry grants. */
+  resetLimiters(): void {
+    this.#rateLimiter = undefined;
+    this.#startLimiter = undefined;
   }
 
   /**
@@ -286,16 +304,35 @@
       now >= this.requestedBackoffEnd(entry);
   }
 
-  #rateAllows({ fractions, limit }: UsageBounds, now: number): boolean {
+  #rateAllows(bounds: UsageBounds, now: number): boolean {
+    // Both limiters have to know the limits in force, so neither is skipped.
+    const stated = this.#statedRateAllows(bounds, now);
+    return this.#startRateAllows(bounds, now) && stated;
+  }
+
+  #statedRateAllows({ fractions, limit }: UsageBounds, now: number): boolean {
     if (limit === undefined) {
       this.#rateLimiter = undefined;
       return true;
     }
-    this.#rateLimiter ??= new ServerRateLimiter(now);
+    this.#rateLimiter ??= new StatedRateLimiter(now);
     this.#rateLimiter.configure(limit.perSecond, fractions.quota, now);
     return this.#rateLimiter.allows(now);
   }
 
+  #startRateAllows(
+    { fractions, startLimit }: UsageBounds,
+    now: number,
+  ): boolean {
+    if (startLimit === undefined) {
+      this.#startLimiter = undefined;
+      return true;
+    }
+    this.#startLimiter ??= new StartRateLimiter(now);
+    this.#startLimiter.configure(startLimit, fractions.quota, now);
+    return this.#startLimiter.allows(now);
+  }
+
   /**
    * A prompt that is larger than every server's limit is admitted by a server
    * with the largest limit, while no other prefill is pending there.
--- a/packages/decisions/src/dispatch/server_pool.ts
+++ b/packages/decisions/src/dispatch/server_pool.ts
@@ -7,8 +7,9 @@
 import type { ServerRecord } from "../discovery/mod.ts";
 import { OutlierEjection } from "../ejection/mod.ts";
 import type { GroupFractions } from "../fleet/mod.ts";
-import { ServerLimits } from "../server_limits/mod.ts";
+import { ServerLimits, StartLimit } from "../server_limits/mod.ts";
 import type { ServerCrash, SuspectVerdict } from "../suspects/mod.ts";
+import { mayRunIn } from "./grant_request.ts";
 import type { GrantRequest, RunOutcome } from "./grant_request.ts";
 import {
   LatencyRatio,
@@ -66,6 +67,7 @@
   readonly #firstTokenRatio = new LatencyRatio();
   readonly #decodeRatio = new LatencyRatio();
   readonly #limits: ServerLimits;
+  readonly #startLimit = new StartLimit();
   #fractions: GroupFractions = { room: 1, quota: 1 };
 
   /**
@@ -99,22 +101,18 @@
    * Slots that this group of entries can use. `runTime` is the mean run time of
    * a request in milliseconds.
    */
-  usableSlots(runTime: number): number {
+  usableSlots(runTime: number, now: number): number {
     let slots = 0;
     for (const [name, server] of this.#servers) {
-      slots += server.usableSlots(this.#bounds(name), runTime);
+      slots += server.usableSlots(this.#bounds(name, server, now), runTime);
     }
     return slots;
   }
 
-  has(server: string): boolean {
-    return this.#servers.has(server);
-  }
-
   /** True if any server can run another request. */
   hasFreeSlot(now: number): boolean {
     for (const [name, server] of this.#servers) {
-      if (server.hasFreeSlot(this.#bounds(name), now)) return true;
+      if (server.hasFreeSlot(this.#bounds(name, server, now), now)) return true;
     }
     return false;
   }
@@ -167,6 +165,18 @@
    */
   setFractions(fractions: GroupFractions): void {
     this.#fractions = fractions;
+    if (fractions.quota > 0) return;
+    for (const server of this.#servers.values()) server.resetLimiters();
+  }
+
+  /** Sets the requests that a server accepts in a second while it is cold. */
+  setStartLimit(accepted: number | undefined): void {
+    this.#startLimit.set(accepted);
+  }
+
+  /** See {@link StartLimit.adapt}. */
+  adaptStartLimit(runTime: number): void {
+    this.#startLimit.adapt(this.slots / Math.max(1, this.size), runTime);
   }
 
   snapshot(now: number): PoolSnapshot {
@@ -174,7 +184,7 @@
     const free = new Map<string, PooledServer>();
     for (const [name, server] of this.#servers) {
       largestPrefillLimit = Math.max(largestPrefillLimit, server.prefillLimit);
-      if (server.hasFreeSlot(this.#bounds(name), now)) {
+      if (server.hasFreeSlot(this.#bounds(name, server, now), now)) {
         free.set(name, server);
       }
     }
@@ -185,10 +195,24 @@
     };
   }
 
-  /** True if any free server may be sent requests by this entry now. */
-  hasServerFor(entry: string, { free }: PoolSnapshot, now: number): boolean {
+  /** True if any free server may be sent requests of this kind now. */
+  hasServerFor(
+    request: Pick<GrantRequest, "entry" | "allowedDataCentres">,
+    { free }: PoolSnapshot,
+    now: number,
+  ): boolean {
     for (const server of free.values()) {
-      if (server.isAvailableTo(entry, now)) return true;
+      if (!mayRunIn(request, server.record.dataCentre)) continue;
+      if (server.isAvailableTo(request.entry, now)) return true;
+    }
+    return false;
+  }
+
+  /** True if the request may run at a server that was not tried for it. */
+  hasUntriedServer(request: GrantRequest): boolean {
+    for (const [name, { record }] of this.#servers) {
+      if (request.excludedServers.includes(name)) continue;
+      if (mayRunIn(request, record.dataCentre)) return true;
     }
     return false;
   }
@@ -197,10 +221,10 @@
    * True if a server that was not tried for the request accepts requests of its
    * entry, now or before the request expires.
    */
-  hasServerBeforeExpiry(
-    { entry, excludedServers, expiresAt }: GrantRequest,
-  ): boolean {
+  hasServerBeforeExpiry(request: GrantRequest): boolean {
+    const { entry, excludedServers, expiresAt } = request;
     for (const [name, server] of this.#servers) {
+      if (!mayRunIn(request, server.record.dataCentre)) continue;
       if (server.requestedBackoffEnd(entry) > expiresAt) continue;
       if (!excludedServers.includes(name)) return true;
     }
@@ -252,6 +276,7 @@
     let bestScore = Infinity;
     for (const [name, server] of servers) {
       if (request.excludedServers.includes(name)) continue;
+      if (!mayRunIn(request, server.record.dataCentre)) continue;
       if (!server.admits(request, snapshot, now)) continue;
       if (!this.#ejection.allowed(name, now)) continue;
       const isLocal = server.record.dataCentre === request.dataCentre;
@@ -276,8 +301,10 @@
     const server = this.#servers.get(name);
     server?.runs.add(request, suspects);
     server?.countAgainstLimit(now);
-    const bounds = this.#bounds(name);
-    if (!server?.hasFreeSlot(bounds, now)) snapshot.free.delete(name);
+    if (
+      server === undefined ||
+      !server.hasFreeSlot(this.#bounds(name, server, now), now)
+    ) snapshot.free.delete(name);
     this.#ejection.recordStart(name, now);
   }
 
@@ -398,8 +425,16 @@
       decode * nominalDecodeTime(request.cost);
   }
 
-  #bounds(server: string): UsageBounds {
-    return { fractions: this.#fractions, limit: this.#limits.find(server) };
+  #bounds(
+    name: string,
+    { record }: PooledServer,
+    now: number,
+  ): UsageBounds {
+    return {
+      fractions: this.#fractions,
+      limit: this.#limits.find(name),
+      startLimit: this.#startLimit.of(record, now),
+    };
   }
 
   #latencyRatios(now: number): ServiceLatencyRatios {
--- a/packages/decisions/src/dispatch/service_scheduler.ts
+++ b/packages/decisions/src/dispatch/service_scheduler.ts
@@ -132,13 +132,16 @@
     this.#pool.setFractions(fractions);
   }
 
+  /** See {@link ServerPool.setStartLimit}. */
+  setStartLimit(accepted: number | undefined): void {
+    this.#pool.setStartLimit(accepted);
+  }
+
   /** Queues a request, or refuses it at once. */
   submit(request: GrantRequest, now: number): GrantDecision | undefined {
     // A request for which every server has been tried would be refused in the
     // end anyway, only later.
-    const tried =
-      request.excludedServers.filter((name) => this.#pool.has(name)).length;
-    if (tried >= this.#pool.size) {
+    if (!this.#pool.hasUntriedServer(request)) {
       return this.#refusal(request, "no_server", now);
     }
     if (!this.#pool.hasServerBeforeExpiry(request)) {
@@ -236,7 +239,9 @@
     const decisions = now >= this.#queue.nextStandingEnd
       ? this.#updateStandings(now)
       : [];
-    if (this.#queue.size === 0 || !this.#pool.hasFreeSlot(now)) {
+    if (this.#queue.size === 0) return decisions;
+    this.#pool.adaptStartLimit(this.#demand.meanRunTime(now));
+    if (!this.#pool.hasFreeSlot(now)) {
       return decisions;
     }
     this.#grantWaiting(decisions, now);
@@ -250,15 +255,14 @@
   #grantWaiting(decisions: GrantDecision[], now: number): void {
     const snapshot = this.#pool.snapshot(now);
     let passedOver = 0;
-    const blockedEntries = new Map<string, boolean>();
-    const isBlocked = (entry: string): boolean => {
-      let blocked = blockedEntries.get(entry);
-      if (blocked === undefined) {
-        blocked = !this.#pool.hasServerFor(entry, snapshot, now);
-        blockedEntries.set(entry, blocked);
-      }
+    const blockedKinds = new Map<string, boolean>();
+    const updateBlocked = (request: GrantRequest): boolean => {
+      const blocked = !this.#pool.hasServerFor(request, snapshot, now);
+      blockedKinds.set(serverConstraint(request), blocked);
       return blocked;
     };
+    const isBlocked = (request: GrantRequest): boolean =>
+      blockedKinds.get(serverConstraint(request)) ?? updateBlocked(request);
     this.#queue.visit((queued) => {
       const { request } = queued;
       if (snapshot.free.size === 0 || passedOver >= MAXIMUM_PASSED_OVER) {
@@ -270,12 +274,13 @@
         decisions.push(this.#refusal(request, "quarantined", now, standing));
         return "taken";
       }
-      if (isBlocked(request.entry)) return "blocked";
+      if (isBlocked(request)) return "blocked";
       if (!this.#quotaReservations.allows(request, now)) return "blocked";
       const server = this.#selectServer(request, verdict, snapshot, now);
       if (server === undefined) {
         this.#quotaReservations.release(request);
         if (verdict.kind === "suspect") return "blocked";
+        if (updateBlocked(request)) return "blocked";
         passedOver++;
         return "no_server";
       }
@@ -390,7 +395,7 @@
   }
 
   #exceedsCapacity(key: number, now: number): boolean {
-    const slots = this.#pool.usableSlots(this.#demand.meanRunTime(now));
+    const slots = this.#pool.usableSlots(this.#demand.meanRunTime(now), now);
     return this.#demand.exceedsCapacity(key, slots, now);
   }
 
@@ -422,6 +427,15 @@
   }
 }
 
+/** Requests with the same value may be sent to the same servers. */
+function serverConstraint(
+  { entry, allowedDataCentres }: GrantRequest,
+): string {
+  return allowedDataCentres === undefined
+    ? entry
+    : JSON.stringify([entry, allowedDataCentres]);
+}
+
 function suspectsOf(verdict: SuspectVerdict): readonly string[] {
   return verdict.kind === "suspect" ? verdict.fingerprints : [];
 }
--- a/packages/decisions/src/granting/reservation_scheduler.ts
+++ b/packages/decisions/src/granting/reservation_scheduler.ts
@@ -12,7 +12,7 @@
  */
 import type { ConcurrencyLimit } from "../limits/mod.ts";
 import type { WaitingQueue, WaitingReservation } from "../queueing/mod.ts";
-import { ServerRateLimiter } from "../server_limits/mod.ts";
+import { StatedRateLimiter } from "../server_limits/mod.ts";
 import type {
   ReservationDecision,
   ReservationRefusalReason,
@@ -59,7 +59,7 @@
   /** When a suspect first had to wait because the server was not idle. */
   #suspectWaitsSince: number | undefined;
   #closedFor: ReservationRefusalReason | undefined;
-  #rateLimiter: ServerRateLimiter | undefined;
+  #rateLimiter: StatedRateLimiter | undefined;
   #pausedUntil = -Infinity;
 
   constructor(options: { queue: WaitingQueue; limit: ConcurrencyLimit }) {
@@ -96,7 +96,7 @@
   ): ReservationDecision[] {
     if (perSecond === undefined) this.#rateLimiter = undefined;
     else {
-      this.#rateLimiter ??= new ServerRateLimiter(now);
+      this.#rateLimiter ??= new StatedRateLimiter(now);
       this.#rateLimiter.configure(perSecond, 1, now);
     }
     return this.#grantAll(now);
--- a/packages/decisions/src/routing/route.ts
+++ b/packages/decisions/src/routing/route.ts
@@ -37,6 +37,8 @@
   resumable: boolean;
   /** Maximum milliseconds that should pass between two events of a stream. */
   pauseGoal: number | undefined;
+  /** Regions in which its requests may run; any if absent. */
+  homeRegions?: readonly string[] | undefined;
 };
 
 /** Whether a request may safely be sent a second time. */
--- /dev/null
+++ b/packages/decisions/src/server_limits/start_limit.ts
@@ -0,0 +1,67 @@
+/**
+ * The number of requests that each server of a service accepts in any second
+ * while it is cold: after its start, or when it has lost its caches.
+ *
+ * A server may turn cold at any moment, and its record says so only later. So
+ * the limit applies to all servers of the service, unless that would cost most
+ * of the capacity of a service whose requests are short; then it applies to the
+ * servers whose records say that they are cold.
+ * @module
+ */
+import type { ServerRecord } from "../discovery/mod.ts";
+import { allowedStartRate } from "./server_rate_limiter.ts";
+
+/**
+ * The limit applies to all servers while their slots turn over at most this
+ * many times as fast as the limit allows.
+ */
+const MAXIMUM_TURNOVER_RATIO = 2;
+/**
+ * Below this fraction of that ratio a service counts as slow again, so that it
+ * doesn't alternate.
+ */
+const RETURN_FRACTION = 0.7;
+
+/** Decides which servers of one service are limited. */
+export class StartLimit {
+  /** Requests accepted in a second; `undefined` if there is no limit. */
+  #accepted: number | undefined;
+  #appliesToAll = true;
+
+  get appliesToAll(): boolean {
+    return this.#appliesToAll;
+  }
+
+  set(accepted: number | undefined): void {
+    this.#accepted = accepted;
+  }
+
+  /**
+   * Adapts to the service's turnover. `slots` are those of one server;
+   * `runTime` is the mean run time of a request in milliseconds, 0 if unknown.
+   */
+  adapt(slots: number, runTime: number): void {
+    if (this.#accepted === undefined || runTime <= 0) return;
+    const turnover = slots * 1000 / runTime;
+    const ratio = turnover / allowedStartRate(this.#accepted, 1);
+    const maximum = MAXIMUM_TURNOVER_RATIO *
+      (this.#appliesToAll ? 1 : RETURN_FRACTION);
+    this.#appliesToAll = ratio <= maximum;
+  }
+
+  /** Requests that the server accepts in a second, if it is limited. */
+  of(record: ServerRecord, now: number): number | undefined {
+    if (this.#accepted === undefined) return undefined;
+    return this.#appliesToAll || isCold(record, now)
+      ? this.#accepted
+      : undefined;
+  }
+}
+
+/** Whether the server is cold according to its record. */
+export function isCold(
+  { coldUntil }: Pick<ServerRecord, "coldUntil">,
+  now: number,
+): boolean {
+  return coldUntil !== undefined && now < coldUntil;
+}
--- a/packages/decisions/test/server_limits_test.ts
+++ b/packages/decisions/test/server_limits_test.ts
@@ -1,6 +1,6 @@
 import fc from "fast-check";
 import t from "tap";
-import { ServerLimits, ServerRateLimiter } from "../src/mod.ts";
+import { ServerLimits, StatedRateLimiter } from "../src/mod.ts";
 import type { LimitObservation } from "../src/mod.ts";
 
 function observed(
@@ -59,10 +59,10 @@
  */
 function sendTimes(perSecond: number, takeOvers: readonly number[]): number[] {
   const sent: number[] = [];
-  let limiter = new ServerRateLimiter(0);
+  let limiter = new StatedRateLimiter(0);
   for (let now = 0; now < 12_000; now += DECISION_INTERVAL) {
     if (takeOvers.some((at) => at >= now && at < now + DECISION_INTERVAL)) {
-      limiter = new ServerRateLimiter(now);
+      limiter = new StatedRateLimiter(now);
     }
     limiter.configure(perSecond, 1, now);
     while (limiter.allows(now)) {
@@ -116,7 +116,7 @@
 });
 
 t.test("a lowered limit applies at once", (t) => {
-  const limiter = new ServerRateLimiter(0);
+  const limiter = new StatedRateLimiter(0);
   limiter.configure(100, 1, 0);
   t.ok(limiter.allows(1000));
   limiter.configure(1, 1, 1000);
@@ -127,7 +127,7 @@
 });
 
 t.test("a group without a fraction of the limit sends nothing", (t) => {
-  const limiter = new ServerRateLimiter(0);
+  const limiter = new StatedRateLimiter(0);
   limiter.configure(10, 1, 0);
   t.ok(limiter.allows(1000));
   limiter.configure(10, 0, 1000);
--- a/packages/gateway/src/backend/usable_servers.ts
+++ b/packages/gateway/src/backend/usable_servers.ts
@@ -1,19 +1,29 @@
 /** The backend servers that may be sent requests. @module */
 import { incarnationOf } from "@sycamorepulley/decisions";
-import type { ServerDirectory, ServerRecord } from "@sycamorepulley/decisions";
+import type {
+  Evacuations,
+  ServerDirectory,
+  ServerRecord,
+} from "@sycamorepulley/decisions";
 
-/** Caches the usable servers of a directory by their incarnations. */
+/**
+ * Caches the usable servers of a directory, outside evacuated data centres, by
+ * their incarnations.
+ */
 export class UsableServers {
   readonly #directory: ServerDirectory;
+  readonly #evacuations: Evacuations;
   readonly #servers = new Map<string, ServerRecord>();
 
-  constructor(directory: ServerDirectory) {
+  constructor(directory: ServerDirectory, evacuations: Evacuations) {
     this.#directory = directory;
+    this.#evacuations = evacuations;
   }
 
   /** Reloads the usable servers from the directory, and returns them. */
   refresh(now: number): ServerRecord[] {
-    const usable = this.#directory.usable(now);
+    const usable = this.#directory.usable(now)
+      .filter(({ dataCentre }) => !this.#evacuations.isEvacuated(dataCentre));
     this.#servers.clear();
     for (const record of usable) {
       this.#servers.set(incarnationOf(record), record);
@@ -28,6 +38,11 @@
   /** The current record of a server; `undefined` if it may not be used. */
   find(incarnation: string): ServerRecord | undefined {
     const record = this.#servers.get(incarnation);
-    return record && this.#directory.isUsable(record) ? record : undefined;
+    if (record === undefined || !this.#directory.isUsable(record)) {
+      return undefined;
+    }
+    return this.#evacuations.isEvacuated(record.dataCentre)
+      ? undefined
+      : record;
   }
 }
--- a/packages/gateway/src/entry_status.ts
+++ b/packages/gateway/src/entry_status.ts
@@ -55,6 +55,8 @@
       asks: grantClient.grantingEntry,
       shares: this.totalShares(),
       leavingServers: state.directory.leavingUnrecorded(),
+      evacuations: state.evacuations.changes()
+        .map(({ position, ...change }) => ({ ...change, ...position })),
     };
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,12 +31,13 @@
 import { DrainAdmission } from "./request/drain_admission.ts";
 import { RequestHandler } from "./request/request_handler.ts";
 import { createRetryBudgets } from "./request/retry_budgets.ts";
-import { processorCapacity, quotaLeeway } from "./settings.ts";
+import { dataCentresIn, processorCapacity, quotaLeeway } from "./settings.ts";
 import type { GatewaySettings } from "./settings.ts";
 import { settingsAfterReload } from "./settings_reload.ts";
 import { FleetDivision } from "./state/fleet_division.ts";
 import { FleetState } from "./state/fleet_state.ts";
-import type { Member } from "./state/fleet_state.ts";
+import type { Member, StateChangeCallback } from "./state/fleet_state.ts";
+import { startLimits } from "./state/gateway_configuration.ts";
 import { startStoreFollowers } from "./state/store_followers.ts";
 import { EntryRegistration } from "./state/entry_registration.ts";
 import { EraCheckedStore } from "./state/era_checked_store.ts";
@@ -181,12 +182,16 @@
       storeContact: this.#storeContact,
       clock,
     });
-    this.#usableServers = new UsableServers(this.#fleetState.directory);
+    this.#usableServers = new UsableServers(
+      this.#fleetState.directory,
+      this.#fleetState.evacuations,
+    );
     this.#requestHandler = new RequestHandler({
       parser: new RequestParser(headerNames),
       context: {
         headerNames,
         dataCentre: settings.dataCentre,
+        dataCentresIn: (regions) => dataCentresIn(regions, this.#settings),
         clock,
         random,
         log,
@@ -239,6 +244,7 @@
       ...followers,
       state: this.#fleetState,
       contact: this.#storeContact,
+      log: this.#log,
       signal,
       clock: this.#clock,
       group: () => this.#peers.watchGroup(),
@@ -283,7 +289,10 @@
       read,
     );
     this.#settings = settings;
-    if (changed) this.#grantClient.setLeeway(quotaLeeway(settings.bounds));
+    if (changed) {
+      this.#grantClient.setLeeway(quotaLeeway(settings.bounds));
+      this.#updateStartLimits();
+    }
     this.#log.write({ event: "reloaded", changed, detail });
   }
 
@@ -331,6 +340,13 @@
       if (storeEra !== undefined) this.#storeContact.recordEra(storeEra, peer);
       if (message.leaving) this.#fleetState.membershipList.markDraining(peer);
       this.#fleetState.recordLeaving(message.leavingServers, peer);
+      this.#fleetState.applyEvacuations(
+        message.evacuations.map(({ era, revision, ...change }) => ({
+          ...change,
+          position: { era, revision },
+        })),
+        peer,
+      );
       this.#fleetState.recordPeerContact(message.storeContactAge);
     }
     this.#stateSharing.handleMessage(peer, message);
@@ -399,12 +415,13 @@
     return activeConfiguration !== undefined && serversKnown && membersKnown;
   }
 
-  #handleStateChange(kind: "configuration" | "servers" | "members"): void {
+  #handleStateChange(kind: Parameters<StateChangeCallback>[0]): void {
     if (this.#isStateLoaded()) this.#openStartGate();
     if (kind === "configuration") {
       const activeConfiguration = this.#fleetState.activeConfiguration!;
       this.#frontend.applyLimits(activeConfiguration.configuration.limits);
       this.#grantClient.setQuotas(activeConfiguration.quotas);
+      this.#updateStartLimits();
       this.#metrics.configurationVersion.set(
         activeConfiguration.configuration.version,
       );
@@ -414,11 +431,22 @@
       this.#peers.announce("grantPeers");
     } else if (kind === "servers") {
       this.#refreshServers();
+    } else if (kind === "evacuations") {
+      this.#refreshServers();
+      this.#peers.announce("grantPeers");
     } else {
       this.#entryStatus.updateGroup();
     }
   }
 
+  #updateStartLimits(): void {
+    const services = this.#fleetState.activeConfiguration?.configuration
+      .services;
+    this.#grantClient.setStartLimits(
+      startLimits(services ?? new Map(), this.#settings.bounds),
+    );
+  }
+
   #handleQuarantines(statements: readonly SuspectStatement[]): void {
     this.#grantClient.suspects.merge(statements, false);
     if (this.#isStateLoaded()) this.#openStartGate();
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -13,3 +13,4 @@
   ServiceProperties,
 } from "./state/gateway_configuration.ts";
 export { RecordCodec } from "./state/record_codec.ts";
+export type { StoredServer } from "./state/record_codec.ts";
--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -50,6 +50,16 @@
   }
   /** The store was restored from a copy; `from` is the store or a peer. */
   | { event: "store_restored"; era: number; before: number; from: string }
+  /** `from` is the store or the peer that it was learned from. */
+  | {
+    event: "evacuation_started" | "evacuation_ended";
+    dataCentre: string;
+    revision: number;
+    era: number;
+    from: string;
+  }
+  /** The key names no data centre; it is ignored. */
+  | { event: "evacuation_unreadable"; revision: number; detail: string }
   /** `from` is the store or the peer that the change was learned from. */
   | ({ event: "server_changed"; from: string } & ServerChange)
   | {
--- a/packages/gateway/src/peers/grant_client.ts
+++ b/packages/gateway/src/peers/grant_client.ts
@@ -126,6 +126,11 @@
     this.#localGranter.setServers(records);
   }
 
+  /** See {@link GroupScheduler.setStartLimits}. */
+  setStartLimits(limits: ReadonlyMap<string, number>): void {
+    this.#localGranter.setStartLimits(limits);
+  }
+
   setQuotas(quotas: ReadonlyMap<string, Quota>): void {
     this.#localGranter.setQuotas(quotas);
   }
--- a/packages/gateway/src/peers/grant_request_message.ts
+++ b/packages/gateway/src/peers/grant_request_message.ts
@@ -31,6 +31,9 @@
     promptParts: [...request.promptParts],
     spread: request.jitter,
     avoid: [...request.excludedServers],
+    ...(request.allowedDataCentres && {
+      within: [...request.allowedDataCentres],
+    }),
     ...(runsAt === undefined ? {} : { runsAt }),
   };
 }
@@ -62,5 +65,6 @@
     promptParts: message.promptParts,
     jitter: message.spread,
     excludedServers: message.avoid,
+    allowedDataCentres: message.within,
   };
 }
--- a/packages/gateway/src/peers/local_granter.ts
+++ b/packages/gateway/src/peers/local_granter.ts
@@ -93,6 +93,11 @@
     this.#scheduleDelivery();
   }
 
+  /** See {@link GroupScheduler.setStartLimits}. */
+  setStartLimits(limits: ReadonlyMap<string, number>): void {
+    this.#scheduler.setStartLimits(limits);
+  }
+
   setQuotas(quotas: ReadonlyMap<string, Quota>): void {
     this.#quotas = quotas;
     this.#scheduler.setQuotas(quotas, this.#fractions, this.#clock());
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -34,6 +34,8 @@
   promptParts: v.optional(v.array(text), []),
   spread: duration,
   avoid: v.array(text),
+  /** Data centres in which it may run; any if absent. */
+  within: v.optional(v.array(text)),
   /**
    * Server that another entry has granted already: the request is counted as
    * running there and not granted again.
@@ -55,6 +57,8 @@
   version: text,
   slots: count,
   draining: v.boolean(),
+  /** Milliseconds for which it stays cold; absent if it is not cold. */
+  coldFor: v.optional(duration),
   /**
    * Store revision at which the record was written. Views of earlier versions
    * lack it and are refused, as their records have no order.
@@ -144,6 +148,16 @@
     listed: v.boolean(),
     /** Incarnations of servers that leave, as their responses said. */
     leavingServers: v.optional(v.array(text), []),
+    /** Known evacuations of data centres, also those that have ended. */
+    evacuations: v.optional(
+      v.array(v.object({
+        dataCentre: text,
+        evacuated: v.boolean(),
+        era: count,
+        revision: count,
+      })),
+      [],
+    ),
     /** Maximum milliseconds until the sender's next heartbeat. */
     interval: v.optional(duration, 200),
     /** Requests an immediate heartbeat from the receiver. */
--- a/packages/gateway/src/peers/peer_link.ts
+++ b/packages/gateway/src/peers/peer_link.ts
@@ -1,6 +1,7 @@
 /** One connection to another entry, opened by either side. @module */
 import type { Socket } from "node:net";
 import { HEARTBEAT_EVERY } from "@sycamorepulley/decisions";
+import type { StorePosition } from "@sycamorepulley/decisions";
 import { Link } from "@sycamorepulley/protocol";
 import { peerMessageSchema } from "./messages.ts";
 import type { PeerMessage } from "./messages.ts";
@@ -8,6 +9,12 @@
 /** Maximum frame size: several times a configuration of a thousand routes. */
 const MAXIMUM_FRAME_BYTES = 4 * 1024 * 1024;
 
+/** The newest known change of a data centre's evacuation. */
+export type EvacuationStatus = {
+  dataCentre: string;
+  evacuated: boolean;
+} & StorePosition;
+
 /** Status that a peer announces in its heartbeats. */
 export type PeerStatus = {
   configurationRevision: number;
@@ -33,6 +40,8 @@
   listed: boolean;
   /** See `ServerDirectory.leavingUnrecorded`. */
   leavingServers: string[];
+  /** See `Evacuations.changes`. */
+  evacuations: EvacuationStatus[];
 };
 
 /** Content of a heartbeat message; see `peerMessageSchema`. */
--- a/packages/gateway/src/peers/state_sharing.ts
+++ b/packages/gateway/src/peers/state_sharing.ts
@@ -15,6 +15,7 @@
 import type { EventLog } from "../observe/event_log.ts";
 import type { FleetState } from "../state/fleet_state.ts";
 import type { StoreContact } from "../state/store_contact.ts";
+import { serverRecordOf, storedServerOf } from "../state/server_state_codec.ts";
 import { serverSchema } from "./messages.ts";
 import type { PeerMessage, StateName } from "./messages.ts";
 import type { PeerStatus } from "./peer_link.ts";
@@ -208,7 +209,7 @@
       return false;
     }
     const servers = records.output
-      .map((record) => decodeServerState(record, position.era));
+      .map((record) => decodeServerState(record, position.era, this.#clock()));
     this.#state.adoptServers(servers, position, from);
     return true;
   }
@@ -234,7 +235,10 @@
   #text(state: StateName): string {
     return state === "configuration"
       ? this.#state.publishedConfiguration.value
-      : JSON.stringify(this.#state.directory.registered().map(encodeServer));
+      : JSON.stringify(
+        this.#state.directory.registered()
+          .map((state) => encodeServer(state, this.#clock())),
+      );
   }
 }
 
@@ -250,16 +254,25 @@
   return { era, revision, version };
 }
 
-function encodeServer({ position, record }: ServerState): object {
-  return { ...record, revision: position.revision };
+function encodeServer(
+  { position, record }: ServerState,
+  now: number,
+): object {
+  const stored = record && storedServerOf(record, now);
+  return { ...stored, revision: position.revision };
 }
 
 /** `era`: the one of the view that contains the record. */
 function decodeServerState(
   { revision, ...record }: v.InferOutput<typeof serverSchema>,
   era: number,
+  now: number,
 ): ServerState {
-  return { id: record.id, position: { era, revision }, record };
+  return {
+    id: record.id,
+    position: { era, revision },
+    record: serverRecordOf(record, now),
+  };
 }
 
 function parseJson(text: string): unknown {
--- a/packages/gateway/src/request/error_response.ts
+++ b/packages/gateway/src/request/error_response.ts
@@ -11,6 +11,8 @@
   | "quota"
   | "overload"
   | "no_server"
+  /** No data centre lies in a region that route and organisation allow. */
+  | "no_home"
   | "expired"
   | "quarantined"
   | "not_run"
@@ -28,6 +30,7 @@
   quota: 429,
   overload: 503,
   no_server: 503,
+  no_home: 503,
   expired: 503,
   quarantined: 503,
   not_run: 503,
--- a/packages/gateway/src/request/request_context.ts
+++ b/packages/gateway/src/request/request_context.ts
@@ -13,6 +13,8 @@
 export type RequestContext = {
   headerNames: HeaderNames;
   dataCentre: string;
+  /** Data centres that lie in any of the regions. */
+  dataCentresIn: (regions: readonly string[]) => string[];
   clock: () => number;
   random: () => number;
   log: EventLog;
--- a/packages/gateway/src/request/request_task.ts
+++ b/packages/gateway/src/request/request_task.ts
@@ -12,6 +12,7 @@
   fingerprintsOf,
   incarnationOf,
   isRepeatable,
+  mayRunIn,
 } from "@sycamorepulley/decisions";
 import type { ServerRecord, SuspectVerdict } from "@sycamorepulley/decisions";
 import type { ParsedRequest } from "../front/parsed_request.ts";
@@ -38,6 +39,20 @@
 const MAX_GRANTS = 20;
 /** Milliseconds a refused caller is asked to wait by default. */
 const DEFAULT_RETRY_AFTER = 300;
+/**
+ * The same for a request that may run in no data centre: only a change of the
+ * configuration helps.
+ */
+const NO_HOME_RETRY_AFTER = 10_000;
+/**
+ * Milliseconds after which a grant may not be used any more if the service
+ * limits how many requests a server gets in a second: the granting entry counts
+ * it at the time of the grant.
+ */
+const MAXIMUM_GRANT_AGE = 200;
+
+/** A grant of this request, and when it was received. */
+type Grant = { id: string; server: ServerRecord; at: number };
 
 /** Gets grants for a request, sends it to servers, responds to the caller. */
 export class RequestTask {
@@ -47,6 +62,8 @@
   readonly #caller: CallerConnection;
   readonly #body: Buffer | undefined;
   readonly #fingerprint: string;
+  /** Data centres in which the request may run; any if absent. */
+  readonly #allowedDataCentres: readonly string[] | undefined;
   readonly #report: RequestReport;
   readonly #response: FinalResponse;
   readonly #progress = new ResponseProgress();
@@ -74,6 +91,8 @@
     this.#caller = options.caller;
     this.#body = options.body;
     const { context, parsed, resolved } = options;
+    this.#allowedDataCentres = resolved.homeRegions &&
+      context.dataCentresIn(resolved.homeRegions);
     this.#report = new RequestReport(context, parsed, resolved);
     this.#response = new FinalResponse(options.caller, this.#report);
     this.#fingerprint = requestFingerprint(
@@ -114,7 +133,7 @@
         return;
       }
       if (granted === undefined) continue;
-      await this.#sendToServer(granted.id, granted.server);
+      await this.#sendToServer(granted);
     }
     if (this.#finishIfOver()) return;
     this.#giveUp("not_run", DEFAULT_RETRY_AFTER);
@@ -145,13 +164,17 @@
    */
   async #requestGrant(
     grant: number,
-  ): Promise<{ id: string; server: ServerRecord } | undefined> {
+  ): Promise<Grant | undefined> {
     const { grantClient, clock, findServer } = this.#context;
     const verdict = this.#suspectVerdict();
     if (verdict.kind === "quarantined") {
       this.#giveUp("quarantined", verdict.retryAfter);
       return undefined;
     }
+    if (this.#allowedDataCentres?.length === 0) {
+      this.#giveUp("no_home", NO_HOME_RETRY_AFTER);
+      return undefined;
+    }
     const { route, service, organisation, cost, charge } = this.#resolved;
     const { tierRank, routeRank } = this.#resolved;
     const requestedAt = clock();
@@ -178,6 +201,7 @@
       promptParts: this.#parsed.promptParts,
       jitter: this.#context.random(),
       excludedServers: [...this.#excludedServers],
+      allowedDataCentres: this.#allowedDataCentres,
     });
     const grantResult = await this.#unlessCancelled(result);
     if (grantResult === undefined) {
@@ -189,9 +213,10 @@
       return undefined;
     }
     const record = findServer(grantResult.server);
-    if (record === undefined) {
-      // The server leaves or wants no requests of this entry for a while, and
-      // the granting entry does not know it yet.
+    if (record === undefined || !this.#mayRunAt(record)) {
+      // The server leaves, its data centre is evacuated, or it wants no
+      // requests of this entry for a while, and the granting entry does not
+      // know it yet. One of an earlier version does not know home regions.
       grantClient.withdraw(id);
       this.#excludedServers.push(grantResult.server);
       return undefined;
@@ -200,10 +225,15 @@
     const { by } = grantResult;
     const suspects = verdict.kind === "suspect" ? verdict.fingerprints : [];
     this.#report.recordGrant(record, { waited, by, attempt: grant, suspects });
-    return { id, server: record };
+    return { id, server: record, at: clock() };
+  }
+
+  #mayRunAt({ dataCentre }: ServerRecord): boolean {
+    const allowedDataCentres = this.#allowedDataCentres;
+    return mayRunIn({ allowedDataCentres }, dataCentre);
   }
 
-  async #sendToServer(grantId: string, server: ServerRecord): Promise<void> {
+  async #sendToServer({ id: grantId, server, at }: Grant): Promise<void> {
     const { connectionPool, grantClient } = this.#context;
     const incarnation = incarnationOf(server);
     const strict = !isRepeatable(this.#resolved.route);
@@ -218,7 +248,7 @@
     if (
       this.#caller.disconnected || this.#timedOut ||
       this.#suspectVerdict().kind === "quarantined" ||
-      this.#excludeIfUnusable(incarnation)
+      this.#isOutdated(at) || this.#excludeIfUnusable(incarnation)
     ) {
       grantClient.withdraw(grantId);
       connectionPool.release(server, connection.value);
@@ -237,6 +267,14 @@
     );
   }
 
+  /** Whether the granting entry counted the request too long ago. */
+  #isOutdated(grantedAt: number): boolean {
+    const { activeConfiguration, clock } = this.#context;
+    const { services } = activeConfiguration()?.configuration ?? {};
+    const { coldPerSecond = 0 } = services?.get(this.#resolved.service) ?? {};
+    return coldPerSecond > 0 && clock() - grantedAt > MAXIMUM_GRANT_AGE;
+  }
+
   /** Excludes the server if it may not be used any more; returns true if so. */
   #excludeIfUnusable(incarnation: string): boolean {
     if (this.#context.findServer(incarnation) !== undefined) return false;
--- a/packages/gateway/src/request/resolve_request.ts
+++ b/packages/gateway/src/request/resolve_request.ts
@@ -22,6 +22,8 @@
   charge: number;
   /** Instant after which a response is of no use to the caller. */
   deadline: number;
+  /** Regions in which it may run; any if absent. */
+  homeRegions: readonly string[] | undefined;
 };
 
 /** Why a request is refused before a server is requested for it. */
@@ -75,11 +77,21 @@
       outputTokens: Math.min(maxOutputTokens, Math.round(expected)),
     },
     charge: quotaCharge(identified, tokens),
+    homeRegions: commonRegions(route.homeRegions, identified?.homeRegions),
     deadline: parsed.arrivedAt +
       Math.min(parsed.remainingTime ?? Infinity, route.timeout),
   });
 }
 
+/** Regions that both allow; any if neither names one. */
+function commonRegions(
+  one: readonly string[] | undefined,
+  other: readonly string[] | undefined,
+): readonly string[] | undefined {
+  if (one === undefined || other === undefined) return one ?? other;
+  return one.filter((region) => other.includes(region));
+}
+
 function quotaCharge(
   organisation: Organisation | undefined,
   tokens: Cost | undefined,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -19,6 +19,8 @@
   /** Name of this instance; unique in the fleet. */
   instance: v.pipe(v.string(), v.minLength(1)),
   dataCentre: v.string(),
+  /** Region of each data centre, by name. */
+  regions: v.optional(v.record(v.string(), v.string()), {}),
   /** Portion of each processor that this instance may use, in cores. */
   processorShare: v.optional(positive, 1),
   /** Number of processors of this instance. */
@@ -38,6 +40,12 @@
     gracePeriodSeconds: positive,
     /** Milliseconds that a backend server goes on serving when it leaves. */
     drainTime: v.optional(positive, 2000),
+    /**
+     * Factor and requests by which a cold server may get more in a second than
+     * its service states.
+     */
+    coldOverage: v.optional(positive, 1),
+    coldSlack: v.optional(positive, 0),
     /** Retries allowed per request, in any window, over all entries. */
     retryRatio: positive,
     /** Retries allowed in a window beyond that ratio, over all entries. */
@@ -71,3 +79,13 @@
 export function processorCapacity(settings: GatewaySettings): number {
   return settings.processorShare * settings.processors;
 }
+
+/** Data centres that lie in any of the regions, according to the settings. */
+export function dataCentresIn(
+  regions: readonly string[],
+  settings: Pick<GatewaySettings, "regions">,
+): string[] {
+  return Object.entries(settings.regions)
+    .filter(([, region]) => regions.includes(region))
+    .map(([dataCentre]) => dataCentre);
+}
--- a/packages/gateway/src/state/fleet_state.ts
+++ b/packages/gateway/src/state/fleet_state.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import {
+  Evacuations,
   FIRST_POSITION,
   isLater,
   laterOf,
@@ -13,6 +14,7 @@
   ServerDirectory,
 } from "@sycamorepulley/decisions";
 import type {
+  EvacuationChange,
   ServerChange,
   ServerState,
   StorePosition,
@@ -24,6 +26,7 @@
 import type { GatewayConfiguration } from "./gateway_configuration.ts";
 import type { PrefixListener } from "./prefix_follower.ts";
 import type { RecordCodec } from "./record_codec.ts";
+import { serverRecordOf } from "./server_state_codec.ts";
 import { StateListener } from "./state_listener.ts";
 import type { StoreContact } from "./store_contact.ts";
 
@@ -45,11 +48,13 @@
 
 /** Called on every change of the state. */
 export type StateChangeCallback = (
-  kind: "configuration" | "servers" | "members",
+  kind: "configuration" | "servers" | "members" | "evacuations",
 ) => void;
 
 export class FleetState {
   readonly directory = new ServerDirectory();
+  /** Data centres whose servers may not be sent requests. */
+  readonly evacuations = new Evacuations();
   /** Registered entries, by instance name. */
   readonly members = new Map<string, Member>();
   readonly membershipList = new MembershipList();
@@ -200,6 +205,31 @@
     return news.length > 0;
   }
 
+  /** Merges evacuations that the store or a peer, `from`, states. */
+  applyEvacuations(changes: readonly EvacuationChange[], from: string): void {
+    this.#reportEvacuations(
+      changes.filter((change) => this.evacuations.apply(change)),
+      from,
+    );
+  }
+
+  /** Merges a complete read of the evacuations in the store. */
+  mergeStoredEvacuations(
+    stored: readonly EvacuationChange[],
+    asOf: StorePosition,
+  ): void {
+    const changes = this.evacuations.mergeStoreRead(stored, asOf);
+    this.#reportEvacuations(changes, "store");
+  }
+
+  #reportEvacuations(changes: readonly EvacuationChange[], from: string): void {
+    for (const { dataCentre, evacuated, position } of changes) {
+      const event = evacuated ? "evacuation_started" : "evacuation_ended";
+      this.#log.write({ event, dataCentre, ...position, from });
+    }
+    if (changes.length > 0) this.#onChange("evacuations");
+  }
+
   /** `age`: milliseconds since the store responded to a peer. */
   recordPeerContact(age: number | undefined): void {
     if (age === undefined) return;
@@ -247,28 +277,12 @@
     this.#onChange("members");
   }
 
-  /** Returns a listener for the configuration's key. */
-  configurationListener(): PrefixListener {
-    return new StateListener({
-      onSnapshot: (items, { era }) => {
-        items.forEach((item) => this.#readConfiguration(item, era));
-        this.#confirmConfiguration(era);
-      },
-      onChange: (change, era) => {
-        if (change.kind === "written") {
-          this.#readConfiguration(change.item, era);
-        }
-      },
-      onBatchEnd: (era) => this.#confirmConfiguration(era),
-    });
-  }
-
   /**
    * Confirms the configuration in force after a read of the store. A store that
    * was restored and holds an older version confirms nothing, since nobody
    * knows what else it has lost.
    */
-  #confirmConfiguration(era: number): void {
+  confirmConfiguration(era: number): void {
     const { position } = this.#publishedConfiguration;
     this.#configurationConfirmed = position.era === era;
   }
@@ -341,10 +355,8 @@
     this.membershipList.markUnregistered(name, this.#clock());
   }
 
-  #readConfiguration(
-    { key, value, revision }: StoredItem,
-    era: number,
-  ): void {
+  /** Adopts a configuration that was read; ignores any other item. */
+  readConfiguration({ key, value, revision }: StoredItem, era: number): void {
     if (key !== this.#codec.configurationKey) return;
     this.adoptConfiguration(value, { era, revision }, "store");
   }
@@ -354,7 +366,8 @@
     era: number,
   ): ServerState {
     const id = key.slice(this.#codec.serverPrefix.length);
-    const record = this.#codec.decodeServer(id, value);
+    const stored = this.#codec.decodeServer(id, value);
+    const record = stored && serverRecordOf(stored, this.#clock());
     return { id, position: { era, revision }, record };
   }
 
--- a/packages/gateway/src/state/gateway_configuration.ts
+++ b/packages/gateway/src/state/gateway_configuration.ts
@@ -1,6 +1,7 @@
 /** The operators' configuration as the gateway uses it. @module */
 import { RouteTable } from "@sycamorepulley/decisions";
 import type { Quota, Route } from "@sycamorepulley/decisions";
+import type { GatewayBounds } from "../settings.ts";
 
 /** Limits on callers' requests and connections; durations in milliseconds. */
 export type CallerLimits = {
@@ -16,6 +17,11 @@
   connections: number;
   /** Tokens in one event of a stream. */
   tokensPerEvent: number;
+  /**
+   * Requests per second that a server tolerates while it is cold; absent if a
+   * cold server is not limited.
+   */
+  coldPerSecond?: number | undefined;
 };
 
 /** An organisation that sends requests under its credentials. */
@@ -25,6 +31,8 @@
   /** Takes precedence over the tier rank of the route. */
   tierRank: number | undefined;
   quota: Quota | undefined;
+  /** Regions in which its requests may run; any if absent. */
+  homeRegions?: readonly string[] | undefined;
   /** Tokens charged for a request that does not state its own number. */
   plainTokens: number;
   /** True if its quota counts tokens, false if it counts requests. */
@@ -41,6 +49,22 @@
   organisations: readonly Organisation[];
 };
 
+/**
+ * Requests that a server of each service accepts in any second while it is
+ * cold, by service.
+ */
+export function startLimits(
+  services: GatewayConfiguration["services"],
+  { coldOverage, coldSlack }: Pick<GatewayBounds, "coldOverage" | "coldSlack">,
+): Map<string, number> {
+  const limits = new Map<string, number>();
+  for (const [name, { coldPerSecond = 0 }] of services) {
+    if (coldPerSecond <= 0) continue;
+    limits.set(name, coldPerSecond * coldOverage + coldSlack);
+  }
+  return limits;
+}
+
 /** A configuration with its lookup tables. */
 export class ActiveConfiguration {
   readonly configuration: GatewayConfiguration;
--- a/packages/gateway/src/state/record_codec.ts
+++ b/packages/gateway/src/state/record_codec.ts
@@ -3,10 +3,26 @@
 import type { Result } from "true-myth/result";
 import type { GatewayConfiguration } from "./gateway_configuration.ts";
 
+/** A backend server's record as stored. */
+export type StoredServer = Omit<ServerRecord, "coldUntil"> & {
+  /**
+   * Milliseconds for which the server remained cold when it wrote the record;
+   * absent if it is not cold.
+   */
+  coldFor?: number | undefined;
+};
+
 /** Keys and decoders of what the gateway follows in the platform's store. */
 export abstract class RecordCodec {
-  /** Key of the configuration. */
+  /** Prefix of all keys that operators write. */
+  abstract readonly operatorPrefix: string;
+  /** Key of the configuration, below {@link RecordCodec.operatorPrefix}. */
   abstract readonly configurationKey: string;
+  /**
+   * Prefix, below {@link RecordCodec.operatorPrefix}, of the keys of evacuated
+   * data centres; the rest of such a key is the data centre's name.
+   */
+  abstract readonly evacuationPrefix: string;
   /** Prefix of the keys of backend servers. */
   abstract readonly serverPrefix: string;
 
@@ -16,5 +32,5 @@
   ): Result<GatewayConfiguration, string>;
 
   /** Returns `undefined` for a record that describes no usable server. */
-  abstract decodeServer(id: string, value: string): ServerRecord | undefined;
+  abstract decodeServer(id: string, value: string): StoredServer | undefined;
 }
--- /dev/null
+++ b/packages/gateway/src/state/server_state_codec.ts
@@ -0,0 +1,26 @@
+/**
+ * Converts backend servers between their stored form, with durations, and the
+ * records of this entry, with times of its own clock.
+ * @module
+ */
+import type { ServerRecord } from "@sycamorepulley/decisions";
+import type { StoredServer } from "./record_codec.ts";
+
+/** `now` is the time at which the record was received. */
+export function serverRecordOf(
+  { coldFor, ...record }: StoredServer,
+  now: number,
+): ServerRecord {
+  return coldFor === undefined || coldFor <= 0
+    ? record
+    : { ...record, coldUntil: now + coldFor };
+}
+
+export function storedServerOf(
+  { coldUntil, ...record }: ServerRecord,
+  now: number,
+): StoredServer {
+  return coldUntil === undefined || coldUntil <= now
+    ? record
+    : { ...record, coldFor: coldUntil - now };
+}
--- a/packages/gateway/src/state/store_followers.ts
+++ b/packages/gateway/src/state/store_followers.ts
@@ -1,10 +1,12 @@
 /** Followers of all that a gateway needs from the store. @module */
 import { WatchTimeouts } from "@sycamorepulley/decisions";
 import type { WatchGroup } from "@sycamorepulley/decisions";
+import type { EventLog } from "../observe/event_log.ts";
 import type { EraCheckedStore } from "./era_checked_store.ts";
 import type { FleetState } from "./fleet_state.ts";
 import { decodeMember } from "./member_record.ts";
 import { MEMBER_PREFIX } from "./entry_registration.ts";
+import { OperatorListener } from "./operator_listener.ts";
 import { PrefixFollower } from "./prefix_follower.ts";
 import type { PrefixListener } from "./prefix_follower.ts";
 import type { RecordCodec } from "./record_codec.ts";
@@ -29,13 +31,14 @@
     codec: RecordCodec;
     state: FleetState;
     contact: StoreContact;
+    log: EventLog;
     signal: AbortSignal;
     clock: () => number;
     /** Connected entries, which pass on what they read. */
     group: () => WatchGroup;
   },
 ): PrefixFollower {
-  const { store, codec, state, contact, signal, clock, group } = options;
+  const { store, codec, state, contact, log, signal, clock, group } = options;
   const startFollower = (
     prefix: string,
     listener: PrefixListener,
@@ -62,8 +65,8 @@
     return follower;
   };
   const configuration = startFollower(
-    codec.configurationKey,
-    state.configurationListener(),
+    codec.operatorPrefix,
+    new OperatorListener({ state, codec, log }),
     { shortestTimeout: SHORTEST_WATCH_TIMEOUT, coalesces: false },
   );
   startFollower(codec.serverPrefix, state.serverListener(), {
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -33,7 +33,9 @@
 };
 
 class JsonRecordCodec extends RecordCodec {
+  override readonly operatorPrefix = "configuration";
   override readonly configurationKey = "configuration";
+  override readonly evacuationPrefix = "configuration/evacuated/";
   override readonly serverPrefix = "servers/";
 
   override decodeConfiguration(
@@ -161,6 +163,7 @@
       settings: {
         instance: options.instance ?? "entry-1",
         dataCentre: "a",
+        regions: { a: "north", b: "south" },
         processorShare: 1,
         processors: 1,
         front: anyPort,
@@ -171,6 +174,8 @@
         bounds: {
           gracePeriodSeconds: 2,
           drainTime: 2000,
+          coldOverage: 1.5,
+          coldSlack: 5,
           retryRatio: 0.2,
           retrySlack: 50,
           retryWindowSeconds: 10,
--- a/packages/gateway/test/heartbeats_test.ts
+++ b/packages/gateway/test/heartbeats_test.ts
@@ -18,6 +18,7 @@
     processors: 1,
     listed: true,
     leavingServers: [],
+    evacuations: [],
     ...changes,
   };
 }
--- a/packages/gateway/test/request_task_test.ts
+++ b/packages/gateway/test/request_task_test.ts
@@ -71,6 +71,7 @@
     cost: { promptTokens: 0, outputTokens: 1 },
     charge: 0,
     deadline: 1000,
+    homeRegions: undefined,
   };
   await new RequestTask({ context, parsed, resolved, caller, body: undefined })
     .run();
--- a/packages/gateway/test/retry_budgets_test.ts
+++ b/packages/gateway/test/retry_budgets_test.ts
@@ -4,6 +4,8 @@
 const BOUNDS = {
   gracePeriodSeconds: 8,
   drainTime: 2000,
+  coldOverage: 1.5,
+  coldSlack: 5,
   retryRatio: 0.2,
   retrySlack: 50,
   retryWindowSeconds: 10,
