Evacuate data centres in the daemon's fleet, and emulate cold servers

Cause: only the gateway knew evacuations. The product's own fleet had no way to order one, and the emulator no cold servers.

Change: `evacuations` are objects of the published configuration, so they reach entries like everything else that operators publish. An entry chooses no server of an evacuated data centre, and gives back a grant that arrives from one. `sycamorepulley evacuate NAME [--end]` edits the published file and keeps its comments; `evacuations` lists them with their servers. Cold servers need nothing new in the daemon: they state a limit, which the sidecar keeps.

--- a/packages/command_line/src/program.ts
+++ b/packages/command_line/src/program.ts
@@ -4,6 +4,8 @@
 import { apply } from "./commands/apply.ts";
 import { check } from "./commands/check.ts";
 import { diff } from "./commands/diff.ts";
+import { evacuate } from "./commands/evacuate.ts";
+import { evacuations } from "./commands/evacuations.ts";
 import { explain } from "./commands/explain.ts";
 import { get } from "./commands/get.ts";
 import { instances } from "./commands/instances.ts";
@@ -105,6 +107,29 @@
     .action(() => {
       selected.run = instances;
     });
+  program.command(
+    "evacuate <data-centre>",
+    "Send nothing more to the backend servers of a data centre",
+  )
+    .option("--end", "Use the data centre again")
+    .option("--reason <text>", "Shown by evacuations")
+    .option("--by <name>", "Who publishes; shown to others in a conflict")
+    .example("  $ sycamorepulley evacuate north --reason 'power work'")
+    .example("  $ sycamorepulley evacuate north --end")
+    .action((dataCentre: string, options: ParsedOptions) => {
+      const { reason, by } = options;
+      const parsed = {
+        end: options.end === true,
+        ...(reason !== undefined && { reason: String(reason) }),
+        ...(by !== undefined && { by: String(by) }),
+      };
+      selected.run = (context) => evacuate(context, dataCentre, parsed);
+    });
+  program.command("evacuations", "Show the evacuated data centres")
+    .example("  $ sycamorepulley evacuations")
+    .action(() => {
+      selected.run = evacuations;
+    });
   program.command("moves", "Show the progress of each move")
     .example("  $ sycamorepulley moves")
     .action(() => {
--- a/packages/configuration/src/configuration_index.ts
+++ b/packages/configuration/src/configuration_index.ts
@@ -36,10 +36,12 @@
   readonly #organisations: Map<string, Organisation>;
   readonly #models = new Map<string, Service>();
   readonly #credentials = new Map<string, Organisation>();
+  readonly #evacuated: ReadonlySet<string>;
 
   constructor(objects: ConfigurationObjects) {
     this.objects = objects;
     this.#services = byName(objects.services);
+    this.#evacuated = new Set(objects.evacuations.map(({ name }) => name));
     this.#tiers = byName(objects.tiers);
     this.#organisations = byName(objects.organisations);
     for (const service of objects.services) {
@@ -52,6 +54,11 @@
     }
   }
 
+  /** Whether nothing may be sent to the backend servers of a data centre. */
+  isEvacuated(dataCentre: string): boolean {
+    return this.#evacuated.has(dataCentre);
+  }
+
   service(name: string): Service | undefined {
     return this.#services.get(name);
   }
--- a/packages/configuration/src/kinds.ts
+++ b/packages/configuration/src/kinds.ts
@@ -15,6 +15,7 @@
   "organisations",
   "versions",
   "moves",
+  "evacuations",
 ];
 
 /** A configuration object of any kind. */
--- a/packages/configuration/src/objects.ts
+++ b/packages/configuration/src/objects.ts
@@ -109,6 +109,15 @@
 });
 export type Move = v.InferOutput<typeof moveSchema>;
 
+/** An order to send nothing to the backend servers of a data centre. */
+export const evacuationSchema = v.strictObject({
+  /** Name of the data centre, as in the instance list. */
+  name: v.pipe(v.string(), v.minLength(1), v.maxLength(200)),
+  /** Why it was ordered, for other operators. */
+  reason: v.optional(v.string()),
+});
+export type Evacuation = v.InferOutput<typeof evacuationSchema>;
+
 /** The whole configuration, as in an operator's file. */
 export const objectsSchema = v.strictObject({
   services: v.optional(v.array(serviceSchema), []),
@@ -116,6 +125,7 @@
   organisations: v.optional(v.array(organisationSchema), []),
   versions: v.optional(v.array(versionSchema), []),
   moves: v.optional(v.array(moveSchema), []),
+  evacuations: v.optional(v.array(evacuationSchema), []),
 });
 export type ConfigurationObjects = v.InferOutput<typeof objectsSchema>;
 
@@ -126,4 +136,5 @@
   organisations: [],
   versions: [],
   moves: [],
+  evacuations: [],
 };
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -285,6 +285,8 @@
       dataCentre: this.#settings.dataCentre,
       regionOf: (dataCentre) =>
         this.#regionsByDataCentre.get(dataCentre) ?? dataCentre,
+      isEvacuated: (dataCentre) =>
+        this.#components.configuration.index?.isEvacuated(dataCentre) ?? false,
     });
     this.#serviceStates.set(service, serviceState);
     return serviceState;
--- a/packages/daemon/src/entry/placement_task.ts
+++ b/packages/daemon/src/entry/placement_task.ts
@@ -119,8 +119,12 @@
   }
 
   #handOver(sidecar: string, grant: number): PlacementOutcome | undefined {
-    if (this.#suspect && !this.#tryStartSuspectRun(sidecar)) return undefined;
     const session = this.#reservations.get(sidecar);
+    if (this.#options.serviceState.servers.isEvacuated(sidecar)) {
+      session?.withdraw(this.#options.requestNumber);
+      return this.#recordLostReservation(sidecar, "evacuated");
+    }
+    if (this.#suspect && !this.#tryStartSuspectRun(sidecar)) return undefined;
     // If the link was lost, nothing was sent: the request may go elsewhere.
     if (!session?.handOver(this.#handOverMessage(grant))) {
       return this.#recordLostReservation(sidecar, "link_lost");
--- a/packages/daemon/src/entry/service_state.ts
+++ b/packages/daemon/src/entry/service_state.ts
@@ -28,14 +28,17 @@
       entry: string;
       dataCentre: string;
       regionOf: (dataCentre: string) => string;
+      /** Whether nothing may be sent to the servers of a data centre. */
+      isEvacuated: (dataCentre: string) => boolean;
     },
   ) {
-    const { service, entry, dataCentre, regionOf } = options;
+    const { service, entry, dataCentre, regionOf, isEvacuated } = options;
     this.service = service;
     this.servers = new BackendServerSet({
       entry,
       dataCentre,
       regionOf,
+      isEvacuated,
       allowed: (name, now) => this.ejection.allowed(name, now),
     });
   }
--- a/packages/decisions/src/placement/backend_server.ts
+++ b/packages/decisions/src/placement/backend_server.ts
@@ -38,6 +38,7 @@
 export class BackendServer {
   readonly name: string;
   readonly version: string | undefined;
+  readonly dataCentre: string;
   readonly distance: Distance;
   /**
    * Rendezvous hash of the entry and this server; the entry links to the
@@ -51,12 +52,14 @@
     options: {
       name: string;
       version: string | undefined;
+      dataCentre: string;
       distance: Distance;
       rendezvousHash: number;
     },
   ) {
     this.name = options.name;
     this.version = options.version;
+    this.dataCentre = options.dataCentre;
     this.distance = options.distance;
     this.rendezvousHash = options.rendezvousHash;
   }
--- a/packages/decisions/src/placement/backend_server_set.ts
+++ b/packages/decisions/src/placement/backend_server_set.ts
@@ -74,7 +74,8 @@
   readonly #dataCentre: string;
   readonly #regionOf: RegionOf;
   readonly #hash: HashText;
-  readonly #allowed: (name: string, now: number) => boolean;
+  readonly #isAllowed: (name: string, now: number) => boolean;
+  readonly #isEvacuated: (dataCentre: string) => boolean;
   readonly #servers = new Map<string, BackendServer>();
   /**
    * Names of the servers that may be chosen: neither draining nor reported
@@ -97,13 +98,16 @@
       hash?: HashText | undefined;
       /** Whether a server may be chosen; `false` while it is ejected. */
       allowed?: ((name: string, now: number) => boolean) | undefined;
+      /** Whether the servers of a data centre may not be chosen. */
+      isEvacuated?: ((dataCentre: string) => boolean) | undefined;
     },
   ) {
     this.#entry = options.entry;
     this.#dataCentre = options.dataCentre;
     this.#regionOf = options.regionOf ?? (() => "");
     this.#hash = options.hash ?? hashText;
-    this.#allowed = options.allowed ?? (() => true);
+    this.#isAllowed = options.allowed ?? (() => true);
+    this.#isEvacuated = options.isEvacuated ?? (() => false);
   }
 
   /**
@@ -126,6 +130,7 @@
     const added = new BackendServer({
       name: server.name,
       version: server.version,
+      dataCentre: server.dataCentre,
       distance: distanceBetween(
         this.#dataCentre,
         server.dataCentre,
@@ -156,6 +161,12 @@
     if (server !== undefined) this.#makeIneligible(server);
   }
 
+  /** Whether the server is in an evacuated data centre. */
+  isEvacuated(name: string): boolean {
+    const server = this.#servers.get(name);
+    return server !== undefined && this.#isEvacuated(server.dataCentre);
+  }
+
   /** Stores a load report from the server's own sidecar. */
   observeLoad(name: string, load: ObservedLoad, now: number): void {
     const server = this.#servers.get(name);
@@ -216,7 +227,7 @@
     const candidates = near.length > 0 ? near : other.linked;
     let soonest = Infinity;
     for (const server of candidates) {
-      if (!this.#allowed(server.name, now)) continue;
+      if (!this.#mayChoose(server, now)) continue;
       if (!server.sheds(tierRank, now)) return { sheds: false };
       soonest = Math.min(soonest, server.load?.expectedWait ?? Infinity);
     }
@@ -242,7 +253,7 @@
       if (chosen.includes(server) || exclude.has(server.name)) {
         return "continue";
       }
-      if (!this.#allowed(server.name, now)) return "continue";
+      if (!this.#mayChoose(server, now)) return "continue";
       if (server.loadRatio(tierRank, now) >= spillRatio) return "continue";
       chosen.push(server);
       return chosen.length >= options.count ? "stop" : "continue";
@@ -263,7 +274,7 @@
     const missing = options.count - chosen.length;
     const accept = (server: BackendServer) =>
       !options.exclude.has(server.name) && !chosen.includes(server) &&
-      this.#allowed(server.name, now);
+      this.#mayChoose(server, now);
     const cost = (server: BackendServer) =>
       server.loadRatio(tierRank, now) + server.distance * DISTANCE_PENALTY;
     const reach = REACHES.indexOf(options.reach ?? "region");
@@ -283,6 +294,10 @@
     chosen.push(...found.slice(0, missing));
   }
 
+  #mayChoose({ name, dataCentre }: BackendServer, now: number): boolean {
+    return !this.#isEvacuated(dataCentre) && this.#isAllowed(name, now);
+  }
+
   #makeEligible(server: BackendServer): void {
     if (this.#draining.has(server.name)) return;
     if (this.#eligible.has(server.name)) return;
--- a/packages/emulator/src/faults/faults.ts
+++ b/packages/emulator/src/faults/faults.ts
@@ -16,6 +16,18 @@
   perSecond: v.union([v.pipe(v.number(), v.minValue(0)), v.string()]),
 });
 
+/**
+ * The server is cold: it states a limit, and crashes when it gets more requests
+ * in a second than it accepts.
+ */
+export const coldSchema = v.strictObject({
+  header: v.optional(v.string(), "x-server-limit"),
+  /** Requests per second from all callers, as stated. */
+  perSecond: v.pipe(v.number(), v.minValue(0)),
+  /** Requests in any second that it survives. */
+  accepted: v.pipe(v.number(), v.minValue(1)),
+});
+
 /** Every request but the health check is turned away with status 503. */
 export const turnAwaySchema = v.strictObject({
   /** Seconds, sent as `Retry-After`; a string is sent unchanged. */
@@ -46,6 +58,7 @@
    */
   cutAfterTokens: v.optional(v.number()),
   statedLimit: v.optional(statedLimitSchema),
+  cold: v.optional(coldSchema),
   /** Every response says that the server leaves, in this header. */
   leavingHeader: v.optional(v.string()),
   turnAway: v.optional(turnAwaySchema),
--- a/packages/emulator/src/server/backend_server.ts
+++ b/packages/emulator/src/server/backend_server.ts
@@ -5,6 +5,7 @@
 import type { Faults, FaultsInput } from "../faults/faults.ts";
 import type { History } from "../history/history.ts";
 import type { HistoryRecord } from "../history/history_record.ts";
+import { ArrivalRate } from "./arrival_rate.ts";
 import { listen } from "./emulated_server.ts";
 import type { EmulatedServer, ListenOptions } from "./emulated_server.ts";
 import { sendJson, toRequestListener } from "./http_messages.ts";
@@ -40,6 +41,7 @@
 ): Promise<BackendServer> {
   const onCrash = options.onCrash ?? (() => void close());
   const handler = createHandler(onCrash);
+  const arrivalRate = new ArrivalRate();
   const server = await listen(
     toRequestListener(async (request, response) => {
       if (await handleControlRequest(request, response, handler)) return;
@@ -49,6 +51,10 @@
         sendJson(response, 503, { error: { message: "overloaded" } });
         return;
       }
+      if (request.url !== HEALTH_PATH) {
+        const inLastSecond = arrivalRate.record(performance.now());
+        if (inLastSecond > (faults.cold?.accepted ?? Infinity)) onCrash();
+      }
       await handler.handleRequest(request, response);
     }),
     options,
@@ -69,9 +75,10 @@
 
 /** Sets the headers in which the server states something about itself. */
 function stateNotices(response: ServerResponse, faults: Faults): void {
-  const { statedLimit, leavingHeader, turnAway } = faults;
-  if (statedLimit !== undefined) {
-    response.setHeader(statedLimit.header, String(statedLimit.perSecond));
+  const { leavingHeader, turnAway } = faults;
+  const limit = faults.cold ?? faults.statedLimit;
+  if (limit !== undefined) {
+    response.setHeader(limit.header, String(limit.perSecond));
   }
   if (leavingHeader !== undefined) response.setHeader(leavingHeader, "1");
   if (turnAway?.retryAfter !== undefined) {
--- a/packages/emulator/test/day_test.ts
+++ b/packages/emulator/test/day_test.ts
@@ -40,6 +40,23 @@
   t.ok(crashing!.summaries[0]!.others["broken"]! > 0);
 });
 
+t.test("a cold server states its limit and crashes above what it accepts", async (t) => {
+  const engine = await startEngine({ settings: { speed: 100 } });
+  t.teardown(() => engine.close());
+  engine.setFaults({ cold: { perSecond: 2, accepted: 3 } });
+  const send = () => fetch(`${engine.url}/v1/models`);
+  for (let count = 0; count < 3; count++) {
+    t.equal((await send()).headers.get("x-server-limit"), "2");
+  }
+  await t.rejects(send());
+});
+
+t.test("the day of cold servers is a valid day", async (t) => {
+  const path = new URL("../days/cold_servers.jsonc", import.meta.url);
+  const day = await readDay(fileURLToPath(path));
+  t.equal(day.loads.length, 3);
+});
+
 t.test("a file that is no day is refused with its error", async (t) => {
   const path = t.testdir({
     "syntax.jsonc": "{ name: 1",
--- a/packages/testing/src/fleet/example_objects.ts
+++ b/packages/testing/src/fleet/example_objects.ts
@@ -52,6 +52,7 @@
       { name: "bookings-1", service: "bookings", live: true },
     ],
     moves: [],
+    evacuations: [],
   };
 }
 
--- a/packages/testing/src/fleet/fleet.ts
+++ b/packages/testing/src/fleet/fleet.ts
@@ -16,6 +16,8 @@
   kind: "model" | "plain";
   service: string;
   version: string;
+  /** Data centre of the server; by default that of the entries. */
+  dataCentre?: string;
   /** Command-line options of the emulator. */
   options?: EmulatorOptions;
 };
@@ -97,7 +99,11 @@
       kind: options.kind,
       healthPath: "/health",
     });
-    const sidecar = await DaemonProcess.launch(settings, this.#directory);
+    const { dataCentre = settings.dataCentre } = options;
+    const sidecar = await DaemonProcess.launch(
+      { ...settings, dataCentre },
+      this.#directory,
+    );
     const backend = { name, options, server, sidecar };
     this.backends.push(backend);
     return backend;
