--- a/packages/decisions/src/dispatch/server_pool.ts
+++ b/packages/decisions/src/dispatch/server_pool.ts
@@ -18,6 +18,8 @@
 } from "./latency_ratio.ts";
 import { DEFAULT_DRAIN_TIME, DepartedServers } from "./departed_servers.ts";
 import { PooledServer } from "./pooled_server.ts";
+import { selectServer } from "./server_selection.ts";
+import type { PoolSnapshot } from "./server_selection.ts";
 import type { ServerRuns } from "./server_runs.ts";
 import type {
   ServiceLatencyRatios,
@@ -25,32 +27,12 @@
   UsageBounds,
 } from "./pooled_server.ts";
 
-/**
- * Milliseconds by which a server in another data centre must be faster to be
- * preferred, since traffic between data centres costs money.
- */
-const REMOTE_PENALTY = 60;
-/**
- * Weight of the expected decode time in the selection of a server: a slot of a
- * fast server is free again sooner.
- */
-const DECODE_WEIGHT = 0.1;
-
 /** Outcomes of runs whose server may have crashed. */
 const INTERRUPTED_OUTCOMES: ReadonlySet<RunOutcome> = new Set<RunOutcome>([
   "broken",
   "abandoned",
 ]);
 
-/** Input to the selection of servers, computed once per pass over the queue. */
-export type PoolSnapshot = {
-  latencyRatios: ServiceLatencyRatios;
-  /** Largest prefill limit of the servers, in tokens. */
-  largestPrefillLimit: number;
-  /** Servers with a free slot; under load these are few of many. */
-  free: Map<string, PooledServer>;
-};
-
 /** A granted request and its server. */
 export type GrantedRequest = {
   request: GrantRequest;
@@ -239,12 +221,7 @@
     this.#servers.get(server)?.recordRequestedBackoff(request.entry, until);
   }
 
-  /**
-   * Returns the free server that is expected to respond soonest. A suspect is
-   * sent where the next crash will show its cause, and preferably not to a
-   * server that has crashed while it ran it, as that server may be at fault.
-   * `crashesOf`: see {@link PooledServer.admitsSuspect}.
-   */
+  /** See {@link selectServer}; ejected servers are left out. */
   selectServer(
     request: GrantRequest,
     snapshot: PoolSnapshot,
@@ -252,45 +229,13 @@
     crashesOf: (fingerprints: readonly string[]) => number,
     now: number,
   ): string | undefined {
-    if (verdict.kind !== "suspect") {
-      return this.#selectFrom(snapshot.free, request, snapshot, now);
-    }
-    const free = [...snapshot.free].filter(([, server]) =>
-      server.admitsSuspect(verdict.crashes, crashesOf)
-    );
-    const others = free.filter(([, server]) =>
-      !verdict.servers.includes(server.address)
-    );
-    return this.#selectFrom(others, request, snapshot, now) ??
-      this.#selectFrom(free, request, snapshot, now);
-  }
-
-  #selectFrom(
-    servers: Iterable<[string, PooledServer]>,
-    request: GrantRequest,
-    snapshot: PoolSnapshot,
-    now: number,
-  ): string | undefined {
-    const { latencyRatios } = snapshot;
-    let best: string | undefined;
-    let bestScore = Infinity;
-    for (const [name, server] of servers) {
-      if (request.excludedServers.includes(name)) continue;
-      if (!mayRunIn(request, server.record.dataCentre)) continue;
-      if (!server.admits(request, snapshot, now)) continue;
-      if (!this.#ejection.allowed(name, now)) continue;
-      const isLocal = server.record.dataCentre === request.dataCentre;
-      const score =
-        server.expectedFirstTokenTime(request.cost, latencyRatios, now) +
-        DECODE_WEIGHT *
-          server.expectedDecodeTime(request.cost, latencyRatios, now) +
-        (isLocal ? 0 : REMOTE_PENALTY);
-      if (score < bestScore) {
-        bestScore = score;
-        best = name;
-      }
-    }
-    return best;
+    return selectServer(request, {
+      snapshot,
+      verdict,
+      crashesOf,
+      isAllowed: (name) => this.#ejection.allowed(name, now),
+      now,
+    });
   }
 
   recordStart(
--- a/packages/decisions/src/dispatch/service_scheduler.ts
+++ b/packages/decisions/src/dispatch/service_scheduler.ts
@@ -17,6 +17,7 @@
 import { ServerLimits } from "../server_limits/mod.ts";
 import { CrashSuspects, SoleSuspectRule } from "../suspects/mod.ts";
 import type { ServerCrash, SuspectVerdict } from "../suspects/mod.ts";
+import { BlockedRequests } from "./blocked_requests.ts";
 import { DEFAULT_DRAIN_TIME } from "./departed_servers.ts";
 import { ResponseValue } from "./response_value.ts";
 import { fingerprintsOf } from "./grant_request.ts";
@@ -38,7 +39,8 @@
 import type { StreamTiming } from "./pooled_server.ts";
 import { GrantedRequests } from "./granted_requests.ts";
 import { ServerPool } from "./server_pool.ts";
-import type { GrantedRequest, PoolSnapshot } from "./server_pool.ts";
+import type { GrantedRequest } from "./server_pool.ts";
+import type { PoolSnapshot } from "./server_selection.ts";
 import { SizeClassCounter } from "./size_class_counts.ts";
 import type { SizeClassCounts } from "./size_class_counts.ts";
 import { SizeFairness } from "./size_fairness.ts";
@@ -241,10 +243,7 @@
       : [];
     if (this.#queue.size === 0) return decisions;
     this.#pool.adaptStartLimit(this.#demand.meanRunTime(now));
-    if (!this.#pool.hasFreeSlot(now)) {
-      return decisions;
-    }
-    this.#grantWaiting(decisions, now);
+    if (this.#pool.hasFreeSlot(now)) this.#grantWaiting(decisions, now);
     return decisions;
   }
 
@@ -255,14 +254,7 @@
   #grantWaiting(decisions: GrantDecision[], now: number): void {
     const snapshot = this.#pool.snapshot(now);
     let passedOver = 0;
-    const blockedKinds = new Map<string, boolean>();
-    const updateBlocked = (request: GrantRequest): boolean => {
-      const blocked = !this.#pool.hasServerFor(request, snapshot, now);
-      blockedKinds.set(serverConstraint(request), blocked);
-      return blocked;
-    };
-    const isBlocked = (request: GrantRequest): boolean =>
-      blockedKinds.get(serverConstraint(request)) ?? updateBlocked(request);
+    const blocked = new BlockedRequests(this.#pool, snapshot, now);
     this.#queue.visit((queued) => {
       const { request } = queued;
       if (snapshot.free.size === 0 || passedOver >= MAXIMUM_PASSED_OVER) {
@@ -274,13 +266,13 @@
         decisions.push(this.#refusal(request, "quarantined", now, standing));
         return "taken";
       }
-      if (isBlocked(request)) return "blocked";
+      if (blocked.includes(request)) return "blocked";
       if (!this.#quotaReservations.allows(request, now)) return "blocked";
       const server = this.#selectServer(request, verdict, snapshot, now);
       if (server === undefined) {
         this.#quotaReservations.release(request);
         if (verdict.kind === "suspect") return "blocked";
-        if (updateBlocked(request)) return "blocked";
+        if (blocked.update(request)) return "blocked";
         passedOver++;
         return "no_server";
       }
@@ -427,15 +419,6 @@
   }
 }
 
-/** Requests with the same value may be sent to the same servers. */
-function serverConstraint(
-  { entry, allowedDataCentres }: GrantRequest,
-): string {
-  return allowedDataCentres === undefined
-    ? entry
-    : JSON.stringify([entry, allowedDataCentres]);
-}
-
 function suspectsOf(verdict: SuspectVerdict): readonly string[] {
   return verdict.kind === "suspect" ? verdict.fingerprints : [];
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -34,7 +34,6 @@
 import { dataCentresIn, processorCapacity, quotaLeeway } from "./settings.ts";
 import type { GatewaySettings } from "./settings.ts";
 import { settingsAfterReload } from "./settings_reload.ts";
-import { FleetDivision } from "./state/fleet_division.ts";
 import { FleetState } from "./state/fleet_state.ts";
 import type { Member, StateChangeCallback } from "./state/fleet_state.ts";
 import { startLimits } from "./state/gateway_configuration.ts";
@@ -44,6 +43,7 @@
 import type { PrefixFollower } from "./state/prefix_follower.ts";
 import type { RecordCodec } from "./state/record_codec.ts";
 import { QuarantineRecords } from "./state/quarantine_records.ts";
+import { QuarantineSharing } from "./state/quarantine_sharing.ts";
 import { StoreContact } from "./state/store_contact.ts";
 import { StartGate } from "./state/start_gate.ts";
 
@@ -85,9 +85,8 @@
   readonly #fleetState: FleetState;
   readonly #connectionPool: ConnectionPool;
   readonly #grantClient: GrantClient;
-  readonly #quarantineRecords: QuarantineRecords;
+  readonly #quarantines: QuarantineSharing;
   readonly #peers: Peers;
-  readonly #division = new FleetDivision();
   readonly #stateSharing: StateSharing;
   #configurationFollower: PrefixFollower | undefined;
   readonly #registration: EntryRegistration;
@@ -137,17 +136,20 @@
       peers: () => this.#peers,
       leeway: quotaLeeway(settings.bounds),
       drainTime: settings.bounds.drainTime,
-      onQuarantine: (statement) =>
-        void this.#quarantineRecords.write(statement),
+      onQuarantine: (statement) => this.#quarantines.write(statement),
     });
-    this.#quarantineRecords = new QuarantineRecords({
-      store,
-      contact: this.#storeContact,
-      clock,
-      signal: this.#stopController.signal,
-      onRead: (statements) => this.#handleQuarantines(statements),
+    this.#quarantines = new QuarantineSharing({
+      records: new QuarantineRecords({
+        store,
+        contact: this.#storeContact,
+        clock,
+        signal: this.#stopController.signal,
+        onRead: (statements) => this.#handleQuarantines(statements),
+      }),
+      isGranting: () => this.#grantClient.grantingEntry === instance,
+      quarantines: () => this.#grantClient.suspects.quarantines(),
     });
-    this.#storeContact.onRestore(() => this.#writeQuarantinesAgain());
+    this.#storeContact.onRestore(() => this.#quarantines.writeAgain());
     this.#peers = new Peers({
       instance,
       incarnation,
@@ -249,7 +251,7 @@
       clock: this.#clock,
       group: () => this.#peers.watchGroup(),
     });
-    void this.#quarantineRecords.read();
+    this.#quarantines.read();
     void this.#registration.run({ ...settings.peers, port: peers });
     const { readiness, metrics } = settings;
     const ports = {
@@ -452,19 +454,6 @@
     if (this.#isStateLoaded()) this.#openStartGate();
   }
 
-  /** Writes what a restored store may have lost; one entry of a group does. */
-  #writeQuarantinesAgain(): void {
-    if (!this.#isGranting()) return;
-    for (const statement of this.#grantClient.suspects.quarantines()) {
-      void this.#quarantineRecords.write(statement);
-    }
-  }
-
-  /** Whether this entry grants for its group. */
-  #isGranting(): boolean {
-    return this.#grantClient.grantingEntry === this.#settings.instance;
-  }
-
   /**
    * Opens the start gate once the quarantines have been read and a peer, if
    * there is any, has sent its state.
@@ -472,7 +461,7 @@
   #openStartGate(): void {
     const others = this.#otherMembers();
     const hasPeerState = this.#peerStateReceived || others.length === 0;
-    if (hasPeerState && this.#quarantineRecords.isRead) {
+    if (hasPeerState && this.#quarantines.isRead) {
       this.#startGate.open();
       return;
     }
@@ -505,21 +494,11 @@
     // change in the store.
     this.#refreshServers();
     this.#entryStatus.updateGroup();
-    this.#readQuarantinesIfDivided();
-  }
-
-  /**
-   * Entries that this one can't reach may have added quarantines. The granting
-   * entry reads them for its group.
-   */
-  #readQuarantinesIfDivided(): void {
-    const now = this.#clock();
-    const linked = new Set(this.#peers.connectedPeers());
-    const registered = this.#otherMembers().map(({ instance }) => instance);
-    this.#division.update(registered, linked, now);
-    if (this.#division.isDivided(now) && this.#isGranting()) {
-      void this.#quarantineRecords.readWhileDivided();
-    }
+    this.#quarantines.readIfDivided(
+      this.#otherMembers().map(({ instance }) => instance),
+      new Set(this.#peers.connectedPeers()),
+      this.#clock(),
+    );
   }
 
   /** Entries that are registered in the store, without this one. */
--- a/packages/gateway/src/request/request_task.ts
+++ b/packages/gateway/src/request/request_task.ts
@@ -12,7 +12,6 @@
   fingerprintsOf,
   incarnationOf,
   isRepeatable,
-  mayRunIn,
 } from "@sycamorepulley/decisions";
 import type { ServerRecord, SuspectVerdict } from "@sycamorepulley/decisions";
 import type { ParsedRequest } from "../front/parsed_request.ts";
@@ -26,6 +25,8 @@
 import { grantDeadline, MIN_REMAINING_TIME } from "./timeouts.ts";
 import type { ErrorReason } from "./error_response.ts";
 import type { RequestContext } from "./request_context.ts";
+import { ServerEligibility } from "./server_eligibility.ts";
+import type { Grant } from "./server_eligibility.ts";
 import { RequestReport } from "./request_report.ts";
 import type { ResolvedRequest } from "./resolve_request.ts";
 import { ServerAttempt } from "./server_attempt.ts";
@@ -44,16 +45,6 @@
  * configuration helps.
  */
 const NO_HOME_RETRY_AFTER = 10_000;
-/**
- * Milliseconds after which a grant may not be used any more if the service
- * limits how many requests a server gets in a second: the granting entry counts
- * it at the time of the grant.
- */
-const MAXIMUM_GRANT_AGE = 200;
-
-/** A grant of this request, and when it was received. */
-type Grant = { id: string; server: ServerRecord; at: number };
-
 /** Gets grants for a request, sends it to servers, responds to the caller. */
 export class RequestTask {
   readonly #context: RequestContext;
@@ -62,12 +53,10 @@
   readonly #caller: CallerConnection;
   readonly #body: Buffer | undefined;
   readonly #fingerprint: string;
-  /** Data centres in which the request may run; any if absent. */
-  readonly #allowedDataCentres: readonly string[] | undefined;
   readonly #report: RequestReport;
   readonly #response: FinalResponse;
   readonly #progress = new ResponseProgress();
-  readonly #excludedServers: string[] = [];
+  readonly #eligibility: ServerEligibility;
   /** Number of servers that were sent the request and may have run it. */
   #serversSentTo = 0;
   #mayHaveRun = false;
@@ -91,8 +80,7 @@
     this.#caller = options.caller;
     this.#body = options.body;
     const { context, parsed, resolved } = options;
-    this.#allowedDataCentres = resolved.homeRegions &&
-      context.dataCentresIn(resolved.homeRegions);
+    this.#eligibility = new ServerEligibility(context, resolved);
     this.#report = new RequestReport(context, parsed, resolved);
     this.#response = new FinalResponse(options.caller, this.#report);
     this.#fingerprint = requestFingerprint(
@@ -165,13 +153,13 @@
   async #requestGrant(
     grant: number,
   ): Promise<Grant | undefined> {
-    const { grantClient, clock, findServer } = this.#context;
+    const { grantClient, clock } = this.#context;
     const verdict = this.#suspectVerdict();
     if (verdict.kind === "quarantined") {
       this.#giveUp("quarantined", verdict.retryAfter);
       return undefined;
     }
-    if (this.#allowedDataCentres?.length === 0) {
+    if (this.#eligibility.isNowhere) {
       this.#giveUp("no_home", NO_HOME_RETRY_AFTER);
       return undefined;
     }
@@ -200,8 +188,8 @@
       fingerprint: this.#fingerprint,
       promptParts: this.#parsed.promptParts,
       jitter: this.#context.random(),
-      excludedServers: [...this.#excludedServers],
-      allowedDataCentres: this.#allowedDataCentres,
+      excludedServers: this.#eligibility.excluded,
+      allowedDataCentres: this.#eligibility.allowedDataCentres,
     });
     const grantResult = await this.#unlessCancelled(result);
     if (grantResult === undefined) {
@@ -212,13 +200,9 @@
       this.#giveUp(grantResult.reason, grantResult.retryAfter, grantResult);
       return undefined;
     }
-    const record = findServer(grantResult.server);
-    if (record === undefined || !this.#mayRunAt(record)) {
-      // The server leaves, its data centre is evacuated, or it wants no
-      // requests of this entry for a while, and the granting entry does not
-      // know it yet. One of an earlier version does not know home regions.
+    const record = this.#eligibility.find(grantResult.server);
+    if (record === undefined) {
       grantClient.withdraw(id);
-      this.#excludedServers.push(grantResult.server);
       return undefined;
     }
     const waited = clock() - requestedAt;
@@ -228,27 +212,24 @@
     return { id, server: record, at: clock() };
   }
 
-  #mayRunAt({ dataCentre }: ServerRecord): boolean {
-    const allowedDataCentres = this.#allowedDataCentres;
-    return mayRunIn({ allowedDataCentres }, dataCentre);
-  }
-
-  async #sendToServer({ id: grantId, server, at }: Grant): Promise<void> {
+  async #sendToServer(grant: Grant): Promise<void> {
     const { connectionPool, grantClient } = this.#context;
+    const { id: grantId, server } = grant;
     const incarnation = incarnationOf(server);
     const strict = !isRepeatable(this.#resolved.route);
     const connection = await connectionPool.acquire(server, strict);
     if (connection.isErr) {
       // Nothing reached the server, so this does not consume the retry budget.
       grantClient.recordEnd(grantId, connection.error);
-      this.#excludedServers.push(incarnation);
+      this.#eligibility.exclude(incarnation);
       this.#report.recordRetry(server, connection.error, this.#serversSentTo);
       return;
     }
     if (
       this.#caller.disconnected || this.#timedOut ||
       this.#suspectVerdict().kind === "quarantined" ||
-      this.#isOutdated(at) || this.#excludeIfUnusable(incarnation)
+      this.#eligibility.isOutdated(grant) ||
+      this.#eligibility.find(incarnation) === undefined
     ) {
       grantClient.withdraw(grantId);
       connectionPool.release(server, connection.value);
@@ -267,21 +248,6 @@
     );
   }
 
-  /** Whether the granting entry counted the request too long ago. */
-  #isOutdated(grantedAt: number): boolean {
-    const { activeConfiguration, clock } = this.#context;
-    const { services } = activeConfiguration()?.configuration ?? {};
-    const { coldPerSecond = 0 } = services?.get(this.#resolved.service) ?? {};
-    return coldPerSecond > 0 && clock() - grantedAt > MAXIMUM_GRANT_AGE;
-  }
-
-  /** Excludes the server if it may not be used any more; returns true if so. */
-  #excludeIfUnusable(incarnation: string): boolean {
-    if (this.#context.findServer(incarnation) !== undefined) return false;
-    this.#excludedServers.push(incarnation);
-    return true;
-  }
-
   async #runAttempt(target: AttemptTarget): Promise<AttemptResult> {
     const context = this.#context;
     const attempt = new ServerAttempt({
@@ -339,12 +305,12 @@
       case "not_run":
         connectionPool.release(server, connection);
         this.#uncountServer();
-        this.#excludedServers.push(incarnationOf(server));
+        this.#eligibility.exclude(incarnationOf(server));
         this.#report.recordNotRun(server, result.head);
         this.#retryOrRefuse(server, "not_run");
         return;
       case "broken":
-        this.#excludedServers.push(incarnationOf(server));
+        this.#eligibility.exclude(incarnationOf(server));
         this.#handleBrokenResponse(server, result.detail);
         return;
       case "aborted":
@@ -366,7 +332,7 @@
       failed && this.#mayUseAnotherServer() &&
       this.#consumeRetry(server, "failed")
     ) {
-      this.#excludedServers.push(incarnationOf(server));
+      this.#eligibility.exclude(incarnationOf(server));
       return;
     }
     this.#response.sendPlain(server, result, this.#progress);
