--- a/packages/decisions/src/discovery/server_directory.ts
+++ b/packages/decisions/src/discovery/server_directory.ts
@@ -222,6 +222,15 @@
     );
   }
 
+  /** Servers that are cold at `now`, and for how many more milliseconds. */
+  coldServers(now: number): { server: string; remaining: number }[] {
+    return this.#records().flatMap((record) => {
+      const remaining = (record.coldUntil ?? now) - now;
+      const server = incarnationOf(record);
+      return remaining > 0 ? [{ server, remaining }] : [];
+    });
+  }
+
   /** Returns the record with this id, also if its server is draining. */
   find(id: string): ServerRecord | undefined {
     return this.#servers.get(id)?.state.record;
--- a/packages/decisions/src/dispatch/group_scheduler.ts
+++ b/packages/decisions/src/dispatch/group_scheduler.ts
@@ -9,6 +9,7 @@
 import { OrganisationQuotas } from "../quotas/mod.ts";
 import type { Quota, QuotaLeeway } from "../quotas/mod.ts";
 import { ServerLimits } from "../server_limits/mod.ts";
+import type { StartLimitScope } from "../server_limits/mod.ts";
 import { CrashSuspects, SoleSuspectRule } from "../suspects/mod.ts";
 import type { ServerCrash } from "../suspects/mod.ts";
 import { DEFAULT_DRAIN_TIME } from "./departed_servers.ts";
@@ -46,6 +47,8 @@
   places: number;
   /** Grants in the last second. */
   granted: number;
+  /** Servers that get limited starts; absent if the service has no limit. */
+  limitedStarts?: StartLimitScope;
 };
 
 /** Requests and grants of one priority class (tier and route) of a service. */
@@ -252,6 +255,9 @@
       running: scheduler.running,
       places: scheduler.slots,
       granted: scheduler.grantsPerSecond(now),
+      ...(scheduler.startLimitScope && {
+        limitedStarts: scheduler.startLimitScope,
+      }),
     }));
   }
 
--- a/packages/decisions/src/dispatch/server_pool.ts
+++ b/packages/decisions/src/dispatch/server_pool.ts
@@ -8,6 +8,7 @@
 import { OutlierEjection } from "../ejection/mod.ts";
 import type { GroupFractions } from "../fleet/mod.ts";
 import { ServerLimits, StartLimit } from "../server_limits/mod.ts";
+import type { StartLimitScope } from "../server_limits/mod.ts";
 import type { ServerCrash, SuspectVerdict } from "../suspects/mod.ts";
 import { mayRunIn } from "./grant_request.ts";
 import type { GrantRequest, RunOutcome } from "./grant_request.ts";
@@ -151,6 +152,10 @@
     for (const server of this.#servers.values()) server.resetLimiters();
   }
 
+  get startLimitScope(): StartLimitScope | undefined {
+    return this.#startLimit.scope;
+  }
+
   /** Sets the requests that a server accepts in a second while it is cold. */
   setStartLimit(accepted: number | undefined): void {
     this.#startLimit.set(accepted);
--- a/packages/decisions/src/dispatch/service_scheduler.ts
+++ b/packages/decisions/src/dispatch/service_scheduler.ts
@@ -15,6 +15,7 @@
 import { OrganisationQuotas } from "../quotas/mod.ts";
 import type { QuotaLeeway } from "../quotas/mod.ts";
 import { ServerLimits } from "../server_limits/mod.ts";
+import type { StartLimitScope } from "../server_limits/mod.ts";
 import { CrashSuspects, SoleSuspectRule } from "../suspects/mod.ts";
 import type { ServerCrash, SuspectVerdict } from "../suspects/mod.ts";
 import { BlockedRequests } from "./blocked_requests.ts";
@@ -112,6 +113,10 @@
     return this.#pool.slots;
   }
 
+  get startLimitScope(): StartLimitScope | undefined {
+    return this.#pool.startLimitScope;
+  }
+
   /** Grants in the last second. */
   grantsPerSecond(now: number): number {
     return this.#demand.grantsPerSecond(now);
--- a/packages/decisions/src/server_limits/mod.ts
+++ b/packages/decisions/src/server_limits/mod.ts
@@ -7,6 +7,7 @@
 } from "./server_rate_limiter.ts";
 export type { ServerRateLimiter } from "./server_rate_limiter.ts";
 export { isCold, StartLimit } from "./start_limit.ts";
+export type { StartLimitScope } from "./start_limit.ts";
 export { ServerLimits } from "./server_limits.ts";
 export { parseServerLimit } from "./parse_server_limit.ts";
 export type {
--- a/packages/decisions/src/server_limits/start_limit.ts
+++ b/packages/decisions/src/server_limits/start_limit.ts
@@ -22,14 +22,19 @@
  */
 const RETURN_FRACTION = 0.7;
 
+/** Servers that are limited: all of the service, or only the cold ones. */
+export type StartLimitScope = "all" | "cold";
+
 /** Decides which servers of one service are limited. */
 export class StartLimit {
   /** Requests accepted in a second; `undefined` if there is no limit. */
   #accepted: number | undefined;
   #appliesToAll = true;
 
-  get appliesToAll(): boolean {
-    return this.#appliesToAll;
+  /** `undefined` if the service has no limit. */
+  get scope(): StartLimitScope | undefined {
+    if (this.#accepted === undefined) return undefined;
+    return this.#appliesToAll ? "all" : "cold";
   }
 
   set(accepted: number | undefined): void {
--- a/packages/decisions/test/start_limit_test.ts
+++ b/packages/decisions/test/start_limit_test.ts
@@ -151,8 +151,8 @@
   limit.set(29);
   const outcomes = [150, 200, 220, 255, 460].map((runTime) => {
     limit.adapt(8, runTime);
-    return limit.appliesToAll;
+    return limit.scope;
   });
-  t.same(outcomes, [false, false, false, false, true]);
+  t.same(outcomes, ["cold", "cold", "cold", "cold", "all"]);
   t.end();
 });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -227,6 +227,8 @@
       totalShares: () => this.#entryStatus.totalShares(),
       leavingServers: () =>
         this.#fleetState.directory.leavingUnrecorded().length,
+      coldServers: () => this.#fleetState.directory.coldServers(clock()),
+      evacuatedDataCentres: () => this.#fleetState.evacuations.evacuated(),
     });
     this.#statusServer = new StatusServer({
       metrics: this.#metrics,
--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -246,6 +246,8 @@
     quota: number;
     /** Total shares of all entries, as this one counts them. */
     fleet: number;
+    /** See `ServiceLoad`. */
+    limitedStarts?: "all" | "cold";
   }
   /**
    * Requests of one tier and route in the last second, while fewer were granted
--- a/packages/gateway/src/observe/load_report.ts
+++ b/packages/gateway/src/observe/load_report.ts
@@ -10,6 +10,8 @@
   readonly #metrics: GatewayMetrics;
   readonly #totalShares: () => number;
   readonly #leavingServers: () => number;
+  readonly #coldServers: () => { server: string; remaining: number }[];
+  readonly #evacuatedDataCentres: () => string[];
 
   constructor(
     options: {
@@ -20,6 +22,9 @@
       totalShares: () => number;
       /** Number of servers known to be leaving only from responses. */
       leavingServers: () => number;
+      /** Cold servers, and for how many more milliseconds. */
+      coldServers: () => { server: string; remaining: number }[];
+      evacuatedDataCentres: () => string[];
     },
   ) {
     this.#grantClient = options.grantClient;
@@ -27,6 +32,8 @@
     this.#metrics = options.metrics;
     this.#totalShares = options.totalShares;
     this.#leavingServers = options.leavingServers;
+    this.#coldServers = options.coldServers;
+    this.#evacuatedDataCentres = options.evacuatedDataCentres;
   }
 
   log(): void {
@@ -83,5 +90,19 @@
       serverLimit.set({ server, by: limit.by }, limit.perSecond);
       serverLimitAge.set({ server }, age / 1000);
     }
+    this.#updatePlaces();
+  }
+
+  /** Updates the gauges of cold servers and evacuated data centres. */
+  #updatePlaces(): void {
+    const { coldServers, evacuatedDataCentres } = this.#metrics;
+    coldServers.reset();
+    for (const { server, remaining } of this.#coldServers()) {
+      coldServers.set({ server }, remaining / 1000);
+    }
+    evacuatedDataCentres.reset();
+    for (const dataCentre of this.#evacuatedDataCentres()) {
+      evacuatedDataCentres.set({ data_centre: dataCentre }, 1);
+    }
   }
 }
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -88,6 +88,16 @@
     "Distinct requests that are refused because they crash backend servers",
     [],
   );
+  readonly coldServers = this.#gauge(
+    "server_cold_seconds",
+    "Time for which a backend server remains cold according to its record",
+    ["server"],
+  );
+  readonly evacuatedDataCentres = this.#gauge(
+    "evacuated",
+    "1 for each data centre whose servers get no requests",
+    ["data_centre"],
+  );
   readonly configurationVersion = this.#gauge(
     "configuration_version",
     "Version of the configuration in force",
--- a/packages/gateway/test/load_report_test.ts
+++ b/packages/gateway/test/load_report_test.ts
@@ -25,6 +25,8 @@
     metrics,
     totalShares: () => 1,
     leavingServers: () => 2,
+    coldServers: () => [{ server: "s@1", remaining: 2500 }],
+    evacuatedDataCentres: () => ["b"],
   });
   limits.observe("s@1", "2.4", 900);
   now = 3500;
@@ -35,6 +37,8 @@
   t.match(exposition, `${prefix}_age_seconds{server="s@1"} 2.5`);
   t.match(exposition, `waiting{service="calls"} 3`);
   t.match(exposition, "sycamorepulley_gateway_leaving_servers 2");
+  t.match(exposition, `server_cold_seconds{server="s@1"} 2.5`);
+  t.match(exposition, `gateway_evacuated{data_centre="b"} 1`);
   t.match(exposition, `server_backoff_seconds{server="s@1"} 1.5`);
   t.match(exposition, "sycamorepulley_gateway_quarantined_requests 4");
   limits.observe("s@1", undefined, 2000);
@@ -68,6 +72,8 @@
     metrics,
     totalShares: () => 1,
     leavingServers: () => 0,
+    coldServers: () => [],
+    evacuatedDataCentres: () => [],
   }).log();
   t.equal(sink.events.length, 1);
   t.match(sink.events[0]?.context, {
