Let an entry that has just started grant limited servers a request at once

Cause: a limiter begins without tokens at each new granting entry.

Change: an entry that has been up for less than three seconds begins with one token for each server, less where a server accepts few. Four such take-overs in a second use the .15 that rate and burst leave, so the sum stays within what a server accepts; a property test plays them. Later take-overs begin without tokens as before.

Measured: virtual time, a request for each of three servers at once (none before).

--- a/packages/decisions/src/dispatch/group_scheduler.ts
+++ b/packages/decisions/src/dispatch/group_scheduler.ts
@@ -12,7 +12,6 @@
 import type { StartLimitScope } from "../server_limits/mod.ts";
 import { CrashSuspects, SoleSuspectRule } from "../suspects/mod.ts";
 import type { ServerCrash } from "../suspects/mod.ts";
-import { DEFAULT_DRAIN_TIME } from "./departed_servers.ts";
 import { fingerprintsOf } from "./grant_request.ts";
 import type {
   GrantDecision,
@@ -20,6 +19,7 @@
   RunOutcome,
 } from "./grant_request.ts";
 import type { StreamTiming } from "./pooled_server.ts";
+import type { PoolOptions } from "./server_pool.ts";
 import { ServiceScheduler } from "./service_scheduler.ts";
 import type { SizeClassCounts } from "./size_class_counts.ts";
 
@@ -69,7 +69,7 @@
   readonly #requests = new Map<string, GrantRequest>();
   readonly #limits: ServerLimits;
   readonly #suspects: CrashSuspects;
-  readonly #drainTime: number;
+  readonly #poolOptions: PoolOptions;
   #fractions: GroupFractions = { room: 1, quota: 1 };
   /** Requests that a server accepts in a second, by service. */
   #startLimits: ReadonlyMap<string, number> = new Map();
@@ -77,16 +77,15 @@
   /**
    * `limits` holds the rates that servers accept, and `suspects` the requests
    * that may crash them; nothing is limited or suspected if they are absent.
-   * `drainTime`: see {@link DepartedServers}.
    */
   constructor(
     leeway: QuotaLeeway,
     limits = new ServerLimits(),
     suspects = new CrashSuspects(new SoleSuspectRule()),
-    drainTime = DEFAULT_DRAIN_TIME,
+    poolOptions: PoolOptions = {},
   ) {
     this.#limits = limits;
-    this.#drainTime = drainTime;
+    this.#poolOptions = poolOptions;
     this.#suspects = suspects;
     this.#quotas = new OrganisationQuotas(leeway);
   }
@@ -286,7 +285,7 @@
         this.#quotas,
         this.#limits,
         this.#suspects,
-        this.#drainTime,
+        this.#poolOptions,
       );
       scheduler.setFractions(this.#fractions);
       scheduler.setStartLimit(this.#startLimits.get(name));
--- a/packages/decisions/src/dispatch/pooled_server.ts
+++ b/packages/decisions/src/dispatch/pooled_server.ts
@@ -9,10 +9,13 @@
 import {
   allowedRate,
   allowedStartRate,
-  StartRateLimiter,
   StatedRateLimiter,
 } from "../server_limits/mod.ts";
-import type { ServerLimit } from "../server_limits/mod.ts";
+import type {
+  ServerLimit,
+  StartLimit,
+  StartRateLimiter,
+} from "../server_limits/mod.ts";
 import type { GrantRequest } from "./grant_request.ts";
 import {
   LatencyRatio,
@@ -66,8 +69,8 @@
   fractions: GroupFractions;
   /** The rate limit for all entries together, if the server states one. */
   limit: ServerLimit | undefined;
-  /** Requests accepted in a second, if they are limited; see `StartLimit`. */
-  startLimit: number | undefined;
+  /** Limits the requests in a second, if the server is to be limited. */
+  startLimit: StartLimit;
 };
 
 /** State of one backend server, with its runs by request id. */
@@ -132,11 +135,13 @@
   usableSlots(
     { fractions, limit, startLimit }: UsageBounds,
     runTime: number,
+    now: number,
   ): number {
+    const accepted = startLimit.of(this.record, now);
     const { room, quota } = fractions;
     const perSecond = Math.min(
       limit === undefined ? Infinity : allowedRate(limit.perSecond, quota),
-      startLimit === undefined ? Infinity : allowedStartRate(startLimit, quota),
+      accepted === undefined ? Infinity : allowedStartRate(accepted, quota),
     );
     const slots = this.record.slots * room;
     return Math.min(slots, perSecond * runTime / 1000);
@@ -324,12 +329,13 @@
     { fractions, startLimit }: UsageBounds,
     now: number,
   ): boolean {
-    if (startLimit === undefined) {
+    const accepted = startLimit.of(this.record, now);
+    if (accepted === undefined) {
       this.#startLimiter = undefined;
       return true;
     }
-    this.#startLimiter ??= new StartRateLimiter(now);
-    this.#startLimiter.configure(startLimit, fractions.quota, now);
+    this.#startLimiter ??= startLimit.createLimiter(accepted, now);
+    this.#startLimiter.configure(accepted, fractions.quota, now);
     return this.#startLimiter.allows(now);
   }
 
--- a/packages/decisions/src/dispatch/server_pool.ts
+++ b/packages/decisions/src/dispatch/server_pool.ts
@@ -42,6 +42,14 @@
   suspects: readonly string[];
 };
 
+/** What a pool depends on besides its servers. */
+export type PoolOptions = {
+  /** See {@link DepartedServers}. */
+  drainTime?: number;
+  /** See {@link StartLimit}. */
+  startedAt?: number;
+};
+
 /** The servers of one service, by incarnation. */
 export class ServerPool {
   readonly #servers = new Map<string, PooledServer>();
@@ -50,15 +58,18 @@
   readonly #firstTokenRatio = new LatencyRatio();
   readonly #decodeRatio = new LatencyRatio();
   readonly #limits: ServerLimits;
-  readonly #startLimit = new StartLimit();
+  readonly #startLimit: StartLimit;
   #fractions: GroupFractions = { room: 1, quota: 1 };
 
   /**
    * `limits` holds the rates that servers accept; no limits if absent.
-   * `drainTime`: see {@link DepartedServers}.
    */
-  constructor(limits = new ServerLimits(), drainTime = DEFAULT_DRAIN_TIME) {
+  constructor(
+    limits = new ServerLimits(),
+    { drainTime = DEFAULT_DRAIN_TIME, startedAt }: PoolOptions = {},
+  ) {
     this.#limits = limits;
+    this.#startLimit = new StartLimit(startedAt);
     this.#departed = new DepartedServers(drainTime);
   }
 
@@ -87,7 +98,7 @@
   usableSlots(runTime: number, now: number): number {
     let slots = 0;
     for (const [name, server] of this.#servers) {
-      slots += server.usableSlots(this.#bounds(name, server, now), runTime);
+      slots += server.usableSlots(this.#bounds(name), runTime, now);
     }
     return slots;
   }
@@ -95,7 +106,7 @@
   /** True if any server can run another request. */
   hasFreeSlot(now: number): boolean {
     for (const [name, server] of this.#servers) {
-      if (server.hasFreeSlot(this.#bounds(name, server, now), now)) return true;
+      if (server.hasFreeSlot(this.#bounds(name), now)) return true;
     }
     return false;
   }
@@ -171,7 +182,7 @@
     const free = new Map<string, PooledServer>();
     for (const [name, server] of this.#servers) {
       largestPrefillLimit = Math.max(largestPrefillLimit, server.prefillLimit);
-      if (server.hasFreeSlot(this.#bounds(name, server, now), now)) {
+      if (server.hasFreeSlot(this.#bounds(name), now)) {
         free.set(name, server);
       }
     }
@@ -253,7 +264,7 @@
     server?.countAgainstLimit(now);
     if (
       server === undefined ||
-      !server.hasFreeSlot(this.#bounds(name, server, now), now)
+      !server.hasFreeSlot(this.#bounds(name), now)
     ) snapshot.free.delete(name);
     this.#ejection.recordStart(name, now);
   }
@@ -375,15 +386,11 @@
       decode * nominalDecodeTime(request.cost);
   }
 
-  #bounds(
-    name: string,
-    { record }: PooledServer,
-    now: number,
-  ): UsageBounds {
+  #bounds(name: string): UsageBounds {
     return {
       fractions: this.#fractions,
       limit: this.#limits.find(name),
-      startLimit: this.#startLimit.of(record, now),
+      startLimit: this.#startLimit,
     };
   }
 
--- a/packages/decisions/src/dispatch/service_scheduler.ts
+++ b/packages/decisions/src/dispatch/service_scheduler.ts
@@ -19,7 +19,6 @@
 import { CrashSuspects, SoleSuspectRule } from "../suspects/mod.ts";
 import type { ServerCrash, SuspectVerdict } from "../suspects/mod.ts";
 import { BlockedRequests } from "./blocked_requests.ts";
-import { DEFAULT_DRAIN_TIME } from "./departed_servers.ts";
 import { ResponseValue } from "./response_value.ts";
 import { fingerprintsOf } from "./grant_request.ts";
 import type {
@@ -40,7 +39,7 @@
 import type { StreamTiming } from "./pooled_server.ts";
 import { GrantedRequests } from "./granted_requests.ts";
 import { ServerPool } from "./server_pool.ts";
-import type { GrantedRequest } from "./server_pool.ts";
+import type { GrantedRequest, PoolOptions } from "./server_pool.ts";
 import type { PoolSnapshot } from "./server_selection.ts";
 import { SizeClassCounter } from "./size_class_counts.ts";
 import type { SizeClassCounts } from "./size_class_counts.ts";
@@ -86,17 +85,17 @@
   /**
    * Grants are charged to `quotas`, and `limits` holds the rates that servers
    * accept; without them nothing is limited. `suspects` holds the requests that
-   * may crash servers. `drainTime`: see {@link DepartedServers}.
+   * may crash servers.
    */
   constructor(
     quotas = new OrganisationQuotas(NO_LEEWAY),
     limits = new ServerLimits(),
     suspects = new CrashSuspects(new SoleSuspectRule()),
-    drainTime = DEFAULT_DRAIN_TIME,
+    poolOptions: PoolOptions = {},
   ) {
     this.#suspects = suspects;
     this.#quotas = quotas;
-    this.#pool = new ServerPool(limits, drainTime);
+    this.#pool = new ServerPool(limits, poolOptions);
     this.#quotaReservations = new QuotaReservations(quotas);
   }
 
--- a/packages/decisions/src/server_limits/server_rate_limiter.ts
+++ b/packages/decisions/src/server_limits/server_rate_limiter.ts
@@ -21,6 +21,14 @@
  */
 const START_RATE_PART = 0.75;
 const START_BURST_PART = 0.1;
+/**
+ * Part of what a server accepts that entries which have just started may use
+ * without having gained it, and how many of them may begin to grant within a
+ * second. When all entries start again, several grant in turn until the group
+ * is complete; nobody has sent anything for a while then.
+ */
+const FRESH_START_PART = 0.15;
+const FRESH_STARTS_PER_SECOND = 4;
 /** Keeps the number of requests in a second below a whole number. */
 const MARGIN = 0.01;
 
@@ -29,8 +37,9 @@
   readonly #bucket: TokenBucket;
   #isOpen = false;
 
-  constructor(now: number) {
-    this.#bucket = new TokenBucket(0, 0, now);
+  /** `initial`: tokens at the start. */
+  constructor(now: number, initial = 0) {
+    this.#bucket = new TokenBucket(0, initial, now);
   }
 
   /**
@@ -71,6 +80,12 @@
 
 /** Keeps the number of requests that a server accepts in any second. */
 export class StartRateLimiter extends ServerRateLimiter {
+  /** The limiter of a server at an entry that has just started. */
+  static atFreshStart(accepted: number, now: number): StartRateLimiter {
+    const tokens = accepted * FRESH_START_PART / FRESH_STARTS_PER_SECOND;
+    return new StartRateLimiter(now, Math.min(1, tokens));
+  }
+
   /**
    * In any second this group sends at most the largest whole number of requests
    * in its part of `accepted`, so all groups together don't exceed it.
--- a/packages/decisions/src/server_limits/start_limit.ts
+++ b/packages/decisions/src/server_limits/start_limit.ts
@@ -9,13 +9,15 @@
  * @module
  */
 import type { ServerRecord } from "../discovery/mod.ts";
-import { allowedStartRate } from "./server_rate_limiter.ts";
+import { allowedStartRate, StartRateLimiter } from "./server_rate_limiter.ts";
 
 /**
  * The limit applies to all servers while their slots turn over at most this
  * many times as fast as the limit allows.
  */
 const MAXIMUM_TURNOVER_RATIO = 2;
+/** Milliseconds for which an entry counts as just started. */
+const FRESH_START_TIME = 3000;
 /**
  * Below this fraction of that ratio a service counts as slow again, so that it
  * doesn't alternate.
@@ -30,6 +32,12 @@
   /** Requests accepted in a second; `undefined` if there is no limit. */
   #accepted: number | undefined;
   #appliesToAll = true;
+  readonly #startedAt: number;
+
+  /** `startedAt`: when this entry started. */
+  constructor(startedAt = -Infinity) {
+    this.#startedAt = startedAt;
+  }
 
   /** `undefined` if the service has no limit. */
   get scope(): StartLimitScope | undefined {
@@ -54,6 +62,13 @@
     this.#appliesToAll = ratio <= maximum;
   }
 
+  /** Creates the limiter of one server. */
+  createLimiter(accepted: number, now: number): StartRateLimiter {
+    return now - this.#startedAt < FRESH_START_TIME
+      ? StartRateLimiter.atFreshStart(accepted, now)
+      : new StartRateLimiter(now);
+  }
+
   /** Requests that the server accepts in a second, if it is limited. */
   of(record: ServerRecord, now: number): number | undefined {
     if (this.#accepted === undefined) return undefined;
--- a/packages/decisions/test/start_limit_test.ts
+++ b/packages/decisions/test/start_limit_test.ts
@@ -76,6 +76,59 @@
   t.end();
 });
 
+t.test("entries that start again together send no more than a server accepts", (t) => {
+  // Guards against tokens that each new granting entry of a group adds.
+  const accepted = fc.integer({ min: 1, max: 60 });
+  const takeOvers = fc.array(fc.integer({ min: 1, max: 99 }), {
+    minLength: 1,
+    maxLength: 4,
+  });
+  fc.assert(
+    fc.property(accepted, takeOvers, (accepted, times) => {
+      const starts = times.map((time) => time * STEP)
+        .sort((one, other) => one - other);
+      const before = sendAll(new StartRateLimiter(0), accepted, {
+        fraction: 1,
+        from: 0,
+        until: starts[0]!,
+      });
+      const sent = starts.flatMap((from, index) =>
+        sendAll(StartRateLimiter.atFreshStart(accepted, from), accepted, {
+          fraction: 1,
+          from,
+          until: starts[index + 1] ?? 5 * SECOND,
+        })
+      );
+      return maximumInWindow([...before, ...sent], SECOND) <= accepted;
+    }),
+    { numRuns: 200, seed: 46 },
+  );
+  t.end();
+});
+
+t.test("an entry that has just started grants each server a request at once", (t) => {
+  // Guards against a pause at each change of the granting entry after a restart
+  // of all.
+  const names = ["x", "y", "z"];
+  const grantsOf = (startedAt: number) => {
+    const scheduler = new GroupScheduler(LEEWAY, undefined, undefined, {
+      startedAt,
+    });
+    scheduler.setServers(names.map((id) => serverRecord(id)), 10_000);
+    scheduler.setStartLimits(new Map([["assistant", 29]]));
+    for (let count = 0; count < 6; count++) {
+      scheduler.submit(
+        grantRequest({ arrived: 10_000, expiresAt: 12_000 }),
+        10_000,
+      );
+    }
+    return grantedIds(scheduler.decide(10_000)).length;
+  };
+  t.equal(grantsOf(9500), 3);
+  t.equal(grantsOf(1000), 0);
+  t.end();
+});
+
 t.test("a limited server still gets over half of what it accepts", (t) => {
   for (const accepted of [5, 12, 29, 300]) {
     const sent = sendAll(new StartRateLimiter(0), accepted, {
--- a/packages/gateway/src/peers/local_granter.ts
+++ b/packages/gateway/src/peers/local_granter.ts
@@ -67,7 +67,7 @@
       options.leeway,
       options.limits.known,
       options.suspects.known,
-      options.drainTime,
+      { drainTime: options.drainTime, startedAt: options.clock() },
     );
   }
 
