Announce evacuations to a peer before the configuration that follows them

Cause: an entry that takes a configuration over from a peer goes on following the store after it. The peer may have a newer one than its last heartbeat offered, with an evacuation between the two that the heartbeat lacked; the receiver then learned of it with the peer's next heartbeat only, which may be seconds later.

Change: the first part of a state is preceded by a heartbeat over the same link.

--- a/packages/gateway/src/peers/state_sharing.ts
+++ b/packages/gateway/src/peers/state_sharing.ts
@@ -164,6 +164,9 @@
         ...position,
         size: total,
       });
+      // The receiver skips what the store wrote before this configuration, so
+      // it has to know the evacuations among it first.
+      this.#peers.announceTo([peer]);
     }
     this.#peers.send(peer, {
       type: "state_part",
