--- a/packages/decisions/src/dispatch/server_pool.ts
+++ b/packages/decisions/src/dispatch/server_pool.ts
@@ -206,7 +206,7 @@
     return false;
   }
 
-  /** True if the request may run at a server that was not tried for it. */
+  /** True if a server may run the request that was not tried for it yet. */
   hasUntriedServer(request: GrantRequest): boolean {
     for (const [name, { record }] of this.#servers) {
       if (request.excludedServers.includes(name)) continue;
--- a/packages/decisions/src/placement/backend_server_set.ts
+++ b/packages/decisions/src/placement/backend_server_set.ts
@@ -98,7 +98,7 @@
       hash?: HashText | undefined;
       /** Whether a server may be chosen; `false` while it is ejected. */
       allowed?: ((name: string, now: number) => boolean) | undefined;
-      /** Whether the servers of a data centre may not be chosen. */
+      /** True for a data centre whose servers must not be chosen. */
       isEvacuated?: ((dataCentre: string) => boolean) | undefined;
     },
   ) {
--- a/packages/decisions/src/server_limits/server_rate_limiter.ts
+++ b/packages/decisions/src/server_limits/server_rate_limiter.ts
@@ -16,16 +16,16 @@
  */
 const MINIMUM_RATE = 0.2;
 /**
- * Parts of what a server accepts in a second that the bucket gains and holds.
- * The rest covers requests that are sent later than they were granted.
+ * Fractions of the accepted requests that the bucket gains per second and holds.
+ * Their sum is below 1, because requests may be sent later than granted.
  */
 const START_RATE_PART = 0.75;
 const START_BURST_PART = 0.1;
 /**
- * Part of what a server accepts that entries which have just started may use
- * without having gained it, and how many of them may begin to grant within a
- * second. When all entries start again, several grant in turn until the group
- * is complete; nobody has sent anything for a while then.
+ * Fraction of the accepted requests that entries which have just started may
+ * send without having gained the tokens, and the number of such entries that
+ * may begin to grant within a second. After a restart of all entries, several
+ * grant in turn until the group is complete.
  */
 const FRESH_START_PART = 0.15;
 const FRESH_STARTS_PER_SECOND = 4;
--- a/packages/decisions/test/start_limit_test.ts
+++ b/packages/decisions/test/start_limit_test.ts
@@ -107,8 +107,7 @@
 });
 
 t.test("an entry that has just started grants each server a request at once", (t) => {
-  // Guards against a pause at each change of the granting entry after a restart
-  // of all.
+  // Guards against a pause at each new granting entry after a restart of all.
   const names = ["x", "y", "z"];
   const grantsOf = (startedAt: number) => {
     const scheduler = new GroupScheduler(LEEWAY, undefined, undefined, {
--- a/packages/gateway/src/state/record_codec.ts
+++ b/packages/gateway/src/state/record_codec.ts
@@ -20,7 +20,7 @@
   abstract readonly configurationKey: string;
   /**
    * Prefix, below {@link RecordCodec.operatorPrefix}, of the keys of evacuated
-   * data centres; the rest of such a key is the data centre's name.
+   * data centres; the data centre's name follows it.
    */
   abstract readonly evacuationPrefix: string;
   /** Prefix of the keys of backend servers. */
--- a/packages/gateway/src/state/server_state_codec.ts
+++ b/packages/gateway/src/state/server_state_codec.ts
@@ -1,6 +1,6 @@
 /**
- * Converts backend servers between their stored form, with durations, and the
- * records of this entry, with times of its own clock.
+ * Converts backend servers between their stored form, which has durations, and
+ * the records of this entry, which have times of its clock.
  * @module
  */
 import type { ServerRecord } from "@sycamorepulley/decisions";
--- a/packages/gateway/test/start_limit_test.ts
+++ b/packages/gateway/test/start_limit_test.ts
@@ -49,7 +49,7 @@
   await Promise.allSettled(calls);
 }
 
-/** Starts entries; each has a view of its own if they are divided. */
+/** Starts entries, which can't reach each other if they are divided. */
 async function start(size: number, divided: boolean) {
   const store = new MemoryMetadataStore();
   store.put("configuration", configuration());
