--- a/packages/decisions/src/dispatch/server_pool.ts
+++ b/packages/decisions/src/dispatch/server_pool.ts
@@ -206,7 +206,7 @@
     return false;
   }
 
-  /** True if a server may run the request that was not tried for it yet. */
+  /** True if a server is left that may run the request. */
   hasUntriedServer(request: GrantRequest): boolean {
     for (const [name, { record }] of this.#servers) {
       if (request.excludedServers.includes(name)) continue;
--- a/packages/decisions/src/placement/backend_server_set.ts
+++ b/packages/decisions/src/placement/backend_server_set.ts
@@ -98,7 +98,7 @@
       hash?: HashText | undefined;
       /** Whether a server may be chosen; `false` while it is ejected. */
       allowed?: ((name: string, now: number) => boolean) | undefined;
-      /** True for a data centre whose servers must not be chosen. */
+      /** Whether a data centre is evacuated; by default none is. */
       isEvacuated?: ((dataCentre: string) => boolean) | undefined;
     },
   ) {
