--- a/packages/gateway/test/crashing_servers.ts
+++ b/packages/gateway/test/crashing_servers.ts
@@ -8,7 +8,7 @@
 } from "./fake_backend_server.ts";
 import { storedServer } from "./fixture.ts";
 
-/** Body of a request that crashes each server that runs it. */
+/** Start of the body of a request that crashes each server that runs it. */
 export const CRASHING_BODY = "crash";
 /** Id of a part of a prompt under which each server crashes. */
 export const CRASHING_PART = "bad0";
@@ -16,9 +16,25 @@
 const CRASH_DELAY = 20;
 /** Milliseconds from the removal of a record until its server crashes. */
 const REMOVAL_LEAD = 30;
-/** Milliseconds after which a crashed server listens again. */
+/** Milliseconds after which a crashed server listens again, by default. */
 const RESTART_DELAY = 200;
 
+/**
+ * What entries see of a server that has ended until it starts again: its
+ * connections break and new ones are refused, they break and new ones are
+ * accepted without a response, or nothing at all.
+ */
+export type CrashShape = "refused" | "accepted" | "silent";
+
+/** How servers crash. */
+export type CrashOptions = {
+  shape?: CrashShape;
+  /** Milliseconds after which a crashed server is back. */
+  restartDelay?: number;
+  /** Milliseconds after which its record lapses, if before that. */
+  lapseDelay?: number;
+};
+
 /**
  * Starts three entries of one group, and servers that crash. `runTime`:
  * milliseconds that runs take that crash nothing.
@@ -26,11 +42,17 @@
 export async function startCrashingGroup(
   serverCount: number,
   runTime = 0,
+  options: CrashOptions = {},
 ): Promise<
   Awaited<ReturnType<typeof startGroup>> & { servers: CrashingServers }
 > {
   const { store, entries } = await startGroup(3, serverCount);
-  const servers = new CrashingServers(store, entries[0]!.servers, runTime);
+  const servers = new CrashingServers(
+    store,
+    entries[0]!.servers,
+    runTime,
+    options,
+  );
   return { store, entries, servers };
 }
 
@@ -44,8 +66,11 @@
   readonly crashedAt: number[] = [];
   /** Whether the store removes a server's record just before it crashes. */
   removesRecords = false;
+  /** Times at which crashing bodies were received, by body. */
+  readonly receivedAt = new Map<string, number[]>();
   readonly #store: MemoryMetadataStore;
   readonly #runTime: number;
+  readonly #options: CrashOptions;
   readonly #restarts = new Set<Promise<void>>();
   #stopped = false;
 
@@ -54,9 +79,11 @@
     store: MemoryMetadataStore,
     servers: readonly FakeBackendServer[],
     runTime: number,
+    options: CrashOptions = {},
   ) {
     this.#store = store;
     this.#runTime = runTime;
+    this.#options = options;
     for (const [index, server] of servers.entries()) {
       this.#prepare(server, `s${index}`);
     }
@@ -80,10 +107,14 @@
         this.#store.remove(`servers/${id}`);
         await setTimeout(REMOVAL_LEAD);
       }
-      await server.crash();
-      await setTimeout(RESTART_DELAY);
+      await this.#end(server);
+      const { restartDelay = RESTART_DELAY, lapseDelay } = this.#options;
+      const untilLapse = Math.min(lapseDelay ?? restartDelay, restartDelay);
+      await setTimeout(untilLapse);
+      if (lapseDelay !== undefined) this.#store.remove(`servers/${id}`);
+      await setTimeout(restartDelay - untilLapse);
       if (this.#stopped) return;
-      await server.start();
+      await this.#restart(server);
       running = true;
       this.#store.remove(`servers/${id}`);
       startedAt++;
@@ -94,13 +125,33 @@
     server.respond = async (response, received) => {
       const hasPart = hasCrashingPart(received);
       if (hasPart) this.partReceivedAt.push(performance.now());
-      const crashes = hasPart || received.body === CRASHING_BODY;
+      const hasBody = received.body.startsWith(CRASHING_BODY);
+      if (hasBody) this.#recordReceived(received.body);
+      const crashes = hasPart || hasBody;
       await setTimeout(crashes ? CRASH_DELAY : this.#runTime);
       if (!crashes) writeSealedHead(response, received).end("ok");
       else if (running) this.#track(crash());
     };
   }
 
+  async #end(server: FakeBackendServer): Promise<void> {
+    const { shape = "refused" } = this.#options;
+    if (shape === "refused") await server.crash();
+    else server.fallSilent({ breaksConnections: shape === "accepted" });
+  }
+
+  async #restart(server: FakeBackendServer): Promise<void> {
+    const { shape = "refused" } = this.#options;
+    if (shape === "refused") await server.start();
+    else server.startAnew();
+  }
+
+  #recordReceived(body: string): void {
+    const times = this.receivedAt.get(body) ?? [];
+    times.push(performance.now());
+    this.receivedAt.set(body, times);
+  }
+
   #track(restart: Promise<void>): void {
     this.#restarts.add(restart);
     void restart.finally(() => this.#restarts.delete(restart));
--- a/packages/gateway/test/fake_backend_server.ts
+++ b/packages/gateway/test/fake_backend_server.ts
@@ -26,9 +26,11 @@
   respond: Respond = (response, received) =>
     writeSealedHead(response, received).end("ok");
   closedConnections = 0;
+  #isSilent = false;
 
   constructor() {
     this.#server = createServer((request, response) => {
+      if (this.#isSilent) return;
       let body = "";
       request.on("data", (chunk: Buffer) => body += chunk.toString());
       request.on("end", () => {
@@ -65,10 +67,26 @@
     const closed = new Promise<void>((resolve) =>
       this.#server.close(() => resolve())
     );
-    for (const socket of this.#sockets) socket.destroy();
+    this.#destroySockets();
     await closed;
   }
 
+  /** Accepts connections from now on, but neither reads nor responds. */
+  fallSilent(options: { breaksConnections: boolean }): void {
+    this.#isSilent = true;
+    if (options.breaksConnections) this.#destroySockets();
+  }
+
+  /** Ends a silence, as another start of the server at the same address. */
+  startAnew(): void {
+    this.#destroySockets();
+    this.#isSilent = false;
+  }
+
+  #destroySockets(): void {
+    for (const socket of this.#sockets) socket.destroy();
+  }
+
   stop(): void {
     this.#server.close();
     this.#server.closeAllConnections();
