Count a crash when the server starts again without having refused a connection

What callers saw: a request that crashes its servers went on taking all servers of a small service. Cause: a crash counted only if a connection broke and a new one was refused. A server whose host drops packets, or accepts connections for a process that has ended, refuses nobody; the run was "abandoned" or "broken", counted against nothing, and the request was sent on.

Change: a run that ends without a complete response and without a refusal stays unresolved at the granting entry. The server's response to a request granted later clears it, and so does a complete run of the same request; another start at the address, of any service, counts as the server's crash, once for each incarnation and request. While crashes and servers with unresolved runs together are three, the request waits. Runs that were granted when the server was already silent prove nothing, and from three crashes on a suspect is sent only to servers that have responded to all they run. Entries repeat their unresolved runs to a new granting entry. A request whose crash was explained by another one stays a suspect until it completes: all its waiting copies were sent at one moment. Entries log each interrupted run, and what showed a crash.

--- a/packages/decisions/src/discovery/mod.ts
+++ b/packages/decisions/src/discovery/mod.ts
@@ -2,7 +2,12 @@
 export { Evacuations } from "./evacuations.ts";
 export type { EvacuationChange } from "./evacuations.ts";
 export { ServerDirectory } from "./server_directory.ts";
-export { incarnationOf } from "./server_record.ts";
+export {
+  addressOf,
+  incarnationOf,
+  newestByAddress,
+  startTimeOf,
+} from "./server_record.ts";
 export { FIRST_POSITION, isLater, laterOf } from "./store_position.ts";
 export type { StorePosition } from "./store_position.ts";
 export type {
--- a/packages/decisions/src/discovery/server_directory.ts
+++ b/packages/decisions/src/discovery/server_directory.ts
@@ -27,7 +27,7 @@
  * @module
  */
 import { LeavingServers } from "./leaving_servers.ts";
-import { incarnationOf } from "./server_record.ts";
+import { addressOf, incarnationOf, newestByAddress } from "./server_record.ts";
 import type {
   ServerChange,
   ServerRecord,
@@ -349,20 +349,3 @@
   if (server.retained !== undefined) return "retained";
   return server.state.record.draining ? "draining" : "ready";
 }
-
-function newestByAddress(
-  records: Iterable<ServerRecord>,
-): Map<string, ServerRecord> {
-  const newest = new Map<string, ServerRecord>();
-  for (const record of records) {
-    const other = newest.get(addressOf(record));
-    if (other === undefined || other.startedAt < record.startedAt) {
-      newest.set(addressOf(record), record);
-    }
-  }
-  return newest;
-}
-
-function addressOf(record: ServerRecord): string {
-  return `${record.host}:${record.port}`;
-}
--- a/packages/decisions/src/discovery/server_record.ts
+++ b/packages/decisions/src/discovery/server_record.ts
@@ -41,7 +41,31 @@
   change: "ready" | "draining" | "retained" | "gone";
 } & StorePosition;
 
+/** Address as `host:port`, which a server keeps when it starts again. */
+export function addressOf({ host, port }: ServerRecord): string {
+  return `${host}:${port}`;
+}
+
+/** The server that started last at each address. */
+export function newestByAddress(
+  records: Iterable<ServerRecord>,
+): Map<string, ServerRecord> {
+  const newest = new Map<string, ServerRecord>();
+  for (const record of records) {
+    const other = newest.get(addressOf(record));
+    if (other === undefined || other.startedAt < record.startedAt) {
+      newest.set(addressOf(record), record);
+    }
+  }
+  return newest;
+}
+
 /** Key that differs for every start, even with the same id or address. */
 export function incarnationOf(record: ServerRecord): string {
   return `${record.id}@${record.startedAt}`;
 }
+
+/** Start time of an incarnation in Unix milliseconds, of the server's clock. */
+export function startTimeOf(incarnation: string): number {
+  return Number(incarnation.slice(incarnation.lastIndexOf("@") + 1));
+}
--- a/packages/decisions/src/dispatch/departed_servers.ts
+++ b/packages/decisions/src/dispatch/departed_servers.ts
@@ -13,6 +13,8 @@
 type Departed = {
   runs: ServerRuns;
   server: PooledServer | undefined;
+  /** Address as `host:port`, if it is known. */
+  address: string | undefined;
   /** Time at which it left the pool; `undefined` if it never was in it. */
   at: number | undefined;
 };
@@ -31,7 +33,12 @@
   }
 
   add(name: string, server: PooledServer, now: number): void {
-    this.#servers.set(name, { runs: server.runs, server, at: now });
+    this.#servers.set(name, {
+      runs: server.runs,
+      server,
+      address: server.address,
+      at: now,
+    });
   }
 
   /** Whether the server left so long ago that its end may be planned. */
@@ -51,15 +58,25 @@
     return this.#servers.get(name)?.runs;
   }
 
-  /** Address as `host:port`, if the server was in the pool of this entry. */
+  /** Address as `host:port`, if it is known. */
   addressOf(name: string): string | undefined {
-    return this.#servers.get(name)?.server?.address;
+    return this.#servers.get(name)?.address;
+  }
+
+  /** Departed servers, and their addresses. */
+  *servers(): Iterable<[server: string, address: string | undefined]> {
+    for (const [name, { address }] of this.#servers) yield [name, address];
   }
 
   /** Adds a server that only the entry that granted it knows. */
-  addUnknown(name: string): ServerRuns {
+  addUnknown(name: string, address: string | undefined): ServerRuns {
     const runs = new ServerRuns();
-    this.#servers.set(name, { runs, server: undefined, at: undefined });
+    this.#servers.set(name, {
+      runs,
+      server: undefined,
+      address,
+      at: undefined,
+    });
     return runs;
   }
 
--- a/packages/decisions/src/dispatch/grant_request.ts
+++ b/packages/decisions/src/dispatch/grant_request.ts
@@ -69,6 +69,12 @@
   return [fingerprint, ...promptParts];
 }
 
+/** Whether a run ended without a complete response. */
+export function isInterrupted(outcome: RunOutcome): boolean {
+  return outcome === "broken" || outcome === "crashed" ||
+    outcome === "abandoned";
+}
+
 /** Why a request was refused. No server has run it. */
 export type GrantRefusalReason =
   | "quota"
--- a/packages/decisions/src/dispatch/group_scheduler.ts
+++ b/packages/decisions/src/dispatch/group_scheduler.ts
@@ -11,7 +11,7 @@
 import { ServerLimits } from "../server_limits/mod.ts";
 import type { StartLimitScope } from "../server_limits/mod.ts";
 import { CrashSuspects, SoleSuspectRule } from "../suspects/mod.ts";
-import type { ServerCrash } from "../suspects/mod.ts";
+import type { DetectedCrash } from "./crash_detection.ts";
 import { fingerprintsOf } from "./grant_request.ts";
 import type {
   GrantDecision,
@@ -20,7 +20,7 @@
 } from "./grant_request.ts";
 import type { StreamTiming } from "./pooled_server.ts";
 import type { PoolOptions } from "./server_pool.ts";
-import { ServiceScheduler } from "./service_scheduler.ts";
+import { ServiceScheduler, startsOf } from "./service_scheduler.ts";
 import type { SizeClassCounts } from "./size_class_counts.ts";
 
 /** Outcomes after which the charge to the quota is refunded. */
@@ -90,20 +90,23 @@
     this.#quotas = new OrganisationQuotas(leeway);
   }
 
-  /** Replaces the servers, of all services, that may be sent requests. */
-  setServers(records: readonly ServerRecord[], now: number): void {
+  /**
+   * Replaces the servers, of all services, that may be sent requests. Returns
+   * the crashes of servers whose address has been taken by a later start.
+   */
+  setServers(records: readonly ServerRecord[], now: number): DetectedCrash[] {
     const byService = new Map<string, ServerRecord[]>();
     for (const record of records) {
       const same = byService.get(record.service);
       if (same === undefined) byService.set(record.service, [record]);
       else same.push(record);
     }
-    for (const [name, scheduler] of this.#services) {
-      if (!byService.has(name)) scheduler.setServers([], now);
-    }
-    for (const [name, servers] of byService) {
-      this.#service(name).setServers(servers, now);
-    }
+    for (const name of byService.keys()) this.#service(name);
+    // An address may be taken by a server of another service.
+    const starts = startsOf(records);
+    return [...this.#services].flatMap(([name, scheduler]) =>
+      scheduler.setServers(byService.get(name) ?? [], now, starts)
+    );
   }
 
   /** See {@link OrganisationQuotas.setLeeway}. */
@@ -179,10 +182,15 @@
     return this.#services.get(request.service)?.withdraw(request.id) ?? false;
   }
 
-  /** Counts a run that another entry has granted. */
-  adopt(request: GrantRequest, server: string, now: number): void {
+  /** Counts a run that another entry has granted; see {@link ServerPool.adopt}. */
+  adopt(
+    request: GrantRequest,
+    server: string,
+    now: number,
+    address?: string,
+  ): void {
     this.#requests.set(request.id, request);
-    this.#service(request.service).adopt(request, server, now);
+    this.#service(request.service).adopt(request, server, now, address);
   }
 
   /** See {@link ServiceScheduler.recordResponseStart}. */
@@ -205,7 +213,7 @@
     id: string,
     outcome: RunOutcome,
     now: number,
-  ): ServerCrash | undefined {
+  ): DetectedCrash | undefined {
     const request = this.#requests.get(id);
     if (request === undefined) return undefined;
     this.#requests.delete(id);
--- a/packages/decisions/src/dispatch/mod.ts
+++ b/packages/decisions/src/dispatch/mod.ts
@@ -1,4 +1,5 @@
 /** Decides which backend server a request is sent to, and when. @module */
+export type { CrashEvidence, DetectedCrash } from "./crash_detection.ts";
 export type {
   GrantDecision,
   GrantRefusalReason,
@@ -7,7 +8,7 @@
   RequestStanding,
   RunOutcome,
 } from "./grant_request.ts";
-export { fingerprintsOf, mayRunIn } from "./grant_request.ts";
+export { fingerprintsOf, isInterrupted, mayRunIn } from "./grant_request.ts";
 export { GroupScheduler } from "./group_scheduler.ts";
 export type { ServiceLoad, SizeClassReport } from "./group_scheduler.ts";
 export type { StreamTiming } from "./pooled_server.ts";
--- a/packages/decisions/src/dispatch/pooled_server.ts
+++ b/packages/decisions/src/dispatch/pooled_server.ts
@@ -3,6 +3,7 @@
  * group, how fast it is, and whether it can take another request.
  * @module
  */
+import { addressOf } from "../discovery/mod.ts";
 import type { ServerRecord } from "../discovery/mod.ts";
 import type { GroupFractions } from "../fleet/mod.ts";
 import type { Cost } from "../queueing/mod.ts";
@@ -99,21 +100,9 @@
     return this.runs.size;
   }
 
-  /**
-   * False if a suspect of this number of crashes, or one that is running, has
-   * to be the only suspect here. `crashesOf` returns the crashes for which
-   * fingerprints are suspects now.
-   */
-  admitsSuspect(
-    crashes: number,
-    crashesOf: (fingerprints: readonly string[]) => number,
-  ): boolean {
-    return this.runs.admitsSuspect(crashes, crashesOf);
-  }
-
   /** Address as `host:port`, which the server keeps when it starts again. */
   get address(): string {
-    return `${this.record.host}:${this.record.port}`;
+    return addressOf(this.record);
   }
 
   /** Maximum of pending prefill, in prompt tokens. */
--- a/packages/decisions/src/dispatch/server_pool.ts
+++ b/packages/decisions/src/dispatch/server_pool.ts
@@ -9,8 +9,10 @@
 import type { GroupFractions } from "../fleet/mod.ts";
 import { ServerLimits, StartLimit } from "../server_limits/mod.ts";
 import type { StartLimitScope } from "../server_limits/mod.ts";
-import type { ServerCrash, SuspectVerdict } from "../suspects/mod.ts";
-import { mayRunIn } from "./grant_request.ts";
+import type { SuspectVerdict } from "../suspects/mod.ts";
+import { CrashDetection } from "./crash_detection.ts";
+import type { DetectedCrash } from "./crash_detection.ts";
+import { fingerprintsOf, isInterrupted, mayRunIn } from "./grant_request.ts";
 import type { GrantRequest, RunOutcome } from "./grant_request.ts";
 import {
   LatencyRatio,
@@ -28,10 +30,11 @@
   UsageBounds,
 } from "./pooled_server.ts";
 
-/** Outcomes of runs whose server may have crashed. */
-const INTERRUPTED_OUTCOMES: ReadonlySet<RunOutcome> = new Set<RunOutcome>([
-  "broken",
-  "abandoned",
+/** Outcomes of runs to which the server responded. */
+const RESPONSE_OUTCOMES: ReadonlySet<RunOutcome> = new Set<RunOutcome>([
+  "answered",
+  "failed",
+  "not_run",
 ]);
 
 /** A granted request and its server. */
@@ -54,6 +57,7 @@
 export class ServerPool {
   readonly #servers = new Map<string, PooledServer>();
   readonly #departed: DepartedServers;
+  readonly #crashes: CrashDetection;
   readonly #ejection = new OutlierEjection();
   readonly #firstTokenRatio = new LatencyRatio();
   readonly #decodeRatio = new LatencyRatio();
@@ -71,6 +75,11 @@
     this.#limits = limits;
     this.#startLimit = new StartLimit(startedAt);
     this.#departed = new DepartedServers(drainTime);
+    this.#crashes = new CrashDetection({
+      runsOf: (name) => this.#runsOf(name),
+      addressOf: (name) =>
+        this.#servers.get(name)?.address ?? this.#departed.addressOf(name),
+    }, this.#departed);
   }
 
   get size(): number {
@@ -111,8 +120,15 @@
     return false;
   }
 
-  /** Replaces the set of servers that may be sent requests. */
-  setServers(records: readonly ServerRecord[], now: number): void {
+  /**
+   * Replaces the set of servers that may be sent requests. `starts`: the last
+   * start at each address, by incarnation. Returns the crashes that they show.
+   */
+  setServers(
+    records: readonly ServerRecord[],
+    starts: ReadonlyMap<string, string>,
+    now: number,
+  ): DetectedCrash[] {
     const keep = new Set(records.map(incarnationOf));
     for (const [name, server] of [...this.#servers]) {
       if (!keep.has(name)) this.#depart(name, server, now);
@@ -123,6 +139,7 @@
       if (server === undefined) this.#enter(name, record);
       else server.record = record;
     }
+    return this.#crashes.setStarts(starts, now);
   }
 
   #depart(name: string, server: PooledServer, now: number): void {
@@ -249,6 +266,8 @@
       snapshot,
       verdict,
       crashesOf,
+      unresolvedRuns: (name) => this.#crashes.unresolvedRuns(name, now),
+      isSilent: (name, server) => this.#isSilent(name, server, now),
       isAllowed: (name) => this.#ejection.allowed(name, now),
       now,
     });
@@ -260,7 +279,8 @@
     now: number,
   ): void {
     const server = this.#servers.get(name);
-    server?.runs.add(request, suspects);
+    const wasSilent = server !== undefined && this.#isSilent(name, server, now);
+    server?.runs.add(request, { suspects, grantedAt: now, wasSilent });
     server?.countAgainstLimit(now);
     if (
       server === undefined ||
@@ -271,11 +291,23 @@
 
   /**
    * Counts a run that another entry has granted, also at a server that is not
-   * in the pool: it may crash like any other.
+   * in the pool: it may crash like any other. `address`: of the server, as
+   * `host:port`, if it is known.
    */
-  adopt({ request, server: name, suspects }: GrantedRequest): void {
-    const runs = this.#runsOf(name) ?? this.#departed.addUnknown(name);
-    runs.add(request, suspects);
+  adopt(
+    { request, server: name, suspects }: GrantedRequest,
+    address: string | undefined,
+  ): void {
+    const runs = this.#runsOf(name) ??
+      this.#departed.addUnknown(name, address);
+    const { arrived: grantedAt } = request;
+    runs.add(request, { suspects, grantedAt, wasSilent: true });
+  }
+
+  /** Whether runs of a server have no response yet or ended without one. */
+  #isSilent(name: string, { runs }: PooledServer, now: number): boolean {
+    return !runs.haveResponded ||
+      this.#crashes.unresolvedRuns(name, now).length > 0;
   }
 
   /** Records that the response started `latency` milliseconds after sending. */
@@ -284,6 +316,7 @@
     latency: number,
     now: number,
   ): void {
+    this.#crashes.recordResponse(name, request.id);
     const server = this.#servers.get(name);
     const cost = server?.recordResponseStart(request.id, latency, now);
     if (cost === undefined) return;
@@ -313,13 +346,27 @@
   recordCrash(
     { server: name }: GrantedRequest,
     now: number,
-  ): ServerCrash | undefined {
-    if (this.#departed.hasDrained(name, now)) return undefined;
-    const runs = this.#runsOf(name)?.recordCrash(now);
-    if (runs === undefined) return undefined;
-    const address = this.#servers.get(name)?.address ??
-      this.#departed.addressOf(name);
-    return { server: address ?? name, runs };
+  ): DetectedCrash | undefined {
+    return this.#crashes.recordRefusal(name, now);
+  }
+
+  /**
+   * Records that a run is about to end. Returns the crash of its server, if the
+   * server is known to have started again without it.
+   */
+  recordInterruption(
+    { request, server }: GrantedRequest,
+    outcome: RunOutcome,
+    now: number,
+  ): DetectedCrash | undefined {
+    return isInterrupted(outcome)
+      ? this.#crashes.recordInterruption(server, request.id, now)
+      : undefined;
+  }
+
+  /** See {@link CrashDetection.countUnresolved}. */
+  countUnresolved(fingerprint: string, now: number): number {
+    return this.#crashes.countUnresolved(fingerprint, now);
   }
 
   /** Removes a run without any effect on the health of its server. */
@@ -334,8 +381,11 @@
     now: number,
   ): void {
     const { request, server: name } = granted;
-    if (INTERRUPTED_OUTCOMES.has(outcome)) {
-      this.#runsOf(name)?.recordInterruption(request.id, now);
+    if (RESPONSE_OUTCOMES.has(outcome)) {
+      this.#crashes.recordResponse(name, request.id);
+    }
+    if (outcome === "answered") {
+      this.#crashes.recordCompleteRun(fingerprintsOf(request));
     }
     this.#removeRun(name, request.id);
     const server = this.#servers.get(name);
--- a/packages/decisions/src/dispatch/server_runs.ts
+++ b/packages/decisions/src/dispatch/server_runs.ts
@@ -4,13 +4,12 @@
  * @module
  */
 import type { Cost } from "../queueing/mod.ts";
-import { ISOLATED_FROM } from "../suspects/mod.ts";
-import type { CrashedRun } from "../suspects/mod.ts";
 import { fingerprintsOf } from "./grant_request.ts";
 import type { GrantRequest } from "./grant_request.ts";
+import type { GrantedRun } from "./unresolved_runs.ts";
 
 /** One granted request at a server. */
-export type Run = CrashedRun & {
+export type Run = GrantedRun & {
   entry: string;
   cost: Cost;
   /** Its prompt counts as pending prefill, as the response has not started. */
@@ -19,22 +18,15 @@
   maximumPendingPrefill: number;
   /** The server has crashed since the run was granted. */
   precedesCrash: boolean;
+  hasResponded: boolean;
 };
 
-/**
- * Milliseconds for which a run that broke counts as running when its server
- * turns out to have crashed: other entries may notice the crash later.
- */
-const CRASH_WINDOW = 1000;
-
 /** Runs by request id, and the pending prefill of their prompts. */
 export class ServerRuns {
   readonly #runs = new Map<string, Run>();
   #pendingPrefillTokens = 0;
   /** It has crashed, and no request granted since has got a response. */
   #crashed = false;
-  /** Runs without a complete response that ended lately. */
-  #interrupted: (CrashedRun & { endedAt: number })[] = [];
 
   get size(): number {
     return this.#runs.size;
@@ -44,23 +36,41 @@
     return this.#pendingPrefillTokens;
   }
 
+  /** Whether its crash is known, and no later response is. */
+  get crashed(): boolean {
+    return this.#crashed;
+  }
+
   get(id: string): Run | undefined {
     return this.#runs.get(id);
   }
 
-  /** `suspects`: fingerprints of the request that are suspects. */
-  add(request: GrantRequest, suspects: readonly string[]): void {
-    const { entry, cost } = request;
+  /** Whether the server has responded to all requests that it runs. */
+  get haveResponded(): boolean {
+    for (const { hasResponded } of this.#runs.values()) {
+      if (!hasResponded) return false;
+    }
+    return true;
+  }
+
+  /** Adds a run; see {@link GrantedRun} for the fields of `granted`. */
+  add(
+    request: GrantRequest,
+    granted: Pick<GrantedRun, "suspects" | "grantedAt" | "wasSilent">,
+  ): void {
+    const { id, entry, cost } = request;
     const inPrefill = cost.promptTokens > 0;
     if (inPrefill) this.#pendingPrefillTokens += cost.promptTokens;
-    this.#runs.set(request.id, {
+    this.#runs.set(id, {
+      ...granted,
+      id,
       entry,
       fingerprints: fingerprintsOf(request),
-      suspects,
       cost,
       inPrefill,
       maximumPendingPrefill: 0,
       precedesCrash: false,
+      hasResponded: false,
     });
     for (const run of this.#runs.values()) {
       run.maximumPendingPrefill = Math.max(
@@ -77,6 +87,7 @@
     // Reports of several entries arrive in any order: a response that began
     // before the crash may be reported after it.
     if (!run.precedesCrash) this.#crashed = false;
+    run.hasResponded = true;
     this.#endPrefill(run);
     return run;
   }
@@ -95,41 +106,20 @@
     }
   }
 
-  /** See `PooledServer.admitsSuspect`. */
-  admitsSuspect(
-    crashes: number,
-    crashesOf: (fingerprints: readonly string[]) => number,
-  ): boolean {
-    for (const { fingerprints, suspects } of this.#runs.values()) {
-      const runCrashes = crashesOf(fingerprints);
-      if (suspects.length === 0 && runCrashes === 0) continue;
-      if (Math.max(runCrashes, crashes) >= ISOLATED_FROM) return false;
-    }
-    return true;
-  }
-
-  /** Records that a run is about to end without a complete response. */
-  recordInterruption(id: string, now: number): void {
-    const run = this.#runs.get(id);
-    if (run === undefined) return;
-    const { fingerprints, suspects } = run;
-    this.#interrupted = this.#interrupted
-      .filter(({ endedAt }) => now - endedAt < CRASH_WINDOW);
-    this.#interrupted.push({ fingerprints, suspects, endedAt: now });
+  [Symbol.iterator](): Iterator<Run> {
+    return this.#runs.values();
   }
 
   /**
    * Records that the server has crashed. Returns what it was running, or
    * `undefined` if the crash is known.
    */
-  recordCrash(now: number): CrashedRun[] | undefined {
+  recordCrash(): GrantedRun[] | undefined {
     if (this.#crashed) return undefined;
     this.#crashed = true;
-    for (const run of this.#runs.values()) run.precedesCrash = true;
-    const interrupted = this.#interrupted
-      .filter(({ endedAt }) => now - endedAt < CRASH_WINDOW);
-    return [...this.#runs.values(), ...interrupted]
-      .map(({ fingerprints, suspects }) => ({ fingerprints, suspects }));
+    const running = [...this.#runs.values()];
+    for (const run of running) run.precedesCrash = true;
+    return running;
   }
 
   #endPrefill(run: Run): void {
--- a/packages/decisions/src/dispatch/server_selection.ts
+++ b/packages/decisions/src/dispatch/server_selection.ts
@@ -1,7 +1,9 @@
 /** Selects the server that a request is sent to. @module */
+import { ISOLATED_FROM } from "../suspects/mod.ts";
 import type { SuspectVerdict } from "../suspects/mod.ts";
 import { mayRunIn } from "./grant_request.ts";
 import type { GrantRequest } from "./grant_request.ts";
+import type { GrantedRun } from "./unresolved_runs.ts";
 import type { PooledServer, ServiceLatencyRatios } from "./pooled_server.ts";
 
 /**
@@ -15,6 +17,12 @@
  */
 const DECODE_WEIGHT = 0.1;
 
+/**
+ * Crashes from which on a suspect is sent only to a server that has responded to
+ * all that it runs, so that the next crash is certainly one during its run.
+ */
+const CONCLUSIVE_FROM = 3;
+
 /** Input to the selection of servers, computed once per pass over the queue. */
 export type PoolSnapshot = {
   latencyRatios: ServiceLatencyRatios;
@@ -29,8 +37,12 @@
   snapshot: PoolSnapshot;
   /** Of the request. */
   verdict: SuspectVerdict;
-  /** See {@link PooledServer.admitsSuspect}. */
+  /** Crashes for which a request with these fingerprints is a suspect now. */
   crashesOf: (fingerprints: readonly string[]) => number;
+  /** Runs of a server that ended without a sign of what became of it. */
+  unresolvedRuns: (server: string) => readonly GrantedRun[];
+  /** Whether a server has runs without a response. */
+  isSilent: (name: string, server: PooledServer) => boolean;
   /** False for a server that is ejected. */
   isAllowed: (server: string) => boolean;
   now: number;
@@ -39,24 +51,51 @@
 /**
  * Returns the free server that is expected to respond soonest. A suspect is
  * sent where the next crash will show its cause, and preferably not to a server
- * that has crashed while it ran it, as that server may be at fault.
+ * that has crashed while it ran it, as that server may be at fault, or to one
+ * that may have ended already.
  */
 export function selectServer(
   request: GrantRequest,
   inputs: SelectionInputs,
 ): string | undefined {
-  const { snapshot, verdict, crashesOf } = inputs;
+  const { snapshot, verdict } = inputs;
   if (verdict.kind !== "suspect") {
     return fastestOf(snapshot.free, request, inputs);
   }
-  const free = [...snapshot.free].filter(([, server]) =>
-    server.admitsSuspect(verdict.crashes, crashesOf)
+  const isResponding = ([name, server]: [string, PooledServer]) =>
+    !inputs.isSilent(name, server);
+  const free = [...snapshot.free].filter(([name, server]) =>
+    admitsSuspect(
+      verdict.crashes,
+      [...server.runs, ...inputs.unresolvedRuns(name)],
+      inputs,
+    )
   );
-  const others = free.filter(([, server]) =>
+  const candidates = verdict.crashes >= CONCLUSIVE_FROM
+    ? free.filter(isResponding)
+    : free;
+  const others = candidates.filter(([, server]) =>
     !verdict.servers.includes(server.address)
   );
-  return fastestOf(others, request, inputs) ??
-    fastestOf(free, request, inputs);
+  return fastestOf(others.filter(isResponding), request, inputs) ??
+    fastestOf(others, request, inputs) ??
+    fastestOf(candidates, request, inputs);
+}
+
+/**
+ * False if a suspect of this number of crashes, or one among the runs of a
+ * server, has to be the only suspect there.
+ */
+function admitsSuspect(
+  crashes: number,
+  runs: readonly GrantedRun[],
+  { crashesOf }: SelectionInputs,
+): boolean {
+  return runs.every(({ fingerprints, suspects }) => {
+    const runCrashes = crashesOf(fingerprints);
+    if (suspects.length === 0 && runCrashes === 0) return true;
+    return Math.max(runCrashes, crashes) < ISOLATED_FROM;
+  });
 }
 
 function fastestOf(
--- a/packages/decisions/src/dispatch/service_scheduler.ts
+++ b/packages/decisions/src/dispatch/service_scheduler.ts
@@ -10,6 +10,7 @@
  * longer meet its latency goal and requests before it take up all capacity.
  * @module
  */
+import { incarnationOf, newestByAddress } from "../discovery/mod.ts";
 import type { ServerRecord } from "../discovery/mod.ts";
 import type { GroupFractions } from "../fleet/mod.ts";
 import { OrganisationQuotas } from "../quotas/mod.ts";
@@ -17,8 +18,9 @@
 import { ServerLimits } from "../server_limits/mod.ts";
 import type { StartLimitScope } from "../server_limits/mod.ts";
 import { CrashSuspects, SoleSuspectRule } from "../suspects/mod.ts";
-import type { ServerCrash, SuspectVerdict } from "../suspects/mod.ts";
+import type { SuspectVerdict } from "../suspects/mod.ts";
 import { BlockedRequests } from "./blocked_requests.ts";
+import type { DetectedCrash } from "./crash_detection.ts";
 import { ResponseValue } from "./response_value.ts";
 import { fingerprintsOf } from "./grant_request.ts";
 import type {
@@ -54,6 +56,12 @@
  */
 const MAXIMUM_PASSED_OVER = 40;
 
+/**
+ * Servers that may have crashed under a request or be silent since they ran it,
+ * before it waits for one of the silent ones.
+ */
+const EXPOSURE_LIMIT = 3;
+
 /**
  * Milliseconds after its arrival at which a request is submitted here, if it
  * has waited for another granting entry. One that was submitted there first
@@ -128,9 +136,18 @@
     return this.#sizeClassCounter.take();
   }
 
-  /** Replaces the set of servers that may be sent requests. */
-  setServers(records: readonly ServerRecord[], now: number): void {
-    this.#pool.setServers(records, now);
+  /**
+   * Replaces the set of servers that may be sent requests. `starts`: see
+   * {@link startsOf}. Returns the crashes that the starts show.
+   */
+  setServers(
+    records: readonly ServerRecord[],
+    now: number,
+    starts = startsOf(records),
+  ): DetectedCrash[] {
+    const crashes = this.#pool.setServers(records, starts, now);
+    for (const crash of crashes) this.#suspects.recordServerCrash(crash, now);
+    return crashes;
   }
 
   /** See {@link ServerPool.setFractions}. */
@@ -171,12 +188,17 @@
     return true;
   }
 
-  /** Counts a run that another entry has granted. */
-  adopt(request: GrantRequest, server: string, now: number): void {
+  /** Counts a run that another entry has granted; see {@link ServerPool.adopt}. */
+  adopt(
+    request: GrantRequest,
+    server: string,
+    now: number,
+    address?: string,
+  ): void {
     if (this.#granted.has(request.id)) return;
     const verdict = this.#suspects.verdictOf(fingerprintsOf(request), now);
     const granted = { request, server, suspects: suspectsOf(verdict) };
-    this.#pool.adopt(granted);
+    this.#pool.adopt(granted, address);
     this.#granted.add(granted);
   }
 
@@ -217,12 +239,12 @@
     id: string,
     outcome: RunOutcome,
     now: number,
-  ): ServerCrash | undefined {
+  ): DetectedCrash | undefined {
     const granted = this.#granted.get(id);
     if (granted === undefined) return undefined;
     const crash = outcome === "crashed"
       ? this.#pool.recordCrash(granted, now)
-      : undefined;
+      : this.#pool.recordInterruption(granted, outcome, now);
     if (crash !== undefined) this.#suspects.recordServerCrash(crash, now);
     this.#granted.remove(id);
     this.#pool.recordEnd(granted, outcome, now);
@@ -270,6 +292,7 @@
         decisions.push(this.#refusal(request, "quarantined", now, standing));
         return "taken";
       }
+      if (this.#isInDoubt(request, now)) return "blocked";
       if (blocked.includes(request)) return "blocked";
       if (!this.#quotaReservations.allows(request, now)) return "blocked";
       const server = this.#selectServer(request, verdict, snapshot, now);
@@ -289,6 +312,20 @@
     });
   }
 
+  /**
+   * Whether so many servers have crashed under a request, or are silent since
+   * they ran it, that it waits until one of them responds or starts again.
+   */
+  #isInDoubt(request: GrantRequest, now: number): boolean {
+    return fingerprintsOf(request).some((fingerprint) => {
+      const unresolved = this.#pool.countUnresolved(fingerprint, now);
+      if (unresolved === 0) return false;
+      const { crashes, completeRuns } = this.#suspects
+        .evidence(fingerprint, now);
+      return completeRuns === 0 && crashes + unresolved >= EXPOSURE_LIMIT;
+    });
+  }
+
   /** A suspect waits while another request with a suspect fingerprint runs. */
   #selectServer(
     request: GrantRequest,
@@ -423,6 +460,16 @@
   }
 }
 
+/** The last start at each address, by incarnation. */
+export function startsOf(
+  records: readonly ServerRecord[],
+): ReadonlyMap<string, string> {
+  return new Map(
+    [...newestByAddress(records)]
+      .map(([address, record]) => [address, incarnationOf(record)]),
+  );
+}
+
 function suspectsOf(verdict: SuspectVerdict): readonly string[] {
   return verdict.kind === "suspect" ? verdict.fingerprints : [];
 }
--- a/packages/decisions/src/suspects/crash_counts.ts
+++ b/packages/decisions/src/suspects/crash_counts.ts
@@ -63,11 +63,15 @@
     for (const part of parts) this.addCrash(part, server, false, now);
   }
 
-  /** Uncounts a crash whose cause was found. */
+  /**
+   * Uncounts a crash whose cause was found. A request without other crashes
+   * remains a suspect until its next complete run, so that not all its copies
+   * that wait are sent at the same moment: it may be a second cause.
+   */
   removeCrash({ fingerprint, at }: ClearedCrash, now: number): void {
     const status = this.get(fingerprint, now);
     if (status?.kind !== "suspect" || status.firstCrashAt > at) return;
-    if (status.crashes <= 1) {
+    if (status.crashes <= 1 && isPromptPart(fingerprint)) {
       this.clear(fingerprint, now);
       return;
     }
@@ -75,7 +79,7 @@
     this.set(fingerprint, {
       ...status,
       revision: revision + 1,
-      crashes: crashes - 1,
+      crashes: Math.max(0, crashes - 1),
     });
   }
 
--- a/packages/decisions/src/suspects/suspects.ts
+++ b/packages/decisions/src/suspects/suspects.ts
@@ -73,6 +73,11 @@
   fingerprints: readonly string[];
   /** Those of them that were suspects when the run started. */
   suspects: readonly string[];
+  /**
+   * The server may have crashed before the run was granted, so that the run
+   * proves no cause.
+   */
+  mayFollowCrash?: boolean;
 };
 
 /** A crash of a server, and what it was running. */
@@ -270,7 +275,9 @@
       return verdict.kind === "suspect" && verdict.crashes >= ISOLATED_FROM;
     });
     const [run, ...others] = suspectRuns;
-    return others.length === 0 && run?.suspects.length ? run : undefined;
+    if (run === undefined || others.length > 0) return undefined;
+    const isProof = run.suspects.length > 0 && !run.mayFollowCrash;
+    return isProof ? run : undefined;
   }
 
   /** What a run was started as a suspect for and has not been cleared of. */
--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -1,5 +1,10 @@
 /** All events that the gateway may log; durations in milliseconds. @module */
-import type { ServerChange, StatePosition } from "@sycamorepulley/decisions";
+import type {
+  CrashEvidence,
+  RunOutcome,
+  ServerChange,
+  StatePosition,
+} from "@sycamorepulley/decisions";
 
 /** What speaks against and for a part of a prompt. */
 export type PartEvidence = {
@@ -137,6 +142,18 @@
   | { event: "server_limit_ended"; server: string; by: string; age: number }
   /** A response said that its server leaves; `by` received it or passed it on. */
   | { event: "server_leaving"; server: string; by: string }
+  /**
+   * A run ended without a complete response `time` milliseconds after the
+   * request was sent; `fingerprint` is that of the whole request.
+   */
+  | {
+    event: "interrupted";
+    request: string;
+    server: string;
+    outcome: RunOutcome;
+    fingerprint: string;
+    time: number;
+  }
   /**
    * A server crashed while it ran requests with these fingerprints; `suspects`
    * are the fingerprints that had run during a crash before.
@@ -144,6 +161,7 @@
   | {
     event: "server_crashed";
     server: string;
+    evidence: CrashEvidence;
     running: string[];
     /** Parts of the prompts of these requests. */
     parts: PartEvidence[];
--- a/packages/gateway/src/peers/grant_client.ts
+++ b/packages/gateway/src/peers/grant_client.ts
@@ -4,7 +4,9 @@
  * @module
  */
 import {
+  addressOf,
   groupFractions,
+  incarnationOf,
   RequestedBackoffs,
   selectGrantingEntry,
 } from "@sycamorepulley/decisions";
@@ -23,6 +25,8 @@
 import type { EventLog } from "../observe/event_log.ts";
 import { encodeGrantRequest } from "./grant_request_message.ts";
 import { LocalGranter } from "./local_granter.ts";
+import { InterruptedRuns } from "./interrupted_runs.ts";
+import type { InterruptedRun } from "./interrupted_runs.ts";
 import { PendingGrant } from "./pending_grant.ts";
 import type { GrantResult } from "./pending_grant.ts";
 import type { PeerMessage } from "./messages.ts";
@@ -64,6 +68,9 @@
   /** Backoffs that servers request of this entry, by server incarnation. */
   readonly backoffs = new RequestedBackoffs();
   readonly #pending = new Map<string, PendingGrant>();
+  readonly #interrupted = new InterruptedRuns();
+  /** Addresses of the servers that may be sent requests, by incarnation. */
+  #addresses: ReadonlyMap<string, string> = new Map();
   #grantingEntry: string;
   #submittedCount = 0;
 
@@ -123,7 +130,11 @@
   }
 
   setServers(records: readonly ServerRecord[]): void {
+    this.#addresses = new Map(
+      records.map((record) => [incarnationOf(record), addressOf(record)]),
+    );
     this.#localGranter.setServers(records);
+    this.#interrupted.setServers(records);
   }
 
   /** See {@link GroupScheduler.setStartLimits}. */
@@ -210,7 +221,12 @@
 
   /** `measured`: milliseconds from sending until the response began. */
   recordResponseStart(id: string, measured: number): void {
-    if (!this.#pending.has(id)) return;
+    const pending = this.#pending.get(id);
+    if (pending === undefined) return;
+    const { location, grantedAt } = pending;
+    if (location !== undefined) {
+      this.#interrupted.recordResponse(location.server, grantedAt);
+    }
     if (this.#grantsLocally) {
       this.#localGranter.recordResponseStart(id, measured);
     } else {
@@ -231,20 +247,17 @@
     if (outcome === "answered") {
       this.suspects.recordServed(pending.request.promptParts);
     }
+    const { request, location } = pending;
+    if (location !== undefined) {
+      const endedAt = this.#clock();
+      this.#interrupted.recordEnd({ ...location, request, outcome, endedAt });
+    }
     if (this.#grantsLocally) {
       this.#localGranter.recordRequestedBackoff(id, backoff);
       this.#localGranter.recordEnd(id, outcome, timing);
       return;
     }
-    const crashed = outcome === "crashed";
-    this.#sendToGrantingEntry({
-      type: "ended",
-      id,
-      end: crashed ? "broken" : outcome,
-      crashed,
-      ...timing,
-      backoff,
-    });
+    this.#sendEnd(id, outcome, timing, backoff);
   }
 
   /** Handles a peer's message about grants; returns false for any other. */
@@ -299,11 +312,12 @@
     if (this.#grantsLocally || hasJustStarted) this.suspects.sendAll(peer);
     if (peer !== this.#grantingEntry) return;
     this.limits.sendAll();
-    for (const { request, server } of this.#pending.values()) {
+    for (const { request, location } of this.#pending.values()) {
       this.#sendToGrantingEntry(
-        encodeGrantRequest(request, this.#clock(), server),
+        encodeGrantRequest(request, this.#clock(), location),
       );
     }
+    this.#repeatInterruptedRuns();
   }
 
   /** See {@link LocalGranter.deliverDecisions}. */
@@ -317,10 +331,10 @@
   }
 
   /** Milliseconds of backoff that the granted server requests, if any. */
-  #requestedBackoff({ server }: PendingGrant): number {
-    return server === undefined
+  #requestedBackoff({ location }: PendingGrant): number {
+    return location === undefined
       ? 0
-      : this.backoffs.remaining(server, this.#clock());
+      : this.backoffs.remaining(location.server, this.#clock());
   }
 
   get #grantsLocally(): boolean {
@@ -331,6 +345,43 @@
     this.#peers().send(this.#grantingEntry, message);
   }
 
+  #sendEnd(
+    id: string,
+    outcome: RunOutcome,
+    timing: StreamTiming,
+    backoff: number,
+  ): void {
+    const crashed = outcome === "crashed";
+    this.#sendToGrantingEntry({
+      type: "ended",
+      id,
+      end: crashed ? "broken" : outcome,
+      crashed,
+      ...timing,
+      backoff,
+    });
+  }
+
+  /** Reports interrupted runs to a granting entry that may not know them. */
+  #repeatInterruptedRuns(): void {
+    for (const run of this.#interrupted.current(this.#clock())) {
+      this.#repeatInterruptedRun(run);
+    }
+  }
+
+  #repeatInterruptedRun(run: InterruptedRun): void {
+    const { request, outcome } = run;
+    if (this.#grantsLocally) {
+      this.#localGranter.adopt(request, run);
+      this.#localGranter.recordEnd(request.id, outcome, NO_STREAM_TIMING);
+      return;
+    }
+    this.#sendToGrantingEntry(
+      encodeGrantRequest(request, this.#clock(), run),
+    );
+    this.#sendEnd(request.id, outcome, NO_STREAM_TIMING, 0);
+  }
+
   #submit(request: GrantRequest): void {
     if (this.#grantsLocally) this.#localGranter.submit(request);
     else this.#sendToGrantingEntry(encodeGrantRequest(request, this.#clock()));
@@ -344,25 +395,26 @@
     this.#peers().announceTo([previous, next]);
     this.limits.sendAll();
     this.suspects.sendAll(next);
-    for (const { request, server } of this.#pending.values()) {
+    for (const { request, location } of this.#pending.values()) {
       // If not released, they would occupy slots at the previous granting entry
       // for ever.
       if (previous === this.#instance) this.#localGranter.release(request);
       else this.#peers().send(previous, { type: "release", id: request.id });
-      if (server === undefined) this.#submit(request);
-      else if (this.#grantsLocally) this.#localGranter.adopt(request, server);
+      if (location === undefined) this.#submit(request);
+      else if (this.#grantsLocally) this.#localGranter.adopt(request, location);
       else {
         this.#sendToGrantingEntry(
-          encodeGrantRequest(request, this.#clock(), server),
+          encodeGrantRequest(request, this.#clock(), location),
         );
       }
     }
+    this.#repeatInterruptedRuns();
     this.deliverDecisions();
   }
 
   #settle(id: string, result: GrantResult): void {
     const pending = this.#pending.get(id);
-    if (pending === undefined || pending.server !== undefined) {
+    if (pending === undefined || pending.location !== undefined) {
       // It was withdrawn meanwhile, or has been granted by another entry.
       if (result.kind === "grant" && result.by !== this.#instance) {
         this.#peers().send(result.by, { type: "withdraw", id, backoff: 0 });
@@ -370,8 +422,11 @@
       return;
     }
     pending.by = result.by;
-    if (result.kind === "grant") pending.server = result.server;
-    else this.#pending.delete(id);
+    if (result.kind === "grant") {
+      const { server } = result;
+      pending.location = { server, address: this.#addresses.get(server) };
+      pending.grantedAt = this.#clock();
+    } else this.#pending.delete(id);
     pending.resolve(result);
   }
 }
--- a/packages/gateway/src/peers/grant_request_message.ts
+++ b/packages/gateway/src/peers/grant_request_message.ts
@@ -4,14 +4,16 @@
  * @module
  */
 import type { GrantRequest } from "@sycamorepulley/decisions";
+import type { RunLocation } from "./interrupted_runs.ts";
 import type { GrantRequestMessage } from "./messages.ts";
 
-/** `runsAt`: the server that another entry has granted already. */
+/** `location`: the server that another entry has granted already. */
 export function encodeGrantRequest(
   request: GrantRequest,
   now: number,
-  runsAt?: string,
+  location?: RunLocation,
 ): GrantRequestMessage {
+  const { server, address } = location ?? {};
   return {
     type: "ask",
     id: request.id,
@@ -34,7 +36,8 @@
     ...(request.allowedDataCentres && {
       within: [...request.allowedDataCentres],
     }),
-    ...(runsAt === undefined ? {} : { runsAt }),
+    ...(server !== undefined && { runsAt: server }),
+    ...(address !== undefined && { runsAtAddress: address }),
   };
 }
 
--- a/packages/gateway/src/peers/local_granter.ts
+++ b/packages/gateway/src/peers/local_granter.ts
@@ -21,6 +21,7 @@
   StreamTiming,
 } from "@sycamorepulley/decisions";
 import { decodeGrantRequest } from "./grant_request_message.ts";
+import type { RunLocation } from "./interrupted_runs.ts";
 import type { GrantResult } from "./pending_grant.ts";
 import type { GrantRequestMessage, PeerMessage } from "./messages.ts";
 import type { Peers } from "./peers.ts";
@@ -89,7 +90,8 @@
   }
 
   setServers(records: readonly ServerRecord[]): void {
-    this.#scheduler.setServers(records, this.#clock());
+    const crashes = this.#scheduler.setServers(records, this.#clock());
+    for (const crash of crashes) this.#suspects.logCrash(crash);
     this.#scheduleDelivery();
   }
 
@@ -135,8 +137,8 @@
   }
 
   /** Counts a request that runs under a grant of another entry. */
-  adopt(request: GrantRequest, server: string): void {
-    this.#scheduler.adopt(request, server, this.#clock());
+  adopt(request: GrantRequest, { server, address }: RunLocation): void {
+    this.#scheduler.adopt(request, server, this.#clock(), address);
     this.#scheduleDelivery();
   }
 
@@ -220,8 +222,9 @@
   #handleGrantRequest(peer: string, message: GrantRequestMessage): void {
     const request = decodeGrantRequest(message, peer, this.#clock());
     this.#peerRequests.set(request.id, request);
-    if (message.runsAt === undefined) this.submit(request);
-    else this.adopt(request, message.runsAt);
+    const { runsAt: server, runsAtAddress: address } = message;
+    if (server === undefined) this.submit(request);
+    else this.adopt(request, { server, address });
   }
 
   #removePeerRequest(
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -41,6 +41,8 @@
    * running there and not granted again.
    */
   runsAt: v.optional(text),
+  /** Its address as `host:port`, if it is known; earlier versions lack it. */
+  runsAtAddress: v.optional(text),
 });
 export type GrantRequestMessage = v.InferOutput<
   typeof grantRequestMessageSchema
--- a/packages/gateway/src/peers/pending_grant.ts
+++ b/packages/gateway/src/peers/pending_grant.ts
@@ -4,6 +4,7 @@
   GrantRequest,
   RefusalInputs,
 } from "@sycamorepulley/decisions";
+import type { RunLocation } from "./interrupted_runs.ts";
 
 /** Result of a grant request; `by` is the entry that decided. */
 export type GrantResult =
@@ -20,8 +21,9 @@
 export class PendingGrant {
   readonly request: GrantRequest;
   readonly resolve: (result: GrantResult) => void;
-  /** The granted server. */
-  server: string | undefined;
+  /** The granted server, and when it was granted. */
+  location: RunLocation | undefined;
+  grantedAt = Infinity;
   by = "";
 
   constructor(request: GrantRequest, resolve: (result: GrantResult) => void) {
--- a/packages/gateway/src/peers/shared_suspects.ts
+++ b/packages/gateway/src/peers/shared_suspects.ts
@@ -11,7 +11,7 @@
  */
 import { CrashSuspects, SoleSuspectRule } from "@sycamorepulley/decisions";
 import type {
-  ServerCrash,
+  DetectedCrash,
   SuspectStatement,
   SuspectVerdict,
 } from "@sycamorepulley/decisions";
@@ -76,13 +76,14 @@
   }
 
   /** Logs a crash that this entry has recorded as the granting entry. */
-  logCrash({ server, runs }: ServerCrash): void {
+  logCrash({ server, runs, evidence }: DetectedCrash): void {
     const parts = new Set(
       runs.flatMap(({ fingerprints }) => fingerprints.slice(1)),
     );
     this.#log.write({
       event: "server_crashed",
       server,
+      evidence,
       running: runs.map(({ fingerprints }) => fingerprints[0]!),
       parts: [...parts].map((part) => this.#partEvidence(part)),
       suspects: [...new Set(runs.flatMap(({ suspects }) => suspects))],
--- a/packages/gateway/src/request/request_report.ts
+++ b/packages/gateway/src/request/request_report.ts
@@ -1,6 +1,10 @@
 /** Log events and metrics of one request. @module */
 import { incarnationOf } from "@sycamorepulley/decisions";
-import type { RefusalInputs, ServerRecord } from "@sycamorepulley/decisions";
+import type {
+  RefusalInputs,
+  RunOutcome,
+  ServerRecord,
+} from "@sycamorepulley/decisions";
 import type { ResponseHead } from "../backend/backend_connection.ts";
 import type { ParsedRequest } from "../front/parsed_request.ts";
 import type { ResponseProgress } from "./response_progress.ts";
@@ -73,6 +77,21 @@
     });
   }
 
+  /** Records a run that ended without a complete response. */
+  recordInterruption(
+    server: ServerRecord,
+    run: { outcome: RunOutcome; fingerprint: string; time: number },
+  ): void {
+    this.#context.log.write({
+      event: "interrupted",
+      request: this.#parsed.requestId,
+      server: server.id,
+      outcome: run.outcome,
+      fingerprint: run.fingerprint,
+      time: Math.round(run.time),
+    });
+  }
+
   /** Records that a server turned the request away. */
   recordNotRun(server: ServerRecord, { status, headers }: ResponseHead): void {
     const retryAfter = headers["retry-after"];
--- a/packages/gateway/src/request/request_task.ts
+++ b/packages/gateway/src/request/request_task.ts
@@ -11,6 +11,7 @@
 import {
   fingerprintsOf,
   incarnationOf,
+  isInterrupted,
   isRepeatable,
 } from "@sycamorepulley/decisions";
 import type { ServerRecord, SuspectVerdict } from "@sycamorepulley/decisions";
@@ -278,7 +279,7 @@
 
   #handleResult(
     { grantId, server, connection }: AttemptTarget,
-    { result, runOutcome }: AttemptResult,
+    { result, runOutcome, time }: AttemptResult,
   ): void {
     const {
       grantClient,
@@ -293,6 +294,11 @@
       acceptedPause: route.pauseGoal,
     }, clock());
     grantClient.recordEnd(grantId, runOutcome, timing);
+    if (isInterrupted(runOutcome)) {
+      const fingerprint = this.#fingerprint;
+      const run = { outcome: runOutcome, fingerprint, time };
+      this.#report.recordInterruption(server, run);
+    }
     switch (result.kind) {
       case "stream":
         connectionPool.release(server, connection);
--- a/packages/gateway/src/request/server_attempt.ts
+++ b/packages/gateway/src/request/server_attempt.ts
@@ -46,8 +46,15 @@
   connection: BackendConnection;
 };
 
-/** How an attempt ended, and the outcome that the server is judged by. */
-export type AttemptResult = { result: ExchangeResult; runOutcome: RunOutcome };
+/**
+ * How an attempt ended, the outcome that the server is judged by, and the
+ * milliseconds since the request was sent.
+ */
+export type AttemptResult = {
+  result: ExchangeResult;
+  runOutcome: RunOutcome;
+  time: number;
+};
 
 /** Sends a request to a server and passes the response on to the caller. */
 export class ServerAttempt {
@@ -103,12 +110,16 @@
     // Cancelled after the server had sent nothing for a long time: the server
     // is judged by that.
     const cancelledUnresponsive = result.kind === "aborted" && unresponsive;
-    if (cancelledUnresponsive) return { result, runOutcome: "broken" };
+    if (cancelledUnresponsive) return { result, runOutcome: "broken", time };
     if (await this.#hasCrashed(result)) {
       const detail = "the server has crashed";
-      return { result: { kind: "broken", detail }, runOutcome: "crashed" };
+      return {
+        result: { kind: "broken", detail },
+        runOutcome: "crashed",
+        time,
+      };
     }
-    return { result, runOutcome: runOutcomeOf(result) };
+    return { result, runOutcome: runOutcomeOf(result), time };
   }
 
   /**
--- a/packages/gateway/test/unseen_crash_test.ts
+++ b/packages/gateway/test/unseen_crash_test.ts
@@ -3,7 +3,7 @@
 import type { Test } from "tap";
 import { CRASHING_BODY, startCrashingGroup } from "./crashing_servers.ts";
 import type { CrashingServers, CrashShape } from "./crashing_servers.ts";
-import { stopAll } from "./entry_group.ts";
+import { grantingEntry, stopAll } from "./entry_group.ts";
 import type { Fixture } from "./fixture.ts";
 
 /** Milliseconds from one request that crashes its server to the next. */
@@ -104,3 +104,30 @@
   // Guards against sending it on while the earlier servers are still in doubt.
   await assertContained(t, 9, "silent");
 });
+
+t.test("a crash is counted by the next granting entry if the first one stops", async (t) => {
+  // Guards against forgetting runs that ended before the granting entry changed.
+  const { entries, servers } = await startCrashingGroup(9, 0, {
+    shape: "silent",
+    restartDelay: RESTART_DELAY,
+    lapseDelay: LAPSE_DELAY,
+  });
+  const granting = grantingEntry(entries)!;
+  const others = entries.filter((entry) => entry !== granting);
+  const stopped = `entry-${entries.indexOf(granting) + 1}`;
+  const end = performance.now() + DURATION;
+  const sending = sendInTurn(others, () => CRASHING_BODY, end);
+  await setTimeout(REMAINING_TIME + INTERVAL);
+  await granting.gateway.stop();
+  await sending;
+  t.ok(servers.crashes >= PROOF, `${servers.crashes} crashes`);
+  t.ok(countLate(servers, CRASHING_BODY) <= MAXIMUM_RETRIES);
+  const lines = entries.at(-1)!.events;
+  const restarts = lines.filter(({ message, context }) =>
+    message === "server_crashed" && context["evidence"] === "restarted" &&
+    context["instance"] !== stopped
+  );
+  t.ok(restarts.length >= PROOF, `${restarts.length} crashes counted`);
+  await servers.stop();
+  await stopAll(others);
+});
