--- a/packages/decisions/src/dispatch/pooled_server.ts
+++ b/packages/decisions/src/dispatch/pooled_server.ts
@@ -87,7 +87,7 @@
   #startLimiter: StartRateLimiter | undefined;
   #downUntil = -Infinity;
   #backoff = 0;
-  /** Its start or last response, as this entry learnt of it. */
+  /** Time of its start or last response, as reported to this entry. */
   #upAt: number;
   /** Entries that failed to connect, and until when they are not sent here. */
   readonly #unreachableFrom = new Map<string, number>();
@@ -110,7 +110,7 @@
     this.#upAt = now;
   }
 
-  /** Whether it started or responded so lately that it is hardly down. */
+  /** Whether it started or responded within the last second. */
   hasBeenUpLately(now: number): boolean {
     return now - this.#upAt < UP_INTERVAL;
   }
--- a/packages/decisions/src/dispatch/server_selection.ts
+++ b/packages/decisions/src/dispatch/server_selection.ts
@@ -20,7 +20,7 @@
 
 /**
  * Crashes from which on a suspect is sent only to a server that has responded to
- * all that it runs, so that the next crash is certainly one during its run.
+ * all it runs, so that a crash of unknown time must be one during its run.
  */
 const CONCLUSIVE_FROM = 3;
 
@@ -40,7 +40,7 @@
   verdict: SuspectVerdict;
   /** Crashes for which a request with these fingerprints is a suspect now. */
   crashesOf: (fingerprints: readonly string[]) => number;
-  /** Runs of a server that ended without a sign of what became of it. */
+  /** See {@link UnresolvedRuns}. */
   unresolvedRuns: (server: string) => readonly GrantedRun[];
   /** Whether a server has runs without a response. */
   isSilent: (name: string, server: PooledServer) => boolean;
--- a/packages/decisions/src/dispatch/suspect_exposure.ts
+++ b/packages/decisions/src/dispatch/suspect_exposure.ts
@@ -1,7 +1,7 @@
 /**
- * Bounds the servers of a service that suspects can take away at a time. While
- * most of its servers have crashed lately, suspects run at a part of them, so
- * that the others serve the requests that have crashed nothing.
+ * Bounds the servers of a service that suspects can crash at a time. While most
+ * of its servers have crashed lately, suspects run at a fraction of them, so that
+ * the others serve the requests under which none has crashed.
  * @module
  */
 
@@ -29,17 +29,18 @@
 export class SuspectExposure {
   readonly #crashes = new Map<string, CrashedAddress>();
 
-  /** `isLost`: it ran a restricted suspect, and has not started again. */
+  /** `isLost`: it ran a restricted suspect and has not started again. */
   recordCrash(address: string, isLost: boolean, now: number): void {
     this.#crashes.set(address, { at: now, isLost });
   }
 
+  /** Records another start at the address. */
   recordStart(address: string): void {
     const crash = this.#crashes.get(address);
     if (crash !== undefined) crash.isLost = false;
   }
 
-  /** False if so few of `count` servers have crashed that none can be. */
+  /** False if too few of `count` servers have crashed for a restriction. */
   mayRestrict(count: number): boolean {
     return this.#crashes.size > 0 &&
       this.#crashes.size >= CRASHED_FRACTION * count;
--- a/packages/decisions/src/dispatch/unresolved_runs.ts
+++ b/packages/decisions/src/dispatch/unresolved_runs.ts
@@ -16,6 +16,8 @@
  * after a few seconds.
  */
 const UNRESOLVED_DURATION = 10_000;
+/** Milliseconds between two removals of runs that are no longer unresolved. */
+const REMOVAL_INTERVAL = 1000;
 /** Maximum number of unresolved runs that are kept for a server. */
 const MAXIMUM_RUNS = 64;
 
@@ -26,7 +28,10 @@
   grantedAt: number;
   /** See `GrantedRequest`. */
   isRestricted: boolean;
-  /** The server was certainly up, so that its next crash is one under the run. */
+  /**
+   * Granted as a suspect of several crashes, to a server that had responded to
+   * all it ran: if the server ends, it has ended during the run.
+   */
   isConclusive: boolean;
 };
 
@@ -45,7 +50,9 @@
   readonly #servers = new Map<string, SilentServer>();
   /** Servers with unresolved runs, and the end of the last, by fingerprint. */
   readonly #doubts = new Map<string, Map<string, number>>();
+  #removedAt = -Infinity;
 
+  /** `address`: of the server, as `host:port`, if it is known. */
   add(server: string, address: string | undefined, run: UnresolvedRun): void {
     this.#removeExpired(run.endedAt);
     const silent = this.#servers.get(server) ?? { address, runs: new Map() };
@@ -122,6 +129,8 @@
   }
 
   #removeExpired(now: number): void {
+    if (now - this.#removedAt < REMOVAL_INTERVAL) return;
+    this.#removedAt = now;
     for (const [server, { runs }] of this.#servers) {
       const isExpired = [...runs.values()]
         .every(({ endedAt }) => now - endedAt >= UNRESOLVED_DURATION);
