Let emulated servers crash without refusing connections

Measured by two tests: a request sent after the crash gets no headers within 200 ms, and the crashing one a broken connection or nothing.

--- a/packages/emulator/src/faults/faults.ts
+++ b/packages/emulator/src/faults/faults.ts
@@ -28,6 +28,13 @@
   accepted: v.pipe(v.number(), v.minValue(1)),
 });
 
+/**
+ * What callers see of a server that has crashed: connections break and new ones
+ * are refused, connections break and new ones get no response, or none of both.
+ * The last two are as if its host still accepted connections, or were cut off.
+ */
+export const crashShapeSchema = v.picklist(["refused", "accepted", "silent"]);
+
 /** Every request but the health check is turned away with status 503. */
 export const turnAwaySchema = v.strictObject({
   /** Seconds, sent as `Retry-After`; a string is sent unchanged. */
@@ -50,6 +57,7 @@
    * in any prompt in which they are not the last message.
    */
   crashMessages: v.optional(v.array(v.string()), []),
+  crashShape: v.optional(crashShapeSchema, "refused"),
   /** Requests are accepted, but never get a response. */
   hang: v.optional(v.boolean(), false),
   /**
--- a/packages/emulator/src/server/backend_server.ts
+++ b/packages/emulator/src/server/backend_server.ts
@@ -33,18 +33,31 @@
 /**
  * Starts a backend server. An emulated crash calls `onCrash`, which exits the
  * process if the server runs in one of its own. By default a crash closes the
- * listening socket and every connection.
+ * listening socket and every connection. With another `crashShape` the server
+ * stays, and responds to control requests only.
  */
 export async function startBackendServer(
   createHandler: (onCrash: () => void) => RequestHandler,
   options: ListenOptions & { onCrash?: (() => void) | undefined },
 ): Promise<BackendServer> {
-  const onCrash = options.onCrash ?? (() => void close());
+  let isMute = false;
+  const end = options.onCrash ?? (() => void close());
+  const onCrash = () => {
+    const { crashShape } = handler.faultInjector.faults;
+    if (crashShape === "refused") {
+      end();
+      return;
+    }
+    isMute = true;
+    handler.stop();
+    if (crashShape === "accepted") server.closeConnections();
+  };
   const handler = createHandler(onCrash);
   const arrivalRate = new ArrivalRate();
   const server = await listen(
     toRequestListener(async (request, response) => {
       if (await handleControlRequest(request, response, handler)) return;
+      if (isMute) return;
       const { faults } = handler.faultInjector;
       stateNotices(response, faults);
       if (faults.turnAway !== undefined && request.url !== HEALTH_PATH) {
--- a/packages/emulator/src/server/emulated_server.ts
+++ b/packages/emulator/src/server/emulated_server.ts
@@ -13,6 +13,8 @@
   port: number;
   /** Closes the listening socket and every connection. */
   close(): Promise<void>;
+  /** Closes every connection and goes on listening. */
+  closeConnections(): void;
 };
 
 /** Address that an emulator listens on; port 0 selects a free port. */
@@ -36,6 +38,7 @@
     url: `http://${host}:${address.port}`,
     port: address.port,
     close: () => close(server),
+    closeConnections: () => server.closeAllConnections(),
   };
 }
 
--- a/packages/emulator/test/plain_service_test.ts
+++ b/packages/emulator/test/plain_service_test.ts
@@ -32,3 +32,20 @@
   }
   t.same(ids, [1, 2]);
 });
+
+for (const crashShape of ["accepted", "silent"] as const) {
+  t.test(`a crashed service whose connections are ${crashShape} responds to nobody`, async (t) => {
+    const service = await startPlainService();
+    t.teardown(() => service.close());
+    service.setFaults({ crashMarkers: ["bad"], crashShape });
+    const url = `${service.url}/bookings`;
+    const options = { method: "POST", headersTimeout: 200 } as const;
+    const crashing = request(url, { ...options, body: '{"note": "#bad#"}' });
+    const code = crashShape === "silent"
+      ? "UND_ERR_HEADERS_TIMEOUT"
+      : "UND_ERR_SOCKET";
+    await t.rejects(crashing, { code });
+    const later = request(url, { ...options, body: "{}" });
+    await t.rejects(later, { code: "UND_ERR_HEADERS_TIMEOUT" });
+  });
+}
