--- a/packages/decisions/src/dispatch/crash_detection.ts
+++ b/packages/decisions/src/dispatch/crash_detection.ts
@@ -1,7 +1,7 @@
 /**
  * Which servers of a service have crashed, and what may have caused it.
  *
- * A process that has ended refuses connections at once, so that a broken
+ * A process that has ended refuses connections immediately, so that a broken
  * connection followed by a refused one shows a crash. A server may also end
  * without that: its host is unreachable, or accepts connections for it. Then
  * another start at its address, while runs never ended, shows the crash.
