--- a/packages/decisions/src/dispatch/server_runs.ts
+++ b/packages/decisions/src/dispatch/server_runs.ts
@@ -70,8 +70,11 @@
     const inPrefill = cost.promptTokens > 0;
     if (inPrefill) this.#pendingPrefillTokens += cost.promptTokens;
     this.#runs.set(id, {
-      ...granted,
       id,
+      suspects: granted.suspects,
+      isRestricted: granted.isRestricted,
+      grantedAt: granted.grantedAt,
+      isConclusive: granted.isConclusive,
       entry,
       fingerprints: fingerprintsOf(request),
       cost,
