Log what the end of a stop ends, and how late the process was

The logs could not tell apart why responses end around a stop. cut_at_stop names each request at a server that the end of the process ends: when it arrived relative to the signal, and the duration that was expected of it. stopped adds connections that were closed before their response was handed over, the time since the signal, and the longest lateness of a check.

No change of logic.

--- a/packages/gateway/src/front/http_frontend.ts
+++ b/packages/gateway/src/front/http_frontend.ts
@@ -44,7 +44,8 @@
   /** Connections that close after a response that has not finished yet. */
   readonly #closingConnections = new WeakSet<Socket>();
   /** Number of responses in progress; more than one if a caller pipelines. */
-  readonly #openResponses = new WeakMap<Socket, number>();
+  readonly #openResponses = new Map<Socket, number>();
+  #unsentConnections = 0;
   #draining = false;
 
   constructor(handle: HandleRequest, counters: ConnectionCounters) {
@@ -90,17 +91,34 @@
 
   /** Closes connections without a request in progress. */
   closeIdleConnections(): void {
-    this.#server.closeIdleConnections();
+    this.#close(() => this.#server.closeIdleConnections());
   }
 
   closeAllConnections(): void {
-    this.#server.closeAllConnections();
+    this.#close(() => this.#server.closeAllConnections());
+  }
+
+  /**
+   * Number of connections that were closed before their responses were handed
+   * over whole to the operating system.
+   */
+  get unsentConnections(): number {
+    return this.#unsentConnections;
+  }
+
+  #close(close: () => void): void {
+    const unsent = [...this.#openResponses.keys()]
+      .filter((socket) => !socket.destroyed);
+    close();
+    this.#unsentConnections += unsent
+      .filter((socket) => socket.destroyed).length;
   }
 
   #countConnection(socket: Socket): void {
     this.#counters.accepted();
     this.#unreadConnections.add(socket);
     socket.once("close", () => {
+      this.#openResponses.delete(socket);
       if (this.#unreadConnections.has(socket)) this.#counters.unread();
     });
   }
@@ -129,7 +147,8 @@
 
   #handleFinish(socket: Socket): void {
     const open = (this.#openResponses.get(socket) ?? 1) - 1;
-    this.#openResponses.set(socket, open);
+    if (open > 0) this.#openResponses.set(socket, open);
+    else this.#openResponses.delete(socket);
     if (this.#draining && open === 0) this.#endConnection(socket);
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -413,11 +413,15 @@
     this.#peers.announce();
     void this.#registration.leave();
     await stop.finish();
+    const cut = this.#requestHandler.activeRequests;
+    this.#close();
     this.#log.write({
       event: "stopped",
-      cut: this.#requestHandler.activeRequests,
+      cut,
+      unsent: this.#frontend.unsentConnections,
+      time: Math.round(this.#drainAdmission.timeSinceStop(this.#clock())),
+      delay: Math.round(stop.longestDelay),
     });
-    this.#close();
   }
 
   handlePeerMessage(peer: string, message: PeerMessage): void {
--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -48,6 +48,7 @@
   #replacedSince: number;
   /** Last time at which a request ran here. */
   #lastActiveAt: number;
+  #longestDelay = 0;
 
   constructor(options: {
     frontend: HttpFrontend;
@@ -65,6 +66,7 @@
     this.#clock = options.clock;
     const { gracePeriod } = options;
     const now = this.#clock();
+    this.#drainAdmission.recordStop(now);
     this.#admitAllUntil = now +
       Math.min(ADMIT_ALL_TIME, gracePeriod * ADMIT_ALL_FRACTION);
     this.#endAt = now + gracePeriod - GRACE_MARGIN;
@@ -91,9 +93,17 @@
     }
   }
 
+  /** Longest lateness of a check in milliseconds. */
+  get longestDelay(): number {
+    return this.#longestDelay;
+  }
+
   async #wait(): Promise<void> {
+    const due = this.#clock() + CHECK_INTERVAL;
     await sleep(CHECK_INTERVAL);
-    this.#requestHandler.refuseLate(this.#clock());
+    const now = this.#clock();
+    this.#longestDelay = Math.max(this.#longestDelay, now - due);
+    this.#requestHandler.refuseLate(now);
   }
 
   /**
--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -25,8 +25,32 @@
 export type LogEvent =
   | { event: "started"; dataCentre: string; startTime: number }
   | { event: "stopping"; active: number; grace: number }
-  /** `cut`: number of requests that were still running. */
-  | { event: "stopped"; cut: number }
+  /**
+   * `cut`: number of requests that were still running; `unsent`: connections
+   * that were closed before their response was handed over whole; `time`: since
+   * `stopping`; `delay`: longest lateness of a check during the stop.
+   */
+  | {
+    event: "stopped";
+    cut: number;
+    unsent: number;
+    time: number;
+    delay: number;
+  }
+  /**
+   * The end of a stop ends a request that was sent to a server. `arrival`: from
+   * `stopping` to the request's arrival, negative if it arrived before;
+   * `expected`: longest duration that was expected of the stream, absent if it
+   * is none; `age`: since the arrival; `remaining`: until its deadline.
+   */
+  | {
+    event: "cut_at_stop";
+    request: string;
+    arrival: number;
+    expected?: number;
+    age: number;
+    remaining: number;
+  }
   | { event: "reloaded"; changed: boolean; detail: string }
   | { event: "registered"; lease: number; era: number }
   | { event: "registration_lapsed"; lease: number; era: number }
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -54,6 +54,11 @@
     "Runs that the gateway ended before their answer was whole",
     ["service", "cause"],
   );
+  readonly requestsCutAtStop = this.#counter(
+    "requests_cut_at_stop_total",
+    "Requests at a server that the end of this process ended",
+    ["service"],
+  );
   readonly hedges = this.#counter(
     "hedges_total",
     "Second runs of requests whose servers were silent",
--- a/packages/gateway/src/request/drain_admission.ts
+++ b/packages/gateway/src/request/drain_admission.ts
@@ -19,8 +19,19 @@
 /** Admission while draining; instants are those of the process's clock. */
 export class DrainAdmission {
   readonly streamDurations = new StreamDurationBound();
+  #stoppedAt: number | undefined;
   #endAt: number | undefined;
 
+  /** Records the stop signal. */
+  recordStop(now: number): void {
+    this.#stoppedAt = now;
+  }
+
+  /** Milliseconds from the stop signal to `instant`; 0 without a signal. */
+  timeSinceStop(instant: number): number {
+    return instant - (this.#stoppedAt ?? instant);
+  }
+
   /** From now on, admits only requests that end by `endAt`. */
   start(endAt: number): void {
     this.#endAt = endAt;
@@ -31,9 +42,15 @@
     if (this.#endAt === undefined) return Infinity;
     const endAt = this.#endAt - END_MARGIN;
     if (resolved.deadline <= endAt) return Infinity;
-    const { cost } = resolved;
-    const bounded = cost.promptTokens > 0;
-    return bounded ? endAt - this.streamDurations.upperBound(cost) : -Infinity;
+    const duration = this.expectedDuration(resolved);
+    return duration === undefined ? -Infinity : endAt - duration;
+  }
+
+  /** Longest duration that is expected of a stream; `undefined` if it is none. */
+  expectedDuration({ cost }: ResolvedRequest): number | undefined {
+    return cost.promptTokens > 0
+      ? this.streamDurations.upperBound(cost)
+      : undefined;
   }
 
   /** Milliseconds until the successor of this process accepts requests. */
--- a/packages/gateway/src/request/request_report.ts
+++ b/packages/gateway/src/request/request_report.ts
@@ -122,6 +122,24 @@
     });
   }
 
+  /** Records that the end of this process ends a request at a server. */
+  recordStopCut(): void {
+    const { metrics, log, clock, drainAdmission } = this.#context;
+    const { service, deadline } = this.#resolved;
+    const expected = drainAdmission.expectedDuration(this.#resolved);
+    metrics.requestsCutAtStop.inc({ service });
+    log.write({
+      event: "cut_at_stop",
+      request: this.#parsed.requestId,
+      arrival: Math.round(
+        drainAdmission.timeSinceStop(this.#parsed.arrivedAt),
+      ),
+      ...(expected !== undefined && { expected: Math.round(expected) }),
+      age: this.#elapsed(),
+      remaining: Math.round(deadline - clock()),
+    });
+  }
+
   /** Records what became of a second run while `silent` was silent. */
   recordHedge(silent: ServerRecord, state: HedgeState): void {
     const { metrics, log } = this.#context;
--- a/packages/gateway/src/request/request_task.ts
+++ b/packages/gateway/src/request/request_task.ts
@@ -137,6 +137,9 @@
 
   /** Ends the request with an error, as this process ends. */
   endAtStop(): void {
+    if (this.#serversSentTo > 0 && !this.#stopping) {
+      this.#report.recordStopCut();
+    }
     this.#stopping = true;
     this.#cancelStep?.();
   }
