Refuse streams that arrive late in a stop unless their deadline is in time

Callers saw streams end in the middle when an entry was stopped (LOST): the connection was closed without the end of the response, for all streams of the entry at one instant, shortly before the end of the grace period.

Cause: from 2.7 s after the signal on, an entry accepted streams that it expected to end before the process does. The expectation multiplies the caller's estimate of the length, which is often far off, with the longest time per token of earlier streams. Where the stream was longer or the servers slower, the end of the process cut it off.

All other requests are refused as not run before anything is sent. Requests that were accepted earlier and still wait are sent by the estimate as before.

--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -40,7 +40,6 @@
   readonly #frontend: HttpFrontend;
   readonly #requestHandler: RequestHandler;
   readonly #peers: Peers;
-  readonly #drainAdmission: DrainAdmission;
   readonly #clock: () => number;
   readonly #admitAllUntil: number;
   readonly #endAt: number;
@@ -62,14 +61,17 @@
     this.#frontend = options.frontend;
     this.#requestHandler = options.requestHandler;
     this.#peers = options.peers;
-    this.#drainAdmission = options.drainAdmission;
     this.#clock = options.clock;
     const { gracePeriod } = options;
     const now = this.#clock();
-    this.#drainAdmission.recordStop(now);
     this.#admitAllUntil = now +
       Math.min(ADMIT_ALL_TIME, gracePeriod * ADMIT_ALL_FRACTION);
     this.#endAt = now + gracePeriod - GRACE_MARGIN;
+    options.drainAdmission.start({
+      startedAt: now,
+      acceptsAllUntil: this.#admitAllUntil,
+      endsAt: this.#endAt,
+    });
     this.#replacedSince = this.#peers.hasActivePeer() ? -Infinity : Infinity;
     this.#lastActiveAt = now;
   }
@@ -116,7 +118,6 @@
     else this.#replacedSince = Math.min(this.#replacedSince, now);
     if (this.#requestHandler.activeRequests > 0) this.#lastActiveAt = now;
     if (now < this.#admitAllUntil) return true;
-    this.#drainAdmission.start(this.#endAt);
     if (now >= this.#endAt - STOP_LISTENING_MARGIN) return false;
     const idle = this.#lastActiveAt < now;
     const replaced = now - this.#replacedSince >= REPLACED_AFTER;
--- a/packages/gateway/src/request/drain_admission.ts
+++ b/packages/gateway/src/request/drain_admission.ts
@@ -1,49 +1,66 @@
 /**
- * Decides which requests a draining entry still admits after the first phase of
- * its stop, in which it admits all.
+ * Decides which requests a draining entry still accepts and sends.
  *
- * All entries may be restarted one after the other, faster than their longest
- * streams end. To keep at least one entry listening at any time, an entry
- * listens for as long as its process lives. It serves the requests that are
- * certain to end before the process does, and refuses all others as not run.
+ * An entry listens for as long as its process lives, as all entries may be
+ * restarted one after the other. During the first phase of its stop it accepts
+ * every request, as the load balancer still sends some. After that it accepts
+ * only requests whose deadline comes before the end of the process. All others
+ * are refused as not run: how long a stream will take is an estimate, and a
+ * wrong one cuts off the response.
  * @module
  */
 import { StreamDurationBound } from "@sycamorepulley/decisions";
 import type { ResolvedRequest } from "./resolve_request.ts";
 
-/** Milliseconds before the process's end by which admitted requests end. */
+/** Milliseconds before the process's end by which accepted requests end. */
 const END_MARGIN = 300;
 /** Milliseconds from a process's end until its successor accepts requests. */
 const RESTART_TIME = 1000;
 
+/** The instants of a stop, by the process's clock. */
+export type StopSchedule = {
+  /** The stop signal. */
+  startedAt: number;
+  /** Until then all requests are accepted. */
+  acceptsAllUntil: number;
+  /** The process ends then at the latest. */
+  endsAt: number;
+};
+
 /** Admission while draining; instants are those of the process's clock. */
 export class DrainAdmission {
   readonly streamDurations = new StreamDurationBound();
-  #stoppedAt: number | undefined;
-  #endAt: number | undefined;
+  #schedule: StopSchedule | undefined;
 
-  /** Records the stop signal. */
-  recordStop(now: number): void {
-    this.#stoppedAt = now;
+  /** Starts the stop. */
+  start(schedule: StopSchedule): void {
+    this.#schedule = schedule;
   }
 
   /** Milliseconds from the stop signal to `instant`; 0 without a signal. */
   timeSinceStop(instant: number): number {
-    return instant - (this.#stoppedAt ?? instant);
+    return instant - (this.#schedule?.startedAt ?? instant);
   }
 
-  /** From now on, admits only requests that end by `endAt`. */
-  start(endAt: number): void {
-    this.#endAt = endAt;
+  /** Whether to accept a request that has arrived. */
+  accepts(resolved: ResolvedRequest, now: number): boolean {
+    if (this.#schedule === undefined) return true;
+    if (now <= this.#schedule.acceptsAllUntil) return true;
+    return resolved.deadline <= this.#schedule.endsAt - END_MARGIN;
   }
 
-  /** Latest instant at which the request may be sent to a server. */
-  latestStartTime(resolved: ResolvedRequest): number {
-    if (this.#endAt === undefined) return Infinity;
-    const endAt = this.#endAt - END_MARGIN;
-    if (resolved.deadline <= endAt) return Infinity;
+  /**
+   * Latest instant at which an accepted request that waits may be sent to a
+   * server. It was accepted before its place in the queue was known, so that an
+   * estimate decides.
+   */
+  latestStartTime(resolved: ResolvedRequest, now: number): number {
+    if (this.#schedule === undefined) return Infinity;
+    if (this.accepts(resolved, now)) return Infinity;
     const duration = this.expectedDuration(resolved);
-    return duration === undefined ? -Infinity : endAt - duration;
+    return duration === undefined
+      ? -Infinity
+      : this.#schedule.endsAt - END_MARGIN - duration;
   }
 
   /** Longest duration that is expected of a stream; `undefined` if it is none. */
@@ -55,6 +72,7 @@
 
   /** Milliseconds until the successor of this process accepts requests. */
   retryAfter(now: number): number {
-    return Math.max(0, (this.#endAt ?? now) - now) + RESTART_TIME;
+    const endsAt = this.#schedule?.endsAt ?? now;
+    return Math.max(0, endsAt - now) + RESTART_TIME;
   }
 }
--- a/packages/gateway/src/request/request_handler.ts
+++ b/packages/gateway/src/request/request_handler.ts
@@ -138,7 +138,7 @@
       return;
     }
     const { drainAdmission } = this.#context;
-    if (clock() > drainAdmission.latestStartTime(resolved.value)) {
+    if (!drainAdmission.accepts(resolved.value, clock())) {
       const remaining = resolved.value.deadline - clock();
       const retryAfter = Math.min(
         drainAdmission.retryAfter(clock()),
--- a/packages/gateway/src/request/request_task.ts
+++ b/packages/gateway/src/request/request_task.ts
@@ -130,9 +130,10 @@
    * sent may be sent again whenever its response would be lost otherwise.
    */
   get #latestStartTime(): number {
+    const { drainAdmission, clock } = this.#context;
     return this.#serversSentTo > 0
       ? Infinity
-      : this.#context.drainAdmission.latestStartTime(this.#resolved);
+      : drainAdmission.latestStartTime(this.#resolved, clock());
   }
 
   /** Ends the request with an error, as this process ends. */
--- a/packages/gateway/test/graceful_stop_test.ts
+++ b/packages/gateway/test/graceful_stop_test.ts
@@ -33,17 +33,18 @@
   const finished = stop.finish();
   now = 2500;
   await new Promise((resolve) => setTimeout(resolve, 60));
-  t.equal(
-    drainAdmission.latestStartTime(LONG_STREAM),
-    Infinity,
-    "all requests are admitted at first",
+  t.ok(
+    drainAdmission.accepts(LONG_STREAM, now),
+    "all requests are accepted at first",
   );
+  t.equal(drainAdmission.latestStartTime(LONG_STREAM, now), Infinity);
   now = 2850;
   await new Promise((resolve) => setTimeout(resolve, 60));
-  t.ok(
-    drainAdmission.latestStartTime(LONG_STREAM) < now,
-    "a long stream is not admitted any more",
+  t.notOk(
+    drainAdmission.accepts(LONG_STREAM, now),
+    "a long stream is not accepted any more",
   );
+  t.ok(drainAdmission.latestStartTime(LONG_STREAM, now) < now);
   now = 8000;
   await finished;
   t.end();
