Let a few slow streams raise the bound on a stream's duration

A process that had just started assumed 50 ms a token until it had seen 500 streams, however slow those were that it had seen. Stopped again soon, it sent streams that waited to servers although they could not end before the process, and cut them off.

Change: fewer streams raise the bound, and lower it only once there are enough.

--- a/packages/decisions/src/lifecycle/stream_duration_bound.ts
+++ b/packages/decisions/src/lifecycle/stream_duration_bound.ts
@@ -10,8 +10,8 @@
 import type { Cost } from "../queueing/mod.ts";
 
 /**
- * Upper bound in milliseconds for each token of the estimated length, before
- * enough streams were observed.
+ * Least upper bound in milliseconds for each token of the estimated length,
+ * before enough streams were observed.
  */
 const INITIAL_TIME_PER_TOKEN = 50;
 /**
@@ -48,8 +48,10 @@
   }
 
   #timePerTokenBound(): number {
-    if (this.#timesPerToken.length < WINDOW_SIZE) return INITIAL_TIME_PER_TOKEN;
-    return Math.max(...this.#timesPerToken) * SAFETY_FACTOR;
+    const observed = Math.max(0, ...this.#timesPerToken) * SAFETY_FACTOR;
+    return this.#timesPerToken.length < WINDOW_SIZE
+      ? Math.max(INITIAL_TIME_PER_TOKEN, observed)
+      : observed;
   }
 }
 
--- a/packages/decisions/test/stream_duration_bound_test.ts
+++ b/packages/decisions/test/stream_duration_bound_test.ts
@@ -17,6 +17,15 @@
   t.end();
 });
 
+t.test("a few slow streams raise the bound of a process that has just started", (t) => {
+  // Guards against cutting off streams by a stop soon after the start.
+  const streams = new StreamDurationBound();
+  streams.observe(cost(100), 12_000);
+  t.ok(streams.upperBound(cost(100)) > 12_000);
+  t.ok(new StreamDurationBound().upperBound(cost(100)) < 12_000);
+  t.end();
+});
+
 t.test("calls without a stream don't change the bound", (t) => {
   const streams = new StreamDurationBound();
   const before = streams.upperBound(cost(100));
