Don't take a connection for idle whose response was not handed over

At the end of a stop, connections without a request in progress are closed. Node.js counts a connection as idle once its response was ended, even while the process still holds bytes of it: the rest of the response of a caller that reads slowly was lost. Closing the HTTP server does the same.

Change: the front end closes only connections without an open response and without a request that is arriving, and stops listening without closing any.

--- a/packages/gateway/src/front/http_frontend.ts
+++ b/packages/gateway/src/front/http_frontend.ts
@@ -1,6 +1,7 @@
 /** HTTP server for callers: connections, limits, graceful shutdown. @module */
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { Server as NetServer } from "node:net";
 import type { Socket } from "node:net";
 import { acceptQueueLength } from "@sycamorepulley/decisions";
 import { listen } from "../listen.ts";
@@ -37,14 +38,17 @@
 export class HttpFrontend {
   readonly #server: Server;
   readonly #counters: ConnectionCounters;
+  readonly #connections = new Set<Socket>();
   /** Connections on which no request has been read. */
   readonly #unreadConnections = new WeakSet<Socket>();
   /** Connections that the gateway has ended and the caller has not yet. */
   readonly #endedConnections = new WeakSet<Socket>();
   /** Connections that close after a response that has not finished yet. */
   readonly #closingConnections = new WeakSet<Socket>();
-  /** Number of responses in progress; more than one if a caller pipelines. */
-  readonly #openResponses = new Map<Socket, number>();
+  /** Responses in progress; more than one if a caller pipelines. */
+  readonly #openResponses = new Map<Socket, Set<ServerResponse>>();
+  /** Bytes that had been read of a connection when its last response ended. */
+  readonly #bytesReadBefore = new WeakMap<Socket, number>();
   #unsentConnections = 0;
   #draining = false;
 
@@ -85,17 +89,25 @@
 
   /** Accepts no more connections, and closes idle ones. */
   stopListening(): void {
-    this.#server.close();
+    // The method of the HTTP server also closes connections whose response is
+    // complete but not handed over to the operating system yet.
+    NetServer.prototype.close.call(this.#server);
     this.closeIdleConnections();
   }
 
-  /** Closes connections without a request in progress. */
+  /** Closes connections without a request or a response in progress. */
   closeIdleConnections(): void {
-    this.#close(() => this.#server.closeIdleConnections());
+    for (const socket of this.#connections) {
+      const isReading =
+        socket.bytesRead > (this.#bytesReadBefore.get(socket) ?? 0);
+      if (!this.#openResponses.has(socket) && !isReading) socket.destroy();
+    }
   }
 
   closeAllConnections(): void {
-    this.#close(() => this.#server.closeAllConnections());
+    this.#unsentConnections += this.#openResponses.size;
+    this.#server.close();
+    this.#server.closeAllConnections();
   }
 
   /**
@@ -106,18 +118,12 @@
     return this.#unsentConnections;
   }
 
-  #close(close: () => void): void {
-    const unsent = [...this.#openResponses.keys()]
-      .filter((socket) => !socket.destroyed);
-    close();
-    this.#unsentConnections += unsent
-      .filter((socket) => socket.destroyed).length;
-  }
-
   #countConnection(socket: Socket): void {
     this.#counters.accepted();
+    this.#connections.add(socket);
     this.#unreadConnections.add(socket);
     socket.once("close", () => {
+      this.#connections.delete(socket);
       this.#openResponses.delete(socket);
       if (this.#unreadConnections.has(socket)) this.#counters.unread();
     });
@@ -132,27 +138,25 @@
       return false;
     }
     if (this.#closingConnections.has(socket)) return false;
-    if (this.#draining) {
-      response.setHeader("connection", "close");
-      this.#closingConnections.add(socket);
-    }
-    const open = this.#openResponses.get(socket) ?? 0;
-    this.#openResponses.set(socket, open + 1);
-    // A response that began before draining has no `Connection: close` header:
-    // its connection would be kept alive, and a request on it accepted when no
-    // time remains for it.
-    response.once("finish", () => this.#handleFinish(socket));
+    const responses = this.#openResponses.get(socket) ?? new Set();
+    this.#openResponses.set(socket, responses.add(response));
+    response.once("finish", () => this.#handleFinish(socket, response));
+    if (this.#draining) this.#closeAfter(socket, response);
     return true;
   }
 
-  #handleFinish(socket: Socket): void {
-    const open = (this.#openResponses.get(socket) ?? 1) - 1;
-    if (open > 0) this.#openResponses.set(socket, open);
-    else this.#openResponses.delete(socket);
-    if (this.#draining && open === 0) this.#endConnection(socket);
+  /** Announces that the connection ends with a response that has not begun. */
+  #closeAfter(socket: Socket, response: ServerResponse): void {
+    response.setHeader("connection", "close");
+    this.#closingConnections.add(socket);
   }
 
-  #endConnection(socket: Socket): void {
+  #handleFinish(socket: Socket, response: ServerResponse): void {
+    this.#bytesReadBefore.set(socket, socket.bytesRead);
+    const responses = this.#openResponses.get(socket);
+    responses?.delete(response);
+    if (responses?.size === 0) this.#openResponses.delete(socket);
+    if (!this.#draining || this.#openResponses.has(socket)) return;
     this.#endedConnections.add(socket);
     socket.end();
   }
