Keep a connection for one more request if its response began before a stop

Callers with kept connections saw them reset without a response to a request that the process had read: a response that began before the stop signal says that its connection is kept, so its caller sends the next request when it has the response, while the entry closes the connection. Such a request is neither answered nor, if it may not be repeated, sent again by its caller.

Change: such a connection stays open, and the next response announces its end; what may be accepted by then is what ends before the process. Responses that have not begun when the signal comes announce the end themselves.

--- a/packages/gateway/src/front/http_frontend.ts
+++ b/packages/gateway/src/front/http_frontend.ts
@@ -41,8 +41,6 @@
   readonly #connections = new Set<Socket>();
   /** Connections on which no request has been read. */
   readonly #unreadConnections = new WeakSet<Socket>();
-  /** Connections that the gateway has ended and the caller has not yet. */
-  readonly #endedConnections = new WeakSet<Socket>();
   /** Connections that close after a response that has not finished yet. */
   readonly #closingConnections = new WeakSet<Socket>();
   /** Responses in progress; more than one if a caller pipelines. */
@@ -82,9 +80,18 @@
     return listen(this.#server, address, acceptQueueLength(cores));
   }
 
-  /** Responses now close their connections; new ones are still accepted. */
+  /**
+   * Responses now close their connections; new ones are still accepted. A
+   * connection whose response has already begun stays open for one more request,
+   * as that request may be on its way when the response ends.
+   */
   startDraining(): void {
     this.#draining = true;
+    for (const [socket, responses] of this.#openResponses) {
+      const [response] = responses;
+      if (responses.size > 1 || response?.headersSent !== false) continue;
+      this.#closeAfter(socket, response);
+    }
   }
 
   /** Accepts no more connections, and closes idle ones. */
@@ -131,12 +138,6 @@
 
   /** False if the response could not be sent on the request's connection. */
   #admit(socket: Socket, response: ServerResponse): boolean {
-    if (this.#endedConnections.has(socket)) {
-      // The request was sent before the end of its connection arrived at the
-      // caller. If handled, it would run, but its response could not be sent.
-      socket.destroy();
-      return false;
-    }
     if (this.#closingConnections.has(socket)) return false;
     const responses = this.#openResponses.get(socket) ?? new Set();
     this.#openResponses.set(socket, responses.add(response));
@@ -156,8 +157,5 @@
     const responses = this.#openResponses.get(socket);
     responses?.delete(response);
     if (responses?.size === 0) this.#openResponses.delete(socket);
-    if (!this.#draining || this.#openResponses.has(socket)) return;
-    this.#endedConnections.add(socket);
-    socket.end();
   }
 }
