Count a stop from the signal instead of its handling

A process that gets little processor time handles SIGTERM late, but all times of its stop counted from then on. It accepted every request for longer than the operator allows for, and was killed while those ran.

Evidence (trial, four gateways beside a load of 21 on 8 cores): one of nine stops ended by SIGKILL 8.0 s after the signal; two streams that callers had sent 3.04 and 3.11 s after the signal were lost.

Change: a repeated timer records the turns of the event loop; the stop counts from the earliest turn in which the signal may have been sent, at most five turns back. That decides what is accepted. Running requests keep the time that they would have if the signal had just been sent, as ending them earlier would lose them for certain. stopping logs the lateness.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,6 +16,7 @@
 import { RequestParser } from "./front/parsed_request.ts";
 import { HttpFrontend } from "./front/http_frontend.ts";
 import { GracefulStop } from "./graceful_stop.ts";
+import { TurnTimes } from "./turn_times.ts";
 import { GatewayPeerEvents } from "./gateway_peer_events.ts";
 import type { HeaderNames } from "./front/header_names.ts";
 import { StatusServer } from "./front/status_server.ts";
@@ -123,6 +124,7 @@
   /** A peer has sent what it knows. */
   #peerStateReceived = false;
   readonly #drainAdmission = new DrainAdmission();
+  readonly #turnTimes = new TurnTimes();
   readonly #stopController = new AbortController();
   readonly #timers: NodeJS.Timeout[] = [];
 
@@ -347,10 +349,10 @@
     };
     this.#startGate.startTimer();
     this.#repeat(HEARTBEAT_EVERY, () => this.#tick());
-    this.#repeat(
-      SCHEDULING_INTERVAL,
-      () => this.#grantClient.deliverDecisions(),
-    );
+    this.#repeat(SCHEDULING_INTERVAL, () => {
+      this.#turnTimes.record(this.#clock());
+      this.#grantClient.deliverDecisions();
+    });
     this.#repeat(
       CONNECTION_CHECK_INTERVAL,
       () => this.#connectionPool.closeStale(this.#usableServers.all()),
@@ -395,10 +397,13 @@
   async stop(): Promise<void> {
     if (!this.#lifecycle.apply("stop")) return;
     const gracePeriod = this.#settings.bounds.gracePeriodSeconds * 1000;
+    const now = this.#clock();
+    const signalledAt = this.#turnTimes.earliestSignal(now);
     this.#log.write({
       event: "stopping",
       active: this.#requestHandler.activeRequests,
       grace: gracePeriod,
+      delay: Math.round(now - signalledAt),
     });
     const stop = new GracefulStop({
       frontend: this.#frontend,
@@ -406,6 +411,7 @@
       peers: this.#peers,
       drainAdmission: this.#drainAdmission,
       clock: this.#clock,
+      signalledAt,
       gracePeriod,
     });
     this.#frontend.startDraining();
--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -55,23 +55,27 @@
     peers: Peers;
     drainAdmission: DrainAdmission;
     clock: () => number;
-    /** Milliseconds until the process is killed. */
+    /** Earliest instant at which the stop signal may have been sent. */
+    signalledAt: number;
+    /** Milliseconds from the signal until the process is killed. */
     gracePeriod: number;
   }) {
     this.#frontend = options.frontend;
     this.#requestHandler = options.requestHandler;
     this.#peers = options.peers;
     this.#clock = options.clock;
-    const { gracePeriod } = options;
+    const { gracePeriod, signalledAt } = options;
     const now = this.#clock();
-    this.#admitAllUntil = now +
+    this.#admitAllUntil = signalledAt +
       Math.min(ADMIT_ALL_TIME, gracePeriod * ADMIT_ALL_FRACTION);
-    this.#endAt = now + gracePeriod - GRACE_MARGIN;
     options.drainAdmission.start({
-      startedAt: now,
+      startedAt: signalledAt,
       acceptsAllUntil: this.#admitAllUntil,
-      endsAt: this.#endAt,
+      endsAt: signalledAt + gracePeriod - GRACE_MARGIN,
     });
+    // The signal may also have just been sent: running requests go on until the
+    // process is killed.
+    this.#endAt = now + gracePeriod - GRACE_MARGIN;
     this.#replacedSince = this.#peers.hasActivePeer() ? -Infinity : Infinity;
     this.#lastActiveAt = now;
   }
--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -24,7 +24,8 @@
 /** A decision, or a change of what the process knows. */
 export type LogEvent =
   | { event: "started"; dataCentre: string; startTime: number }
-  | { event: "stopping"; active: number; grace: number }
+  /** `delay`: milliseconds by which the signal may have been handled late. */
+  | { event: "stopping"; active: number; grace: number; delay: number }
   /**
    * `cut`: number of requests that were still running; `unsent`: connections
    * that were closed before their response was handed over whole; `time`: since
--- a/packages/gateway/test/graceful_stop_test.ts
+++ b/packages/gateway/test/graceful_stop_test.ts
@@ -2,6 +2,7 @@
 import type { HttpFrontend } from "../src/front/http_frontend.ts";
 import { GracefulStop } from "../src/graceful_stop.ts";
 import type { Peers } from "../src/peers/peers.ts";
+import { TurnTimes } from "../src/turn_times.ts";
 import { DrainAdmission } from "../src/request/drain_admission.ts";
 import type { RequestHandler } from "../src/request/request_handler.ts";
 import type { ResolvedRequest } from "../src/request/resolve_request.ts";
@@ -28,6 +29,7 @@
     peers: { hasActivePeer: () => false } as Peers,
     drainAdmission,
     clock: () => now,
+    signalledAt: now,
     gracePeriod: 8000,
   });
   const finished = stop.finish();
@@ -49,3 +51,14 @@
   await finished;
   t.end();
 });
+
+t.test("a signal may have been sent before the event loop stood still", (t) => {
+  // Guards against a stop that lags behind the operator's clock.
+  const turns = new TurnTimes();
+  t.equal(turns.earliestSignal(5), 5, "no turn is known");
+  for (const now of [10, 20, 900, 910, 920]) turns.record(now);
+  t.ok(turns.earliestSignal(921) <= 20);
+  for (const now of [930, 940, 950]) turns.record(now);
+  t.ok(turns.earliestSignal(951) >= 900, "handled by then");
+  t.end();
+});
