Let callers that a stop refuses return at once if another entry accepts

A caller whose request was refused by a stopping entry was asked to wait for its successor, up to a third of its time, although other entries accept requests and its next connection goes to one of them.

Change: Retry-After is short while another entry is known to accept requests. Shown by the test of the decision only; worth was not compared.

--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -72,6 +72,7 @@
       startedAt: signalledAt,
       acceptsAllUntil: this.#admitAllUntil,
       endsAt: signalledAt + gracePeriod - GRACE_MARGIN,
+      isReplaced: () => this.#peers.hasActivePeer(),
     });
     // The signal may also have just been sent: running requests go on until the
     // process is killed.
--- a/packages/gateway/src/request/drain_admission.ts
+++ b/packages/gateway/src/request/drain_admission.ts
@@ -14,6 +14,11 @@
 
 /** Milliseconds before the process's end by which accepted requests end. */
 const END_MARGIN = 300;
+/**
+ * Milliseconds after which a refused caller may turn to another entry: its next
+ * connection goes there.
+ */
+const RETRY_ELSEWHERE = 50;
 /** Milliseconds from a process's end until its successor accepts requests. */
 const RESTART_TIME = 1000;
 
@@ -25,6 +30,8 @@
   acceptsAllUntil: number;
   /** The process ends then at the latest. */
   endsAt: number;
+  /** Whether another entry accepts requests now. */
+  isReplaced: () => boolean;
 };
 
 /** Admission while draining; instants are those of the process's clock. */
@@ -70,8 +77,12 @@
       : undefined;
   }
 
-  /** Milliseconds until the successor of this process accepts requests. */
+  /**
+   * Milliseconds until a refused caller should return: another entry or else the
+   * successor of this process accepts requests then.
+   */
   retryAfter(now: number): number {
+    if (this.#schedule?.isReplaced() === true) return RETRY_ELSEWHERE;
     const endsAt = this.#schedule?.endsAt ?? now;
     return Math.max(0, endsAt - now) + RESTART_TIME;
   }
--- a/packages/gateway/test/graceful_stop_test.ts
+++ b/packages/gateway/test/graceful_stop_test.ts
@@ -62,3 +62,19 @@
   t.ok(turns.earliestSignal(951) >= 900, "handled by then");
   t.end();
 });
+
+t.test("a refused caller returns when an entry accepts requests", (t) => {
+  // Guards against waiting for a restart while another entry has room.
+  const drainAdmission = new DrainAdmission();
+  let isReplaced = true;
+  drainAdmission.start({
+    startedAt: 0,
+    acceptsAllUntil: 2700,
+    endsAt: 7600,
+    isReplaced: () => isReplaced,
+  });
+  t.ok(drainAdmission.retryAfter(3000) < 100);
+  isReplaced = false;
+  t.ok(drainAdmission.retryAfter(3000) > 4600);
+  t.end();
+});
