Send streams in chunks, so that a killed gateway's streams look cut

A caller of HTTP/1.0 saw the same for each stream that was cut, if the server's own stream was chunked.

Cause: the gateway repeated the server's framing to the caller. The kernel closes the connections of a killed process regularly, which is the end of a response that ends with its connection. What decides the framing is what the caller knows, not how the server ends its stream.

Change: streams are sent in chunks, and the last chunk follows the end of the server's stream. To a caller that knows no chunks they end with the connection, which is reset when a stream is cut. Plain responses keep their framing.

A stream cut in HTTP/1.0: a regular end before, a reset after.

--- a/packages/gateway/src/request/caller_connection.ts
+++ b/packages/gateway/src/request/caller_connection.ts
@@ -139,7 +139,9 @@
 
   startStream(head: ResponseHead): void {
     if (this.#disconnected || this.responseStarted) return;
-    if (isCloseDelimited(head)) this.#useCloseDelimiting();
+    // Chunks show whether a stream is whole, also if this process is killed. A
+    // caller that knows no chunks only sees how its connection ends.
+    if (!this.#response.useChunkedEncodingByDefault) this.#useCloseDelimiting();
     this.#response.writeHead(head.status, responseHeaders(head.headers));
     if (this.#bounds === undefined) return;
     const { memory, service } = this.#bounds;
@@ -201,11 +203,7 @@
     this.#response.destroy();
   }
 
-  /**
-   * Makes the response end with its connection, as the server's does. A server
-   * that crashes closes its connections too; with a content length, a truncated
-   * body would look complete to the caller.
-   */
+  /** Makes the response end with its connection. */
   #useCloseDelimiting(): void {
     this.#closeDelimited = true;
     this.#response.useChunkedEncodingByDefault = false;
--- a/packages/gateway/test/close_delimited_test.ts
+++ b/packages/gateway/test/close_delimited_test.ts
@@ -1,3 +1,4 @@
+import { connect } from "node:net";
 import t from "tap";
 import {
   rawResponseHead,
@@ -128,3 +129,44 @@
   t.equal(response.status, 502);
   t.equal(attempts, 1);
 });
+
+/** Sends a request of HTTP/1.0, whose caller knows no chunks. */
+async function callOfEarlierVersion(
+  respond: Respond,
+): Promise<{ received: string; wasReset: boolean }> {
+  const fixture = await Fixture.startReady();
+  for (const server of fixture.servers) server.respond = respond;
+  const socket = connect(fixture.ports.front, "127.0.0.1");
+  let received = "";
+  let wasReset = false;
+  socket.on("data", (bytes) => received += bytes.toString());
+  socket.on("error", () => wasReset = true);
+  socket.write(
+    "POST /stream/ HTTP/1.0\r\nHost: a.example\r\nX-Request: request-1\r\n" +
+      "X-Credential: key\r\nX-Time-Left: 1500\r\n\r\n",
+  );
+  await new Promise((resolve) => socket.once("close", resolve));
+  await fixture.stop();
+  return { received, wasReset };
+}
+
+t.test("a cut stream is reset to a caller that knows no chunks", async (t) => {
+  // Guards against a regular end, which is the end of a whole stream there.
+  const { received, wasReset } = await callOfEarlierVersion(
+    (response, received, socket) => {
+      startEventStream(response, received).write(streamEvent(1));
+      setTimeout(() => socket.destroy(), CUT_DELAY);
+    },
+  );
+  t.ok(received.endsWith(streamEvent(1)));
+  t.ok(wasReset);
+});
+
+t.test("a whole stream ends regularly to a caller that knows no chunks", async (t) => {
+  const { received, wasReset } = await callOfEarlierVersion(
+    (response, received) =>
+      startEventStream(response, received).end(streamEvent(1)),
+  );
+  t.ok(received.endsWith("\r\n\r\n" + streamEvent(1)));
+  t.notOk(wasReset);
+});
