Don't take the exit of a server that leaves for the end of its response

Cause: the connections of a process that exits close like those of responses without a length. The gateway asked whether the server had ended only if it was not leaving, as a server that leaves may stop after its last response. That explains the end, but doesn't show that the response is whole.

Change: such a server is asked too. If it has ended, the response goes on at another server or is run again where the route allows it, and is cut or 502 otherwise. The outcome is `broken` and not `crashed`. A stream whose last event is the last one that the stated tokens allow is whole in any case, also at a server that has crashed.

--- a/packages/gateway/src/request/response_progress.ts
+++ b/packages/gateway/src/request/response_progress.ts
@@ -21,6 +21,14 @@
     return this.eventCount === 0 || this.lastEventId !== undefined;
   }
 
+  /**
+   * Whether the last event that was passed on is the one with this number.
+   * Servers that number events otherwise than from 1 hardly meet it by chance.
+   */
+  endsWithEvent(number: number): boolean {
+    return Number(this.lastEventId) === number;
+  }
+
   /** Records the arrival of the first part of a response. */
   recordFirstPart(now: number): void {
     this.firstPartAt ??= now;
--- a/packages/gateway/src/request/server_attempt.ts
+++ b/packages/gateway/src/request/server_attempt.ts
@@ -169,29 +169,51 @@
     // is judged by that.
     const cancelledUnresponsive = result.kind === "aborted" && unresponsive;
     if (cancelledUnresponsive) return { result, runOutcome: "broken" };
-    if (await this.#hasCrashed(result)) {
-      const detail = "the server has crashed";
-      return {
-        result: { kind: "broken", detail },
-        runOutcome: "crashed",
-      };
-    }
+    if (await this.#hasServerEnded(result)) return this.#endOfServer(result);
     return { result, runOutcome: runOutcomeOf(result) };
   }
 
   /**
-   * Whether the response ended because its server crashed. A response that ends
-   * with its connection looks complete even then. A server that is leaving may
-   * stop after its last response.
+   * Whether the server has ended, and a response with it that is not known to be
+   * whole. The connections of a process that ends close as after a response that
+   * ends with its connection; only a server that still accepts connections has
+   * ended the response itself.
    */
-  async #hasCrashed(result: ExchangeResult): Promise<boolean> {
-    const { connectionPool, findServer } = this.#request.context;
-    const { server } = this.#target;
-    const isLeaving = findServer(incarnationOf(server)) === undefined;
-    const mayHaveCrashed = result.kind === "broken"
+  async #hasServerEnded(result: ExchangeResult): Promise<boolean> {
+    const mayHaveEnded = result.kind === "broken"
       ? this.#closure === undefined
-      : endsWithConnection(result) && !isLeaving;
-    return mayHaveCrashed && await connectionPool.isRefusing(server);
+      : endsWithConnection(result) && !this.#hasAllTokens(result);
+    if (!mayHaveEnded) return false;
+    const { connectionPool } = this.#request.context;
+    return await connectionPool.isRefusing(this.#target.server);
+  }
+
+  /** Whether a stream has all tokens that its request may get. */
+  #hasAllTokens(result: ExchangeResult): boolean {
+    const { parsed, resolved, progress, context } = this.#request;
+    const { outputTokens = 0 } = parsed.statedTokens ?? {};
+    if (result.kind !== "stream" || outputTokens === 0) return false;
+    const { services } = context.activeConfiguration()?.configuration ?? {};
+    const { tokensPerEvent = 1 } = services?.get(resolved.service) ?? {};
+    return progress.endsWithEvent(Math.ceil(outputTokens / tokensPerEvent));
+  }
+
+  /**
+   * What a run counts as whose server has ended. A server that is leaving may
+   * have stopped after its last response, so that this is no crash; whether the
+   * response is whole is as uncertain.
+   */
+  #endOfServer(
+    result: ExchangeResult,
+  ): Pick<AttemptResult, "result" | "runOutcome"> {
+    const server = incarnationOf(this.#target.server);
+    const isLeaving = this.#request.context.findServer(server) === undefined;
+    if (result.kind !== "broken" && isLeaving) {
+      const detail = "the server has stopped, the response may be cut";
+      return { result: { kind: "broken", detail }, runOutcome: "broken" };
+    }
+    const detail = "the server has crashed";
+    return { result: { kind: "broken", detail }, runOutcome: "crashed" };
   }
 
   #createWatchdog(): SilenceWatchdog {
--- a/packages/gateway/test/close_delimited_test.ts
+++ b/packages/gateway/test/close_delimited_test.ts
@@ -17,13 +17,18 @@
 async function callWith(
   path: string,
   respondOf: (server: FakeBackendServer, attempt: () => number) => Respond,
+  headers: Record<string, string> = {},
 ): Promise<{ response: CallerResponse; attempts: number }> {
   const fixture = await Fixture.startReady();
   let attempts = 0;
   for (const server of fixture.servers) {
     server.respond = respondOf(server, () => ++attempts);
   }
-  const response = await fixture.call(path, { method: "POST", body: "{}" });
+  const response = await fixture.call(path, {
+    method: "POST",
+    body: "{}",
+    headers,
+  });
   await fixture.stop();
   return { response, attempts };
 }
@@ -170,3 +175,20 @@
   t.ok(received.endsWith("\r\n\r\n" + streamEvent(1)));
   t.notOk(wasReset);
 });
+
+t.test("a stream with all its tokens is whole, though its server has crashed", async (t) => {
+  // Guards against cutting a stream whose server ends right after it.
+  const { response } = await callWith(
+    "/stream/",
+    (server) => (_response, received, socket) => {
+      socket.write(
+        rawResponseHead(received) + STREAM_HEAD + streamEvent(1) +
+          streamEvent(2),
+      );
+      setTimeout(() => void server.crash(), CUT_DELAY);
+    },
+    { "x-tokens": "10,2" },
+  );
+  t.equal(response.body, streamEvent(1) + streamEvent(2));
+  t.ok(response.complete);
+});
