Take a response to HEAD for whole, whatever its server does then

Callers saw: 502 for a HEAD request whose server stated no length and ended right after its response.

Cause: a response without a length was taken for one that ends with its connection. One to HEAD has no body and ends with its head.

Change: the method decides, before the headers do.

Measured: one test over sockets fails before (502) and passes after (200).

--- a/packages/gateway/src/request/server_attempt.ts
+++ b/packages/gateway/src/request/server_attempt.ts
@@ -182,12 +182,19 @@
   async #hasServerEnded(result: ExchangeResult): Promise<boolean> {
     const mayHaveEnded = result.kind === "broken"
       ? this.#closure === undefined
-      : endsWithConnection(result) && !this.#hasAllTokens(result);
+      : this.#endsWithConnection(result) && !this.#hasAllTokens(result);
     if (!mayHaveEnded) return false;
     const { connectionPool } = this.#request.context;
     return await connectionPool.isRefusing(this.#target.server);
   }
 
+  /** Whether only the end of the connection marked the end of the response. */
+  #endsWithConnection(result: ExchangeResult): boolean {
+    if (this.#request.parsed.method === "HEAD") return false;
+    if (result.kind === "stream") return result.closeDelimited;
+    return result.kind === "plain" && isCloseDelimited(result.head);
+  }
+
   /** Whether a stream has all tokens that its request may get. */
   #hasAllTokens(result: ExchangeResult): boolean {
     const { parsed, resolved, progress, context } = this.#request;
@@ -317,12 +324,6 @@
   }
 }
 
-/** Whether only the end of the connection marked the end of the response. */
-function endsWithConnection(result: ExchangeResult): boolean {
-  if (result.kind === "stream") return result.closeDelimited;
-  return result.kind === "plain" && isCloseDelimited(result.head);
-}
-
 function runOutcomeOf(result: ExchangeResult): RunOutcome {
   switch (result.kind) {
     case "stream":
--- a/packages/gateway/test/close_delimited_test.ts
+++ b/packages/gateway/test/close_delimited_test.ts
@@ -18,6 +18,7 @@
   path: string,
   respondOf: (server: FakeBackendServer, attempt: () => number) => Respond,
   headers: Record<string, string> = {},
+  method = "POST",
 ): Promise<{ response: CallerResponse; attempts: number }> {
   const fixture = await Fixture.startReady();
   let attempts = 0;
@@ -25,8 +26,8 @@
     server.respond = respondOf(server, () => ++attempts);
   }
   const response = await fixture.call(path, {
-    method: "POST",
-    body: "{}",
+    method,
+    ...(method === "POST" && { body: "{}" }),
     headers,
   });
   await fixture.stop();
@@ -192,3 +193,16 @@
   t.equal(response.body, streamEvent(1) + streamEvent(2));
   t.ok(response.complete);
 });
+
+t.test("a response to HEAD is whole with its head, though its server has crashed", async (t) => {
+  const { response } = await callWith(
+    "/once/",
+    (server) => (_response, received, socket) => {
+      socket.end(rawResponseHead(received) + "\r\n");
+      void server.crash();
+    },
+    {},
+    "HEAD",
+  );
+  t.equal(response.status, 200);
+});
