--- a/packages/gateway/test/close_delimited_test.ts
+++ b/packages/gateway/test/close_delimited_test.ts
@@ -1,3 +1,4 @@
+import { connect } from "node:net";
 import t from "tap";
 import {
   rawResponseHead,
@@ -16,13 +17,19 @@
 async function callWith(
   path: string,
   respondOf: (server: FakeBackendServer, attempt: () => number) => Respond,
+  headers: Record<string, string> = {},
+  method = "POST",
 ): Promise<{ response: CallerResponse; attempts: number }> {
   const fixture = await Fixture.startReady();
   let attempts = 0;
   for (const server of fixture.servers) {
     server.respond = respondOf(server, () => ++attempts);
   }
-  const response = await fixture.call(path, { method: "POST", body: "{}" });
+  const response = await fixture.call(path, {
+    method,
+    ...(method === "POST" && { body: "{}" }),
+    headers,
+  });
   await fixture.stop();
   return { response, attempts };
 }
@@ -128,3 +135,74 @@
   t.equal(response.status, 502);
   t.equal(attempts, 1);
 });
+
+/** Sends a request of HTTP/1.0, whose caller knows no chunks. */
+async function callOfEarlierVersion(
+  respond: Respond,
+): Promise<{ received: string; wasReset: boolean }> {
+  const fixture = await Fixture.startReady();
+  for (const server of fixture.servers) server.respond = respond;
+  const socket = connect(fixture.ports.front, "127.0.0.1");
+  let received = "";
+  let wasReset = false;
+  socket.on("data", (bytes) => received += bytes.toString());
+  socket.on("error", () => wasReset = true);
+  socket.write(
+    "POST /stream/ HTTP/1.0\r\nHost: a.example\r\nX-Request: request-1\r\n" +
+      "X-Credential: key\r\nX-Time-Left: 1500\r\n\r\n",
+  );
+  await new Promise((resolve) => socket.once("close", resolve));
+  await fixture.stop();
+  return { received, wasReset };
+}
+
+t.test("a cut stream is reset to a caller that knows no chunks", async (t) => {
+  // Guards against a regular end, which is the end of a whole stream there.
+  const { received, wasReset } = await callOfEarlierVersion(
+    (response, received, socket) => {
+      startEventStream(response, received).write(streamEvent(1));
+      setTimeout(() => socket.destroy(), CUT_DELAY);
+    },
+  );
+  t.ok(received.endsWith(streamEvent(1)));
+  t.ok(wasReset);
+});
+
+t.test("a whole stream ends regularly to a caller that knows no chunks", async (t) => {
+  const { received, wasReset } = await callOfEarlierVersion(
+    (response, received) =>
+      startEventStream(response, received).end(streamEvent(1)),
+  );
+  t.ok(received.endsWith("\r\n\r\n" + streamEvent(1)));
+  t.notOk(wasReset);
+});
+
+t.test("a stream with all its tokens is whole, though its server has crashed", async (t) => {
+  // Guards against cutting a stream whose server ends right after it.
+  const { response } = await callWith(
+    "/stream/",
+    (server) => (_response, received, socket) => {
+      socket.write(
+        rawResponseHead(received) + STREAM_HEAD + streamEvent(1) +
+          streamEvent(2),
+      );
+      setTimeout(() => void server.crash(), CUT_DELAY);
+    },
+    { "x-tokens": "10,2" },
+  );
+  t.equal(response.body, streamEvent(1) + streamEvent(2));
+  t.ok(response.complete);
+});
+
+t.test("a response to HEAD is whole with its head, though its server has crashed", async (t) => {
+  const { response } = await callWith(
+    "/once/",
+    (server) => (_response, received, socket) => {
+      socket.end(rawResponseHead(received) + "\r\n");
+      void server.crash();
+    },
+    {},
+    "HEAD",
+  );
+  t.equal(response.status, 200);
+});
