Let no record of an unknown service take a server's address

Cause: of the records at one address the one that started last counts, whatever service it is of. A server's own record was superseded by one that names no server.

Change: the directory knows which services the configuration names: those that it describes and those that its routes lead to. At an address the last start among their records counts; a record of another service counts only where there is none of them. It is still usable elsewhere: a granting entry may adopt a configuration later than the entry that asks it, and refuses a request (`no_server`) for a service of which it knows no server. The servers are read again when a configuration is adopted.

--- a/packages/decisions/src/discovery/server_directory.ts
+++ b/packages/decisions/src/discovery/server_directory.ts
@@ -22,6 +22,11 @@
  * old record has expired. Only the server that started last at an address can
  * be running; it rejects requests meant for an earlier one.
  *
+ * Others may write records too. One of a service that the configuration doesn't
+ * name takes no address from a server of one that it names. Such a service may
+ * also be one of a configuration that this entry does not know yet, so its
+ * servers at other addresses may be used.
+ *
  * A server that leaves says so in its record and in its responses. The record
  * may be late or out of reach, so the first of the two counts.
  * @module
@@ -69,8 +74,10 @@
   #callFailed = false;
   #outageEndedAt = -Infinity;
   #position = FIRST_POSITION;
+  /** Services that the configuration names; `undefined` before it is known. */
+  #services: ReadonlySet<string> | undefined;
   /**
-   * The server that started last at each address; `undefined` after a change.
+   * The server that may be running at each address; `undefined` after a change.
    */
   #newestByAddress: Map<string, ServerRecord> | undefined;
 
@@ -79,6 +86,12 @@
     return this.#position;
   }
 
+  /** Replaces the services that the configuration names. */
+  setServices(services: ReadonlySet<string>): void {
+    this.#services = services;
+    this.#newestByAddress = undefined;
+  }
+
   /** Records a response of the store to this entry. */
   recordStoreResponse(now: number): void {
     this.recordPeerContact(now);
@@ -267,9 +280,22 @@
   }
 
   #isSuperseded(record: ServerRecord): boolean {
-    this.#newestByAddress ??= newestByAddress(this.#records());
+    this.#newestByAddress ??= this.#findNewestByAddress();
     const newest = this.#newestByAddress.get(addressOf(record));
-    return newest !== undefined && newest.startedAt > record.startedAt;
+    if (newest === undefined) return false;
+    return newest.startedAt > record.startedAt ||
+      this.#isNamed(newest) && !this.#isNamed(record);
+  }
+
+  #findNewestByAddress(): Map<string, ServerRecord> {
+    const records = this.#records();
+    const named = records.filter((record) => this.#isNamed(record));
+    return new Map([...newestByAddress(records), ...newestByAddress(named)]);
+  }
+
+  /** Whether the configuration names the server's service. */
+  #isNamed({ service }: ServerRecord): boolean {
+    return this.#services?.has(service) ?? false;
   }
 
   /**
--- a/packages/decisions/test/server_directory_test.ts
+++ b/packages/decisions/test/server_directory_test.ts
@@ -1,3 +1,4 @@
+import fc from "fast-check";
 import t from "tap";
 import { ServerDirectory } from "../src/mod.ts";
 import {
@@ -93,3 +94,76 @@
   t.same(usableIds(directory, 30), ["old", "z"]);
   t.end();
 });
+
+t.test("only a server of a configured service takes another's address", (t) => {
+  // Records of another writer put all servers out of use.
+  const directory = new ServerDirectory();
+  const own = server("own");
+  const foreign = server("foreign", { service: "unknown", startedAt: 2000 });
+  directory.merge([written(4, own), written(5, foreign)], at(5), 0);
+  directory.setServices(new Set(["assistant", "drafts"]));
+  t.same(usableIds(directory, 10), ["own"]);
+  t.ok(directory.isUsable(own));
+  t.notOk(directory.isUsable(foreign));
+  directory.apply(
+    written(6, server("next", { service: "drafts", startedAt: 1000 })),
+    20,
+  );
+  t.same(usableIds(directory, 20), ["next"], "services may reuse addresses");
+  directory.setServices(new Set(["assistant", "drafts", "unknown"]));
+  t.same(usableIds(directory, 30), ["foreign"], "the service is new");
+  t.end();
+});
+
+t.test("a record of another service that copies a server's start is not used", (t) => {
+  const directory = new ServerDirectory();
+  directory.setServices(new Set(["assistant"]));
+  const copy = server("copy", { service: "unknown" });
+  directory.merge([written(4, copy), written(5, server("own"))], at(5), 0);
+  t.same(usableIds(directory, 10), ["own"]);
+  t.end();
+});
+
+t.test("records of services that aren't configured leave all servers in use", (t) => {
+  const own = [81, 82, 83].map((port) =>
+    server(`s${port}`, { port, startedAt: port })
+  );
+  const change = fc.record({
+    id: fc.constantFrom("f1", "f2", "f3", "f4"),
+    changes: fc.record({
+      service: fc.constantFrom("", "unknown", "assistant "),
+      port: fc.integer({ min: 80, max: 84 }),
+      startedAt: fc.oneof(
+        fc.constantFrom(0, 81, 82, 83, Number.MAX_SAFE_INTEGER),
+        fc.nat(),
+      ),
+      version: fc.constantFrom("", "v1", "v2"),
+      draining: fc.boolean(),
+    }),
+    isRemoved: fc.boolean(),
+  });
+  fc.assert(
+    fc.property(fc.array(change), fc.nat({ max: 3 }), (changes, early) => {
+      const directory = new ServerDirectory();
+      directory.setServices(new Set(["assistant"]));
+      changes.forEach(({ id, changes, isRemoved }, index) => {
+        if (index === early) {
+          own.forEach((record) => directory.apply(written(9, record), index));
+        }
+        const state = isRemoved
+          ? removed(10 + index, id)
+          : written(10 + index, server(id, changes));
+        directory.apply(state, index);
+        if (index < early) return;
+        const usable = directory.usable(index)
+          .filter(({ service }) => service === "assistant");
+        if (!own.every((record) => directory.isUsable(record))) {
+          throw new Error("a server is not usable");
+        }
+        if (usable.length !== own.length) throw new Error("not all are listed");
+      });
+    }),
+    { seed: 1, numRuns: 500 },
+  );
+  t.end();
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -524,6 +524,7 @@
       this.#frontend.applyLimits(activeConfiguration.configuration.limits);
       this.#grantClient.setQuotas(activeConfiguration.quotas);
       this.#updateServerLimits();
+      this.#refreshServers();
       this.#metrics.configurationVersion.set(
         activeConfiguration.configuration.version,
       );
--- a/packages/gateway/src/state/fleet_state.ts
+++ b/packages/gateway/src/state/fleet_state.ts
@@ -170,6 +170,7 @@
     if (!isNewer) return false;
     this.#publishedConfiguration = { version, position, value };
     this.#activeConfiguration = new ActiveConfiguration(decoded.value);
+    this.directory.setServices(this.#activeConfiguration.services);
     this.#onChange("configuration");
     return true;
   }
--- a/packages/gateway/src/state/gateway_configuration.ts
+++ b/packages/gateway/src/state/gateway_configuration.ts
@@ -82,12 +82,20 @@
 export class ActiveConfiguration {
   readonly configuration: GatewayConfiguration;
   readonly routes: RouteTable;
+  /** Services that it describes, and those that its routes lead to. */
+  readonly services: ReadonlySet<string>;
   readonly #byCredential = new Map<string, Organisation>();
   readonly quotas = new Map<string, Quota>();
 
   constructor(configuration: GatewayConfiguration) {
     this.configuration = configuration;
     this.routes = new RouteTable(configuration.routes);
+    this.services = new Set([
+      ...configuration.services.keys(),
+      ...configuration.routes.flatMap(({ targets }) =>
+        targets.map(({ service }) => service)
+      ),
+    ]);
     for (const organisation of configuration.organisations) {
       const { name, quota, credentials } = organisation;
       if (quota !== undefined) this.quotas.set(name, quota);
