Leave the address of a configured server to it after its record is gone

Cause: a record of an unknown service was displaced only while the server's own record stood. A server runs requests for seconds after its record was removed, or was replaced by another writer under the same key. The other record then counted as the last start at the address; crash_detection takes a later start at the address of a departed server for its crash (by reading).

Change: the directory remembers the service of the last configured server at each address, for 4096 addresses. A record of a service that isn't named is not used at an address that another service holds, whatever its start. A service that a new configuration drops keeps the addresses of its servers, which may still run requests.

--- a/packages/decisions/src/discovery/server_directory.ts
+++ b/packages/decisions/src/discovery/server_directory.ts
@@ -23,9 +23,10 @@
  * be running; it rejects requests meant for an earlier one.
  *
  * Others may write records too. One of a service that the configuration doesn't
- * name takes no address from a server of one that it names. Such a service may
- * also be one of a configuration that this entry does not know yet, so its
- * servers at other addresses may be used.
+ * name takes no address that a server of a named one has, or had: the server
+ * may still run requests after its record is gone. Such a service may also be
+ * one of a configuration that this entry does not know yet, so its servers at
+ * other addresses may be used.
  *
  * A server that leaves says so in its record and in its responses. The record
  * may be late or out of reach, so the first of the two counts.
@@ -53,6 +54,8 @@
 const OUTAGE_THRESHOLD = 1500;
 /** Maximum number of removals that are remembered; the oldest is evicted. */
 const MAXIMUM_REMOVALS = 4096;
+/** Maximum number of addresses whose service is remembered; likewise. */
+const MAXIMUM_HOLDERS = 4096;
 
 /** A server; a removed record is retained until a time. */
 type KnownServer = {
@@ -76,6 +79,8 @@
   #position = FIRST_POSITION;
   /** Services that the configuration names; `undefined` before it is known. */
   #services: ReadonlySet<string> | undefined;
+  /** Service of the last named server at each address, oldest first. */
+  readonly #holders = new Map<string, string>();
   /**
    * The server that may be running at each address; `undefined` after a change.
    */
@@ -282,15 +287,18 @@
   #isSuperseded(record: ServerRecord): boolean {
     this.#newestByAddress ??= this.#findNewestByAddress();
     const newest = this.#newestByAddress.get(addressOf(record));
-    if (newest === undefined) return false;
-    return newest.startedAt > record.startedAt ||
-      this.#isNamed(newest) && !this.#isNamed(record);
+    return this.#isForeign(record) ||
+      newest !== undefined && newest.startedAt > record.startedAt;
   }
 
   #findNewestByAddress(): Map<string, ServerRecord> {
     const records = this.#records();
-    const named = records.filter((record) => this.#isNamed(record));
-    return new Map([...newestByAddress(records), ...newestByAddress(named)]);
+    for (const record of records) {
+      if (this.#isNamed(record)) this.#recordHolder(record);
+    }
+    return newestByAddress(
+      records.filter((record) => !this.#isForeign(record)),
+    );
   }
 
   /** Whether the configuration names the server's service. */
@@ -298,6 +306,22 @@
     return this.#services?.has(service) ?? false;
   }
 
+  /** Whether its service isn't named, and its address is held by another. */
+  #isForeign(record: ServerRecord): boolean {
+    if (this.#isNamed(record)) return false;
+    const holder = this.#holders.get(addressOf(record));
+    return holder !== undefined && holder !== record.service;
+  }
+
+  #recordHolder(record: ServerRecord): void {
+    const address = addressOf(record);
+    this.#holders.delete(address);
+    this.#holders.set(address, record.service);
+    if (this.#holders.size <= MAXIMUM_HOLDERS) return;
+    const [oldest] = this.#holders.keys();
+    if (oldest !== undefined) this.#holders.delete(oldest);
+  }
+
   /**
    * Position of the newest change of this id that is known. An id that is not
    * known has no record as of the position of the directory.
--- a/packages/decisions/test/server_directory_test.ts
+++ b/packages/decisions/test/server_directory_test.ts
@@ -124,6 +124,38 @@
   t.end();
 });
 
+t.test("an address that a configured server had is not taken by an unknown service", (t) => {
+  // Runs of a server whose record was removed or replaced counted as crashed.
+  const directory = new ServerDirectory();
+  directory.recordStoreResponse(0);
+  directory.setServices(new Set(["assistant"]));
+  const unknown = { service: "unknown", startedAt: 2000 };
+  const foreign = server("foreign", unknown);
+  directory.merge([written(4, server("own")), written(5, foreign)], at(5), 0);
+  t.same(usableIds(directory, 10), ["own"]);
+  directory.apply(written(6, server("own", unknown)), 20);
+  t.same(usableIds(directory, 20), [], "the record was replaced");
+  directory.apply(written(7, server("own")), 30);
+  t.same(usableIds(directory, 30), ["own"], "the server wrote its own again");
+  directory.apply(removed(8, "own"), 40);
+  t.same(usableIds(directory, 40), []);
+  directory.setServices(new Set(["assistant", "unknown"]));
+  t.same(usableIds(directory, 50), ["foreign"], "the service is new");
+  t.end();
+});
+
+t.test("a service that is no longer configured keeps its servers' addresses", (t) => {
+  const directory = new ServerDirectory();
+  directory.setServices(new Set(["assistant"]));
+  directory.merge([written(4, server("own"))], at(5), 0);
+  t.same(usableIds(directory, 10), ["own"]);
+  directory.setServices(new Set(["drafts"]));
+  const foreign = server("foreign", { service: "unknown", startedAt: 2000 });
+  directory.apply(written(6, foreign), 20);
+  t.same(usableIds(directory, 20), ["own"], "it still runs requests");
+  t.end();
+});
+
 t.test("records of services that aren't configured leave all servers in use", (t) => {
   const own = [81, 82, 83].map((port) =>
     server(`s${port}`, { port, startedAt: port })
