Reject a member's record whose port can't be dialled

What callers saw: nothing; found by looking for foreign records elsewhere.

Cause: the record of an entry was taken with any number as its port. Dialling a port over 65535 throws (`ERR_SOCKET_BAD_PORT`, tried), from the entry's tick. Whether that ends the process was not tried.

Change: the port has to be a whole number from 1 to 65535.

Test: member_record_test, 6 of 8 checks failed before, all pass now.

--- a/packages/gateway/src/state/member_record.ts
+++ b/packages/gateway/src/state/member_record.ts
@@ -5,7 +5,12 @@
 const memberSchema = v.object({
   instance: v.string(),
   host: v.string(),
-  port: v.number(),
+  port: v.pipe(
+    v.number(),
+    v.integer(),
+    v.minValue(1),
+    v.maxValue(65_535),
+  ),
 });
 
 /** Returns `undefined` for a value that no entry wrote. */
