--- a/packages/decisions/src/discovery/server_directory.ts
+++ b/packages/decisions/src/discovery/server_directory.ts
@@ -22,6 +22,12 @@
  * old record has expired. Only the server that started last at an address can
  * be running; it rejects requests meant for an earlier one.
  *
+ * Others may write records too. One of a service that the configuration doesn't
+ * name takes no address that a server of a named one has, or had: the server
+ * may still run requests after its record is gone. Such a service may also be
+ * one of a configuration that this entry does not know yet, so its servers at
+ * other addresses may be used.
+ *
  * A server that leaves says so in its record and in its responses. The record
  * may be late or out of reach, so the first of the two counts.
  * @module
@@ -48,6 +54,8 @@
 const OUTAGE_THRESHOLD = 1500;
 /** Maximum number of removals that are remembered; the oldest is evicted. */
 const MAXIMUM_REMOVALS = 4096;
+/** Maximum number of addresses whose service is remembered; likewise. */
+const MAXIMUM_HOLDERS = 4096;
 
 /** A server; a removed record is retained until a time. */
 type KnownServer = {
@@ -69,8 +77,12 @@
   #callFailed = false;
   #outageEndedAt = -Infinity;
   #position = FIRST_POSITION;
+  /** Services that the configuration names; `undefined` before it is known. */
+  #services: ReadonlySet<string> | undefined;
+  /** Service of the last named server at each address, oldest first. */
+  readonly #holders = new Map<string, string>();
   /**
-   * The server that started last at each address; `undefined` after a change.
+   * The server that may be running at each address; `undefined` after a change.
    */
   #newestByAddress: Map<string, ServerRecord> | undefined;
 
@@ -79,6 +91,12 @@
     return this.#position;
   }
 
+  /** Replaces the services that the configuration names. */
+  setServices(services: ReadonlySet<string>): void {
+    this.#services = services;
+    this.#newestByAddress = undefined;
+  }
+
   /** Records a response of the store to this entry. */
   recordStoreResponse(now: number): void {
     this.recordPeerContact(now);
@@ -267,9 +285,41 @@
   }
 
   #isSuperseded(record: ServerRecord): boolean {
-    this.#newestByAddress ??= newestByAddress(this.#records());
+    this.#newestByAddress ??= this.#findNewestByAddress();
     const newest = this.#newestByAddress.get(addressOf(record));
-    return newest !== undefined && newest.startedAt > record.startedAt;
+    return this.#isForeign(record) ||
+      newest !== undefined && newest.startedAt > record.startedAt;
+  }
+
+  #findNewestByAddress(): Map<string, ServerRecord> {
+    const records = this.#records();
+    for (const record of records) {
+      if (this.#isNamed(record)) this.#recordHolder(record);
+    }
+    return newestByAddress(
+      records.filter((record) => !this.#isForeign(record)),
+    );
+  }
+
+  /** Whether the configuration names the server's service. */
+  #isNamed({ service }: ServerRecord): boolean {
+    return this.#services?.has(service) ?? false;
+  }
+
+  /** Whether its service isn't named, and its address is held by another. */
+  #isForeign(record: ServerRecord): boolean {
+    if (this.#isNamed(record)) return false;
+    const holder = this.#holders.get(addressOf(record));
+    return holder !== undefined && holder !== record.service;
+  }
+
+  #recordHolder(record: ServerRecord): void {
+    const address = addressOf(record);
+    this.#holders.delete(address);
+    this.#holders.set(address, record.service);
+    if (this.#holders.size <= MAXIMUM_HOLDERS) return;
+    const [oldest] = this.#holders.keys();
+    if (oldest !== undefined) this.#holders.delete(oldest);
   }
 
   /**
