Compare a new version also where no old server stands

Cause: the judge compares runs within one route and data centre. Where the old version had none, the target's runs were never tested, so that the evidence stayed neutral, and neutral evidence lets a roll-out advance.

Change: a run is compared with the nearest runs of the old version: of its data centre, else of the others on the route, else (failures only) of other routes; of the same interval, so that a fault of both convicts neither. Where the old version has no runs, the threshold of slowness is raised by how much longer the target's runs take there, by the lower quartile, up to twice.

--- a/packages/decisions/src/moves/evidence_collector.ts
+++ b/packages/decisions/src/moves/evidence_collector.ts
@@ -7,6 +7,7 @@
  */
 import { addCounts, zeroCounts } from "./evidence.ts";
 import type { CallCounts, RouteEvidence } from "./evidence.ts";
+import { RecentQuartile } from "./recent_quartile.ts";
 import { RunningQuantile } from "./running_quantile.ts";
 
 /** The threshold is exceeded by one call in ten of the old version. */
@@ -32,21 +33,35 @@
 export type EvidenceCollectorOptions = {
   /** Factor of a threshold above which a call counts as slow; 1 by default. */
   slowFactor?: number;
+  /**
+   * Highest further factor in a stratum of which no call of the old version is
+   * known, and which may be slower or further away whatever the version; 1 by
+   * default.
+   */
+  unknownStratumFactor?: number;
 };
 
 type RouteCounts = {
   /** One for each measure of slowness. */
   thresholds: RunningQuantile[];
   strata: Map<string | undefined, Record<VersionSide, CallCounts>>;
+  /** Strata that the thresholds cover. */
+  known: Set<string | undefined>;
 };
 
 /** Counts for each route since the last {@link EvidenceCollector.flush}. */
 export class EvidenceCollector {
   readonly #routes = new Map<string, RouteCounts>();
   readonly #slowFactor: number;
-
-  constructor({ slowFactor = 1 }: EvidenceCollectorOptions = {}) {
-    this.#slowFactor = slowFactor;
+  readonly #unknownStratumFactor: number;
+  /** Measures of the old version's calls, each divided by its threshold. */
+  readonly #usual: RecentQuartile[] = [];
+  /** The same of the new version, by stratum of which no old call is known. */
+  readonly #unknown = new Map<string | undefined, RecentQuartile[]>();
+
+  constructor(options: EvidenceCollectorOptions = {}) {
+    this.#slowFactor = options.slowFactor ?? 1;
+    this.#unknownStratumFactor = options.unknownStratumFactor ?? 1;
   }
 
   /**
@@ -62,16 +77,21 @@
       side: VersionSide;
       failed: boolean;
       slowness?: Slowness | undefined;
+      /** Its slowness shows nothing of what is usual in the stratum. */
+      isCold?: boolean;
     },
   ): void {
+    const { stratum, slowness } = call;
     const routeCounts = this.#countsOf(call.route);
-    const counts = countsOf(routeCounts, call.stratum)[call.side];
+    const counts = countsOf(routeCounts, stratum)[call.side];
     counts.ended++;
     if (call.failed) counts.failed++;
-    if (call.slowness === undefined) return;
-    if (this.#exceeds(routeCounts, call.slowness)) counts.slow++;
+    if (slowness === undefined) return;
+    if (this.#exceeds(routeCounts, stratum, slowness)) counts.slow++;
+    if (!call.isCold) this.#learnPace(routeCounts, { ...call, slowness });
     if (call.side !== "from") return;
-    for (const [index, value] of measuresOf(call.slowness).entries()) {
+    routeCounts.known.add(stratum);
+    for (const [index, value] of measuresOf(slowness).entries()) {
       if (value === undefined) continue;
       routeCounts.thresholds[index] ??= new RunningQuantile(SLOW_QUANTILE);
       routeCounts.thresholds[index].add(value);
@@ -79,15 +99,68 @@
   }
 
   /** Whether a call with these measures counts as slow. */
-  isSlow(route: string, slowness: Slowness): boolean {
-    return this.#exceeds(this.#countsOf(route), slowness);
+  isSlow(
+    { route, stratum }: { route: string; stratum?: string | undefined },
+    slowness: Slowness,
+  ): boolean {
+    return this.#exceeds(this.#countsOf(route), stratum, slowness);
+  }
+
+  #exceeds(
+    { thresholds, known }: RouteCounts,
+    stratum: string | undefined,
+    slowness: Slowness,
+  ): boolean {
+    return measuresOf(slowness).some((value, index) => {
+      const threshold = thresholds[index]?.value;
+      if (value === undefined || threshold === undefined) return false;
+      const factor = known.has(stratum) ? 1 : this.#paceOf(stratum, index);
+      return value > factor * this.#slowFactor * threshold;
+    });
   }
 
-  #exceeds({ thresholds }: RouteCounts, slowness: Slowness): boolean {
-    return measuresOf(slowness).some((value, index) =>
-      value !== undefined &&
-      value > this.#slowFactor * (thresholds[index]?.value ?? Infinity)
-    );
+  #learnPace(
+    { thresholds, known }: RouteCounts,
+    call: {
+      stratum?: string | undefined;
+      side: VersionSide;
+      slowness: Slowness;
+    },
+  ): void {
+    const { stratum, side, slowness } = call;
+    if (this.#unknownStratumFactor === 1) return;
+    if (side === "to" && known.has(stratum)) return;
+    const paces = side === "from"
+      ? this.#usual
+      : this.#unknown.get(stratum) ?? [];
+    if (side === "to") this.#unknown.set(stratum, paces);
+    for (const [index, value] of measuresOf(slowness).entries()) {
+      const threshold = thresholds[index]?.value;
+      if (value === undefined || threshold === undefined) continue;
+      paces[index] ??= new RecentQuartile();
+      paces[index].add(value / threshold);
+    }
+  }
+
+  /**
+   * Factor by which most calls in a stratum take longer than usual. A fault of
+   * the new version that slows down only some of its calls has no part in it.
+   */
+  #paceOf(stratum: string | undefined, index: number): number {
+    const usual = this.#usual[index]?.value;
+    const pace = this.#unknown.get(stratum)?.[index]?.value;
+    const maximum = this.#unknownStratumFactor;
+    if (usual === undefined || pace === undefined) return maximum;
+    return Math.min(maximum, Math.max(1, pace / usual));
+  }
+
+  /** Discards the counts, and which strata are known. */
+  restart(): void {
+    this.#unknown.clear();
+    for (const { strata, known } of this.#routes.values()) {
+      strata.clear();
+      known.clear();
+    }
   }
 
   /** Returns the counts and resets them; the thresholds are kept. */
@@ -113,7 +186,7 @@
     const key = full ? OTHER_ROUTES : route;
     let routeCounts = this.#routes.get(key);
     if (routeCounts === undefined) {
-      routeCounts = { thresholds: [], strata: new Map() };
+      routeCounts = { thresholds: [], strata: new Map(), known: new Set() };
       this.#routes.set(key, routeCounts);
     }
     return routeCounts;
--- a/packages/decisions/src/moves/move_judge.ts
+++ b/packages/decisions/src/moves/move_judge.ts
@@ -22,6 +22,8 @@
 import type { CallCounts, RouteEvidence } from "./evidence.ts";
 import { RatioEvidence } from "./ratio_evidence.ts";
 import type { RatioEvidenceOptions } from "./ratio_evidence.ts";
+import { Stratum } from "./stratum.ts";
+import type { OldCalls } from "./stratum.ts";
 
 /** Result of the comparison so far. */
 export type MoveVerdict =
@@ -53,12 +55,19 @@
   withoutNew: 60_000,
   withoutOld: 10_000,
 };
-/** Milliseconds in which the old version's earlier counts decay to 1/e. */
-const BASELINE_TIME_CONSTANT = 60_000;
+/** A stratum or route of the old version alone is never compared. */
+const OWN_REFERENCE = { strata: Infinity, routes: Infinity };
 
 /** Maximum milliseconds of an interval without calls of one version. */
 export type MaximumInterval = { withoutNew: number; withoutOld: number };
 
+/**
+ * Milliseconds of an interval after which calls of the new version for which
+ * the old one has none to compare with are compared with its calls in the other
+ * strata of the route, and then with those of the other routes.
+ */
+export type WiderReference = { strata: number; routes: number };
+
 /** Parameters of a judge; the defaults are for moves that take minutes. */
 export type MoveJudgeOptions = {
   failureTest?: RatioEvidenceOptions;
@@ -71,6 +80,11 @@
    * none in an interval.
    */
   minimumBaseline?: number;
+  /**
+   * By default, calls are compared within their route and stratum only. Those
+   * of other routes show nothing of slowness.
+   */
+  widerReference?: WiderReference;
   /**
    * Also sums the evidence of all routes, which shows a fault of all routes
    * sooner if there are many.
@@ -89,20 +103,18 @@
   strata: Map<string | undefined, Stratum>;
 };
 
-type Stratum = {
-  /** Counts that were not compared yet. */
-  pending: Record<"from" | "to", CallCounts>;
-  pendingSince: number;
-  baseline: CallCounts;
-  baselineAt: number;
-};
+/** Calls of the old version that those of the new one are compared with. */
+type Reference = { from: CallCounts; isOfRoute: boolean };
 
 /** Evaluates the evidence of one move at one process. */
 export class MoveJudge {
   readonly #routes = new Map<string, RouteState>();
   readonly #options: Required<MoveJudgeOptions>;
   readonly #allRoutes: RouteTests;
+  /** Of all routes, since the move began. */
+  readonly #oldCalls = zeroCounts();
   #verdict: MoveVerdict = { kind: "undecided" };
+  #uncomparedCalls = zeroCounts();
 
   constructor(options: MoveJudgeOptions = {}) {
     this.#options = {
@@ -111,6 +123,7 @@
       warmUpCalls: WARM_UP_CALLS,
       maximumInterval: MAXIMUM_INTERVAL,
       minimumBaseline: 0,
+      widerReference: OWN_REFERENCE,
       sumsRoutes: false,
       ...options,
     };
@@ -142,16 +155,26 @@
     );
   }
 
+  /**
+   * Calls of the new version that have waited in vain for any of the old one to
+   * be compared with.
+   */
+  get uncomparedCalls(): CallCounts {
+    return this.#uncomparedCalls;
+  }
+
   /** Adds the evidence of one interval of up to a few seconds. */
   observe(evidence: readonly RouteEvidence[], now: number): MoveVerdict {
     for (const { route, stratum: name, from, to } of evidence) {
       const state = this.#stateOf(route);
-      const { pending } = stratumOf(state, name, now);
+      const { pending } = this.#stratumOf(state, name, now);
       addCounts(pending.from, from);
       addCounts(pending.to, to);
       addCounts(state.total.from, from);
       addCounts(state.total.to, to);
+      addCounts(this.#oldCalls, from);
     }
+    this.#uncomparedCalls = zeroCounts();
     for (const state of this.#routes.values()) {
       for (const stratum of state.strata.values()) {
         this.#compare(state, stratum, now);
@@ -163,30 +186,73 @@
   #compare(state: RouteState, stratum: Stratum, now: number): void {
     const { from, to } = stratum.pending;
     if (from.ended + to.ended === 0) {
-      stratum.pendingSince = now;
+      stratum.beginInterval(this.#oldCallsOf(state), now);
       return;
     }
-    const age = now - stratum.pendingSince;
+    const age = now - stratum.since;
     const { withoutNew, withoutOld } = this.#options.maximumInterval;
     if (to.ended === 0 && age < withoutNew) return;
     if (from.ended === 0 && age < withoutOld) return;
-    decayBaseline(stratum, now);
-    const { baseline } = stratum;
-    const hasReference = from.ended > 0 ||
-      baseline.ended >= this.#options.minimumBaseline;
-    if (!hasReference) return;
-    this.#test(state, from.ended > 0 ? from : baseline, to);
-    addCounts(stratum.baseline, from);
-    stratum.pending = { from: zeroCounts(), to: zeroCounts() };
-    stratum.pendingSince = now;
+    const reference = this.#referenceOf(state, stratum, now);
+    if (reference !== undefined) {
+      this.#test(state, reference, to);
+      stratum.beginInterval(this.#oldCallsOf(state), now);
+    } else if (age >= this.#options.widerReference.routes) {
+      addCounts(this.#uncomparedCalls, to);
+    }
+  }
+
+  /**
+   * The nearest calls of the old version: of the same stratum, of the others,
+   * or of other routes; of the same interval, or else earlier ones.
+   */
+  #referenceOf(
+    state: RouteState,
+    stratum: Stratum,
+    now: number,
+  ): Reference | undefined {
+    const { widerReference, minimumBaseline } = this.#options;
+    const { pending: { from } } = stratum;
+    const age = now - stratum.since;
+    if (from.ended > 0) return { from, isOfRoute: true };
+    const own = stratum.baseline(now);
+    if (own.ended >= minimumBaseline) return { from: own, isOfRoute: true };
+    const isKnown = own.ended > 0;
+    if (isKnown && age < widerReference.strata) return undefined;
+    const meanwhile = stratum.oldCallsMeanwhile(this.#oldCallsOf(state));
+    const ofRoute = this.#enoughOf(meanwhile.route, [state], now);
+    if (ofRoute !== undefined) return { from: ofRoute, isOfRoute: true };
+    if (age < widerReference.routes) return undefined;
+    const ofAll = this.#enoughOf(meanwhile.all, this.#routes.values(), now);
+    return ofAll && { from: ofAll, isOfRoute: false };
   }
 
-  #test(state: RouteState, from: CallCounts, to: CallCounts): void {
-    const isWarm = state.total.to.ended >= this.#options.warmUpCalls;
-    this.#observe(state, from, to, isWarm);
+  /** Calls of the interval, or else the last ones if they are enough. */
+  #enoughOf(
+    meanwhile: CallCounts,
+    states: Iterable<RouteState>,
+    now: number,
+  ): CallCounts | undefined {
+    if (meanwhile.ended > 0) return meanwhile;
+    const last = lastCallsOf(states, now);
+    return last.ended >= this.#options.minimumBaseline ? last : undefined;
+  }
+
+  #oldCallsOf({ total }: RouteState): OldCalls {
+    return { route: total.from, all: this.#oldCalls };
+  }
+
+  #test(
+    state: RouteState,
+    { from, isOfRoute }: Reference,
+    to: CallCounts,
+  ): void {
+    const comparesSlowness = isOfRoute &&
+      state.total.to.ended >= this.#options.warmUpCalls;
+    this.#observe(state, from, to, comparesSlowness);
     this.#rejectOnAlarm(state, () => state.total);
     if (!this.#options.sumsRoutes) return;
-    this.#observe(this.#allRoutes, from, to, isWarm);
+    this.#observe(this.#allRoutes, from, to, comparesSlowness);
     this.#rejectOnAlarm(this.#allRoutes, () => this.#totalOfAllRoutes());
   }
 
@@ -203,10 +269,11 @@
     { failures, slowness }: RouteTests,
     from: CallCounts,
     to: CallCounts,
-    isWarm: boolean,
+    comparesSlowness: boolean,
   ): void {
     failures.observe(from, to, { from: from.failed, to: to.failed });
-    if (isWarm) slowness.observe(from, to, { from: from.slow, to: to.slow });
+    if (!comparesSlowness) return;
+    slowness.observe(from, to, { from: from.slow, to: to.slow });
   }
 
   #rejectOnAlarm(
@@ -253,31 +320,33 @@
     }
     return state;
   }
+
+  #stratumOf(
+    state: RouteState,
+    name: string | undefined,
+    now: number,
+  ): Stratum {
+    let stratum = state.strata.get(name);
+    if (stratum === undefined) {
+      stratum = new Stratum(this.#oldCallsOf(state), now);
+      state.strata.set(name, stratum);
+    }
+    return stratum;
+  }
 }
 
 function emptyEvidence(route: string): RouteEvidence {
   return { route, from: zeroCounts(), to: zeroCounts() };
 }
 
-function stratumOf(
-  { strata }: RouteState,
-  name: string | undefined,
-  now: number,
-): Stratum {
-  const stratum = strata.get(name) ?? {
-    pending: { from: zeroCounts(), to: zeroCounts() },
-    pendingSince: now,
-    baseline: zeroCounts(),
-    baselineAt: now,
-  };
-  strata.set(name, stratum);
-  return stratum;
-}
-
-function decayBaseline(state: Stratum, now: number): void {
-  const factor = Math.exp(-(now - state.baselineAt) / BASELINE_TIME_CONSTANT);
-  state.baselineAt = now;
-  state.baseline.ended *= factor;
-  state.baseline.failed *= factor;
-  state.baseline.slow *= factor;
+/** Last calls of the old version in all strata of the routes. */
+function lastCallsOf(states: Iterable<RouteState>, now: number): CallCounts {
+  const sum = zeroCounts();
+  for (const { strata } of states) {
+    for (const stratum of strata.values()) {
+      addCounts(sum, stratum.baseline(now));
+      addCounts(sum, stratum.pending.from);
+    }
+  }
+  return sum;
 }
--- a/packages/decisions/src/rollouts/rollout_evidence.ts
+++ b/packages/decisions/src/rollouts/rollout_evidence.ts
@@ -31,6 +31,12 @@
  */
 const SLOW_FACTOR = 1.5;
 
+/**
+ * Highest factor of that in data centres in which the established version has
+ * no servers: they may be slower or further away.
+ */
+const OTHER_DATA_CENTRE_FACTOR = 2;
+
 /** Factor by which a server that is cold may be slower. */
 const COLD_FACTOR = 3;
 
@@ -59,6 +65,7 @@
   warmUpCalls: 0,
   maximumInterval: { withoutNew: 5000, withoutOld: 300 },
   minimumBaseline: 10,
+  widerReference: { strata: 1000, routes: 5000 },
   sumsRoutes: true,
 };
 
@@ -91,7 +98,10 @@
 /** Runs of one service, and the comparison of two versions. */
 export class RolloutEvidence {
   readonly #runs = new Map<string, RunInProgress>();
-  readonly #collector = new EvidenceCollector({ slowFactor: SLOW_FACTOR });
+  readonly #collector = new EvidenceCollector({
+    slowFactor: SLOW_FACTOR,
+    unknownStratumFactor: OTHER_DATA_CENTRE_FACTOR,
+  });
   /** When a bad run of a server counted last. */
   readonly #countedAt = new Map<string, number>();
   #judge = new MoveJudge(JUDGE_OPTIONS);
@@ -135,7 +145,7 @@
     if (established !== target) {
       this.#sides = new Map([...this.#sides, [target, "to"]]);
     }
-    this.#collector.flush();
+    this.#collector.restart();
     this.#countedAt.clear();
     this.#judge = new MoveJudge(JUDGE_OPTIONS);
   }
@@ -209,8 +219,15 @@
       return;
     }
     const slowness = failed ? undefined : slownessOf(run, now);
-    const { route, dataCentre: stratum } = run;
-    this.#collector.recordCall({ route, stratum, side, failed, slowness });
+    const { route, dataCentre: stratum, isCold } = run;
+    this.#collector.recordCall({
+      route,
+      stratum,
+      side,
+      failed,
+      slowness,
+      isCold,
+    });
   }
 
   #hasCountedLately(server: string, now: number): boolean {
@@ -221,7 +238,8 @@
   }
 
   #isSlow(run: RunInProgress, now: number): boolean {
-    return this.#collector.isSlow(run.route, slownessOf(run, now));
+    const { route, dataCentre: stratum } = run;
+    return this.#collector.isSlow({ route, stratum }, slownessOf(run, now));
   }
 }
 
--- a/packages/decisions/test/move_judge_test.ts
+++ b/packages/decisions/test/move_judge_test.ts
@@ -68,6 +68,107 @@
   t.end();
 });
 
+function judgeOfStrata(): MoveJudge {
+  return new MoveJudge({
+    maximumInterval: { withoutNew: 5000, withoutOld: 300 },
+    minimumBaseline: 10,
+    widerReference: { strata: 1000, routes: 5000 },
+    warmUpCalls: 0,
+  });
+}
+
+t.test("a stratum without the old version is compared with the others", (t) => {
+  for (const [failed, slow] of [[0, 0], [1, 0], [0, 1]]) {
+    const judge = judgeOfStrata();
+    for (let now = 0; now < 10_000; now += 100) {
+      judge.observe([
+        { ...evidence("chat", [5, 0, 0], [0, 0, 0]), stratum: "a" },
+        { ...evidence("chat", [0, 0, 0], [1, failed!, slow!]), stratum: "b" },
+      ], now);
+    }
+    t.equal(judge.verdict.kind, failed! + slow! > 0 ? "bad" : "undecided");
+    t.equal(judge.uncomparedCalls.ended, 0);
+  }
+  t.end();
+});
+
+t.test("a fault of both versions in different strata does not reject the new one", (t) => {
+  const judge = judgeOfStrata();
+  for (let now = 0; now < 20_000; now += 100) {
+    const failed = now < 10_000 ? 0 : 1;
+    judge.observe([
+      { ...evidence("chat", [9, 3 * failed, 0], [0, 0, 0]), stratum: "a" },
+      { ...evidence("chat", [0, 0, 0], [3, failed, 0]), stratum: "b" },
+    ], now);
+  }
+  t.equal(judge.verdict.kind, "undecided");
+  t.end();
+});
+
+t.test("a route without the old version is compared with other routes by failures", (t) => {
+  for (const [failed, slow] of [[1, 0], [0, 1]]) {
+    const judge = judgeOfStrata();
+    for (let now = 0; now < 20_000; now += 100) {
+      judge.observe([
+        evidence("chat", [5, 0, 0], [0, 0, 0]),
+        evidence("tags", [0, 0, 0], [1, failed!, slow!]),
+      ], now);
+    }
+    t.equal(judge.verdict.kind, failed === 1 ? "bad" : "undecided");
+  }
+  t.end();
+});
+
+t.test("calls that can't be compared with any are counted", (t) => {
+  const judge = judgeOfStrata();
+  for (let now = 0; now <= 6000; now += 100) {
+    judge.observe([evidence("chat", [0, 0, 0], [1, 1, 0])], now);
+  }
+  t.equal(judge.verdict.kind, "undecided");
+  t.strictSame(judge.uncomparedCalls, { ended: 61, failed: 61, slow: 0 });
+  t.end();
+});
+
+t.test("a call in an unknown stratum is slow only beyond a further factor", (t) => {
+  const collector = new EvidenceCollector({ unknownStratumFactor: 2 });
+  const call = { route: "chat", failed: false, stratum: "a" };
+  collector.recordCall({ ...call, side: "from", slowness: 1 });
+  t.ok(collector.isSlow(call, 1.5));
+  t.notOk(collector.isSlow({ ...call, stratum: "b" }, 1.5));
+  t.ok(collector.isSlow({ ...call, stratum: "b" }, 2.5));
+  t.end();
+});
+
+t.test("a stratum that is slower by itself raises the threshold there", (t) => {
+  const collector = new EvidenceCollector({ unknownStratumFactor: 2 });
+  const isSlow = (stratum: string) =>
+    collector.isSlow({ route: "chat", stratum }, 1.4);
+  for (let call = 0; call < 40; call++) {
+    const common = { route: "chat", failed: false };
+    collector.recordCall({
+      ...common,
+      side: "from",
+      stratum: "a",
+      slowness: 1,
+    });
+    collector.recordCall({
+      ...common,
+      side: "to",
+      stratum: "slower",
+      slowness: 1.5,
+    });
+    collector.recordCall({
+      ...common,
+      side: "to",
+      stratum: "alike",
+      slowness: call % 2 === 0 ? 1 : 5,
+    });
+  }
+  t.notOk(isSlow("slower"));
+  t.ok(isSlow("alike"));
+  t.end();
+});
+
 t.test("good versions are rarely rejected", (t) => {
   // 300 moves of 2000 s; 10 calls a second on each route, one in fifty fails.
   const random = createRandom(11);
--- a/packages/decisions/test/rollout_simulation.ts
+++ b/packages/decisions/test/rollout_simulation.ts
@@ -25,6 +25,7 @@
 const REPORT_INTERVAL = 250;
 export const SERVICE = "assistant";
 const OLD = "v1";
+const DATA_CENTRES = { old: ["a", "b"], new: ["a", "b"] };
 export const TARGET = "v2";
 
 /** How the bad version, or both, differ from a sound one. */
@@ -51,6 +52,10 @@
   rate: number;
   routes: { runTime: number; isStream: boolean }[];
   servers: { old: number; new: number; slots: number };
+  /** Where the servers of each version stand; in `a` and `b` if absent. */
+  dataCentres?: { old: readonly string[]; new: readonly string[] };
+  /** Data centre whose servers take so many times as long, of both versions. */
+  slowDataCentre?: { name: string; factor: number };
   /** One for each group of entries. */
   groups?: number;
   fault?: Fault;
@@ -91,6 +96,7 @@
   readonly #options: SimulationOptions;
   readonly #random: () => number;
   readonly #schedulers: GroupScheduler[] = [];
+  readonly #dataCentres: { old: readonly string[]; new: readonly string[] };
   readonly #old: ServerRecord[];
   readonly #new: ServerRecord[];
   readonly #orderedAt = 3000;
@@ -102,8 +108,9 @@
   constructor(options: SimulationOptions) {
     this.#options = options;
     this.#random = uniformSource(options.seed);
-    this.#old = this.#servers(OLD, options.servers.old, 1);
-    this.#new = this.#servers(TARGET, options.servers.new, 2);
+    this.#dataCentres = options.dataCentres ?? DATA_CENTRES;
+    this.#old = this.#servers("old", OLD, 1);
+    this.#new = this.#servers("new", TARGET, 2);
     const groups = options.groups ?? 1;
     for (let group = 0; group < groups; group++) {
       const scheduler = new GroupScheduler(NO_LEEWAY);
@@ -140,17 +147,22 @@
     if (now >= this.#orderedAt + orderDelay) this.#drive(now);
   }
 
-  #servers(version: string, count: number, startedAt: number): ServerRecord[] {
-    const { slots } = this.#options.servers;
+  #servers(
+    kind: "old" | "new",
+    version: string,
+    startedAt: number,
+  ): ServerRecord[] {
+    const { slots, [kind]: length } = this.#options.servers;
+    const dataCentres = this.#dataCentres[kind];
     return Array.from(
-      { length: count },
+      { length },
       (_, index) =>
         serverRecord(`${version}-${index}`, {
           version,
           startedAt,
           slots,
           port: startedAt * 1000 + index,
-          dataCentre: index % 2 === 0 ? "a" : "b",
+          dataCentre: dataCentres[index % dataCentres.length]!,
         }),
     );
   }
@@ -212,6 +224,9 @@
 
   #arrive(now: number): void {
     const { rate, routes } = this.#options;
+    const places = [
+      ...new Set([...this.#dataCentres.old, ...this.#dataCentres.new]),
+    ];
     const expected = rate * TICK / 1000;
     let count = Math.floor(expected);
     if (this.#random() < expected - count) count++;
@@ -222,7 +237,7 @@
         id: `${now}-${index}`,
         arrived: now,
         route: `route-${route}`,
-        dataCentre: this.#random() < 0.5 ? "a" : "b",
+        dataCentre: places[Math.floor(this.#random() * places.length)]!,
         cost: routes[route]!.isStream
           ? { promptTokens: 600, outputTokens: 100 }
           : { promptTokens: 0, outputTokens: 0 },
@@ -251,11 +266,14 @@
     const running = this.#runs.filter((run) => run.server === server).length;
     const load = running / server.slots;
     const isBad = this.#isBad(server, route, load, now);
-    const { fault } = this.#options;
+    const { fault, slowDataCentre } = this.#options;
+    const pace = slowDataCentre?.name === server.dataCentre
+      ? slowDataCentre.factor
+      : 1;
     const isSlow = isBad && fault?.kind === "slow";
     const isCold = now < (server.coldUntil ?? -Infinity);
     const time = runTime * Math.exp(0.35 * this.#normal()) * (1 + load / 2) *
-      (isSlow ? 5 : 1) * (isCold ? 2 : 1);
+      pace * (isSlow ? 5 : 1) * (isCold ? 2 : 1);
     this.#runs.push({
       request,
       group,
