Roll back a failing version that no established run is compared with

What callers saw: a version of which all responses failed got 124 of 660 requests where 116 are allowed, and was not rolled back, beside a record of another writer that started first and serves nothing; and 141 of 660 where no run of the old version ended.

Cause: only runs of the version assumed to be established were the reference, and it may be another than the one that serves. Each change of the assumption during a roll-out discarded the evidence. Runs without any reference left the evidence neutral, which counts as sound.

Change: the runs of all versions but the target are the reference; the evidence is kept unless the target itself is or was assumed to be established; if over a tenth of ten runs or more fail and there is nothing to compare them with, the target gets no further step and is rolled back at the decision.

--- a/packages/decisions/src/rollouts/rollout_evidence.ts
+++ b/packages/decisions/src/rollouts/rollout_evidence.ts
@@ -18,6 +18,7 @@
 import type { StreamTiming } from "../dispatch/pooled_server.ts";
 import { EvidenceCollector, MoveJudge } from "../moves/mod.ts";
 import type {
+  CallCounts,
   MoveJudgeOptions,
   MoveVerdict,
   RouteEvidence,
@@ -105,8 +106,9 @@
   /** When a bad run of a server counted last. */
   readonly #countedAt = new Map<string, number>();
   #judge = new MoveJudge(JUDGE_OPTIONS);
-  #sides: ReadonlyMap<string, VersionSide> = new Map();
   #established: string | undefined;
+  /** Absent while no two versions are compared. */
+  #target: string | undefined;
 
   get verdict(): MoveVerdict {
     return this.#judge.verdict;
@@ -127,6 +129,11 @@
     return this.#judge.newVersionCalls;
   }
 
+  /** Ended runs of the target that there is nothing to compare with. */
+  get uncomparedRuns(): CallCounts {
+    return this.#judge.uncomparedCalls;
+  }
+
   /** Number of runs in progress. */
   get size(): number {
     return this.#runs.size;
@@ -142,24 +149,38 @@
   /** Starts a new comparison. */
   compare(established: string | undefined, target: string): void {
     this.setEstablished(established);
-    if (established !== target) {
-      this.#sides = new Map([...this.#sides, [target, "to"]]);
-    }
+    if (established !== target) this.#target = target;
     this.#collector.restart();
     this.#countedAt.clear();
     this.#judge = new MoveJudge(JUDGE_OPTIONS);
   }
 
-  /** The version whose runs show what is usual. */
-  get established(): string | undefined {
-    return this.#established;
+  /**
+   * Sets the established version during a comparison, which starts anew only if
+   * the target is established, or no longer.
+   */
+  updateEstablished(established: string | undefined, target: string): void {
+    if (established === this.#established) return;
+    const isCompared = this.#target === target && established !== target;
+    if (isCompared) this.#established = established;
+    else this.compare(established, target);
   }
 
+  /** Sets the version whose runs show what is usual, and ends a comparison. */
   setEstablished(version: string | undefined): void {
     this.#established = version;
-    this.#sides = version === undefined
-      ? new Map()
-      : new Map([[version, "from"]]);
+    this.#target = undefined;
+  }
+
+  /**
+   * The target is compared with all other versions: the one that is assumed to
+   * be established may be another than the one that serves.
+   */
+  #sideOf(version: string): VersionSide | undefined {
+    if (version === this.#target) return "to";
+    const isReference = this.#target !== undefined ||
+      version === this.#established;
+    return isReference ? "from" : undefined;
   }
 
   recordStart(id: string, run: ComparedRun): void {
@@ -203,7 +224,7 @@
   /** Counts the runs in progress that are slow already, and compares. */
   observe(now: number): MoveVerdict {
     for (const run of this.#runs.values()) {
-      if (run.isCounted || !this.#sides.has(run.version)) continue;
+      if (run.isCounted || this.#sideOf(run.version) === undefined) continue;
       if (!this.#isSlow(run, now)) continue;
       run.isCounted = true;
       this.#count(run, false, now);
@@ -212,7 +233,7 @@
   }
 
   #count(run: RunInProgress, failed: boolean, now: number): void {
-    const side = this.#sides.get(run.version);
+    const side = this.#sideOf(run.version);
     if (side === undefined) return;
     const isBad = failed || this.#isSlow(run, now);
     if (isBad && side === "to" && this.#hasCountedLately(run.server, now)) {
--- a/packages/decisions/src/rollouts/rollout_steps.ts
+++ b/packages/decisions/src/rollouts/rollout_steps.ts
@@ -11,7 +11,7 @@
  * harm; so after a delay, a step needs no more runs than there are requests.
  * @module
  */
-import type { MoveVerdict } from "../moves/mod.ts";
+import type { CallCounts, MoveVerdict } from "../moves/mod.ts";
 import type { RolloutOutcome } from "./rollout.ts";
 
 /** Step of a roll-out. */
@@ -54,6 +54,10 @@
  * may be bad.
  */
 const COMMIT_EVIDENCE = 3;
+/** Ended runs of the target that have failures if it is bad. */
+const CONCLUSIVE_RUNS = 10;
+/** Part of the target's runs that may fail if there is nothing to compare with. */
+const TOLERATED_FAILURES = 0.1;
 /** Smallest fraction of the requests that the target has to be able to carry. */
 const MINIMUM_CAPACITY = 0.5;
 
@@ -64,6 +68,8 @@
   evidence: number;
   /** Ended runs of the target. */
   targetRuns: number;
+  /** Those of them that there is nothing to compare with. */
+  uncomparedRuns: CallCounts;
   /** Grants of the service since the order. */
   grants: number;
   /** Share of the requests that the target's servers can carry. */
@@ -185,11 +191,11 @@
     inputs: StepInputs,
     share: number,
   ): { reason: string; isOptional: boolean } | undefined {
-    const { evidence, capacityShare, targetRuns, grants } = inputs;
+    const { capacityShare, targetRuns, grants } = inputs;
     if (capacityShare <= 0) {
       return { reason: "the target has no servers", isOptional: false };
     }
-    if (evidence >= SUSPICIOUS_EVIDENCE) {
+    if (isSuspicious(inputs)) {
       return { reason: "evidence against the target", isOptional: false };
     }
     if (targetRuns === 0 && grants >= NOTICEABLE_GRANTS) {
@@ -207,7 +213,7 @@
 
   /** Succeeds once the target has carried all requests for a while. */
   #finish(inputs: StepInputs, now: number): void {
-    if (inputs.evidence >= SUSPICIOUS_EVIDENCE) {
+    if (isSuspicious(inputs)) {
       this.#reason = "evidence against the target";
       return;
     }
@@ -235,9 +241,9 @@
         now - this.#since < timeOf(LAST_STEP, this.#duration) &&
         this.#elapsed(now) < LAST_END
       ) return;
-      if (inputs.evidence < SUSPICIOUS_EVIDENCE) {
-        this.#end("succeeded", "the target carried all requests");
-      } else this.#end("rolled_back", "evidence against the target");
+      if (isSuspicious(inputs)) {
+        this.#end("rolled_back", "evidence against the target");
+      } else this.#end("succeeded", "the target carried all requests");
       return;
     }
     const obstacle = this.#obstacle(inputs, 0);
@@ -264,6 +270,13 @@
   }
 }
 
+/** Without anything to compare with, frequent failures have to suffice. */
+function isSuspicious({ evidence, uncomparedRuns }: StepInputs): boolean {
+  const { ended, failed } = uncomparedRuns;
+  return evidence >= SUSPICIOUS_EVIDENCE ||
+    ended >= CONCLUSIVE_RUNS && failed > TOLERATED_FAILURES * ended;
+}
+
 function stagesOf(duration: number, exposedShare: number): Stage[] {
   const raised = timeOf(RAISED_STEP, duration) / duration;
   return [
--- a/packages/decisions/src/rollouts/service_rollout.ts
+++ b/packages/decisions/src/rollouts/service_rollout.ts
@@ -290,6 +290,7 @@
       verdict,
       evidence: this.#evidence.strength,
       targetRuns: this.#evidence.targetRuns,
+      uncomparedRuns: this.#evidence.uncomparedRuns,
       grants: this.#exposure?.total ?? 0,
       capacityShare: this.#capacityShare(isEstablished),
       oldRuns: isEstablished || established === undefined
@@ -324,11 +325,8 @@
     this.#versions.update(target, now);
     const { established } = this.#versions;
     if (this.#steps === undefined) this.#evidence.setEstablished(established);
-    else if (
-      target !== undefined && established !== this.#evidence.established
-    ) {
-      // The order was known before any server was.
-      this.#evidence.compare(established, target);
+    else if (target !== undefined) {
+      this.#evidence.updateEstablished(established, target);
     }
     if (!this.#versions.has("exposed")) return;
     this.#updateTrialServers(now);
--- a/packages/decisions/test/rollouts_test.ts
+++ b/packages/decisions/test/rollouts_test.ts
@@ -1,6 +1,11 @@
 import t from "tap";
 import { GroupScheduler } from "../src/mod.ts";
-import type { RolloutOutcome, RolloutState, ServerRecord } from "../src/mod.ts";
+import type {
+  RolloutOutcome,
+  RolloutState,
+  RunOutcome,
+  ServerRecord,
+} from "../src/mod.ts";
 import { grantRequest } from "./grant_requests.ts";
 import { at, serverRecord } from "./server_record.ts";
 
@@ -44,17 +49,25 @@
 /** Milliseconds that a run takes. */
 const RUN_TIME = 400;
 
+type Load = {
+  count?: number;
+  from?: number;
+  /** How runs of a version end, if not with a response; `undefined`: never. */
+  outcomes?: ReadonlyMap<string, RunOutcome | undefined>;
+};
+
 /** Versions that `count` requests in a row are sent to, 20 ms apart. */
 function send(
   scheduler: GroupScheduler,
-  { count = 500, from = 0 }: { count?: number; from?: number } = {},
+  { count = 500, from = 0, outcomes = new Map() }: Load = {},
 ): Map<string, number> {
   const grants = new Map<string, number>();
-  const running: { id: string; endsAt: number }[] = [];
+  const running: { id: string; endsAt: number; outcome: RunOutcome }[] = [];
   const last = from + count * 20;
   for (let now = from; now < last || running.length > 0; now += 20) {
     while (running.length > 0 && running[0]!.endsAt <= now) {
-      scheduler.recordEnd(running.shift()!.id, "answered", now);
+      const { id, outcome } = running.shift()!;
+      scheduler.recordEnd(id, outcome, now);
     }
     if (now < last) scheduler.submit(grantRequest({ arrived: now }), now);
     for (const decision of scheduler.decide(now)) {
@@ -62,8 +75,12 @@
       const version = decision.server.split("-")[0]!;
       grants.set(version, (grants.get(version) ?? 0) + 1);
       const { id } = decision.request;
+      const outcome = outcomes.has(version)
+        ? outcomes.get(version)
+        : "answered";
+      if (outcome === undefined) continue;
       scheduler.recordResponseStart(id, 60, now);
-      running.push({ id, endsAt: now + RUN_TIME });
+      running.push({ id, endsAt: now + RUN_TIME, outcome });
     }
   }
   return grants;
@@ -251,6 +268,57 @@
   t.end();
 });
 
+t.test("a bad version is compared with the one that serves, though another is assumed to be established", (t) => {
+  const [foreign] = servers("v0", 1, 0);
+  const scheduler = schedulerWith([foreign!, ...OLD]);
+  const outcomes = new Map<string, RunOutcome>([
+    ["v0", "connection_refused"],
+    ["v2", "failed"],
+  ]);
+  send(scheduler, { outcomes, count: 1600 });
+  const now = 33_000;
+  scheduler.setServers([foreign!, ...OLD, ...NEW], now);
+  scheduler.setRollouts(rollout("running", { orderedAt: now }), now);
+  const grants = send(scheduler, { outcomes, from: now, count: 660 });
+  t.match(scheduler.rolloutReports(now + 13_200), [{
+    outcome: "rolled_back",
+    reason: /failures/,
+  }]);
+  t.ok(grants.get("v2")! <= 0.1 * 660 + 50, `${grants.get("v2")} of 660`);
+  t.end();
+});
+
+t.test("evidence is kept while records of another version come and go", (t) => {
+  const [foreign] = servers("v0", 1, 0);
+  const scheduler = schedulerWith(OLD);
+  scheduler.setRollouts(rollout(), 0);
+  const outcomes = new Map<string, RunOutcome>([
+    ["v0", "connection_refused"],
+    ["v2", "failed"],
+  ]);
+  for (let from = 0; from < 12_000; from += 600) {
+    const others = from % 1200 === 0 ? [foreign!] : [];
+    scheduler.setServers([...others, ...OLD, ...NEW], from);
+    send(scheduler, { outcomes, from, count: 10 });
+  }
+  t.match(scheduler.rolloutReports(12_000), [{ outcome: "rolled_back" }]);
+  t.end();
+});
+
+t.test("a failing version is rolled back if no run of the old one ends", (t) => {
+  const scheduler = schedulerWith(OLD);
+  scheduler.setServers([...OLD, ...NEW], 0);
+  scheduler.setRollouts(rollout(), 0);
+  const outcomes = new Map<string, RunOutcome | undefined>([
+    ["v1", undefined],
+    ["v2", "failed"],
+  ]);
+  const grants = send(scheduler, { outcomes, count: 660 });
+  t.match(scheduler.rolloutReports(13_200), [{ outcome: "rolled_back" }]);
+  t.ok(grants.get("v2")! <= 0.1 * 660 + 50, `${grants.get("v2")} of 660`);
+  t.end();
+});
+
 t.test("the outcome of another entry is final", (t) => {
   const scheduler = schedulerWith(OLD);
   scheduler.setServers([...OLD, ...NEW], 0);
