Keep the old version if a new granting entry has too few runs

Cause: a new granting entry makes new evidence, but goes through the steps by the time since the order. After a delay a step needs no runs of the target, as few runs were taken for little traffic, so the successor gave the target all requests with a handful of runs compared.

An entry that begins to grant more than a second after the order now requires 30 ended runs of the target for the steps above the allowed share and for the decision, and keeps the old version otherwise, unless the slack covers all requests of the service.

--- a/packages/decisions/src/rollouts/rollout_steps.ts
+++ b/packages/decisions/src/rollouts/rollout_steps.ts
@@ -9,6 +9,12 @@
  *
  * Without traffic there is no evidence, and a version that nobody calls does no
  * harm; so after a delay, a step needs no more runs than there are requests.
+ *
+ * The evidence may be of a part of the time only, since the entry that granted
+ * before was lost with what it knew. Few runs then mean that little is known, and
+ * not that there is little traffic: the target gets no more than a version that
+ * may be bad until there are enough, and the old version is kept if there is no
+ * time for them.
  * @module
  */
 import type { MoveVerdict } from "../moves/mod.ts";
@@ -72,6 +78,8 @@
   oldRuns: number;
   /** The target got all the requests that it may get. */
   isExhausted: boolean;
+  /** So few requests come that the target may get all of them. */
+  isHarmless: boolean;
   /** The target is the established version already. */
   isEstablished: boolean;
 };
@@ -81,6 +89,8 @@
   readonly #stages: readonly Stage[];
   readonly #orderedAt: number;
   readonly #duration: number;
+  /** Evidence of an earlier part of the roll-out was lost. */
+  readonly #isEvidencePartial: boolean;
   #index = 0;
   #since: number;
   /** Ended runs of the target when the step began. */
@@ -94,10 +104,12 @@
       orderedAt: number;
       duration: number;
       exposedShare: number;
+      isEvidencePartial: boolean;
       now: number;
     },
   ) {
     const { orderedAt, duration, exposedShare, now } = options;
+    this.#isEvidencePartial = options.isEvidencePartial;
     this.#orderedAt = orderedAt;
     this.#duration = duration;
     this.#since = now;
@@ -200,9 +212,15 @@
       const reason = "the target's servers can't carry more";
       return { reason, isOptional: capacityShare >= MINIMUM_CAPACITY };
     }
-    return targetRuns < ENOUGH_RUNS
-      ? { reason: "few runs of the target have ended", isOptional: true }
-      : undefined;
+    if (targetRuns >= ENOUGH_RUNS) return undefined;
+    const reason = "few runs of the target have ended";
+    return { reason, isOptional: !this.#needsRuns(inputs, share) };
+  }
+
+  /** Whether few runs keep the target from getting `share` of the requests. */
+  #needsRuns({ isHarmless }: StepInputs, share: number): boolean {
+    return this.#isEvidencePartial && !isHarmless &&
+      share > this.#stages[1]!.share;
   }
 
   /** Succeeds once the target has carried all requests for a while. */
@@ -240,15 +258,11 @@
       } else this.#end("rolled_back", "evidence against the target");
       return;
     }
-    const obstacle = this.#obstacle(inputs, 0);
+    const obstacle = this.#obstacle(inputs, MINIMUM_CAPACITY);
     if (obstacle !== undefined && !obstacle.isOptional) {
       this.#end("rolled_back", obstacle.reason);
       return;
     }
-    if (inputs.capacityShare < MINIMUM_CAPACITY) {
-      this.#end("rolled_back", "the target's servers can't carry the requests");
-      return;
-    }
     this.#enter(this.#stages.length - 1, inputs, now);
   }
 
--- a/packages/decisions/src/rollouts/service_rollout.ts
+++ b/packages/decisions/src/rollouts/service_rollout.ts
@@ -228,6 +228,11 @@
       : undefined;
   }
 
+  /** Milliseconds that the roll-out may take. */
+  get #duration(): number {
+    return this.#state?.order.duration ?? 0;
+  }
+
   /** A conclusion of another entry is final also here. */
   get #outcome(): RolloutOutcome {
     const outcome = this.#state?.outcome ?? "running";
@@ -279,7 +284,13 @@
       granted: this.#exposure?.granted ?? 0,
     });
     const { exposedShare } = this.#bounds;
-    return new RolloutSteps({ orderedAt, duration, exposedShare, now });
+    return new RolloutSteps({
+      orderedAt,
+      duration,
+      exposedShare,
+      isEvidencePartial: now - orderedAt >= ORDER_DELAY,
+      now,
+    });
   }
 
   #advance(steps: RolloutSteps, now: number): void {
@@ -296,6 +307,7 @@
         ? 0
         : this.#evidence.running(established),
       isExhausted: this.#exposure?.isExhausted(steps.share, now) ?? false,
+      isHarmless: this.#exposure?.coversAll(this.#duration, now) ?? true,
       isEstablished,
     }, now);
   }
--- a/packages/decisions/src/rollouts/version_exposure.ts
+++ b/packages/decisions/src/rollouts/version_exposure.ts
@@ -48,6 +48,7 @@
 /** Counts the grants of one version that is not established. */
 export class VersionExposure {
   readonly #options: ExposureOptions;
+  #fraction: number;
   #slack: number;
   #credit: number;
   #granted: number;
@@ -56,6 +57,7 @@
   constructor(options: ExposureOptions) {
     const { fraction, hasSlack, granted = 0 } = options;
     this.#options = options;
+    this.#fraction = fraction;
     this.#slack = this.#slackOf(fraction);
     this.#credit = hasSlack ? Math.max(1, FIRST_REQUESTS * fraction) : 1;
     this.#granted = Math.min(granted, this.#slack);
@@ -64,6 +66,7 @@
 
   /** Sets the fraction of the fleet's requests that are granted here. */
   setFraction(fraction: number): void {
+    this.#fraction = fraction;
     this.#slack = this.#slackOf(fraction);
   }
 
@@ -100,6 +103,18 @@
     return this.#granted + 1 > this.#bound(share, now);
   }
 
+  /**
+   * Whether all requests of `duration` milliseconds, at the present rate, are no
+   * more than the slack.
+   */
+  coversAll(duration: number, now: number): boolean {
+    const { bounds, since } = this.#options;
+    const elapsed = now - since;
+    if (elapsed < MINIMUM_RATE_TIME) return false;
+    const requests = this.#total * duration / elapsed;
+    return requests <= bounds.exposedSlack * this.#fraction;
+  }
+
   #slackOf(fraction: number): number {
     const { bounds, hasSlack } = this.#options;
     return hasSlack ? USED_SLACK * bounds.exposedSlack * fraction : 1;
--- a/packages/decisions/test/rollout_simulation.ts
+++ b/packages/decisions/test/rollout_simulation.ts
@@ -3,7 +3,7 @@
  * versions, the entries that grant, and a driver that stores their conclusions.
  * @module
  */
-import { GroupScheduler } from "../src/mod.ts";
+import { GroupScheduler, incarnationOf } from "../src/mod.ts";
 import type {
   GrantRequest,
   RolloutOutcome,
@@ -23,6 +23,8 @@
 const WRITE_TIME = 200;
 /** Milliseconds between two reports to the driver. */
 const REPORT_INTERVAL = 250;
+/** Milliseconds from the loss of a granting entry until another one grants. */
+const TAKEOVER_TIME = 500;
 export const SERVICE = "assistant";
 const OLD = "v1";
 export const TARGET = "v2";
@@ -58,6 +60,8 @@
   orderDelay?: number;
   /** Milliseconds for which a new server is cold, and twice as slow. */
   coldTime?: number;
+  /** Milliseconds after the order at which the granting entries are lost. */
+  losses?: number[];
 };
 
 type Run = {
@@ -95,6 +99,14 @@
   readonly #new: ServerRecord[];
   readonly #orderedAt = 3000;
   #runs: Run[] = [];
+  /** Requests without a grant, by id, with their group. */
+  readonly #waiting = new Map<
+    string,
+    { request: GrantRequest; group: number }
+  >();
+  /** End of the time in which no entry grants. */
+  #lostUntil = -Infinity;
+  #states: ReadonlyMap<string, RolloutState> = new Map();
   #reports: RolloutReport[][] = [];
   #reportedAt = 0;
   #written: { outcome: RolloutOutcome; at: number } | undefined;
@@ -106,14 +118,18 @@
     this.#new = this.#servers(TARGET, options.servers.new, 2);
     const groups = options.groups ?? 1;
     for (let group = 0; group < groups; group++) {
-      const scheduler = new GroupScheduler(NO_LEEWAY);
-      const fraction = 1 / groups;
-      scheduler.setQuotas(new Map(), { room: fraction, quota: fraction }, 0);
-      scheduler.setServers(this.#old, 0);
-      this.#schedulers.push(scheduler);
+      this.#schedulers.push(this.#scheduler(0));
     }
   }
 
+  #scheduler(now: number): GroupScheduler {
+    const scheduler = new GroupScheduler(NO_LEEWAY);
+    const fraction = 1 / (this.#options.groups ?? 1);
+    scheduler.setQuotas(new Map(), { room: fraction, quota: fraction }, now);
+    scheduler.setServers(this.#old, now);
+    return scheduler;
+  }
+
   /** Runs until two seconds after the time limit, or after the outcome. */
   run(): this {
     const { duration } = this.#options;
@@ -129,10 +145,17 @@
       this.#setServers([...this.#old, ...this.#new], now);
     }
     if (now === this.#orderedAt + orderDelay) this.#setOutcome("running", now);
+    const { losses = [] } = this.#options;
+    if (losses.includes(now - this.#orderedAt)) {
+      this.#lostUntil = now + TAKEOVER_TIME;
+    }
+    if (now === this.#lostUntil) this.#takeOver(now);
     this.#arrive(now);
     this.#advanceRuns(now);
+    if (this.#isLost(now)) return;
     for (const [group, scheduler] of this.#schedulers.entries()) {
       for (const decision of scheduler.decide(now)) {
+        this.#waiting.delete(decision.request.id);
         if (decision.kind === "refuse") this.refused++;
         else this.#start(decision.request, decision.server, group, now);
       }
@@ -140,6 +163,26 @@
     if (now >= this.#orderedAt + orderDelay) this.#drive(now);
   }
 
+  #isLost(now: number): boolean {
+    return now < this.#lostUntil;
+  }
+
+  /** Entries without any history grant from now on. */
+  #takeOver(now: number): void {
+    for (const group of this.#schedulers.keys()) {
+      const scheduler = this.#scheduler(now);
+      scheduler.setServers([...this.#old, ...this.#new], now);
+      scheduler.setRollouts(this.#states, now);
+      this.#schedulers[group] = scheduler;
+    }
+    for (const { request, group, server } of this.#runs) {
+      this.#schedulers[group]!.adopt(request, incarnationOf(server), now);
+    }
+    for (const { request, group } of this.#waiting.values()) {
+      this.#schedulers[group]!.submit(request, now);
+    }
+  }
+
   #servers(version: string, count: number, startedAt: number): ServerRecord[] {
     const { slots } = this.#options.servers;
     return Array.from(
@@ -169,9 +212,10 @@
       duration,
       position: { era: 1, revision: 1 },
     };
-    const state: RolloutState = { order, orderedAt: now, outcome };
+    const { orderedAt = now } = this.#states.get(SERVICE) ?? {};
+    this.#states = new Map([[SERVICE, { order, orderedAt, outcome }]]);
     for (const scheduler of this.#schedulers) {
-      scheduler.setRollouts(new Map([[SERVICE, state]]), now);
+      scheduler.setRollouts(this.#states, now);
     }
   }
 
@@ -186,6 +230,7 @@
       if (this.outcome === "succeeded") this.#stopOldServers(now);
       return;
     }
+    if (this.#isLost(now)) return;
     if (now - this.#reportedAt < REPORT_INTERVAL) return;
     this.#reportedAt = now;
     this.#reports = this.#schedulers.map((scheduler) =>
@@ -228,8 +273,12 @@
           : { promptTokens: 0, outputTokens: 0 },
       });
       if (now >= this.#orderedAt) this.requests++;
+      this.#waiting.set(request.id, { request, group });
+      if (this.#isLost(now)) continue;
       const decision = this.#schedulers[group]!.submit(request, now);
-      if (decision !== undefined) this.refused++;
+      if (decision === undefined) continue;
+      this.#waiting.delete(request.id);
+      this.refused++;
     }
   }
 
@@ -298,6 +347,7 @@
       const { request, firstTokenAt, startedAt } = run;
       if (run.hasResponded || now < firstTokenAt) continue;
       run.hasResponded = true;
+      if (this.#isLost(now)) continue;
       scheduler.recordResponseStart(request.id, firstTokenAt - startedAt, now);
     }
     const ended = this.#runs.filter(({ endsAt }) => endsAt <= now);
@@ -308,14 +358,16 @@
   #end(run: Run, now: number): void {
     const { request, firstTokenAt, endsAt } = run;
     const scheduler = this.#schedulers[run.group]!;
-    if (request.cost.promptTokens > 0) {
+    if (request.cost.promptTokens > 0 && !this.#isLost(now)) {
       scheduler.recordStreamTiming(request.id, {
         tokens: 100,
         measured: endsAt - firstTokenAt,
         pausePart: 0.1,
       }, now);
     }
-    scheduler.recordEnd(request.id, run.outcome, now);
+    if (!this.#isLost(now)) {
+      scheduler.recordEnd(request.id, run.outcome, now);
+    }
     if (!run.isBad) return;
     this.badAnswers++;
     if (this.badAnswers === 50) this.fiftiethBadAt = now;
