Compare times per token also after a response without tokens

Callers of a version whose tokens come several times slower could get it for the whole roll-out if its responses took no longer as a whole.

As the first value of the threshold it made that NaN for good, and nothing exceeds NaN; as a later one it lowered the threshold.

Such a response has no time per token now. The test convicted nobody before, and convicts the slow version now.

--- a/packages/decisions/src/rollouts/rollout_evidence.ts
+++ b/packages/decisions/src/rollouts/rollout_evidence.ts
@@ -232,8 +232,9 @@
 ): (number | undefined)[] {
   const factor = isCold ? COLD_FACTOR : 1;
   const elapsed = now - grantedAt;
-  const decode = timing === undefined ? undefined : timing.measured /
-    nominalDecodeTime({ promptTokens: 1, outputTokens: timing.tokens });
+  const { tokens = 0, measured = 0 } = timing ?? {};
+  const decode = tokens === 0 ? undefined : measured /
+    nominalDecodeTime({ promptTokens: 1, outputTokens: tokens });
   return [
     (firstToken ?? elapsed) / nominalFirstTokenTime(cost) / factor,
     decode === undefined ? undefined : decode / factor,
