Hand a roll-out's evidence over to the next granting entry

Cause: the evidence against the target, the times that are usual for the established version, the counted runs, the step and what the target got were known to the granting entry alone. A restarted entry takes the grants back from its deputy, so one kill costs the evidence twice.

The granting entry sends them every 200 ms to the two entries that would grant next. An entry that has them passes them on when another one becomes the granting entry; that begins the reached step again with the evidence, and adds what the target may have got meanwhile. Runs of an earlier granting entry count as in progress, so that the old version is not left while it has some. An earlier build gets no such message.

--- a/packages/decisions/src/dispatch/group_scheduler.ts
+++ b/packages/decisions/src/dispatch/group_scheduler.ts
@@ -14,6 +14,7 @@
 import type { GroupFractions } from "../fleet/mod.ts";
 import type {
   RolloutBounds,
+  RolloutHandover,
   RolloutReport,
   RolloutState,
 } from "../rollouts/mod.ts";
@@ -223,6 +224,18 @@
     );
   }
 
+  /** What a successor can continue the roll-outs from. */
+  rolloutHandovers(now: number): RolloutHandover[] {
+    return [...this.#services.values()].flatMap(({ rollout }) =>
+      rollout.handover(now) ?? []
+    );
+  }
+
+  /** Continues a roll-out from what another entry knows of it. */
+  takeOverRollout(handover: RolloutHandover, now: number): void {
+    this.#service(handover.service).rollout.takeOver(handover, now);
+  }
+
   /** Queues a request, or refuses it at once; ignores one that is known. */
   submit(request: GrantRequest, now: number): GrantDecision | undefined {
     if (this.#requests.has(request.id)) return undefined;
--- a/packages/decisions/src/dispatch/server_pool.ts
+++ b/packages/decisions/src/dispatch/server_pool.ts
@@ -9,6 +9,7 @@
 import type { ExclusionCause, ExclusionChange } from "../ejection/mod.ts";
 import type { GroupFractions } from "../fleet/mod.ts";
 import { ServiceRollout } from "../rollouts/mod.ts";
+import type { ComparedRun } from "../rollouts/mod.ts";
 import { ServerLimits, StartLimit } from "../server_limits/mod.ts";
 import type { StartLimitScope } from "../server_limits/mod.ts";
 import { ISOLATED_FROM } from "../suspects/mod.ts";
@@ -579,7 +580,7 @@
       paceAtGrant: server.speed.reportedPace(now),
     });
     server?.countAgainstLimit(now);
-    if (server !== undefined) this.#recordGrant(request, name, server, now);
+    if (server !== undefined) this.#recordGrant(request, server, now);
     if (
       server === undefined ||
       !server.hasFreeSlot(this.#bounds(name), now)
@@ -589,22 +590,12 @@
 
   #recordGrant(
     request: GrantRequest,
-    name: string,
     { record }: PooledServer,
     now: number,
   ): void {
-    const { id, entry, route = "", cost } = request;
     this.dataCentres.recordGrant(request, record.dataCentre, now);
-    this.rollout.recordGrant(id, {
-      entry,
-      version: record.version,
-      server: name,
-      dataCentre: record.dataCentre,
-      route,
-      cost,
-      grantedAt: now,
-      isCold: (record.coldUntil ?? -Infinity) > now,
-    }, now);
+    const run = comparedRun(request, record, now);
+    this.rollout.recordGrant(request.id, run, now);
   }
 
   /**
@@ -625,6 +616,9 @@
       grantedAt,
       isConclusive: false,
     });
+    const record = this.#servers.get(name)?.record;
+    if (record === undefined) return;
+    this.rollout.adopt(request.id, comparedRun(request, record, grantedAt));
   }
 
   #recordResponse(name: string, id: string, now: number): void {
@@ -822,3 +816,21 @@
     };
   }
 }
+
+function comparedRun(
+  { entry, route = "", cost }: GrantRequest,
+  record: ServerRecord,
+  grantedAt: number,
+): ComparedRun {
+  const { version, dataCentre, coldUntil = -Infinity } = record;
+  return {
+    entry,
+    version,
+    server: incarnationOf(record),
+    dataCentre,
+    route,
+    cost,
+    grantedAt,
+    isCold: coldUntil > grantedAt,
+  };
+}
--- a/packages/decisions/src/moves/evidence_collector.ts
+++ b/packages/decisions/src/moves/evidence_collector.ts
@@ -7,6 +7,7 @@
  */
 import { addCounts, zeroCounts } from "./evidence.ts";
 import type { CallCounts, RouteEvidence } from "./evidence.ts";
+import type { SlowThresholds } from "./move_judge_state.ts";
 import { RunningQuantile } from "./running_quantile.ts";
 
 /** The threshold is exceeded by one call in ten of the old version. */
@@ -90,6 +91,31 @@
     );
   }
 
+  /** The thresholds of each route, for another process that continues. */
+  thresholds(): SlowThresholds {
+    return [...this.#routes].map(([route, { thresholds }]) => ({
+      route,
+      values: Array.from(thresholds, (threshold) => {
+        const value = threshold?.value ?? 0;
+        return Number.isFinite(value) ? value : 0;
+      }),
+    }));
+  }
+
+  /** Continues from the thresholds of another process. */
+  restoreThresholds(thresholds: SlowThresholds): void {
+    for (const { route, values } of thresholds) {
+      const routeCounts = this.#countsOf(route);
+      for (const [index, value] of values.entries()) {
+        if (value <= 0) continue;
+        routeCounts.thresholds[index] = new RunningQuantile(
+          SLOW_QUANTILE,
+          value,
+        );
+      }
+    }
+  }
+
   /** Returns the counts and resets them; the thresholds are kept. */
   flush(): RouteEvidence[] {
     const evidence: RouteEvidence[] = [];
--- a/packages/decisions/src/moves/mod.ts
+++ b/packages/decisions/src/moves/mod.ts
@@ -16,6 +16,11 @@
   MoveJudgeOptions,
   MoveVerdict,
 } from "./move_judge.ts";
+export {
+  moveJudgeStateSchema,
+  slowThresholdsSchema,
+} from "./move_judge_state.ts";
+export type { MoveJudgeState, SlowThresholds } from "./move_judge_state.ts";
 export { phaseAfter } from "./move_machine.ts";
 export type { MoveEvent } from "./move_machine.ts";
 export {
--- a/packages/decisions/src/moves/move_judge.ts
+++ b/packages/decisions/src/moves/move_judge.ts
@@ -20,6 +20,7 @@
  */
 import { addCounts, zeroCounts } from "./evidence.ts";
 import type { CallCounts, RouteEvidence } from "./evidence.ts";
+import type { MoveJudgeState } from "./move_judge_state.ts";
 import { RatioEvidence } from "./ratio_evidence.ts";
 import type { RatioEvidenceOptions } from "./ratio_evidence.ts";
 
@@ -83,6 +84,8 @@
 
 type RouteTests = { failures: RatioEvidence; slowness: RatioEvidence };
 
+type RouteTestsState = MoveJudgeState["allRoutes"];
+
 type RouteState = RouteTests & {
   total: RouteEvidence;
   /** By their names; see {@link RouteEvidence}. */
@@ -142,6 +145,25 @@
     );
   }
 
+  /** What was found so far, for another process that continues. */
+  state(): MoveJudgeState {
+    const routes = [...this.#routes.values()].map((state) => ({
+      ...state.total,
+      ...testsState(state),
+    }));
+    return { allRoutes: testsState(this.#allRoutes), routes };
+  }
+
+  /** Continues from what another process has found. */
+  restore({ allRoutes, routes }: MoveJudgeState): void {
+    restoreTests(this.#allRoutes, allRoutes);
+    for (const { route, from, to, ...tests } of routes) {
+      const state = this.#stateOf(route);
+      state.total = { route, from: { ...from }, to: { ...to } };
+      restoreTests(state, tests);
+    }
+  }
+
   /** Adds the evidence of one interval of up to a few seconds. */
   observe(evidence: readonly RouteEvidence[], now: number): MoveVerdict {
     for (const { route, stratum: name, from, to } of evidence) {
@@ -255,6 +277,21 @@
   }
 }
 
+function testsState({ failures, slowness }: RouteTests): RouteTestsState {
+  return {
+    failures: failures.logEvidence,
+    slowness: slowness.logEvidence,
+  };
+}
+
+function restoreTests(
+  { failures, slowness }: RouteTests,
+  state: RouteTestsState,
+): void {
+  failures.restore(state.failures);
+  slowness.restore(state.slowness);
+}
+
 function emptyEvidence(route: string): RouteEvidence {
   return { route, from: zeroCounts(), to: zeroCounts() };
 }
--- a/packages/decisions/src/moves/ratio_evidence.ts
+++ b/packages/decisions/src/moves/ratio_evidence.ts
@@ -54,6 +54,18 @@
     this.#logEvidence = options.alternativeRatios.map(() => 0);
   }
 
+  /** Logarithms of the evidence, one for each alternative. */
+  get logEvidence(): number[] {
+    return [...this.#logEvidence];
+  }
+
+  /** Continues from the evidence of another process. */
+  restore(logEvidence: readonly number[]): void {
+    for (const index of this.#logEvidence.keys()) {
+      this.#logEvidence[index] = logEvidence[index] ?? 0;
+    }
+  }
+
   /** Adds the calls of one interval. */
   observe(
     from: Pick<CallCounts, "ended">,
--- a/packages/decisions/src/moves/running_quantile.ts
+++ b/packages/decisions/src/moves/running_quantile.ts
@@ -10,9 +10,10 @@
   readonly #quantile: number;
   #value: number | undefined;
 
-  /** `quantile` is between 0 and 1. */
-  constructor(quantile: number) {
+  /** `quantile` is between 0 and 1; `value` is a known estimate. */
+  constructor(quantile: number, value?: number) {
     this.#quantile = quantile;
+    this.#value = value;
   }
 
   get value(): number | undefined {
--- a/packages/decisions/src/rollouts/mod.ts
+++ b/packages/decisions/src/rollouts/mod.ts
@@ -6,6 +6,8 @@
 export { EstablishedVersion } from "./established_version.ts";
 export { RolloutEvidence } from "./rollout_evidence.ts";
 export type { ComparedRun } from "./rollout_evidence.ts";
+export { rolloutHandoverSchema } from "./rollout_handover.ts";
+export type { RolloutHandover } from "./rollout_handover.ts";
 export { RolloutSteps } from "./rollout_steps.ts";
 export type { RolloutStep, StepInputs } from "./rollout_steps.ts";
 export { ServiceRollout } from "./service_rollout.ts";
--- a/packages/decisions/src/rollouts/rollout_evidence.ts
+++ b/packages/decisions/src/rollouts/rollout_evidence.ts
@@ -24,6 +24,7 @@
   VersionSide,
 } from "../moves/mod.ts";
 import type { Cost } from "../queueing/mod.ts";
+import type { RolloutHandover } from "./rollout_handover.ts";
 
 /**
  * A call is slow if it takes this many times what nine in ten of the
@@ -82,6 +83,9 @@
   isCold: boolean;
 };
 
+/** Part of a {@link RolloutHandover}. */
+type EvidenceState = Pick<RolloutHandover, "judge" | "thresholds">;
+
 type RunInProgress = ComparedRun & {
   firstToken?: number;
   timing?: StreamTiming;
@@ -140,6 +144,21 @@
     this.#judge = new MoveJudge(JUDGE_OPTIONS);
   }
 
+  /** What was found so far, for another entry that continues. */
+  state(): EvidenceState {
+    return {
+      judge: this.#judge.state(),
+      thresholds: this.#collector.thresholds(),
+    };
+  }
+
+  /** Continues a comparison from what another entry has found. */
+  restore({ judge, thresholds }: EvidenceState): void {
+    this.#judge = new MoveJudge(JUDGE_OPTIONS);
+    this.#judge.restore(judge);
+    this.#collector.restoreThresholds(thresholds);
+  }
+
   /** The version whose runs show what is usual. */
   get established(): string | undefined {
     return this.#established;
@@ -156,6 +175,11 @@
     this.#runs.set(id, { ...run, isCounted: false });
   }
 
+  /** Records a run that another entry granted; it shows nothing. */
+  recordAdopted(id: string, run: ComparedRun): void {
+    this.#runs.set(id, { ...run, isCounted: true });
+  }
+
   recordResponseStart(id: string, latency: number): void {
     const run = this.#runs.get(id);
     if (run !== undefined) run.firstToken ??= latency;
--- a/packages/decisions/src/rollouts/rollout_steps.ts
+++ b/packages/decisions/src/rollouts/rollout_steps.ts
@@ -89,7 +89,6 @@
   readonly #stages: readonly Stage[];
   readonly #orderedAt: number;
   readonly #duration: number;
-  /** Evidence of an earlier part of the roll-out was lost. */
   readonly #isEvidencePartial: boolean;
   #index = 0;
   #since: number;
@@ -105,6 +104,8 @@
       duration: number;
       exposedShare: number;
       isEvidencePartial: boolean;
+      /** Step that another entry had reached; it begins again. */
+      resumed?: { step: number; targetRuns: number } | undefined;
       now: number;
     },
   ) {
@@ -114,12 +115,24 @@
     this.#duration = duration;
     this.#since = now;
     this.#stages = stagesOf(duration, exposedShare);
+    const { step = 0, targetRuns = 0 } = options.resumed ?? {};
+    this.#index = Math.min(step, this.#stages.length - 1);
+    this.#runsBefore = targetRuns;
   }
 
   get step(): RolloutStep {
     return this.#stages[this.#index]!.step;
   }
 
+  get stepIndex(): number {
+    return this.#index;
+  }
+
+  /** Evidence of an earlier part of the roll-out was lost. */
+  get isEvidencePartial(): boolean {
+    return this.#isEvidencePartial;
+  }
+
   /** Share of the requests that the target may get. */
   get share(): number {
     if (this.#outcome === "succeeded") return 1;
--- a/packages/decisions/src/rollouts/service_rollout.ts
+++ b/packages/decisions/src/rollouts/service_rollout.ts
@@ -18,6 +18,7 @@
   RolloutReport,
   RolloutState,
 } from "./rollout.ts";
+import type { RolloutHandover } from "./rollout_handover.ts";
 import { RolloutEvidence } from "./rollout_evidence.ts";
 import type { ComparedRun } from "./rollout_evidence.ts";
 import { RolloutSteps } from "./rollout_steps.ts";
@@ -53,6 +54,9 @@
 const EXPOSED: readonly Standing[] = ["exposed"];
 const RETIRED: readonly Standing[] = ["retired"];
 
+/** A handover, and when it was received. */
+type KeptHandover = { handover: RolloutHandover; at: number };
+
 /** Versions and the roll-out of one service. */
 export class ServiceRollout {
   readonly #versions = new VersionStandings();
@@ -69,8 +73,12 @@
   /** They may be out of reach, so that the others are used as well. */
   #areTrialServersSilent = false;
   #begunAt = -Infinity;
+  /** Start of the observation, as if it had not been interrupted. */
+  #observedSince = -Infinity;
   #evaluatedAt = -Infinity;
   #peak = { runs: 0, at: 0 };
+  /** What another entry, or this one, knew when it granted last. */
+  #kept: KeptHandover | undefined;
 
   setBounds(bounds: RolloutBounds): void {
     this.#bounds = bounds;
@@ -81,7 +89,10 @@
     this.#fraction = fraction;
     this.#exposure?.setFraction(fraction);
     // What another entry concludes meanwhile is not known here.
-    if (fraction <= 0) this.#steps = undefined;
+    if (fraction > 0) return;
+    const now = Math.max(this.#evaluatedAt, this.#begunAt);
+    this.#keep(this.#ownHandover(now), now);
+    this.#steps = undefined;
   }
 
   setServers(records: readonly ServerRecord[], now: number): void {
@@ -99,6 +110,25 @@
     this.#updateVersions(now);
   }
 
+  /** What a successor of the granting entry can continue from, if anything. */
+  handover(now: number): RolloutHandover | undefined {
+    if (this.#steps !== undefined) return this.#ownHandover(now);
+    const kept = this.#keptOfOrder;
+    if (kept === undefined || this.#state?.outcome !== "running") return;
+    return { ...kept.handover, age: ageOf(kept, now) };
+  }
+
+  /** Keeps what another entry knows, and continues from it if it knows more. */
+  takeOver(handover: RolloutHandover, now: number): void {
+    if (!this.#keep(handover, now)) return;
+    const state = this.#state;
+    if (this.#steps?.outcome !== "running" || state === undefined) return;
+    const isKnown = now - this.#observedSince >= handover.observedFor;
+    if (!isKnown && this.#keptOfOrder !== undefined) {
+      this.#steps = this.#begin(state, now);
+    }
+  }
+
   /** Evaluates the evidence and advances the roll-out. */
   update(now: number): void {
     if (now - this.#evaluatedAt < EVALUATION_INTERVAL) return;
@@ -199,6 +229,11 @@
     this.#evidence.recordStart(id, run);
   }
 
+  /** Counts a run that another entry has granted. */
+  adopt(id: string, run: ComparedRun): void {
+    this.#evidence.recordAdopted(id, run);
+  }
+
   recordResponseStart(id: string, latency: number): void {
     this.#evidence.recordResponseStart(id, latency);
   }
@@ -271,28 +306,92 @@
 
   #begin({ order, orderedAt }: RolloutState, now: number): RolloutSteps {
     const { duration, target } = order;
+    const kept = this.#keptOfOrder;
+    const handover = kept?.handover;
     this.#begunAt = now;
+    this.#observedSince = now - (handover?.observedFor ?? 0);
     this.#versions.update(target, now);
-    this.#evidence.compare(this.#versions.established, target);
+    this.#compare(target);
+    // Another entry may have granted, and used the slack, before.
+    const isLate = now - orderedAt >= ORDER_DELAY;
     this.#exposure = new VersionExposure({
       bounds: this.#bounds,
       fraction: this.#fraction,
-      since: now,
+      since: this.#observedSince,
       until: orderedAt + duration,
-      // Another entry may have granted, and used the slack, before.
-      hasSlack: now - orderedAt < ORDER_DELAY,
-      granted: this.#exposure?.granted ?? 0,
+      hasSlack: handover?.hasSlack ?? !isLate,
+      granted: kept === undefined
+        ? this.#exposure?.granted ?? 0
+        : grantedUntil(kept, now),
+      total: handover?.total ?? 0,
     });
     const { exposedShare } = this.#bounds;
     return new RolloutSteps({
       orderedAt,
       duration,
       exposedShare,
-      isEvidencePartial: now - orderedAt >= ORDER_DELAY,
+      isEvidencePartial: handover?.isEvidencePartial ?? isLate,
+      resumed: handover && {
+        step: handover.step,
+        targetRuns: this.#evidence.targetRuns,
+      },
       now,
     });
   }
 
+  #compare(target: string): void {
+    this.#evidence.compare(this.#versions.established, target);
+    const kept = this.#keptOfOrder;
+    if (kept !== undefined) this.#evidence.restore(kept.handover);
+  }
+
+  /** What this entry knows of the roll-out that it drives. */
+  #ownHandover(now: number): RolloutHandover | undefined {
+    const steps = this.#steps;
+    const exposure = this.#exposure;
+    if (this.#state?.outcome !== "running" || this.#isRejected) {
+      return undefined;
+    }
+    if (steps?.outcome !== "running" || exposure === undefined) {
+      return undefined;
+    }
+    const { order: { service, target, position } } = this.#state;
+    return {
+      service,
+      target,
+      revision: position.revision,
+      age: 0,
+      observedFor: Math.max(0, now - this.#observedSince),
+      isEvidencePartial: steps.isEvidencePartial,
+      step: steps.stepIndex,
+      share: steps.share,
+      granted: exposure.granted,
+      total: exposure.total,
+      hasSlack: exposure.hasSlack,
+      ...this.#evidence.state(),
+    };
+  }
+
+  /** Keeps a handover unless more is known; returns true if it did. */
+  #keep(handover: RolloutHandover | undefined, now: number): boolean {
+    if (handover === undefined) return false;
+    const known = this.#keptOfOrder?.handover;
+    if (known !== undefined && known.observedFor > handover.observedFor) {
+      return false;
+    }
+    this.#kept = { handover, at: now };
+    return true;
+  }
+
+  /** The kept handover, if it belongs to the present order. */
+  get #keptOfOrder(): KeptHandover | undefined {
+    const order = this.#state?.order;
+    const handover = this.#kept?.handover;
+    const isSame = handover?.target === order?.target &&
+      handover?.revision === order?.position.revision;
+    return isSame ? this.#kept : undefined;
+  }
+
   #advance(steps: RolloutSteps, now: number): void {
     const verdict = this.#evidence.observe(now);
     const { established } = this.#versions;
@@ -340,7 +439,7 @@
       target !== undefined && established !== this.#evidence.established
     ) {
       // The order was known before any server was.
-      this.#evidence.compare(established, target);
+      this.#compare(target);
     }
     if (!this.#versions.has("exposed")) return;
     this.#updateTrialServers(now);
@@ -381,6 +480,18 @@
     !isLater(other.order.position, position);
 }
 
+/** Milliseconds since a handover stated how things were. */
+function ageOf({ handover, at }: KeptHandover, now: number): number {
+  return handover.age + Math.max(0, now - at);
+}
+
+/** Grants of the target, with those that it may have got since the handover. */
+function grantedUntil(kept: KeptHandover, now: number): number {
+  const { granted, total, share, observedFor } = kept.handover;
+  if (observedFor <= 0) return granted;
+  return granted + share * total * ageOf(kept, now) / observedFor;
+}
+
 function shareOf(outcome: RolloutOutcome): number {
   return outcome === "succeeded" ? 1 : 0;
 }
--- a/packages/decisions/src/rollouts/version_exposure.ts
+++ b/packages/decisions/src/rollouts/version_exposure.ts
@@ -43,6 +43,8 @@
   hasSlack: boolean;
   /** Requests that it got before. */
   granted?: number;
+  /** Grants of the service that were counted before. */
+  total?: number;
 };
 
 /** Counts the grants of one version that is not established. */
@@ -52,15 +54,16 @@
   #slack: number;
   #credit: number;
   #granted: number;
-  #total = 0;
+  #total: number;
 
   constructor(options: ExposureOptions) {
-    const { fraction, hasSlack, granted = 0 } = options;
+    const { fraction, hasSlack, granted = 0, total = 0 } = options;
     this.#options = options;
     this.#fraction = fraction;
     this.#slack = this.#slackOf(fraction);
     this.#credit = hasSlack ? Math.max(1, FIRST_REQUESTS * fraction) : 1;
-    this.#granted = Math.min(granted, this.#slack);
+    this.#total = total;
+    this.#granted = total > 0 ? granted : Math.min(granted, this.#slack);
     this.#credit = Math.max(0, this.#credit - this.#granted);
   }
 
@@ -75,6 +78,11 @@
     return this.#granted;
   }
 
+  /** Whether the slack may be used. */
+  get hasSlack(): boolean {
+    return this.#options.hasSlack;
+  }
+
   /** Grants of the service. */
   get total(): number {
     return this.#total;
--- a/packages/decisions/test/rollout_simulation.ts
+++ b/packages/decisions/test/rollout_simulation.ts
@@ -6,6 +6,7 @@
 import { GroupScheduler, incarnationOf } from "../src/mod.ts";
 import type {
   GrantRequest,
+  RolloutHandover,
   RolloutOutcome,
   RolloutReport,
   RolloutState,
@@ -25,6 +26,8 @@
 const REPORT_INTERVAL = 250;
 /** Milliseconds from the loss of a granting entry until another one grants. */
 const TAKEOVER_TIME = 500;
+/** Milliseconds after which a granting entry shares what it knows. */
+const SHARING_INTERVAL = 200;
 export const SERVICE = "assistant";
 const OLD = "v1";
 export const TARGET = "v2";
@@ -62,6 +65,8 @@
   coldTime?: number;
   /** Milliseconds after the order at which the granting entries are lost. */
   losses?: number[];
+  /** What they knew is lost as well. */
+  losesEvidence?: boolean;
 };
 
 type Run = {
@@ -106,6 +111,9 @@
   >();
   /** End of the time in which no entry grants. */
   #lostUntil = -Infinity;
+  /** What the successor of each granting entry got last. */
+  #handovers: RolloutHandover[][] = [];
+  #sharedAt = 0;
   #states: ReadonlyMap<string, RolloutState> = new Map();
   #reports: RolloutReport[][] = [];
   #reportedAt = 0;
@@ -153,6 +161,7 @@
     this.#arrive(now);
     this.#advanceRuns(now);
     if (this.#isLost(now)) return;
+    if (now - this.#sharedAt >= SHARING_INTERVAL) this.#share(now);
     for (const [group, scheduler] of this.#schedulers.entries()) {
       for (const decision of scheduler.decide(now)) {
         this.#waiting.delete(decision.request.id);
@@ -163,14 +172,26 @@
     if (now >= this.#orderedAt + orderDelay) this.#drive(now);
   }
 
+  #share(now: number): void {
+    this.#sharedAt = now;
+    if (this.#options.losesEvidence) return;
+    this.#handovers = this.#schedulers.map((scheduler) =>
+      scheduler.rolloutHandovers(now)
+    );
+  }
+
   #isLost(now: number): boolean {
     return now < this.#lostUntil;
   }
 
-  /** Entries without any history grant from now on. */
+  /** Other entries grant from now on. */
   #takeOver(now: number): void {
     for (const group of this.#schedulers.keys()) {
       const scheduler = this.#scheduler(now);
+      for (const handover of this.#handovers[group] ?? []) {
+        const age = handover.age + now - this.#sharedAt;
+        scheduler.takeOverRollout({ ...handover, age }, now);
+      }
       scheduler.setServers([...this.#old, ...this.#new], now);
       scheduler.setRollouts(this.#states, now);
       this.#schedulers[group] = scheduler;
--- a/packages/decisions/test/rollout_takeover_test.ts
+++ b/packages/decisions/test/rollout_takeover_test.ts
@@ -45,9 +45,15 @@
 
 t.test("a slow version is rolled back though two granting entries are lost", (t) => {
   fc.assert(
-    fc.property(rolloutCases, twoLosses, (options, losses) => {
-      assertRolledBack({ ...withLosses(options, losses), fault: SLOW });
-    }),
+    fc.property(
+      rolloutCases,
+      twoLosses,
+      fc.boolean(),
+      (options, losses, losesEvidence) => {
+        const lossy = { ...withLosses(options, losses), losesEvidence };
+        assertRolledBack({ ...lossy, fault: SLOW });
+      },
+    ),
     { seed: 5, numRuns: 40 },
   );
   t.end();
@@ -57,9 +63,22 @@
   const fault = { ...SLOW, underLoad: true, share: 0.9 };
   fc.assert(
     fc.property(busyCases, twoLosses, (options, losses) => {
-      assertRolledBack({ ...withLosses(options, losses), fault });
+      const lossy = { ...withLosses(options, losses), losesEvidence: true };
+      assertRolledBack({ ...lossy, fault });
     }),
     { seed: 6, numRuns: 20 },
   );
   t.end();
 });
+
+t.test("a good version succeeds though two granting entries are lost", (t) => {
+  fc.assert(
+    fc.property(rolloutCases, twoLosses, (options, losses) => {
+      const simulation = new RolloutSimulation(withLosses(options, losses));
+      const { outcome, reason } = simulation.run();
+      if (outcome !== "succeeded") throw new Error(reason);
+    }),
+    { seed: 7, numRuns: 20 },
+  );
+  t.end();
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -72,6 +72,8 @@
 
 /** Milliseconds between checks of roll-outs. */
 const ROLLOUT_INTERVAL = 100;
+/** Milliseconds between messages on what is known of roll-outs. */
+const ROLLOUT_SHARING_INTERVAL = 200;
 
 /** What a platform provides to a gateway. */
 export type GatewayOptions = {
@@ -356,6 +358,10 @@
       () => this.#connectionPool.closeStale(this.#usableServers.all()),
     );
     this.#repeat(ROLLOUT_INTERVAL, () => this.#rolloutDriver.tick());
+    this.#repeat(
+      ROLLOUT_SHARING_INTERVAL,
+      () => this.#grantClient.shareRollouts(this.#peers.entries()),
+    );
     this.#repeat(LOAD_LOG_INTERVAL, () => this.#loadReport.log());
     this.#repeat(LOAD_LOG_INTERVAL, () => this.#balanceReporter.update());
     this.#lifecycle.apply("started");
--- a/packages/gateway/src/peers/grant_client.ts
+++ b/packages/gateway/src/peers/grant_client.ts
@@ -19,6 +19,7 @@
   Quota,
   QuotaLeeway,
   RolloutBounds,
+  RolloutHandover,
   RolloutReport,
   RolloutState,
   RunOutcome,
@@ -47,6 +48,9 @@
 import { SharedServerLimits } from "./shared_server_limits.ts";
 import { SharedSuspects } from "./shared_suspects.ts";
 
+/** Number of next granting entries that get what is known of roll-outs. */
+const ROLLOUT_SUCCESSORS = 2;
+
 const NO_STREAM_TIMING: StreamTiming = { tokens: 0, measured: 0, pausePart: 0 };
 
 /** A grant request without its identity; times are of this entry's clock. */
@@ -212,6 +216,23 @@
     return this.#grantsLocally ? this.#localGranter.rolloutReports() : [];
   }
 
+  /**
+   * Sends what is known of the roll-outs that run to the next granting entries,
+   * since it would be lost with this one.
+   */
+  shareRollouts(peers: readonly PeerEntry[]): void {
+    if (!this.#grantsLocally) return;
+    const handovers = this.#localGranter.rolloutHandovers();
+    if (handovers.length === 0) return;
+    const candidates = peers.filter(({ leaving }) => !leaving);
+    for (let count = 0; count < ROLLOUT_SUCCESSORS; count++) {
+      const name = selectGrantingEntry(candidates);
+      if (name === undefined) return;
+      this.#sendRollouts(name, handovers);
+      candidates.splice(candidates.findIndex((peer) => peer.name === name), 1);
+    }
+  }
+
   setQuotas(quotas: ReadonlyMap<string, Quota>): void {
     this.#localGranter.setQuotas(quotas);
   }
@@ -401,6 +422,7 @@
     this.limits.sendAll();
     // Before the requests: their standing depends on the appointments.
     this.#reportAppointments();
+    this.#reportRollouts();
     for (const { request, location } of this.#pending.values()) {
       this.#sendToGrantingEntry(
         encodeGrantRequest(request, this.#clock(), location),
@@ -493,6 +515,7 @@
     this.limits.sendAll();
     this.suspects.sendAll(next);
     this.#reportAppointments();
+    this.#reportRollouts();
     for (const { request, location } of this.#pending.values()) {
       // If not released, they would occupy slots at the previous granting entry
       // for ever.
@@ -510,6 +533,21 @@
     this.deliverDecisions();
   }
 
+  /** Passes what is known of the roll-outs on to another granting entry. */
+  #reportRollouts(): void {
+    if (this.#grantsLocally) return;
+    const handovers = this.#localGranter.rolloutHandovers();
+    this.#sendRollouts(this.#grantingEntry, handovers);
+  }
+
+  #sendRollouts(peer: string, handovers: readonly RolloutHandover[]): void {
+    if (handovers.length === 0) return;
+    if (!this.#peers().acceptsRolloutHandovers(peer)) return;
+    for (const handover of handovers) {
+      this.#peers().send(peer, { type: "rollout_handover", handover });
+    }
+  }
+
   /** Reports the appointments of callers to a granting entry. */
   #reportAppointments(): void {
     const now = this.#clock();
--- a/packages/gateway/src/peers/local_granter.ts
+++ b/packages/gateway/src/peers/local_granter.ts
@@ -19,6 +19,7 @@
   Quota,
   QuotaLeeway,
   RolloutBounds,
+  RolloutHandover,
   RolloutReport,
   RolloutState,
   RunOutcome,
@@ -176,6 +177,11 @@
     return this.#scheduler.rolloutReports(this.#clock());
   }
 
+  /** See {@link GroupScheduler.rolloutHandovers}. */
+  rolloutHandovers(): RolloutHandover[] {
+    return this.#scheduler.rolloutHandovers(this.#clock());
+  }
+
   setQuotas(quotas: ReadonlyMap<string, Quota>): void {
     this.#quotas = quotas;
     this.#scheduler.setQuotas(quotas, this.#fractions, this.#clock());
@@ -277,6 +283,9 @@
         );
         this.recordResponseStart(message.id, message.measured);
         return true;
+      case "rollout_handover":
+        this.#scheduler.takeOverRollout(message.handover, this.#clock());
+        return true;
       case "appointments":
         this.mergeAppointments(decodeAppointments(message, this.#clock()));
         return true;
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -3,6 +3,7 @@
  * sending, since the clocks of two instances can't be compared.
  * @module
  */
+import { rolloutHandoverSchema } from "@sycamorepulley/decisions";
 import * as v from "valibot";
 
 const text = v.pipe(v.string(), v.maxLength(512));
@@ -167,6 +168,8 @@
     acceptsSuspects: v.optional(v.boolean(), false),
     /** The same for messages about appointments. */
     acceptsAppointments: v.optional(v.boolean(), false),
+    /** The same for messages about what is known of roll-outs. */
+    acceptsRolloutHandovers: v.optional(v.boolean(), false),
   }),
   /** Sent periodically and on changes; a peer that stops sending is lost. */
   v.object({
@@ -326,6 +329,11 @@
     forecastFree: v.optional(amount),
     forecastAge: v.optional(duration),
   }),
+  /** What the sender, or a granting entry before it, knows of a roll-out. */
+  v.object({
+    type: v.literal("rollout_handover"),
+    handover: rolloutHandoverSchema,
+  }),
   /** Appointments that the sender's callers have from other entries. */
   v.object({
     type: v.literal("appointments"),
--- a/packages/gateway/src/peers/peer_link.ts
+++ b/packages/gateway/src/peers/peer_link.ts
@@ -90,6 +90,8 @@
   acceptsSuspects = false;
   /** The peer accepts messages about appointments. */
   acceptsAppointments = false;
+  /** The peer accepts messages about what is known of roll-outs. */
+  acceptsRolloutHandovers = false;
   /** Time of the last message, and of the last heartbeat, sent to the peer. */
   sentAt = -Infinity;
   heartbeatAt = -Infinity;
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -140,6 +140,11 @@
     return this.#links.get(peer)?.acceptsAppointments ?? false;
   }
 
+  /** True for a peer that accepts messages about what is known of roll-outs. */
+  acceptsRolloutHandovers(peer: string): boolean {
+    return this.#links.get(peer)?.acceptsRolloutHandovers ?? false;
+  }
+
   /** Rank of this entry by name among the connected ones, and their number. */
   watchGroup(): WatchGroup {
     const names = this.connectedPeers();
@@ -267,6 +272,7 @@
       hasJustStarted,
       acceptsSuspects: true,
       acceptsAppointments: true,
+      acceptsRolloutHandovers: true,
     }, now);
     this.#heartbeats.sendFirst(link, now);
     void this.#receiveMessages(link);
@@ -301,6 +307,7 @@
       link.hasJustStarted = message.hasJustStarted;
       link.acceptsSuspects = message.acceptsSuspects;
       link.acceptsAppointments = message.acceptsAppointments;
+      link.acceptsRolloutHandovers = message.acceptsRolloutHandovers;
       this.#identify(link, message.instance, message.incarnation);
       return;
     }
--- a/packages/gateway/test/rollout_test.ts
+++ b/packages/gateway/test/rollout_test.ts
@@ -136,6 +136,20 @@
   await stop(group);
 });
 
+t.test("a good version succeeds though the granting entry stops late", async (t) => {
+  const group = await startTwoVersions();
+  const { store, entries, load } = group;
+  order(store, "v2", 5000);
+  await setTimeout(3000);
+  const granting = entries.findIndex(({ gateway }) =>
+    gateway.ownStatus().asks === gateway.settings.instance
+  );
+  load.leave(granting);
+  await entries[granting]!.gateway.stop();
+  t.ok(await waitForState(store, "succeeded"));
+  await stop(group);
+});
+
 t.test("a restored store that lacks an outcome gets it again", async (t) => {
   const group = await startTwoVersions({ respond: respondWithError });
   const { store } = group;
