Suspect a version sooner after the loss of a granting entry

With few requests, a slow version succeeded more often when granting entries were lost than when none was.

Cause: runs in progress at a loss are not compared by the successor, and of a slow version these are the slow ones. The evidence that is left was below the bound of 10 from which on the target gets no more.

After a loss the bound is 3.

--- a/packages/decisions/src/rollouts/rollout_steps.ts
+++ b/packages/decisions/src/rollouts/rollout_steps.ts
@@ -55,6 +55,8 @@
 const NOTICEABLE_GRANTS = 20;
 /** Evidence against the target from which on it is not given more requests. */
 const SUSPICIOUS_EVIDENCE = 10;
+/** The same after the loss of a granting entry: runs in progress were lost. */
+const SUSPICIOUS_AFTER_LOSS = 3;
 /**
  * Evidence against the target below which it may get more than a version that
  * may be bad.
@@ -90,6 +92,7 @@
   readonly #orderedAt: number;
   readonly #duration: number;
   readonly #isEvidencePartial: boolean;
+  readonly #suspiciousEvidence: number;
   #index = 0;
   #since: number;
   /** Ended runs of the target when the step began. */
@@ -115,7 +118,12 @@
     this.#duration = duration;
     this.#since = now;
     this.#stages = stagesOf(duration, exposedShare);
-    const { step = 0, targetRuns = 0 } = options.resumed ?? {};
+    const { resumed } = options;
+    const isAfterLoss = this.#isEvidencePartial || resumed !== undefined;
+    this.#suspiciousEvidence = isAfterLoss
+      ? SUSPICIOUS_AFTER_LOSS
+      : SUSPICIOUS_EVIDENCE;
+    const { step = 0, targetRuns = 0 } = resumed ?? {};
     this.#index = Math.min(step, this.#stages.length - 1);
     this.#runsBefore = targetRuns;
   }
@@ -214,7 +222,7 @@
     if (capacityShare <= 0) {
       return { reason: "the target has no servers", isOptional: false };
     }
-    if (evidence >= SUSPICIOUS_EVIDENCE) {
+    if (evidence >= this.#suspiciousEvidence) {
       return { reason: "evidence against the target", isOptional: false };
     }
     if (targetRuns === 0 && grants >= NOTICEABLE_GRANTS) {
@@ -238,7 +246,7 @@
 
   /** Succeeds once the target has carried all requests for a while. */
   #finish(inputs: StepInputs, now: number): void {
-    if (inputs.evidence >= SUSPICIOUS_EVIDENCE) {
+    if (inputs.evidence >= this.#suspiciousEvidence) {
       this.#reason = "evidence against the target";
       return;
     }
@@ -266,7 +274,7 @@
         now - this.#since < timeOf(LAST_STEP, this.#duration) &&
         this.#elapsed(now) < LAST_END
       ) return;
-      if (inputs.evidence < SUSPICIOUS_EVIDENCE) {
+      if (inputs.evidence < this.#suspiciousEvidence) {
         this.#end("succeeded", "the target carried all requests");
       } else this.#end("rolled_back", "evidence against the target");
       return;
--- a/packages/decisions/test/rollout_takeover_test.ts
+++ b/packages/decisions/test/rollout_takeover_test.ts
@@ -43,6 +43,10 @@
   if (simulation.lastExposedAt > last) throw new Error(`${badAnswers} bad`);
 }
 
+function succeedsWith(options: SimulationOptions): boolean {
+  return new RolloutSimulation(options).run().outcome === "succeeded";
+}
+
 t.test("a slow version is rolled back though two granting entries are lost", (t) => {
   fc.assert(
     fc.property(
@@ -71,6 +75,22 @@
   t.end();
 });
 
+t.test("with few requests a loss hides no more slow versions than none", (t) => {
+  const succeeded = { intact: 0, lossy: 0 };
+  fc.assert(
+    fc.property(rolloutCases, twoLosses, (options, losses) => {
+      const intact = { ...options, rate: 10, fault: SLOW };
+      const lossy = withLosses(intact, losses);
+      if (succeedsWith(intact)) succeeded.intact++;
+      if (succeedsWith(lossy)) succeeded.lossy++;
+    }),
+    { seed: 9, numRuns: 80 },
+  );
+  const { intact, lossy } = succeeded;
+  t.ok(lossy <= intact, `${lossy} and ${intact} of 80`);
+  t.end();
+});
+
 t.test("a good version succeeds though two granting entries are lost", (t) => {
   fc.assert(
     fc.property(rolloutCases, twoLosses, (options, losses) => {
