--- a/packages/decisions/src/rollouts/rollout_evidence.ts
+++ b/packages/decisions/src/rollouts/rollout_evidence.ts
@@ -25,6 +25,7 @@
   VersionSide,
 } from "../moves/mod.ts";
 import type { Cost } from "../queueing/mod.ts";
+import type { RolloutHandover } from "./rollout_handover.ts";
 
 /**
  * A call is slow if it takes this many times what nine in ten of the
@@ -90,6 +91,9 @@
   isCold: boolean;
 };
 
+/** Part of a {@link RolloutHandover}. */
+type EvidenceState = Pick<RolloutHandover, "judge" | "thresholds">;
+
 type RunInProgress = ComparedRun & {
   firstToken?: number;
   timing?: StreamTiming;
@@ -156,14 +160,29 @@
   }
 
   /**
-   * Sets the established version during a comparison, which starts anew only if
-   * the target is established, or no longer.
+   * Sets the established version during a comparison. False if it has to start
+   * anew, as the target is established, or no longer.
    */
-  updateEstablished(established: string | undefined, target: string): void {
-    if (established === this.#established) return;
-    const isCompared = this.#target === target && established !== target;
-    if (isCompared) this.#established = established;
-    else this.compare(established, target);
+  updateEstablished(established: string | undefined, target: string): boolean {
+    if (established === this.#established) return true;
+    if (this.#target !== target || established === target) return false;
+    this.#established = established;
+    return true;
+  }
+
+  /** What was found so far, for another entry that continues. */
+  state(): EvidenceState {
+    return {
+      judge: this.#judge.state(),
+      thresholds: this.#collector.thresholds(),
+    };
+  }
+
+  /** Continues a comparison from what another entry has found. */
+  restore({ judge, thresholds }: EvidenceState): void {
+    this.#judge = new MoveJudge(JUDGE_OPTIONS);
+    this.#judge.restore(judge);
+    this.#collector.restoreThresholds(thresholds);
   }
 
   /** Sets the version whose runs show what is usual, and ends a comparison. */
@@ -187,6 +206,11 @@
     this.#runs.set(id, { ...run, isCounted: false });
   }
 
+  /** Records a run that another entry granted; it shows nothing. */
+  recordAdopted(id: string, run: ComparedRun): void {
+    this.#runs.set(id, { ...run, isCounted: true });
+  }
+
   recordResponseStart(id: string, latency: number): void {
     const run = this.#runs.get(id);
     if (run !== undefined) run.firstToken ??= latency;
@@ -271,8 +295,9 @@
 ): (number | undefined)[] {
   const factor = isCold ? COLD_FACTOR : 1;
   const elapsed = now - grantedAt;
-  const decode = timing === undefined ? undefined : timing.measured /
-    nominalDecodeTime({ promptTokens: 1, outputTokens: timing.tokens });
+  const { tokens = 0, measured = 0 } = timing ?? {};
+  const decode = tokens === 0 ? undefined : measured /
+    nominalDecodeTime({ promptTokens: 1, outputTokens: tokens });
   return [
     (firstToken ?? elapsed) / nominalFirstTokenTime(cost) / factor,
     decode === undefined ? undefined : decode / factor,
--- a/packages/decisions/src/rollouts/rollout_steps.ts
+++ b/packages/decisions/src/rollouts/rollout_steps.ts
@@ -9,6 +9,12 @@
  *
  * Without traffic there is no evidence, and a version that nobody calls does no
  * harm; so after a delay, a step needs no more runs than there are requests.
+ *
+ * The evidence may be of a part of the time only, since the entry that granted
+ * before was lost with what it knew. Few runs then mean that little is known, and
+ * not that there is little traffic: the target gets no more than a version that
+ * may be bad until there are enough, and the old version is kept if there is no
+ * time for them.
  * @module
  */
 import type { CallCounts, MoveVerdict } from "../moves/mod.ts";
@@ -49,6 +55,8 @@
 const NOTICEABLE_GRANTS = 20;
 /** Evidence against the target from which on it is not given more requests. */
 const SUSPICIOUS_EVIDENCE = 10;
+/** The same after the loss of a granting entry: runs in progress were lost. */
+const SUSPICIOUS_AFTER_LOSS = 3;
 /**
  * Evidence against the target below which it may get more than a version that
  * may be bad.
@@ -78,6 +86,8 @@
   oldRuns: number;
   /** The target got all the requests that it may get. */
   isExhausted: boolean;
+  /** So few requests come that the target may get all of them. */
+  isHarmless: boolean;
   /** The target is the established version already. */
   isEstablished: boolean;
 };
@@ -87,6 +97,8 @@
   readonly #stages: readonly Stage[];
   readonly #orderedAt: number;
   readonly #duration: number;
+  readonly #isEvidencePartial: boolean;
+  readonly #suspiciousEvidence: number;
   #index = 0;
   #since: number;
   /** Ended runs of the target when the step began. */
@@ -100,20 +112,41 @@
       orderedAt: number;
       duration: number;
       exposedShare: number;
+      isEvidencePartial: boolean;
+      /** Step that another entry had reached; it begins again. */
+      resumed?: { step: number; targetRuns: number } | undefined;
       now: number;
     },
   ) {
     const { orderedAt, duration, exposedShare, now } = options;
+    this.#isEvidencePartial = options.isEvidencePartial;
     this.#orderedAt = orderedAt;
     this.#duration = duration;
     this.#since = now;
     this.#stages = stagesOf(duration, exposedShare);
+    const { resumed } = options;
+    const isAfterLoss = this.#isEvidencePartial || resumed !== undefined;
+    this.#suspiciousEvidence = isAfterLoss
+      ? SUSPICIOUS_AFTER_LOSS
+      : SUSPICIOUS_EVIDENCE;
+    const { step = 0, targetRuns = 0 } = resumed ?? {};
+    this.#index = Math.min(step, this.#stages.length - 1);
+    this.#runsBefore = targetRuns;
   }
 
   get step(): RolloutStep {
     return this.#stages[this.#index]!.step;
   }
 
+  get stepIndex(): number {
+    return this.#index;
+  }
+
+  /** Evidence of an earlier part of the roll-out was lost. */
+  get isEvidencePartial(): boolean {
+    return this.#isEvidencePartial;
+  }
+
   /** Share of the requests that the target may get. */
   get share(): number {
     if (this.#outcome === "succeeded") return 1;
@@ -195,7 +228,7 @@
     if (capacityShare <= 0) {
       return { reason: "the target has no servers", isOptional: false };
     }
-    if (isSuspicious(inputs)) {
+    if (this.#isSuspicious(inputs)) {
       return { reason: "evidence against the target", isOptional: false };
     }
     if (targetRuns === 0 && grants >= NOTICEABLE_GRANTS) {
@@ -206,14 +239,20 @@
       const reason = "the target's servers can't carry more";
       return { reason, isOptional: capacityShare >= MINIMUM_CAPACITY };
     }
-    return targetRuns < ENOUGH_RUNS
-      ? { reason: "few runs of the target have ended", isOptional: true }
-      : undefined;
+    if (targetRuns >= ENOUGH_RUNS) return undefined;
+    const reason = "few runs of the target have ended";
+    return { reason, isOptional: !this.#needsRuns(inputs, share) };
+  }
+
+  /** Whether few runs keep the target from getting `share` of the requests. */
+  #needsRuns({ isHarmless }: StepInputs, share: number): boolean {
+    return this.#isEvidencePartial && !isHarmless &&
+      share > this.#stages[1]!.share;
   }
 
   /** Succeeds once the target has carried all requests for a while. */
   #finish(inputs: StepInputs, now: number): void {
-    if (isSuspicious(inputs)) {
+    if (this.#isSuspicious(inputs)) {
       this.#reason = "evidence against the target";
       return;
     }
@@ -241,20 +280,16 @@
         now - this.#since < timeOf(LAST_STEP, this.#duration) &&
         this.#elapsed(now) < LAST_END
       ) return;
-      if (isSuspicious(inputs)) {
+      if (this.#isSuspicious(inputs)) {
         this.#end("rolled_back", "evidence against the target");
       } else this.#end("succeeded", "the target carried all requests");
       return;
     }
-    const obstacle = this.#obstacle(inputs, 0);
+    const obstacle = this.#obstacle(inputs, MINIMUM_CAPACITY);
     if (obstacle !== undefined && !obstacle.isOptional) {
       this.#end("rolled_back", obstacle.reason);
       return;
     }
-    if (inputs.capacityShare < MINIMUM_CAPACITY) {
-      this.#end("rolled_back", "the target's servers can't carry the requests");
-      return;
-    }
     this.#enter(this.#stages.length - 1, inputs, now);
   }
 
@@ -268,13 +303,13 @@
     this.#outcome = outcome;
     this.#reason = reason;
   }
-}
 
-/** Without anything to compare with, frequent failures have to suffice. */
-function isSuspicious({ evidence, uncomparedRuns }: StepInputs): boolean {
-  const { ended, failed } = uncomparedRuns;
-  return evidence >= SUSPICIOUS_EVIDENCE ||
-    ended >= CONCLUSIVE_RUNS && failed > TOLERATED_FAILURES * ended;
+  /** Without anything to compare with, frequent failures have to suffice. */
+  #isSuspicious({ evidence, uncomparedRuns }: StepInputs): boolean {
+    const { ended, failed } = uncomparedRuns;
+    return evidence >= this.#suspiciousEvidence ||
+      ended >= CONCLUSIVE_RUNS && failed > TOLERATED_FAILURES * ended;
+  }
 }
 
 function stagesOf(duration: number, exposedShare: number): Stage[] {
--- a/packages/decisions/src/rollouts/version_exposure.ts
+++ b/packages/decisions/src/rollouts/version_exposure.ts
@@ -43,27 +43,33 @@
   hasSlack: boolean;
   /** Requests that it got before. */
   granted?: number;
+  /** Grants of the service that were counted before. */
+  total?: number;
 };
 
 /** Counts the grants of one version that is not established. */
 export class VersionExposure {
   readonly #options: ExposureOptions;
+  #fraction: number;
   #slack: number;
   #credit: number;
   #granted: number;
-  #total = 0;
+  #total: number;
 
   constructor(options: ExposureOptions) {
-    const { fraction, hasSlack, granted = 0 } = options;
+    const { fraction, hasSlack, granted = 0, total = 0 } = options;
     this.#options = options;
+    this.#fraction = fraction;
     this.#slack = this.#slackOf(fraction);
     this.#credit = hasSlack ? Math.max(1, FIRST_REQUESTS * fraction) : 1;
-    this.#granted = Math.min(granted, this.#slack);
+    this.#total = total;
+    this.#granted = total > 0 ? granted : Math.min(granted, this.#slack);
     this.#credit = Math.max(0, this.#credit - this.#granted);
   }
 
   /** Sets the fraction of the fleet's requests that are granted here. */
   setFraction(fraction: number): void {
+    this.#fraction = fraction;
     this.#slack = this.#slackOf(fraction);
   }
 
@@ -72,6 +78,11 @@
     return this.#granted;
   }
 
+  /** Whether the slack may be used. */
+  get hasSlack(): boolean {
+    return this.#options.hasSlack;
+  }
+
   /** Grants of the service. */
   get total(): number {
     return this.#total;
@@ -100,6 +111,18 @@
     return this.#granted + 1 > this.#bound(share, now);
   }
 
+  /**
+   * Whether all requests of `duration` milliseconds, at the present rate, are no
+   * more than the slack.
+   */
+  coversAll(duration: number, now: number): boolean {
+    const { bounds, since } = this.#options;
+    const elapsed = now - since;
+    if (elapsed < MINIMUM_RATE_TIME) return false;
+    const requests = this.#total * duration / elapsed;
+    return requests <= bounds.exposedSlack * this.#fraction;
+  }
+
   #slackOf(fraction: number): number {
     const { bounds, hasSlack } = this.#options;
     return hasSlack ? USED_SLACK * bounds.exposedSlack * fraction : 1;
