Answer pipelined requests during a stop; the last one closes the connection

A request that arrived behind one whose response had not begun was read and neither run nor answered during a stop: the response before it had already announced the end of the connection.

--- a/packages/gateway/src/front/http_frontend.ts
+++ b/packages/gateway/src/front/http_frontend.ts
@@ -41,8 +41,8 @@
   readonly #connections = new Set<Socket>();
   /** Connections on which no request has been read. */
   readonly #unreadConnections = new WeakSet<Socket>();
-  /** Connections that close after a response that has not finished yet. */
-  readonly #closingConnections = new WeakSet<Socket>();
+  /** Responses that announce the end of their connections. */
+  readonly #closingResponses = new WeakMap<Socket, ServerResponse>();
   /** Responses in progress; more than one if a caller pipelines. */
   readonly #openResponses = new Map<Socket, Set<ServerResponse>>();
   /** Bytes that had been read of a connection when its last response ended. */
@@ -88,9 +88,8 @@
   startDraining(): void {
     this.#draining = true;
     for (const [socket, responses] of this.#openResponses) {
-      const [response] = responses;
-      if (responses.size > 1 || response?.headersSent !== false) continue;
-      this.#closeAfter(socket, response);
+      const last = [...responses].at(-1);
+      if (last?.headersSent === false) this.#closeAfter(socket, last);
     }
   }
 
@@ -138,7 +137,10 @@
 
   /** False if the response could not be sent on the request's connection. */
   #admit(socket: Socket, response: ServerResponse): boolean {
-    if (this.#closingConnections.has(socket)) return false;
+    const closing = this.#closingResponses.get(socket);
+    if (closing?.headersSent === true) return false;
+    // The caller pipelines: the connection ends with this response instead.
+    closing?.removeHeader("connection");
     const responses = this.#openResponses.get(socket) ?? new Set();
     this.#openResponses.set(socket, responses.add(response));
     response.once("finish", () => this.#handleFinish(socket, response));
@@ -149,7 +151,7 @@
   /** Announces that the connection ends with a response that has not begun. */
   #closeAfter(socket: Socket, response: ServerResponse): void {
     response.setHeader("connection", "close");
-    this.#closingConnections.add(socket);
+    this.#closingResponses.set(socket, response);
   }
 
   #handleFinish(socket: Socket, response: ServerResponse): void {
