Wait a moment for kept connections before a process ends beside another entry

Beside an entry that accepts callers, a stopping process ended within 20 ms of its last response, and closed the kept connection on which the caller's next request was on its way. Found by a review; stop_connections_test failed before (one response of two) and passes.

Change: the process ends after 250 ms without a request.

--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -24,6 +24,11 @@
  * one may stop listening: the load balancer polls its readiness once a second.
  */
 const REPLACED_AFTER = 1500;
+/**
+ * Milliseconds without a request after which the process ends beside another
+ * entry: a caller with a kept connection may have sent the next one.
+ */
+const IDLE_AFTER = 250;
 /** Milliseconds without a request after which this entry counts as unused. */
 const UNUSED_AFTER = 500;
 /** Milliseconds before its end at which the process stops listening anyway. */
@@ -124,7 +129,7 @@
     if (this.#requestHandler.activeRequests > 0) this.#lastActiveAt = now;
     if (now < this.#admitAllUntil) return true;
     if (now >= this.#endAt - STOP_LISTENING_MARGIN) return false;
-    const idle = this.#lastActiveAt < now;
+    const idle = now - this.#lastActiveAt >= IDLE_AFTER;
     const replaced = now - this.#replacedSince >= REPLACED_AFTER;
     const unused = now - this.#lastActiveAt >= UNUSED_AFTER;
     return !(idle && replaced) && !unused;
