--- a/packages/daemon/src/entry/http_frontend.ts
+++ b/packages/daemon/src/entry/http_frontend.ts
@@ -5,7 +5,9 @@
  */
 import { acceptQueueLength } from "@sycamorepulley/decisions";
 import { createServer } from "node:http";
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { Server as NetServer } from "node:net";
+import type { Socket } from "node:net";
 import polka from "polka";
 import type { Request } from "polka";
 import { listen } from "../common/listen.ts";
@@ -65,22 +67,50 @@
     .all(`${SERVICE_PATH_PREFIX}*`, serve);
   // polka only handles requests of servers that it starts itself, so its
   // handler is called directly.
-  const server: Server = createServer(
+  const connections = new OpenConnections();
+  const server = createServer(
     {
       maxHeaderSize: maxHeaderBytes,
       // Responses may take minutes; each request's own deadline bounds them.
       requestTimeout: 0,
     },
-    (request, response) => application.handler(request as Request, response),
+    (request, response) => {
+      connections.addResponse(request.socket, response);
+      application.handler(request as Request, response);
+    },
   );
   server.maxConnections = maxConnections;
+  server.on("connection", (socket) => connections.add(socket));
   const port = await listen(server, address, acceptQueueLength(processors));
-  return { port, close: () => closeServer(server) };
+  const close = () =>
+    new Promise<void>((resolve) => {
+      // The methods of the HTTP server also close connections whose response is
+      // complete but not handed over to the operating system yet.
+      NetServer.prototype.close.call(server, () => resolve());
+      connections.closeIdle();
+    });
+  return { port, close };
 }
 
-function closeServer(server: Server): Promise<void> {
-  return new Promise((resolve) => {
-    server.close(() => resolve());
-    server.closeIdleConnections();
-  });
+/** The connections of callers, and the responses that they wait for. */
+class OpenConnections {
+  readonly #responses = new Map<Socket, Set<ServerResponse>>();
+
+  add(socket: Socket): void {
+    this.#responses.set(socket, new Set());
+    socket.once("close", () => this.#responses.delete(socket));
+  }
+
+  addResponse(socket: Socket, response: ServerResponse): void {
+    const responses = this.#responses.get(socket);
+    responses?.add(response);
+    response.once("finish", () => responses?.delete(response));
+  }
+
+  /** Closes connections without an open response. */
+  closeIdle(): void {
+    for (const [socket, responses] of this.#responses) {
+      if (responses.size === 0) socket.destroy();
+    }
+  }
 }
