Count another entry as a replacement only once the load balancer knows it

A refused caller was asked to return at once as soon as any other entry was connected, also one that had just started, so that it could be refused twice in a row and have no retry left. Found by a review, by reading. The same time as for the end of listening applies now.

--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -77,7 +77,7 @@
       startedAt: signalledAt,
       acceptsAllUntil: this.#admitAllUntil,
       endsAt: signalledAt + gracePeriod - GRACE_MARGIN,
-      isReplaced: () => this.#peers.hasActivePeer(),
+      isReplaced: (now) => this.#isReplaced(now),
     });
     // The signal may also have just been sent: running requests go on until the
     // process is killed.
@@ -124,14 +124,19 @@
    * if other entries accept callers, the load balancer sends none here.
    */
   #mustListen(now: number): boolean {
-    if (!this.#peers.hasActivePeer()) this.#replacedSince = Infinity;
-    else this.#replacedSince = Math.min(this.#replacedSince, now);
+    const isReplaced = this.#isReplaced(now);
     if (this.#requestHandler.activeRequests > 0) this.#lastActiveAt = now;
     if (now < this.#admitAllUntil) return true;
     if (now >= this.#endAt - STOP_LISTENING_MARGIN) return false;
     const idle = now - this.#lastActiveAt >= IDLE_AFTER;
-    const replaced = now - this.#replacedSince >= REPLACED_AFTER;
     const unused = now - this.#lastActiveAt >= UNUSED_AFTER;
-    return !(idle && replaced) && !unused;
+    return !(idle && isReplaced) && !unused;
+  }
+
+  /** Whether another entry has accepted callers for long enough. */
+  #isReplaced(now: number): boolean {
+    if (!this.#peers.hasActivePeer()) this.#replacedSince = Infinity;
+    else this.#replacedSince = Math.min(this.#replacedSince, now);
+    return now - this.#replacedSince >= REPLACED_AFTER;
   }
 }
--- a/packages/gateway/src/request/drain_admission.ts
+++ b/packages/gateway/src/request/drain_admission.ts
@@ -30,8 +30,8 @@
   acceptsAllUntil: number;
   /** The process ends then at the latest. */
   endsAt: number;
-  /** Whether another entry accepts requests now. */
-  isReplaced: () => boolean;
+  /** Whether callers use other entries by now. */
+  isReplaced: (now: number) => boolean;
 };
 
 /** Admission while draining; instants are those of the process's clock. */
@@ -82,7 +82,7 @@
    * successor of this process accepts requests then.
    */
   retryAfter(now: number): number {
-    if (this.#schedule?.isReplaced() === true) return RETRY_ELSEWHERE;
+    if (this.#schedule?.isReplaced(now) === true) return RETRY_ELSEWHERE;
     const endsAt = this.#schedule?.endsAt ?? now;
     return Math.max(0, endsAt - now) + RESTART_TIME;
   }
--- a/packages/gateway/test/graceful_stop_test.ts
+++ b/packages/gateway/test/graceful_stop_test.ts
@@ -52,6 +52,38 @@
   t.end();
 });
 
+t.test("another entry counts once the load balancer knows it", async (t) => {
+  // Guards against sending refused callers to an entry that has just started.
+  let now = 0;
+  let hasActivePeer = false;
+  const drainAdmission = new DrainAdmission();
+  const stop = new GracefulStop({
+    frontend: {
+      stopListening: () => {},
+      closeIdleConnections: () => {},
+    } as HttpFrontend,
+    requestHandler: {
+      activeRequests: 1,
+      refuseLate: () => {},
+      endAllAtStop: () => {},
+    } as unknown as RequestHandler,
+    peers: { hasActivePeer: () => hasActivePeer } as Peers,
+    drainAdmission,
+    clock: () => now,
+    signalledAt: now,
+    gracePeriod: 8000,
+  });
+  const finished = stop.finish();
+  now = 3000;
+  hasActivePeer = true;
+  t.ok(drainAdmission.retryAfter(now) > 1000);
+  now = 4600;
+  t.ok(drainAdmission.retryAfter(now) < 100);
+  now = 8000;
+  await finished;
+  t.end();
+});
+
 t.test("a signal may have been sent before the event loop stood still", (t) => {
   // Guards against a stop that lags behind the operator's clock.
   const turns = new TurnTimes();
