Tests: provoke the gateway's fault where only the request meets it

The services of a configuration are now collected from its routes when it is adopted, so that a route without targets is a fault of the adoption. The test needs one of the request; it asks the same.

--- a/packages/gateway/test/request_path_test.ts
+++ b/packages/gateway/test/request_path_test.ts
@@ -315,7 +315,8 @@
 t.test("a request that meets a fault of the gateway gets an error", async (t) => {
   // Guards against a connection that closes without a response.
   const fixture = await Fixture.startReady();
-  const faulty = route({ prefix: "/faulty/", targets: undefined! });
+  const homeRegions = 1 as unknown as string[];
+  const faulty = route({ prefix: "/faulty/", homeRegions });
   fixture.store.put("configuration", storedConfiguration(2, [faulty]));
   t.ok(
     await waitUntil(async () => (await fixture.call("/calls/")).status === 404),
