--- a/packages/gateway/test/graceful_stop_test.ts
+++ b/packages/gateway/test/graceful_stop_test.ts
@@ -12,11 +12,14 @@
   cost: { promptTokens: 6000, outputTokens: 900 },
 } as ResolvedRequest;
 
-t.test("a long stream sent 3 s after the stop signal is not admitted", async (t) => {
-  // Guards against cutting it off: checks run every 20 ms, signals come late.
-  let now = 0;
-  const drainAdmission = new DrainAdmission();
-  const stop = new GracefulStop({
+/** A stop whose signal has just come, with one request that does not end. */
+function startStop(options: {
+  drainAdmission: DrainAdmission;
+  clock: () => number;
+  hasActivePeer: () => boolean;
+}): GracefulStop {
+  const { drainAdmission, clock, hasActivePeer } = options;
+  return new GracefulStop({
     frontend: {
       stopListening: () => {},
       closeIdleConnections: () => {},
@@ -26,12 +29,23 @@
       refuseLate: () => {},
       endAllAtStop: () => {},
     } as unknown as RequestHandler,
-    peers: { hasActivePeer: () => false } as Peers,
+    peers: { hasActivePeer } as Peers,
     drainAdmission,
-    clock: () => now,
-    signalledAt: now,
+    clock,
+    signalledAt: clock(),
     gracePeriod: 8000,
   });
+}
+
+t.test("a long stream sent 3 s after the stop signal is not admitted", async (t) => {
+  // Guards against cutting it off: checks run every 20 ms, signals come late.
+  let now = 0;
+  const drainAdmission = new DrainAdmission();
+  const stop = startStop({
+    drainAdmission,
+    clock: () => now,
+    hasActivePeer: () => false,
+  });
   const finished = stop.finish();
   now = 2500;
   await new Promise((resolve) => setTimeout(resolve, 60));
@@ -57,21 +71,10 @@
   let now = 0;
   let hasActivePeer = false;
   const drainAdmission = new DrainAdmission();
-  const stop = new GracefulStop({
-    frontend: {
-      stopListening: () => {},
-      closeIdleConnections: () => {},
-    } as HttpFrontend,
-    requestHandler: {
-      activeRequests: 1,
-      refuseLate: () => {},
-      endAllAtStop: () => {},
-    } as unknown as RequestHandler,
-    peers: { hasActivePeer: () => hasActivePeer } as Peers,
+  const stop = startStop({
     drainAdmission,
     clock: () => now,
-    signalledAt: now,
-    gracePeriod: 8000,
+    hasActivePeer: () => hasActivePeer,
   });
   const finished = stop.finish();
   now = 3000;
