--- a/packages/testing/src/fleet/daemon_settings.ts
+++ b/packages/testing/src/fleet/daemon_settings.ts
@@ -21,8 +21,12 @@
 export type EntrySettings = CommonSettings & {
   role: "entry";
   http: ListenSettings;
+  bounds?: { connections: number };
 };
 
+/** What a machine provides to an entry. */
+export type EntryMachine = { memoryMegabytes: number; connections: number };
+
 /** The backend server of a sidecar. */
 export type BackendServerSettings = {
   url: string;
@@ -67,11 +71,13 @@
 export function entrySettings(
   instance: string,
   platform: PlatformSettings,
+  machine?: EntryMachine,
 ): EntrySettings {
   return {
     role: "entry",
     ...commonSettings(instance, platform),
     http: LOOPBACK,
+    ...(machine && { bounds: { connections: machine.connections } }),
   };
 }
 
--- a/packages/testing/src/fleet/fleet.ts
+++ b/packages/testing/src/fleet/fleet.ts
@@ -5,7 +5,7 @@
 import { TemporaryDirectory } from "../process/temporary_directory.ts";
 import { DaemonProcess } from "./daemon_process.ts";
 import { entrySettings, sidecarSettings } from "./daemon_settings.ts";
-import type { PlatformSettings } from "./daemon_settings.ts";
+import type { EntryMachine, PlatformSettings } from "./daemon_settings.ts";
 import { EmulatedProcess } from "./emulated_process.ts";
 import type { EmulatorOptions } from "./emulated_process.ts";
 import { EXAMPLE_TOKEN, exampleObjects } from "./example_objects.ts";
@@ -38,6 +38,8 @@
   backends: BackendOptions[];
   /** Configuration to publish; by default {@link exampleObjects}. */
   objects?: ConfigurationObjects;
+  /** The machine of each entry; without limits of its own if absent. */
+  machine?: EntryMachine;
 };
 
 /** The launched processes; `shutDown` or `kill` ends all of them. */
@@ -110,9 +112,9 @@
   }
 
   /** Launches one more entry. */
-  async addEntry(): Promise<DaemonProcess> {
+  async addEntry(machine?: EntryMachine): Promise<DaemonProcess> {
     const name = `entry-${this.entries.length + 1}`;
-    const settings = entrySettings(name, this.platform);
+    const settings = entrySettings(name, this.platform, machine);
     const entry = await DaemonProcess.launch(settings, this.#directory);
     this.entries.push(entry);
     return entry;
@@ -167,7 +169,7 @@
       await this.addBackend(backend);
     }
     for (let entry = 0; entry < (options.entries ?? 1); entry++) {
-      await this.addEntry();
+      await this.addEntry(options.machine);
     }
     const daemons = [
       ...this.backends.map(({ sidecar }) => sidecar),
