Gateway: copy small chunks of a body into blocks

What callers saw: a single request within the limits, sent in chunks of one byte, ended the gateway ("JavaScript heap out of memory"), and every other request of the process with it.

Cause: each chunk was kept as the buffer that Node.js creates for it until the body was whole. Such a buffer needs about 500 bytes besides its content, most of them on the heap: 4 MiB in chunks of one byte are 2 GB. The memory budget counted the content only.

Change: chunks below 8 KiB are copied into blocks, larger ones are kept as they are; what is reserved is what the pieces need, not their content. Reading bodies moves to a package of its own (receiving), as the daemon's entry has the same fault; ByteBuffer moves with it.

Evidence, gateway_crowd_test, before: the process ends in "chunks of one byte" and in "the largest body in chunks of one byte". After: 143 MB of 178 allowed, and the largest body is served (4,194,304 bytes arrive at the server).

--- a/deploy/build.js
+++ b/deploy/build.js
@@ -10,7 +10,7 @@
 import { join } from "node:path";
 import process from "node:process";
 
-const packages = ["decisions", "gateway", "protocol", "store"];
+const packages = ["decisions", "gateway", "protocol", "receiving", "store"];
 const alias = Object.fromEntries(
   packages.map((name) => [
     `@sycamorepulley/${name}`,
--- a/packages/gateway/src/request/caller_connection.ts
+++ b/packages/gateway/src/request/caller_connection.ts
@@ -1,9 +1,8 @@
-/** The caller's side of a request: body, disconnect and response. @module */
+/** The caller's side of a request: disconnect and response. @module */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { Result } from "true-myth/result";
+import { ByteBuffer } from "@sycamorepulley/receiving";
 import type { ResponseHead } from "../backend/backend_connection.ts";
 import { responseHeaders } from "../front/forwarded_headers.ts";
-import { ByteBuffer } from "./byte_buffer.ts";
 import type { EntryMemory, HeldBytes, HeldStream } from "./entry_memory.ts";
 import { sendErrorResponse } from "./error_response.ts";
 import type { ErrorReason } from "./error_response.ts";
@@ -31,7 +30,7 @@
   onStalled: () => void;
 };
 
-/** Reads the body, sends at most one response, and notices a disconnect. */
+/** Sends at most one response, and notices a disconnect. */
 export class CallerConnection {
   readonly #request: IncomingMessage;
   readonly #response: ServerResponse;
@@ -81,41 +80,6 @@
     return this.#response.headersSent;
   }
 
-  /**
-   * Reads the whole body; `undefined` if it is empty. Fails if it is larger
-   * than `maxBytes` or ends early, or if `held` can't be raised to its size; the
-   * rest is then read and dropped.
-   */
-  readBody(
-    maxBytes: number,
-    held?: HeldBytes,
-  ): Promise<Result<Buffer | undefined, "too_large" | "cut" | "memory">> {
-    return new Promise((resolve) => {
-      const chunks: Buffer[] = [];
-      let size = 0;
-      let isDropped = false;
-      this.#request.on("data", (chunk: Buffer) => {
-        if (isDropped) return;
-        size += chunk.length;
-        if (size > maxBytes) {
-          resolve(Result.err("too_large"));
-        } else if (held?.reserve(size) === false) {
-          isDropped = true;
-          chunks.length = 0;
-          resolve(Result.err("memory"));
-        } else {
-          chunks.push(chunk);
-        }
-      });
-      this.#request.once("end", () => {
-        const body = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
-        resolve(Result.ok(size === 0 ? undefined : body));
-      });
-      this.#request.once("close", () => resolve(Result.err("cut")));
-      this.#request.once("error", () => resolve(Result.err("cut")));
-    });
-  }
-
   sendError(status: number, reason: ErrorReason, retryAfter?: number): void {
     if (this.#disconnected || this.responseStarted) return;
     sendErrorResponse(this.#response, status, reason, retryAfter);
--- a/packages/gateway/src/request/event_buffer.ts
+++ b/packages/gateway/src/request/event_buffer.ts
@@ -4,7 +4,7 @@
  * the next server's events would be appended to it.
  * @module
  */
-import { ByteBuffer } from "./byte_buffer.ts";
+import { ByteBuffer } from "@sycamorepulley/receiving";
 
 /** Byte value of a line feed. */
 const NEWLINE = 10;
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -16,7 +16,7 @@
 } from "../backend/backend_connection.ts";
 import type { HeaderNames } from "../front/header_names.ts";
 import { isCloseDelimited } from "./caller_connection.ts";
-import { ByteBuffer } from "./byte_buffer.ts";
+import { ByteBuffer } from "@sycamorepulley/receiving";
 import type { HeldBytes } from "./entry_memory.ts";
 import { EventBuffer } from "./event_buffer.ts";
 
--- a/packages/gateway/src/request/request_handler.ts
+++ b/packages/gateway/src/request/request_handler.ts
@@ -1,6 +1,7 @@
 /** Validates callers' requests and runs a task for each. @module */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setImmediate as nextTurn } from "node:timers/promises";
+import { readBody } from "@sycamorepulley/receiving";
 import type { RequestParser } from "../front/parsed_request.ts";
 import type { ParsedRequest } from "../front/parsed_request.ts";
 import { CallerConnection } from "./caller_connection.ts";
@@ -105,7 +106,7 @@
       return;
     }
     const caller = new CallerConnection(request, response);
-    const body = await caller.readBody(maxBytes, held);
+    const body = await readBody(request, { maxBytes, held });
     if (body.isErr) {
       if (body.error === "memory") {
         this.#refuseForMemory(response, parsed);
--- a/packages/gateway/src/request/unread_events.ts
+++ b/packages/gateway/src/request/unread_events.ts
@@ -7,7 +7,7 @@
  * @module
  */
 import type { ServerResponse } from "node:http";
-import { ByteBuffer } from "./byte_buffer.ts";
+import { ByteBuffer } from "@sycamorepulley/receiving";
 import type { HeldStream } from "./entry_memory.ts";
 
 /** Bytes that are written at once, and of a buffer that takes no more events. */
