Gateway: keep to the memory budget whatever servers report

What callers saw: beside a crowd of clients that held large bodies open, the gateway grew far beyond the memory of its machine, where it is killed and all its requests with it.

Cause: the budget (EntryMemory) was in force only while the decisions for uneven load were: with the deployment's setting "reported", not before some server had reported its pace, which the servers of most deployments never do. Bodies were then not bounded at all.

Change: the budget is always in force. Without memoryMegabytes the memory of the machine bounds the bodies of requests; only responses keep a bound for each of them, as before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -276,7 +276,7 @@
           () => this.#settings.bounds,
           () => this.#entryStatus.totalShares(),
         ),
-        memory: () => this.#boundsMemory ? memory : undefined,
+        memory,
       },
     });
     this.#frontend = new HttpFrontend(
@@ -317,7 +317,7 @@
           this.#metrics,
           this.#grantClient.organisationCounts(),
         );
-        memory?.updateGauges();
+        memory.updateGauges();
         rolloutView.updateGauges(this.#metrics);
       },
       rollouts: () => rolloutView.statuses(),
@@ -517,15 +517,6 @@
     return this.#lifecycle.state === "ready" && this.#isStateLoaded();
   }
 
-  /**
-   * Whether the entry's memory is bounded, if its settings state the memory; see
-   * `AdaptiveMode`.
-   */
-  get #boundsMemory(): boolean {
-    return this.#settings.scheduling.adaptive !== "reported" ||
-      this.#grantClient.hasPaceReport;
-  }
-
   /** True once configuration, servers and entries are known from any source. */
   #isStateLoaded(): boolean {
     const { activeConfiguration, serversKnown, membersKnown } =
--- a/packages/gateway/src/peers/grant_client.ts
+++ b/packages/gateway/src/peers/grant_client.ts
@@ -91,7 +91,6 @@
   #addresses: ReadonlyMap<string, string> = new Map();
   #grantingEntry: string;
   #submittedCount = 0;
-  #hasPaceReport = false;
 
   constructor(
     options: {
@@ -128,11 +127,6 @@
     });
   }
 
-  /** Whether a server has reported its pace to this entry. */
-  get hasPaceReport(): boolean {
-    return this.#hasPaceReport;
-  }
-
   /** See {@link LocalGranter.fractions}. */
   get fractions(): GroupFractions {
     return this.#localGranter.fractions;
@@ -315,7 +309,6 @@
    * with the start or the end of the response.
    */
   recordServerLoad(id: string, load: ServerLoad): void {
-    if (load.pace !== undefined) this.#hasPaceReport = true;
     const pending = this.#pending.get(id);
     if (pending === undefined) return;
     pending.load = { load, observedAt: this.#clock() };
--- a/packages/gateway/src/request/entry_memory.ts
+++ b/packages/gateway/src/request/entry_memory.ts
@@ -3,6 +3,7 @@
  * pauses and resumes responses as {@link MemoryBudget} decides.
  * @module
  */
+import { totalmem } from "node:os";
 import { MemoryBudget } from "@sycamorepulley/decisions";
 import type { UnreadResponse } from "@sycamorepulley/decisions";
 import type { EventLog } from "../observe/event_log.ts";
@@ -51,17 +52,25 @@
   metrics: GatewayMetrics;
 };
 
-/** The memory of an entry with a process limit; `undefined` without one. */
+/**
+ * The memory of an entry. `memoryMegabytes`: the limit of the process; if absent,
+ * that is the memory of the machine, and responses are bounded one by one.
+ */
 export function createEntryMemory(
   memoryMegabytes: number | undefined,
   options: EntryMemoryOptions,
-): EntryMemory | undefined {
-  if (memoryMegabytes === undefined) return undefined;
-  return new EntryMemory(memoryBudgetBytes(memoryMegabytes), options);
+): EntryMemory {
+  const limit = memoryMegabytes ?? totalmem() / MEGABYTE;
+  return new EntryMemory(memoryBudgetBytes(limit), {
+    ...options,
+    boundsResponses: memoryMegabytes !== undefined,
+  });
 }
 
 /** Counts what the entry holds, and decides which responses are read. */
 export class EntryMemory {
+  /** Whether responses share the budget; otherwise each has its own bound. */
+  readonly boundsResponses: boolean;
   readonly #budget: MemoryBudget;
   readonly #clock: () => number;
   readonly #random: () => number;
@@ -71,7 +80,11 @@
   #timer: NodeJS.Timeout | undefined;
 
   /** `bytes`: of the budget. */
-  constructor(bytes: number, options: EntryMemoryOptions) {
+  constructor(
+    bytes: number,
+    options: EntryMemoryOptions & { boundsResponses: boolean },
+  ) {
+    this.boundsResponses = options.boundsResponses;
     this.#budget = new MemoryBudget(bytes);
     this.#clock = options.clock;
     this.#random = options.random;
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -72,7 +72,7 @@
   readonly #onHead: (head: ResponseHead) => void;
   readonly #onBytes: () => void;
   readonly #onFirstPart: (status: number) => void;
-  readonly #held: HeldBytes | undefined;
+  readonly #held: HeldBytes;
   #resolveDone!: (result: ExchangeResult) => void;
   #sentRequest: SentRequest | undefined;
   #head: ResponseHead | undefined;
@@ -99,7 +99,7 @@
        */
       onFirstPart: (status: number) => void;
       /** Counts the bytes of a part that is not complete, if they count. */
-      held: HeldBytes | undefined;
+      held: HeldBytes;
     },
   ) {
     super();
@@ -155,7 +155,7 @@
       return;
     }
     const completeEvents = this.#eventBuffer.push(chunk);
-    this.#held?.set(this.#eventBuffer.partialSize);
+    this.#held.set(this.#eventBuffer.partialSize);
     if (completeEvents !== undefined) this.#passOn(completeEvents);
     if (this.#eventBuffer.partialSize > MAX_EVENT_BYTES) {
       this.#failOversized(`event larger than ${MAX_EVENT_BYTES} bytes`);
@@ -238,7 +238,7 @@
       return;
     }
     this.#body.append(chunk);
-    this.#held?.set(this.#body.length);
+    this.#held.set(this.#body.length);
   }
 
   /** Why the response is not one of the server to this request, if it isn't. */
@@ -280,7 +280,7 @@
   #finish(result: ExchangeResult): void {
     if (this.#finished) return;
     this.#finished = true;
-    this.#held?.release();
+    this.#held.release();
     this.#resolveDone(result);
   }
 }
--- a/packages/gateway/src/request/request_context.ts
+++ b/packages/gateway/src/request/request_context.ts
@@ -38,6 +38,6 @@
   recordLeaving: (incarnation: string) => void;
   drainAdmission: DrainAdmission;
   consumeRetry: ConsumeRetry;
-  /** What the entry holds; `undefined` while its memory is not bounded. */
-  memory: () => EntryMemory | undefined;
+  /** What the entry holds. */
+  memory: EntryMemory;
 };
--- a/packages/gateway/src/request/request_handler.ts
+++ b/packages/gateway/src/request/request_handler.ts
@@ -79,11 +79,11 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const held = this.#context.memory()?.openBytes();
+    const held = this.#context.memory.openBytes();
     try {
       await this.#handleHeld(request, response, held);
     } finally {
-      held?.release();
+      held.release();
     }
   }
 
@@ -91,7 +91,7 @@
   async #handleHeld(
     request: IncomingMessage,
     response: ServerResponse,
-    held: HeldBytes | undefined,
+    held: HeldBytes,
   ): Promise<void> {
     const { clock, activeConfiguration, random, metrics, ready } =
       this.#context;
@@ -100,7 +100,7 @@
     const maxBytes = limits?.bodyBytes ?? Infinity;
     const declaredBytes = Math.min(maxBytes, declaredLength(request));
     // A request without a body needs memory too.
-    if (held?.reserve(Math.max(1, declaredBytes)) === false) {
+    if (held.reserve(Math.max(1, declaredBytes)) === false) {
       request.resume();
       this.#refuseForMemory(response, parsed);
       return;
@@ -167,15 +167,14 @@
     }
   }
 
-  /** Bounds what the response may hold if the entry's memory is bounded. */
+  /** Bounds what the response may hold if the memory of the process is known. */
   #boundMemory(
     caller: CallerConnection,
     { requestId, arrivedAt }: ParsedRequest,
     { service, deadline }: ResolvedRequest,
   ): void {
-    const { log, clock } = this.#context;
-    const memory = this.#context.memory();
-    if (memory === undefined) return;
+    const { log, clock, memory } = this.#context;
+    if (!memory.boundsResponses) return;
     caller.setBounds({
       memory,
       service,
@@ -194,7 +193,7 @@
   #refuseForMemory(response: ServerResponse, parsed: ParsedRequest): void {
     const remaining = parsed.remainingTime ?? Infinity;
     const retryAfter = Math.min(
-      this.#context.memory()?.retryAfter() ?? DEFAULT_RETRY_AFTER,
+      this.#context.memory.retryAfter(),
       remaining * MAX_RETRY_AFTER_FRACTION,
     );
     this.#refuse(response, parsed, "memory", retryAfter);
--- a/packages/gateway/src/request/server_attempt.ts
+++ b/packages/gateway/src/request/server_attempt.ts
@@ -240,7 +240,7 @@
       headerNames,
       requestId: parsed.requestId,
       connection,
-      held: context.memory()?.openBytes(),
+      held: context.memory.openBytes(),
       onHead: (head) => this.#readNotices(head),
       onBytes: () => this.#endSilence(),
       onFirstPart: (status) => {
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -26,8 +26,9 @@
   /** Number of processors of this instance. */
   processors: v.optional(positive, 1),
   /**
-   * Megabytes of memory at which this process is killed. If absent, what it
-   * holds for slow callers and servers is bounded for each response only.
+   * Megabytes of memory at which this process is killed. If absent, the bodies
+   * of requests are bounded by the memory of the machine, and what is held for
+   * slow callers for each response only.
    */
   memoryMegabytes: v.optional(positive),
   /** Address for callers. */
