Gateway: stop reading a body that is refused

What callers saw: beside clients that sent far more than the limit the gateway grew beyond the memory of its machine.

Cause: three things. A stated length beyond the limit was only noticed once as many bytes had been read. What had arrived of a refused body stayed referenced until its connection closed, but was no longer counted. A client whose body did not fit into the memory could go on sending until the request timed out, 15 s later, and every byte was read, copied and dropped.

Change: a stated length is checked before anything is read; a failed body drops what it holds; the connection of a refused body closes with the response, unless the body's stated length is 64 KiB at most, so that clients within the limits keep their connections. A body read before the entry knew a configuration is checked against the limit once there is one.

--- a/packages/gateway/src/request/request_handler.ts
+++ b/packages/gateway/src/request/request_handler.ts
@@ -1,9 +1,10 @@
 /** Validates callers' requests and runs a task for each. @module */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setImmediate as nextTurn } from "node:timers/promises";
-import { readBody } from "@sycamorepulley/receiving";
+import { closeBeforeRest, readBody } from "@sycamorepulley/receiving";
 import type { RequestParser } from "../front/parsed_request.ts";
 import type { ParsedRequest } from "../front/parsed_request.ts";
+import type { CallerLimits } from "../state/gateway_configuration.ts";
 import { CallerConnection } from "./caller_connection.ts";
 import { errorStatus, sendErrorResponse } from "./error_response.ts";
 import type { ErrorReason } from "./error_response.ts";
@@ -96,26 +97,18 @@
     const { clock, activeConfiguration, random, metrics, ready } =
       this.#context;
     const parsed = this.#parser.parse(request, clock());
-    const limits = activeConfiguration()?.configuration.limits;
-    const maxBytes = limits?.bodyBytes ?? Infinity;
-    const declaredBytes = Math.min(maxBytes, declaredLength(request));
-    // A request without a body needs memory too.
-    if (held.reserve(Math.max(1, declaredBytes)) === false) {
-      request.resume();
-      this.#refuseForMemory(response, parsed);
-      return;
-    }
     const caller = new CallerConnection(request, response);
+    const maxBytes = activeConfiguration()?.configuration.limits.bodyBytes ??
+      Infinity;
     const body = await readBody(request, { maxBytes, held });
     if (body.isErr) {
-      if (body.error === "memory") {
-        this.#refuseForMemory(response, parsed);
-      } else if (body.error === "too_large") {
-        response.setHeader("connection", "close");
-        this.#refuse(response, parsed, "body_too_large");
-      } else {
+      if (body.error === "cut") {
         metrics.abandonedRequests.inc();
+        return;
       }
+      closeBeforeRest(request, response);
+      if (body.error === "memory") this.#refuseForMemory(response, parsed);
+      else this.#refuse(response, parsed, "body_too_large");
       return;
     }
     await ready;
@@ -129,8 +122,13 @@
       metrics.abandonedRequests.inc();
       return;
     }
-    if (limits !== undefined && headSize(request) > limits.headerBytes) {
-      this.#refuse(response, parsed, "head_too_large");
+    const tooLarge = exceededLimit(
+      request,
+      body.value,
+      activeConfiguration()?.configuration.limits,
+    );
+    if (tooLarge !== undefined) {
+      this.#refuse(response, parsed, tooLarge);
       return;
     }
     const resolved = resolveRequest(parsed, activeConfiguration(), random());
@@ -253,9 +251,19 @@
   });
 }
 
-/** Bytes of the body that the head of a request states; 0 if it doesn't. */
-function declaredLength({ headers }: IncomingMessage): number {
-  return Number(headers["content-length"] ?? 0);
+/**
+ * Which limit a request exceeds. Its body may have been read before the entry
+ * knew a configuration.
+ */
+function exceededLimit(
+  request: IncomingMessage,
+  body: Buffer | undefined,
+  limits: CallerLimits | undefined,
+): "head_too_large" | "body_too_large" | undefined {
+  if (limits === undefined) return undefined;
+  if (headSize(request) > limits.headerBytes) return "head_too_large";
+  const bodySize = body?.length ?? 0;
+  return bodySize > limits.bodyBytes ? "body_too_large" : undefined;
 }
 
 /** Size in bytes of the request line and the headers, as sent. */
