Gateway: reserve the memory of bodies that may still come, and take it back

What callers saw: beside clients that stopped just short of the end of their bodies, the gateway grew beyond the memory of its machine, and ordinary callers got 503 until the request timeout of those clients, 15 s later.

Cause: a body without a stated length was counted as it came, so a hundred of them were received at the same time, all in vain, while their senders filled the receive buffers of their connections (163 MB of bytes received and not yet read, beside 225 MB resident). What an unfinished body held stayed reserved as long as its connection was open, and one kind of client could take all of it.

Change: IncomingBodies (decisions) reserves a body as a whole before it arrives; beyond 64 KiB of unknown length that is the configured limit. Bodies above 64 KiB leave a quarter of the budget to smaller ones. Where there is no room, a body that received less than 16 KiB in the last second loses its memory and gets 503. Before there is a configuration, a body may have 16 MiB.

--- a/packages/decisions/src/memory/memory_budget.ts
+++ b/packages/decisions/src/memory/memory_budget.ts
@@ -82,9 +82,9 @@
     return { held: this.#heldBytes, budget: this.#bytes, paused };
   }
 
-  /** Whether a request with so many bytes of body fits into the budget. */
-  admits(bytes: number): boolean {
-    return this.#heldBytes + bytes <= this.#bytes;
+  /** Whether so many bytes more fit into a part of the budget. */
+  admits(bytes: number, fraction = 1): boolean {
+    return this.#heldBytes + bytes <= this.#bytes * fraction;
   }
 
   /** Adds bytes that can't be paused; negative if they are released. */
--- a/packages/gateway/src/request/entry_memory.ts
+++ b/packages/gateway/src/request/entry_memory.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import { totalmem } from "node:os";
-import { MemoryBudget } from "@sycamorepulley/decisions";
+import { IncomingBodies, MemoryBudget } from "@sycamorepulley/decisions";
+import { HeldBody } from "@sycamorepulley/receiving";
 import type { UnreadResponse } from "@sycamorepulley/decisions";
 import type { EventLog } from "../observe/event_log.ts";
 import type { GatewayMetrics } from "../observe/metrics.ts";
@@ -72,6 +73,7 @@
   /** Whether responses share the budget; otherwise each has its own bound. */
   readonly boundsResponses: boolean;
   readonly #budget: MemoryBudget;
+  readonly #bodies: IncomingBodies;
   readonly #clock: () => number;
   readonly #random: () => number;
   readonly #log: EventLog;
@@ -86,6 +88,7 @@
   ) {
     this.boundsResponses = options.boundsResponses;
     this.#budget = new MemoryBudget(bytes);
+    this.#bodies = new IncomingBodies(this.#budget);
     this.#clock = options.clock;
     this.#random = options.random;
     this.#log = options.log;
@@ -106,10 +109,12 @@
 
   /** Starts to count bytes that can't be paused; see {@link HeldBytes}. */
   openBytes(): HeldBytes {
-    return new HeldBytes(
-      (bytes) => this.#budget.admits(bytes),
-      (bytes) => this.#addUnpausable(bytes),
-    );
+    return new HeldBytes((bytes) => this.#addUnpausable(bytes));
+  }
+
+  /** Starts to count the body of a request. */
+  openBody(): HeldBody {
+    return new HeldBody(this.#bodies, this.#clock, () => this.#logChange());
   }
 
   /** Starts to count the unread events of a response. */
@@ -179,29 +184,14 @@
 
 /** Bytes that an entry holds until they are released; they can't be paused. */
 export class HeldBytes {
-  readonly #admits: (bytes: number) => boolean;
   readonly #add: (bytes: number) => void;
   #bytes = 0;
   #released = false;
 
-  constructor(
-    admits: (bytes: number) => boolean,
-    add: (bytes: number) => void,
-  ) {
-    this.#admits = admits;
+  constructor(add: (bytes: number) => void) {
     this.#add = add;
   }
 
-  /** Raises the number of bytes if the budget allows it; else returns false. */
-  reserve(bytes: number): boolean {
-    if (this.#released) return false;
-    const missing = bytes - this.#bytes;
-    if (missing <= 0) return true;
-    if (!this.#admits(missing)) return false;
-    this.set(bytes);
-    return true;
-  }
-
   /** States how many bytes are held, whatever the budget. */
   set(bytes: number): void {
     if (this.#released || bytes === this.#bytes) return;
--- a/packages/gateway/src/request/request_handler.ts
+++ b/packages/gateway/src/request/request_handler.ts
@@ -2,13 +2,13 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setImmediate as nextTurn } from "node:timers/promises";
 import { closeBeforeRest, readBody } from "@sycamorepulley/receiving";
+import type { HeldBody } from "@sycamorepulley/receiving";
 import type { RequestParser } from "../front/parsed_request.ts";
 import type { ParsedRequest } from "../front/parsed_request.ts";
 import type { CallerLimits } from "../state/gateway_configuration.ts";
 import { CallerConnection } from "./caller_connection.ts";
 import { errorStatus, sendErrorResponse } from "./error_response.ts";
 import type { ErrorReason } from "./error_response.ts";
-import type { HeldBytes } from "./entry_memory.ts";
 import type { RequestContext } from "./request_context.ts";
 import { RequestTask } from "./request_task.ts";
 import { resolveRequest } from "./resolve_request.ts";
@@ -20,6 +20,9 @@
  */
 const DEFAULT_RETRY_AFTER = 500;
 
+/** Largest body in bytes that is read while no configuration states a limit. */
+const BODY_LIMIT_WITHOUT_CONFIGURATION = 16 * 1024 * 1024;
+
 /** Maximum fraction of the caller's time that it is asked to wait. */
 const MAX_RETRY_AFTER_FRACTION = 1 / 3;
 
@@ -80,7 +83,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const held = this.#context.memory.openBytes();
+    const held = this.#context.memory.openBody();
     try {
       await this.#handleHeld(request, response, held);
     } finally {
@@ -92,14 +95,14 @@
   async #handleHeld(
     request: IncomingMessage,
     response: ServerResponse,
-    held: HeldBytes,
+    held: HeldBody,
   ): Promise<void> {
     const { clock, activeConfiguration, random, metrics, ready } =
       this.#context;
     const parsed = this.#parser.parse(request, clock());
     const caller = new CallerConnection(request, response);
     const maxBytes = activeConfiguration()?.configuration.limits.bodyBytes ??
-      Infinity;
+      BODY_LIMIT_WITHOUT_CONFIGURATION;
     const body = await readBody(request, { maxBytes, held });
     if (body.isErr) {
       if (body.error === "cut") {
--- a/packages/receiving/src/body_reader.ts
+++ b/packages/receiving/src/body_reader.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Result } from "true-myth/result";
 import { BodyBuffer } from "./body_buffer.ts";
+import type { HeldBody } from "./held_body.ts";
 
 /**
  * Largest stated length of a refused body that is read and dropped, so that its
@@ -12,19 +13,13 @@
 /** Why a body was not read; `memory`: no more may be held. */
 export type BodyError = "too_large" | "cut" | "memory";
 
-/** The memory that is reserved for a body. */
-export type BodyReservation = {
-  /** Raises it to so many bytes; returns false if that is not allowed. */
-  reserve: (bytes: number) => boolean;
-};
-
-/** Bounds of {@link readBody}. */
-export type BodyOptions = { maxBytes: number; held: BodyReservation };
+/** Bounds of {@link readBody}; `held` counts the body and outlives the call. */
+export type BodyOptions = { maxBytes: number; held: HeldBody };
 
 /**
  * Reads the whole body; `undefined` if it is empty. Fails if it is larger than
- * `maxBytes` or ends early, or if `held` can't be raised to the memory that it
- * needs. What was received is then dropped, and so is the rest.
+ * `maxBytes` or ends early, or if there is no memory for it (any more). What was
+ * received is then dropped, and so is the rest.
  */
 export function readBody(
   request: IncomingMessage,
@@ -34,24 +29,33 @@
     let body: BodyBuffer | undefined = new BodyBuffer();
     const fail = (error: BodyError) => {
       body = undefined;
+      held.release();
       resolve(Result.err(error));
     };
+    held.onEvicted(() => fail("memory"));
     const stated = statedLength(request);
     if (stated > maxBytes) fail("too_large");
-    // A request without a body needs memory too.
-    else if (!held.reserve(Math.max(1, stated))) fail("memory");
+    else if (!held.reserveStated(stated)) fail("memory");
     request.on("data", (chunk: Buffer) => {
       if (body === undefined) return;
       body.append(chunk);
-      if (body.length > maxBytes) fail("too_large");
-      else if (!held.reserve(body.memory)) fail("memory");
+      const { length, memory } = body;
+      if (length > maxBytes) fail("too_large");
+      else if (!held.recordReceived(length, memory, maxBytes)) fail("memory");
     });
     request.once("end", () => {
-      const isEmpty = body === undefined || body.length === 0;
-      resolve(Result.ok(isEmpty ? undefined : body?.take()));
+      if (body === undefined) return;
+      const bytes = body.length === 0 ? undefined : body.take();
+      body = undefined;
+      held.complete(Math.max(1, bytes?.length ?? 0));
+      resolve(Result.ok(bytes));
     });
-    request.once("close", () => fail("cut"));
-    request.once("error", () => fail("cut"));
+    // Both may follow the end, when the body belongs to the request's handler.
+    const cut = () => {
+      if (body !== undefined) fail("cut");
+    };
+    request.once("close", cut);
+    request.once("error", cut);
   });
 }
 
--- a/packages/receiving/test/body_reader_test.ts
+++ b/packages/receiving/test/body_reader_test.ts
@@ -1,23 +1,28 @@
-import { once } from "node:events";
+import { EventEmitter, once } from "node:events";
 import { createServer } from "node:http";
+import type { IncomingMessage } from "node:http";
 import { connect } from "node:net";
 import type { AddressInfo } from "node:net";
+import { IncomingBodies, MemoryBudget } from "@sycamorepulley/decisions";
 import t from "tap";
 import type { Test } from "tap";
-import { closeBeforeRest, readBody } from "../src/mod.ts";
+import { Result } from "true-myth/result";
+import { closeBeforeRest, HeldBody, readBody } from "../src/mod.ts";
 
 const MAX_BYTES = 100_000;
-/** Bytes that may be reserved for a body. */
+/** Bytes that may be reserved for bodies. */
 const MEMORY = 50_000;
 const HEAD = "POST / HTTP/1.1\r\nhost: a.example\r\n";
-const held = { reserve: (bytes: number) => bytes <= MEMORY };
 
 /** Status of the response to each request, and whether the connection ends. */
 async function startServer(t: Test) {
+  const bodies = new IncomingBodies(new MemoryBudget(MEMORY));
   const server = createServer(async (request, response) => {
+    const held = new HeldBody(bodies, () => performance.now());
     const body = await readBody(request, { maxBytes: MAX_BYTES, held });
     if (body.isErr) closeBeforeRest(request, response);
     response.end(body.isOk ? String(body.value?.length ?? 0) : body.error);
+    held.release();
   }).listen(0, "127.0.0.1");
   await once(server, "listening");
   t.teardown(() => {
@@ -72,3 +77,21 @@
   while (!next.endsWith("3")) await once(socket, "data");
   t.match(next, /^HTTP\/1\.1 200/);
 });
+
+// Guards against a client that waits for a response to a body that is dropped.
+t.test("a body that loses its memory is refused", async (t) => {
+  const budget = new MemoryBudget(MEMORY);
+  let now = 0;
+  const bodies = new IncomingBodies(budget);
+  const request = Object.assign(new EventEmitter(), { headers: {} });
+  const held = new HeldBody(bodies, () => now);
+  const body = readBody(request as IncomingMessage, {
+    maxBytes: MAX_BYTES,
+    held,
+  });
+  request.emit("data", Buffer.alloc(MEMORY - 1));
+  now = 10_000;
+  t.ok(new HeldBody(bodies, () => now).reserveStated(MEMORY));
+  t.same(await body, Result.err("memory"));
+  t.equal(budget.use.held, MEMORY);
+});
