Gateway: hold a body once, and collect unused buffers of large bodies

What callers saw: on the smallest machine the gateway was still killed beside clients that held large bodies open, and its memory stayed high after they had left.

Cause: the budget counts what is held, but not what waits for the collector. A body was kept in pieces and joined at its end, which needs it twice; buffers of released bodies, and the chunks that Node.js creates, wait outside the heap until V8 collects them by itself, up to 64 MB: 181 to 207 MB were resident while the budget held 33.

Change: chunks are copied into one buffer of the reserved size (a body of one chunk is kept as it is). RequestMemory counts the unused buffers of bodies above 64 KiB and has them collected at an eighth of the budget. Ordinary requests are smaller and cause no collections. Bodies above 64 KiB get half of the budget in place of three quarters, for what the other parts of the process need.

--- a/packages/decisions/src/memory/incoming_bodies.ts
+++ b/packages/decisions/src/memory/incoming_bodies.ts
@@ -11,8 +11,10 @@
 
 /** Bytes of a body up to which it may use the whole budget. */
 const SMALL_BODY_BYTES = 64 * 1024;
+/** Bytes of memory for the smallest body of unknown length. */
+const MINIMUM_CAPACITY = 256;
 /** The part of the budget that is open to larger bodies. */
-const LARGE_BODIES_FRACTION = 0.75;
+const LARGE_BODIES_FRACTION = 0.5;
 /** Milliseconds without progress after which a body may lose its memory. */
 const STALL_TIME = 1000;
 /** Bytes that have to arrive to count as progress. */
@@ -88,8 +90,8 @@
     for (const victim of this.#incomplete) {
       if (now - victim.progressAt < STALL_TIME) return false;
       if (victim === body) continue;
-      this.close(victim);
       victim.onEvicted();
+      this.close(victim);
       if (this.#admits(body, bytes)) return true;
     }
     return false;
@@ -97,8 +99,8 @@
 
   /** A large body may use the whole budget only if it is the only one. */
   #admits(body: IncomingBody, bytes: number): boolean {
-    const others = this.#largeBodies - (isLarge(body.reserved) ? 1 : 0);
-    const isShared = isLarge(bytes) && others > 0;
+    const others = this.#largeBodies - (isLargeBody(body.reserved) ? 1 : 0);
+    const isShared = isLargeBody(bytes) && others > 0;
     return this.#budget.admits(
       bytes - body.reserved,
       isShared ? LARGE_BODIES_FRACTION : 1,
@@ -106,18 +108,29 @@
   }
 
   #resize(body: IncomingBody, bytes: number): void {
-    this.#largeBodies += Number(isLarge(bytes)) -
-      Number(isLarge(body.reserved));
+    this.#largeBodies += Number(isLargeBody(bytes)) -
+      Number(isLargeBody(body.reserved));
     this.#budget.addUnpausable(bytes - body.reserved);
     body.reserved = bytes;
   }
 }
 
-/** Bytes to reserve for a body of unknown length that has `received` bytes. */
-export function reservationOf(received: number, maximum: number): number {
-  return isLarge(received) ? Math.max(received, maximum) : received;
+/**
+ * Bytes of memory for a body of which `received` bytes are known. Without a
+ * stated length, a large body gets as much as it may become, so that it is
+ * refused early if it is.
+ */
+export function bodyCapacity(
+  received: number,
+  stated: number | undefined,
+  maximum: number,
+): number {
+  if (stated !== undefined) return stated;
+  if (isLargeBody(received)) return Math.max(received, maximum);
+  return Math.max(MINIMUM_CAPACITY, 2 ** Math.ceil(Math.log2(received)));
 }
 
-function isLarge(bytes: number): boolean {
+/** True for a body that leaves a part of the budget to smaller ones. */
+export function isLargeBody(bytes: number): boolean {
   return bytes > SMALL_BODY_BYTES;
 }
--- a/packages/decisions/src/memory/mod.ts
+++ b/packages/decisions/src/memory/mod.ts
@@ -1,5 +1,9 @@
 /** The memory that an entry holds for callers and servers. @module */
-export { IncomingBodies, reservationOf } from "./incoming_bodies.ts";
+export {
+  bodyCapacity,
+  IncomingBodies,
+  isLargeBody,
+} from "./incoming_bodies.ts";
 export type { IncomingBody } from "./incoming_bodies.ts";
 export { MemoryBudget } from "./memory_budget.ts";
 export type { MemoryUse, UnreadResponse } from "./memory_budget.ts";
--- a/packages/gateway/src/request/entry_memory.ts
+++ b/packages/gateway/src/request/entry_memory.ts
@@ -4,8 +4,9 @@
  * @module
  */
 import { totalmem } from "node:os";
-import { IncomingBodies, MemoryBudget } from "@sycamorepulley/decisions";
-import { HeldBody } from "@sycamorepulley/receiving";
+import { MemoryBudget } from "@sycamorepulley/decisions";
+import { RequestMemory } from "@sycamorepulley/receiving";
+import type { HeldBody } from "@sycamorepulley/receiving";
 import type { UnreadResponse } from "@sycamorepulley/decisions";
 import type { EventLog } from "../observe/event_log.ts";
 import type { GatewayMetrics } from "../observe/metrics.ts";
@@ -73,7 +74,7 @@
   /** Whether responses share the budget; otherwise each has its own bound. */
   readonly boundsResponses: boolean;
   readonly #budget: MemoryBudget;
-  readonly #bodies: IncomingBodies;
+  readonly #requests: RequestMemory;
   readonly #clock: () => number;
   readonly #random: () => number;
   readonly #log: EventLog;
@@ -88,7 +89,11 @@
   ) {
     this.boundsResponses = options.boundsResponses;
     this.#budget = new MemoryBudget(bytes);
-    this.#bodies = new IncomingBodies(this.#budget);
+    this.#requests = new RequestMemory({
+      budget: this.#budget,
+      clock: options.clock,
+      onChange: () => this.#logChange(),
+    });
     this.#clock = options.clock;
     this.#random = options.random;
     this.#log = options.log;
@@ -114,7 +119,7 @@
 
   /** Starts to count the body of a request. */
   openBody(): HeldBody {
-    return new HeldBody(this.#bodies, this.#clock, () => this.#logChange());
+    return this.#requests.openBody();
   }
 
   /** Starts to count the unread events of a response. */
--- a/packages/receiving/src/body_buffer.ts
+++ b/packages/receiving/src/body_buffer.ts
@@ -1,58 +1,59 @@
 /** The part of a request's body that has been received. @module */
-import { ByteBuffer } from "./byte_buffer.ts";
-
-/** Bytes from which a chunk is kept instead of copied. */
-const KEPT_CHUNK_BYTES = 8 * 1024;
-/** Bytes of a block that takes no more chunks. */
-const BLOCK_BYTES = 64 * 1024;
+import { bodyCapacity } from "@sycamorepulley/decisions";
 
 /**
- * Collects the chunks of a body. Small ones are copied into blocks, as Node.js
- * needs about 500 bytes for each chunk besides its content.
+ * Copies the chunks of a body into one buffer: Node.js needs about 500 bytes for
+ * each chunk besides its content, and a body in pieces twice its memory once
+ * they are joined.
  */
 export class BodyBuffer {
-  readonly #pieces: Buffer[] = [];
-  readonly #block = new ByteBuffer();
+  readonly #stated: number | undefined;
+  readonly #maximum: number;
+  #bytes: Buffer = Buffer.alloc(0);
   #length = 0;
-  /** Bytes of memory that the pieces need. */
-  #kept = 0;
+
+  /**
+   * In bytes. `stated`: the length of the body; `undefined` if it is not known.
+   * `maximum`: the largest length that is accepted.
+   */
+  constructor(stated: number | undefined, maximum: number) {
+    this.#stated = stated;
+    this.#maximum = maximum;
+  }
 
   /** Number of bytes received. */
   get length(): number {
     return this.#length;
   }
 
-  /** Bytes of memory that the body needs. */
-  get memory(): number {
-    return this.#kept + this.#block.capacity;
+  /** Bytes of memory that the body needs with so many bytes received. */
+  memoryFor(length: number): number {
+    const received = Math.max(length, this.#length);
+    return Math.max(
+      this.#bytes.length,
+      bodyCapacity(received, this.#stated, this.#maximum),
+    );
   }
 
   append(chunk: Buffer): void {
-    this.#length += chunk.length;
-    if (chunk.length < KEPT_CHUNK_BYTES) {
-      this.#block.append(chunk);
-      if (this.#block.length >= BLOCK_BYTES) this.#endBlock();
+    const length = this.#length + chunk.length;
+    if (this.#length === 0 && length === this.#stated) {
+      this.#bytes = chunk;
     } else {
-      this.#endBlock();
-      this.#keep(chunk, chunk.length);
+      if (length > this.#bytes.length) this.#grow(this.memoryFor(length));
+      chunk.copy(this.#bytes, this.#length);
     }
+    this.#length = length;
   }
 
   /** Returns the bytes received. */
   take(): Buffer {
-    this.#endBlock();
-    const [first = Buffer.alloc(0)] = this.#pieces;
-    return this.#pieces.length > 1 ? Buffer.concat(this.#pieces) : first;
-  }
-
-  #endBlock(): void {
-    if (this.#block.length === 0) return;
-    const { capacity } = this.#block;
-    this.#keep(this.#block.take(), capacity);
+    return this.#bytes.subarray(0, this.#length);
   }
 
-  #keep(piece: Buffer, capacity: number): void {
-    this.#pieces.push(piece);
-    this.#kept += capacity;
+  #grow(capacity: number): void {
+    const bytes = Buffer.allocUnsafeSlow(capacity);
+    this.#bytes.copy(bytes, 0, 0, this.#length);
+    this.#bytes = bytes;
   }
 }
--- a/packages/receiving/src/mod.ts
+++ b/packages/receiving/src/mod.ts
@@ -3,4 +3,5 @@
 export { closeBeforeRest, readBody } from "./body_reader.ts";
 export type { BodyError, BodyOptions } from "./body_reader.ts";
 export { ByteBuffer } from "./byte_buffer.ts";
-export { HeldBody } from "./held_body.ts";
+export { RequestMemory } from "./request_memory.ts";
+export type { HeldBody } from "./request_memory.ts";
