Gateway: bound the connections of callers, and replace those without use

Cause: the number of connections had no bound.

Change: callers get three quarters of the descriptors that the settings state (limits.maxFds on the platform, 16,384 otherwise), after 200 for files, and a quarter of the memory at 16 KiB for each connection. Refusing new connections at the bound would keep ordinary callers out while a crowd stays, so ConnectionLimit (decisions) closes another one: without a request, idle, or with a request that is not whole, in this order, the longest first.

--- a/packages/gateway/src/front/http_frontend.ts
+++ b/packages/gateway/src/front/http_frontend.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { Server as NetServer } from "node:net";
 import type { Socket } from "node:net";
-import { acceptQueueLength } from "@sycamorepulley/decisions";
+import { acceptQueueLength, ConnectionLimit } from "@sycamorepulley/decisions";
 import { listen } from "../listen.ts";
 import type { Address } from "../settings.ts";
 import type { CallerLimits } from "../state/gateway_configuration.ts";
@@ -32,6 +32,8 @@
   accepted: () => void;
   /** A connection ended before a request was read. */
   unread: () => void;
+  /** A connection was closed for another one. */
+  replaced: () => void;
 };
 
 /** Accepts callers' connections and passes their requests to a handler. */
@@ -47,11 +49,18 @@
   readonly #openResponses = new Map<Socket, Set<ServerResponse>>();
   /** Bytes that had been read of a connection when its last response ended. */
   readonly #bytesReadBefore = new WeakMap<Socket, number>();
+  readonly #limit: ConnectionLimit<Socket>;
   #unsentConnections = 0;
   #draining = false;
 
-  constructor(handle: HandleRequest, counters: ConnectionCounters) {
+  /** `maxConnections`: open at the same time. */
+  constructor(
+    handle: HandleRequest,
+    counters: ConnectionCounters,
+    maxConnections = Infinity,
+  ) {
     this.#counters = counters;
+    this.#limit = new ConnectionLimit(maxConnections);
     this.#server = createServer(
       {
         maxHeaderSize: MAX_HEAD_BYTES,
@@ -61,8 +70,11 @@
       },
       (request, response) => {
         response.sendDate = false;
-        this.#unreadConnections.delete(request.socket);
-        if (!this.#admit(request.socket, response)) return;
+        const { socket } = request;
+        this.#unreadConnections.delete(socket);
+        this.#limit.recordHead(socket);
+        request.once("end", () => this.#limit.recordRequest(socket));
+        if (!this.#admit(socket, response)) return;
         handle(request, response);
       },
     );
@@ -129,10 +141,21 @@
     this.#connections.add(socket);
     this.#unreadConnections.add(socket);
     socket.once("close", () => {
+      this.#limit.remove(socket);
       this.#connections.delete(socket);
       this.#openResponses.delete(socket);
       if (this.#unreadConnections.has(socket)) this.#counters.unread();
     });
+    this.#closeOneOf(socket);
+  }
+
+  /** Closes a connection if there are too many with a new one. */
+  #closeOneOf(socket: Socket): void {
+    const closed = this.#limit.add(socket);
+    if (closed === undefined) return;
+    this.#limit.remove(closed);
+    this.#counters.replaced();
+    closed.destroy();
   }
 
   /** False if the response could not be sent on the request's connection. */
@@ -158,6 +181,8 @@
     this.#bytesReadBefore.set(socket, socket.bytesRead);
     const responses = this.#openResponses.get(socket);
     responses?.delete(response);
-    if (responses?.size === 0) this.#openResponses.delete(socket);
+    if (responses?.size !== 0) return;
+    this.#openResponses.delete(socket);
+    this.#limit.recordIdle(socket);
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -44,6 +44,7 @@
 import { createRetryBudgets } from "./request/retry_budgets.ts";
 import {
   dataCentresIn,
+  maxCallerConnections,
   processorCapacity,
   quotaLeeway,
   rolloutBounds,
@@ -284,7 +285,9 @@
       {
         accepted: () => this.#metrics.connections.inc(),
         unread: () => this.#metrics.unreadConnections.inc(),
+        replaced: () => this.#metrics.replacedConnections.inc(),
       },
+      maxCallerConnections(settings),
     );
     this.#loadReport = new LoadReport({
       grantClient: this.#grantClient,
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -18,6 +18,11 @@
     "Connections of callers that ended before a request was read",
     [],
   );
+  readonly replacedConnections = this.#counter(
+    "connections_replaced_total",
+    "Connections of callers that were closed for new ones",
+    [],
+  );
   readonly abandonedRequests = this.#counter(
     "abandoned_total",
     "Requests whose callers had left before they were handled",
--- a/packages/gateway/src/request/entry_memory.ts
+++ b/packages/gateway/src/request/entry_memory.ts
@@ -3,23 +3,21 @@
  * pauses and resumes responses as {@link MemoryBudget} decides.
  * @module
  */
-import { totalmem } from "node:os";
 import { MemoryBudget } from "@sycamorepulley/decisions";
 import { RequestMemory } from "@sycamorepulley/receiving";
 import type { HeldBody } from "@sycamorepulley/receiving";
 import type { UnreadResponse } from "@sycamorepulley/decisions";
+import { processMemory } from "../settings.ts";
 import type { EventLog } from "../observe/event_log.ts";
 import type { GatewayMetrics } from "../observe/metrics.ts";
 
-/** Bytes of a megabyte of a process limit. */
-const MEGABYTE = 1_000_000;
 /**
- * Megabytes that the process needs itself. Beside 200 streams of large events it
+ * Bytes that the process needs itself. Beside 200 streams of large events it
  * was resident with 167 besides what it held: 46 for code and libraries, 33 of
  * heap, and the rest buffers that were read, passed on and not yet collected.
  * The heap may grow to 122.
  */
-const BASE_MEGABYTES = 200;
+const BASE_BYTES = 200_000_000;
 /**
  * Lower bound of the budget as a fraction of the process limit. With less, the
  * usual requests of a small entry would be refused in a burst.
@@ -37,13 +35,12 @@
  */
 const RETRY_AFTER = 500;
 
-/** Bytes of the budget that belongs to a process limit in megabytes. */
-function memoryBudgetBytes(memoryMegabytes: number): number {
-  const megabytes = Math.max(
-    MINIMUM_BUDGET_FRACTION * memoryMegabytes,
-    memoryMegabytes - BASE_MEGABYTES,
+/** Bytes of the budget that belongs to the memory of a process. */
+function memoryBudgetBytes(memory: number): number {
+  return Math.max(
+    MINIMUM_BUDGET_FRACTION * memory,
+    memory - BASE_BYTES,
   );
-  return megabytes * MEGABYTE;
 }
 
 /** What the memory of an entry needs besides its size. */
@@ -56,14 +53,14 @@
 
 /**
  * The memory of an entry. `memoryMegabytes`: the limit of the process; if absent,
- * that is the memory of the machine, and responses are bounded one by one.
+ * responses are bounded one by one.
  */
 export function createEntryMemory(
   memoryMegabytes: number | undefined,
   options: EntryMemoryOptions,
 ): EntryMemory {
-  const limit = memoryMegabytes ?? totalmem() / MEGABYTE;
-  return new EntryMemory(memoryBudgetBytes(limit), {
+  const bytes = memoryBudgetBytes(processMemory(memoryMegabytes));
+  return new EntryMemory(bytes, {
     ...options,
     boundsResponses: memoryMegabytes !== undefined,
   });
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,7 +1,14 @@
 /** Settings of one gateway process, validated before it starts. @module */
+import { totalmem } from "node:os";
+import { callerConnections } from "@sycamorepulley/decisions";
 import type { QuotaLeeway, RolloutBounds } from "@sycamorepulley/decisions";
 import * as v from "valibot";
 
+/** Bytes of a megabyte of a process limit. */
+const MEGABYTE = 1_000_000;
+/** Descriptors of a process whose settings state none. */
+const DEFAULT_DESCRIPTORS = 16_384;
+
 const port = v.pipe(v.number(), v.integer(), v.minValue(0), v.maxValue(65535));
 const address = v.pipe(
   v.string(),
@@ -31,6 +38,11 @@
    * slow callers for each response only.
    */
   memoryMegabytes: v.optional(positive),
+  /**
+   * Descriptors that this process may open: 200 for files, and three quarters of
+   * the others for callers. 16,384 if absent.
+   */
+  descriptors: v.optional(positive),
   /** Address for callers. */
   front: address,
   /** Address at which the load balancer polls the readiness. */
@@ -90,6 +102,13 @@
 export type Address = v.InferOutput<typeof address>;
 export type GatewaySettings = v.InferOutput<typeof gatewaySettingsSchema>;
 
+/** Largest number of connections of callers, according to the settings. */
+export function maxCallerConnections(settings: GatewaySettings): number {
+  const { descriptors = DEFAULT_DESCRIPTORS, memoryMegabytes } = settings;
+  const memory = processMemory(memoryMegabytes);
+  return callerConnections({ descriptors, memory });
+}
+
 /** What is accepted beyond a quota according to the settings. */
 export function quotaLeeway(bounds: GatewayBounds): QuotaLeeway {
   return {
@@ -105,6 +124,13 @@
   return { exposedShare, exposedSlack };
 }
 
+/** Bytes of memory that the process may use; the machine's if none is stated. */
+export function processMemory(memoryMegabytes: number | undefined): number {
+  return memoryMegabytes === undefined
+    ? totalmem()
+    : memoryMegabytes * MEGABYTE;
+}
+
 /** Processor capacity of the instance, in cores. */
 export function processorCapacity(settings: GatewaySettings): number {
   return settings.processorShare * settings.processors;
--- a/packages/gateway/test/http_frontend_test.ts
+++ b/packages/gateway/test/http_frontend_test.ts
@@ -1,19 +1,33 @@
 import { once } from "node:events";
+import type { ServerResponse } from "node:http";
 import { connect } from "node:net";
 import t from "tap";
 import { HttpFrontend } from "../src/front/http_frontend.ts";
+import { waitUntil } from "./fixture.ts";
 
 /** More bytes than the kernel buffers of a connection. */
 const LARGE_BODY = "x".repeat(20_000_000);
 
+const MAX_CONNECTIONS = 3;
+let replaced = 0;
+const COUNTERS = {
+  accepted: () => {},
+  unread: () => {},
+  replaced: () => replaced++,
+};
+
 t.test("a complete response that its caller has not read yet is not idle", async (t) => {
   // Guards against closing the connection before the response is handed over.
   let ended = () => {};
   const hasEnded = new Promise<void>((resolve) => ended = resolve);
-  const frontend = new HttpFrontend((_request, response) => {
-    response.end(LARGE_BODY);
-    ended();
-  }, { accepted: () => {}, unread: () => {} });
+  const frontend = new HttpFrontend(
+    (_request, response) => {
+      response.end(LARGE_BODY);
+      ended();
+    },
+    COUNTERS,
+    MAX_CONNECTIONS,
+  );
   const port = await frontend.listen({ host: "127.0.0.1", port: 0 }, 1);
   const socket = connect(port, "127.0.0.1");
   let size = 0;
@@ -38,3 +52,33 @@
   t.equal(frontend.unsentConnections, 0);
   frontend.closeAllConnections();
 });
+
+// Guards against more connections than the process may have descriptors.
+t.test("a new connection replaces one that sends no request", async (t) => {
+  const responses: ServerResponse[] = [];
+  const frontend = new HttpFrontend(
+    (_request, response) => responses.push(response),
+    COUNTERS,
+    MAX_CONNECTIONS,
+  );
+  const port = await frontend.listen({ host: "127.0.0.1", port: 0 }, 1);
+  const open = async () => {
+    const socket = connect(port, "127.0.0.1");
+    await once(socket, "connect");
+    return socket;
+  };
+  const serving = await open();
+  serving.write("GET / HTTP/1.1\r\nHost: a.example\r\n\r\n");
+  await waitUntil(() => responses.length === 1);
+  const unused = [await open(), await open()];
+  const closed = once(unused[0]!.resume(), "close");
+  const newest = await open();
+  await closed;
+  t.equal(replaced, 1);
+  newest.write("GET / HTTP/1.1\r\nHost: a.example\r\n\r\n");
+  t.ok(await waitUntil(() => responses.length === 2));
+  responses[0]?.end("whole");
+  const [response] = await once(serving, "data");
+  t.match(String(response), "whole");
+  frontend.closeAllConnections();
+});
