Entry: bound the memory of all bodies together

What callers saw: beside 100 clients that held bodies of a legal size open the daemon's entry grew to 680 MB, beside bodies in chunks of one byte to 2.3 GB, and gave no more responses in time.

Cause: each body was bounded, but not their sum, and only those that had been read whole counted for the service's bound of waiting bytes.

Change: the entry reads bodies as the gateway does (receiving): within one budget, in one buffer each, with what makes no progress dropped for others when memory is short, and refused bodies not read to their end. The new setting bounds.memoryMegabytes is the memory of the process; by default it is the machine's. A refusal for memory has the reason entry_memory_full (503, not run, Retry-After).

--- a/packages/daemon/src/common/settings.ts
+++ b/packages/daemon/src/common/settings.ts
@@ -72,6 +72,11 @@
       connections: v.optional(positiveInteger, 10_000),
       headerBytes: v.optional(positiveInteger, 16 * 1024),
       links: v.optional(positiveInteger, 600),
+      /**
+       * Megabytes (10^6 bytes) that this process may use; by default the memory
+       * of the machine.
+       */
+      memoryMegabytes: v.optional(positiveInteger),
       /** Processor cores that this process may use; fractions are possible. */
       processors: v.optional(
         v.pipe(v.number(), v.finite(), v.minValue(0.01)),
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -4,10 +4,15 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { totalmem } from "node:os";
 import {
   CostEstimator,
+  MemoryBudget,
+  memoryBudgetBytes,
   WaitingRequestLimiter,
 } from "@sycamorepulley/decisions";
+import { closeBeforeRest, RequestMemory } from "@sycamorepulley/receiving";
+import type { HeldBody } from "@sycamorepulley/receiving";
 import { claimCommitBudgetOptions, ClaimLedger } from "@sycamorepulley/store";
 import type { Instance, Status } from "@sycamorepulley/store";
 import type { Message } from "@sycamorepulley/protocol";
@@ -21,7 +26,7 @@
 import type { EntrySettings } from "../common/settings.ts";
 import { HttpResponseSink } from "./http_response_sink.ts";
 import { serveAtMostOnce } from "./at_most_once.ts";
-import { readBody } from "./raw_request.ts";
+import { receiveBody } from "./raw_request.ts";
 import { retryableRefusal } from "./refusal.ts";
 import {
   recordOutcome,
@@ -49,6 +54,7 @@
   readonly #directory: SidecarDirectory;
   readonly #claimLedger: ClaimLedger;
   readonly #context: RequestContext;
+  readonly #memory: RequestMemory;
   #instancesListed = false;
   #nextRequestNumber = 1;
   #runningRequests = 0;
@@ -72,6 +78,7 @@
       clock: monotonicNow,
       wallClock: wallNow,
     });
+    this.#memory = createRequestMemory(settings.bounds.memoryMegabytes);
     const serviceState = (service: string) => this.#serviceState(service);
     this.#directory = new SidecarDirectory({
       createHello: components.createHello,
@@ -157,9 +164,11 @@
     response: ServerResponse,
   ): Promise<void> {
     this.#runningRequests += 1;
+    const held = this.#memory.openBody();
     try {
-      await this.#serve(message, response);
+      await this.#serve(message, response, held);
     } finally {
+      held.release();
       this.#runningRequests -= 1;
       if (this.#runningRequests === 0) this.#onIdle?.();
     }
@@ -199,14 +208,17 @@
     };
   }
 
+  /** `held` counts the body for as long as the request may need it. */
   async #serve(
     message: IncomingMessage,
     response: ServerResponse,
+    held: HeldBody,
   ): Promise<void> {
     const sink = new HttpResponseSink(response);
     const { configuration, metrics } = this.#components;
     const { index } = configuration;
     if (!index) {
+      closeBeforeRest(message, response);
       return refuseUnresolved(
         metrics,
         sink,
@@ -217,7 +229,8 @@
       );
     }
     const path = message.url ?? "/";
-    const body = await readBody(message, maxBodyBytes(path, index));
+    const maxBytes = maxBodyBytes(path, index);
+    const body = await receiveBody(message, response, { maxBytes, held });
     if (!body) return;
     const resolved = body.andThen((body) =>
       resolveRequest({
@@ -322,6 +335,18 @@
   }
 }
 
+/** The memory for requests; `memoryMegabytes`: of the process, if limited. */
+function createRequestMemory(memoryMegabytes?: number): RequestMemory {
+  const processMemory = memoryMegabytes === undefined
+    ? totalmem()
+    : memoryMegabytes * MEGABYTE;
+  const budget = new MemoryBudget(memoryBudgetBytes(processMemory));
+  return new RequestMemory({ budget, clock: monotonicNow });
+}
+
+/** Bytes of a megabyte of the memory of a process. */
+const MEGABYTE = 1_000_000;
+
 /**
  * How long the outcomes of a service that is no longer configured are kept, in
  * milliseconds.
--- a/packages/daemon/src/entry/raw_request.ts
+++ b/packages/daemon/src/entry/raw_request.ts
@@ -1,7 +1,9 @@
 /** A caller's request as received, with a body of bounded size. @module */
-import type { IncomingMessage } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { closeBeforeRest, readBody } from "@sycamorepulley/receiving";
+import type { BodyOptions } from "@sycamorepulley/receiving";
 import Result from "true-myth/result";
-import { permanentRefusal } from "./refusal.ts";
+import { permanentRefusal, retryableRefusal } from "./refusal.ts";
 import type { Refusal } from "./refusal.ts";
 
 /** A request as received. Header names are in lower case. */
@@ -13,32 +15,32 @@
   body: Uint8Array;
 };
 
+const EMPTY_BODY = new Uint8Array();
+
 /**
- * Reads a body of at most `maxBytes` bytes. Resolves to undefined if the caller
- * disconnected before the body's end.
+ * Reads the body of a request, or returns why it is refused. Resolves to
+ * undefined if the caller disconnected before the body's end.
  */
-export async function readBody(
+export async function receiveBody(
   message: IncomingMessage,
-  maxBytes: number,
+  response: ServerResponse,
+  options: BodyOptions,
 ): Promise<Result<Uint8Array, Refusal> | undefined> {
-  const tooLarge = permanentRefusal(
-    "body_too_large",
-    `the body is larger than the ${maxBytes} bytes that are taken here`,
+  const body = await readBody(message, options);
+  if (body.isOk) return Result.ok(body.value ?? EMPTY_BODY);
+  if (body.error === "cut") return undefined;
+  closeBeforeRest(message, response);
+  return Result.err(
+    body.error === "memory"
+      ? retryableRefusal(
+        "entry_memory_full",
+        "this instance holds as many requests as its memory allows",
+      )
+      : permanentRefusal(
+        "body_too_large",
+        `the body is larger than the ${options.maxBytes} bytes that are taken here`,
+      ),
   );
-  const contentLength = Number(message.headers["content-length"] ?? 0);
-  if (contentLength > maxBytes) return Result.err(tooLarge);
-  const chunks: Uint8Array[] = [];
-  let length = 0;
-  try {
-    for await (const chunk of message as AsyncIterable<Uint8Array>) {
-      length += chunk.byteLength;
-      if (length > maxBytes) return Result.err(tooLarge);
-      chunks.push(chunk);
-    }
-  } catch {
-    return undefined;
-  }
-  return Result.ok(Buffer.concat(chunks, length));
 }
 
 /** Returns a header's value, the first one if it was sent several times. */
--- a/packages/daemon/src/entry/refusal.ts
+++ b/packages/daemon/src/entry/refusal.ts
@@ -33,6 +33,7 @@
   tier_shed: 503,
   service_waiting_full: 503,
   service_memory_full: 503,
+  entry_memory_full: 503,
   unhealthy: 503,
   leaving: 503,
   wrong_service: 503,
--- a/packages/decisions/src/memory/memory_budget.ts
+++ b/packages/decisions/src/memory/memory_budget.ts
@@ -42,6 +42,26 @@
  */
 const CUT_OFF_WINDOW = 1000;
 
+/**
+ * Bytes that the process needs itself. Beside 200 streams of large events it
+ * was resident with 167 besides what it held: 46 for code and libraries, 33 of
+ * heap, and the rest buffers that were read, passed on and not yet collected.
+ * The heap may grow to 122.
+ */
+const BASE_BYTES = 200_000_000;
+/**
+ * Lower bound of the budget as a fraction of the process limit. With less, the
+ * usual requests of a small entry would be refused in a burst.
+ */
+const MINIMUM_BUDGET_FRACTION = 0.25;
+/** Bytes of the budget of an entry whose process may use so many bytes. */
+export function memoryBudgetBytes(processMemory: number): number {
+  return Math.max(
+    MINIMUM_BUDGET_FRACTION * processMemory,
+    processMemory - BASE_BYTES,
+  );
+}
+
 /** A pause that has ended; in milliseconds. */
 type EndedPause = { endedAt: number; duration: number };
 
--- a/packages/decisions/src/memory/mod.ts
+++ b/packages/decisions/src/memory/mod.ts
@@ -5,5 +5,5 @@
   isLargeBody,
 } from "./incoming_bodies.ts";
 export type { IncomingBody } from "./incoming_bodies.ts";
-export { MemoryBudget } from "./memory_budget.ts";
+export { MemoryBudget, memoryBudgetBytes } from "./memory_budget.ts";
 export type { MemoryUse, UnreadResponse } from "./memory_budget.ts";
--- a/packages/gateway/src/request/entry_memory.ts
+++ b/packages/gateway/src/request/entry_memory.ts
@@ -3,7 +3,7 @@
  * pauses and resumes responses as {@link MemoryBudget} decides.
  * @module
  */
-import { MemoryBudget } from "@sycamorepulley/decisions";
+import { MemoryBudget, memoryBudgetBytes } from "@sycamorepulley/decisions";
 import { RequestMemory } from "@sycamorepulley/receiving";
 import type { HeldBody } from "@sycamorepulley/receiving";
 import type { UnreadResponse } from "@sycamorepulley/decisions";
@@ -11,18 +11,6 @@
 import type { EventLog } from "../observe/event_log.ts";
 import type { GatewayMetrics } from "../observe/metrics.ts";
 
-/**
- * Bytes that the process needs itself. Beside 200 streams of large events it
- * was resident with 167 besides what it held: 46 for code and libraries, 33 of
- * heap, and the rest buffers that were read, passed on and not yet collected.
- * The heap may grow to 122.
- */
-const BASE_BYTES = 200_000_000;
-/**
- * Lower bound of the budget as a fraction of the process limit. With less, the
- * usual requests of a small entry would be refused in a burst.
- */
-const MINIMUM_BUDGET_FRACTION = 0.25;
 /**
  * Milliseconds between checks of the paused responses, a small part of the
  * shortest stall timeout of a server.
@@ -35,14 +23,6 @@
  */
 const RETRY_AFTER = 500;
 
-/** Bytes of the budget that belongs to the memory of a process. */
-function memoryBudgetBytes(memory: number): number {
-  return Math.max(
-    MINIMUM_BUDGET_FRACTION * memory,
-    memory - BASE_BYTES,
-  );
-}
-
 /** What the memory of an entry needs besides its size. */
 type EntryMemoryOptions = {
   clock: () => number;
--- a/packages/testing/src/fleet/daemon_settings.ts
+++ b/packages/testing/src/fleet/daemon_settings.ts
@@ -21,7 +21,7 @@
 export type EntrySettings = CommonSettings & {
   role: "entry";
   http: ListenSettings;
-  bounds?: { connections: number };
+  bounds?: EntryMachine;
 };
 
 /** What a machine provides to an entry. */
@@ -77,7 +77,7 @@
     role: "entry",
     ...commonSettings(instance, platform),
     http: LOOPBACK,
-    ...(machine && { bounds: { connections: machine.connections } }),
+    ...(machine && { bounds: machine }),
   };
 }
 
