Entry: replace connections without use instead of closing new ones

What callers saw: beside as many connections as the entry accepts, none of which sent a request, no ordinary caller got a response for as long as they stayed.

Cause: beyond bounds.connections the server closed every new connection at once, whatever the others were used for.

Change: the front end uses ConnectionLimit as the gateway does. The new connection stays, and one without a request, an idle one, or one whose request is not whole is closed.

--- a/packages/daemon/src/common/metrics.ts
+++ b/packages/daemon/src/common/metrics.ts
@@ -26,6 +26,11 @@
     "Requests received",
     ["service", "tier"],
   );
+  readonly replacedConnections = this.#counter(
+    "connections_replaced_total",
+    "Connections of callers that were closed for new ones",
+    [],
+  );
   readonly answers = this.#counter(
     "answers_total",
     "Requests answered whole",
--- a/packages/daemon/src/entry/http_frontend.ts
+++ b/packages/daemon/src/entry/http_frontend.ts
@@ -3,7 +3,7 @@
  * services by their names.
  * @module
  */
-import { acceptQueueLength } from "@sycamorepulley/decisions";
+import { acceptQueueLength, ConnectionLimit } from "@sycamorepulley/decisions";
 import { createServer } from "node:http";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Server as NetServer } from "node:net";
@@ -31,7 +31,10 @@
 export type HttpFrontendOptions = {
   address: Address;
   maxHeaderBytes: number;
+  /** Open at the same time; beyond it, new ones replace others. */
   maxConnections: number;
+  /** Called when a connection was closed for a new one. */
+  onReplaced?: () => void;
   /** Processor cores that this process may use. */
   processors: number;
   handle: RequestHandler;
@@ -51,7 +54,7 @@
   options: HttpFrontendOptions,
 ): Promise<HttpFrontend> {
   const { address, maxHeaderBytes, maxConnections, processors } = options;
-  const { handle, isDraining } = options;
+  const { handle, isDraining, onReplaced = () => {} } = options;
   const serve = (request: IncomingMessage, response: ServerResponse) => {
     // The load balancer's list lags a shutdown. The requests that it still
     // sends must be served and its connections asked to close; otherwise those
@@ -67,7 +70,7 @@
     .all(`${SERVICE_PATH_PREFIX}*`, serve);
   // polka only handles requests of servers that it starts itself, so its
   // handler is called directly.
-  const connections = new OpenConnections();
+  const connections = new OpenConnections(maxConnections, onReplaced);
   const server = createServer(
     {
       maxHeaderSize: maxHeaderBytes,
@@ -75,11 +78,10 @@
       requestTimeout: 0,
     },
     (request, response) => {
-      connections.addResponse(request.socket, response);
+      connections.addRequest(request, response);
       application.handler(request as Request, response);
     },
   );
-  server.maxConnections = maxConnections;
   server.on("connection", (socket) => connections.add(socket));
   const port = await listen(server, address, acceptQueueLength(processors));
   const close = () =>
@@ -95,16 +97,34 @@
 /** The connections of callers, and the responses that they wait for. */
 class OpenConnections {
   readonly #responses = new Map<Socket, Set<ServerResponse>>();
+  readonly #limit: ConnectionLimit<Socket>;
+  readonly #onReplaced: () => void;
+
+  constructor(maxConnections: number, onReplaced: () => void) {
+    this.#limit = new ConnectionLimit(maxConnections);
+    this.#onReplaced = onReplaced;
+  }
 
   add(socket: Socket): void {
     this.#responses.set(socket, new Set());
-    socket.once("close", () => this.#responses.delete(socket));
+    socket.once("close", () => this.#remove(socket));
+    const closed = this.#limit.add(socket);
+    if (closed === undefined) return;
+    this.#remove(closed);
+    this.#onReplaced();
+    closed.destroy();
   }
 
-  addResponse(socket: Socket, response: ServerResponse): void {
+  addRequest(request: IncomingMessage, response: ServerResponse): void {
+    const { socket } = request;
+    this.#limit.recordHead(socket);
+    request.once("end", () => this.#limit.recordRequest(socket));
     const responses = this.#responses.get(socket);
     responses?.add(response);
-    response.once("finish", () => responses?.delete(response));
+    response.once("finish", () => {
+      responses?.delete(response);
+      if (responses?.size === 0) this.#limit.recordIdle(socket);
+    });
   }
 
   /** Closes connections without an open response. */
@@ -113,4 +133,9 @@
       if (responses.size === 0) socket.destroy();
     }
   }
+
+  #remove(socket: Socket): void {
+    this.#limit.remove(socket);
+    this.#responses.delete(socket);
+  }
 }
--- a/packages/daemon/src/entry/start_entry.ts
+++ b/packages/daemon/src/entry/start_entry.ts
@@ -44,6 +44,7 @@
     address: settings.http,
     maxHeaderBytes: settings.bounds.headerBytes,
     maxConnections: settings.bounds.connections,
+    onReplaced: () => metrics.replacedConnections.inc(),
     processors: settings.bounds.processors,
     handle: (request, response) => entry.handle(request, response),
     isDraining: () => lifecycle.state === "leaving",
