Entry: end requests that never become whole

What callers saw: nothing, but an entry that was stopped beside a client whose body never ended waited for it until shutdownWait (15 minutes) was over.

Cause: the time to receive a request was not bounded. The comment took Node.js's requestTimeout for a bound of the whole exchange; it ends when the request has been received.

Change: bounds.requestTimeout, 60 s by default: 1 MiB needs 18 KB/s. Such a request gets 408, which is true: it was not run.

--- a/packages/daemon/src/common/settings.ts
+++ b/packages/daemon/src/common/settings.ts
@@ -77,6 +77,8 @@
        * of the machine.
        */
       memoryMegabytes: v.optional(positiveInteger),
+      /** Milliseconds in which a caller must have sent its whole request. */
+      requestTimeout: v.optional(positiveInteger, 60_000),
       /** Processor cores that this process may use; fractions are possible. */
       processors: v.optional(
         v.pipe(v.number(), v.finite(), v.minValue(0.01)),
--- a/packages/daemon/src/entry/http_frontend.ts
+++ b/packages/daemon/src/entry/http_frontend.ts
@@ -21,6 +21,9 @@
  */
 export const SERVICE_PATH_PREFIX = "/services/";
 
+/** Milliseconds between checks for requests that take too long to arrive. */
+const CONNECTION_CHECK_INTERVAL = 1000;
+
 /** Serves one caller's request. */
 export type RequestHandler = (
   request: IncomingMessage,
@@ -31,6 +34,8 @@
 export type HttpFrontendOptions = {
   address: Address;
   maxHeaderBytes: number;
+  /** Milliseconds in which a caller must have sent its whole request. */
+  requestTimeout: number;
   /** Open at the same time; beyond it, new ones replace others. */
   maxConnections: number;
   /** Called when a connection was closed for a new one. */
@@ -53,7 +58,8 @@
 export async function startHttpFrontend(
   options: HttpFrontendOptions,
 ): Promise<HttpFrontend> {
-  const { address, maxHeaderBytes, maxConnections, processors } = options;
+  const { address, processors } = options;
+  const { maxHeaderBytes, maxConnections, requestTimeout } = options;
   const { handle, isDraining, onReplaced = () => {} } = options;
   const serve = (request: IncomingMessage, response: ServerResponse) => {
     // The load balancer's list lags a shutdown. The requests that it still
@@ -74,8 +80,9 @@
   const server = createServer(
     {
       maxHeaderSize: maxHeaderBytes,
-      // Responses may take minutes; each request's own deadline bounds them.
-      requestTimeout: 0,
+      // Only until a request is whole: its own deadline bounds the response.
+      requestTimeout,
+      connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL,
     },
     (request, response) => {
       connections.addRequest(request, response);
--- a/packages/daemon/src/entry/start_entry.ts
+++ b/packages/daemon/src/entry/start_entry.ts
@@ -43,6 +43,7 @@
   const frontend = await startHttpFrontend({
     address: settings.http,
     maxHeaderBytes: settings.bounds.headerBytes,
+    requestTimeout: settings.bounds.requestTimeout,
     maxConnections: settings.bounds.connections,
     onReplaced: () => metrics.replacedConnections.inc(),
     processors: settings.bounds.processors,
--- a/packages/daemon/test/connection_limit_test.ts
+++ b/packages/daemon/test/connection_limit_test.ts
@@ -11,6 +11,7 @@
   const frontend = await startHttpFrontend({
     address: { host: "127.0.0.1", port: 0 },
     maxHeaderBytes: 16_384,
+    requestTimeout: 60_000,
     maxConnections: MAX_CONNECTIONS,
     onReplaced: () => replaced++,
     processors: 1,
--- a/packages/daemon/test/http_frontend_close_test.ts
+++ b/packages/daemon/test/http_frontend_close_test.ts
@@ -12,6 +12,7 @@
   const frontend = await startHttpFrontend({
     address: { host: "127.0.0.1", port: 0 },
     maxHeaderBytes: 16_384,
+    requestTimeout: 60_000,
     maxConnections: 10,
     processors: 1,
     isDraining: () => true,
