Gateway: refuse a head as soon as it exceeds its limit

Change: the limit of the configuration is that of the parser, for connections from then on; 16 KiB before. The parser counts a head without its separators, so no head within the limit is refused. The check of the whole head stays.

Evidence: the new test of http_frontend_test fails before (nothing until the request timeout of 15 s, then 408), and gets 431 now.

--- a/packages/gateway/src/front/http_frontend.ts
+++ b/packages/gateway/src/front/http_frontend.ts
@@ -16,8 +16,8 @@
 const IDLE_MARGIN = 3000;
 /** Milliseconds between checks for connections that send a request slowly. */
 const CONNECTION_CHECK_INTERVAL = 500;
-/** Maximum bytes of a head; the configured limit is applied later. */
-const MAX_HEAD_BYTES = 64 * 1024;
+/** Maximum bytes of a head while no configuration states a limit. */
+const DEFAULT_HEAD_BYTES = 16 * 1024;
 /** Milliseconds to receive a whole request: the longest deadline of callers. */
 const REQUEST_TIMEOUT = 15_000;
 
@@ -38,7 +38,8 @@
 
 /** Accepts callers' connections and passes their requests to a handler. */
 export class HttpFrontend {
-  readonly #server: Server;
+  /** Node.js reads the largest size of a head for each connection. */
+  readonly #server: Server & { maxHeaderSize?: number };
   readonly #counters: ConnectionCounters;
   readonly #connections = new Set<Socket>();
   /** Connections on which no request has been read. */
@@ -63,7 +64,7 @@
     this.#limit = new ConnectionLimit(maxConnections);
     this.#server = createServer(
       {
-        maxHeaderSize: MAX_HEAD_BYTES,
+        maxHeaderSize: DEFAULT_HEAD_BYTES,
         connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL,
         requestTimeout: REQUEST_TIMEOUT,
         noDelay: true,
@@ -81,8 +82,10 @@
     this.#server.on("connection", (socket) => this.#countConnection(socket));
   }
 
-  /** Applies the limits of a new configuration to requests from now on. */
+  /** Applies the limits of a new configuration to connections from now on. */
   applyLimits(limits: CallerLimits): void {
+    // Without separators, a head within the limit is shorter for the parser.
+    this.#server.maxHeaderSize = limits.headerBytes;
     this.#server.headersTimeout = limits.headerTimeout;
     this.#server.keepAliveTimeout = limits.idleTimeout + IDLE_MARGIN;
   }
--- a/packages/gateway/test/http_frontend_test.ts
+++ b/packages/gateway/test/http_frontend_test.ts
@@ -82,3 +82,22 @@
   t.match(String(response), "whole");
   frontend.closeAllConnections();
 });
+
+// Guards against heads that fill the memory before their limit is checked.
+t.test("a head beyond the configured limit is refused before it ends", async (t) => {
+  const frontend = new HttpFrontend(() => {}, COUNTERS, MAX_CONNECTIONS);
+  frontend.applyLimits({
+    headerBytes: 1000,
+    bodyBytes: 1000,
+    headerTimeout: 60_000,
+    idleTimeout: 60_000,
+  });
+  const port = await frontend.listen({ host: "127.0.0.1", port: 0 }, 1);
+  const socket = connect(port, "127.0.0.1");
+  socket.write(`GET / HTTP/1.1\r\nHost: a.example\r\nX-Large: `);
+  socket.write("x".repeat(2000));
+  const [response] = await once(socket, "data");
+  t.match(String(response), /^HTTP\/1.1 431 /);
+  await once(socket, "close");
+  frontend.closeAllConnections();
+});
