Entry: no more connections than its memory is enough for

Cause: on a small machine 10,000 connections, the default bound of the daemon's entry, with an unfinished head or body each, need more than its memory. The gateway has this bound already.

Change: the smaller of bounds.connections and a quarter of the memory at 16 KiB for each connection: 3,906 with 256 MB, unchanged with 0.66 GB or more. The memory of a process is computed in one place for gateway and daemon (receiving).

--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -4,14 +4,17 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { totalmem } from "node:os";
 import {
   CostEstimator,
   MemoryBudget,
   memoryBudgetBytes,
   WaitingRequestLimiter,
 } from "@sycamorepulley/decisions";
-import { closeBeforeRest, RequestMemory } from "@sycamorepulley/receiving";
+import {
+  closeBeforeRest,
+  processMemory,
+  RequestMemory,
+} from "@sycamorepulley/receiving";
 import type { HeldBody } from "@sycamorepulley/receiving";
 import { claimCommitBudgetOptions, ClaimLedger } from "@sycamorepulley/store";
 import type { Instance, Status } from "@sycamorepulley/store";
@@ -78,7 +81,12 @@
       clock: monotonicNow,
       wallClock: wallNow,
     });
-    this.#memory = createRequestMemory(settings.bounds.memoryMegabytes);
+    this.#memory = new RequestMemory({
+      budget: new MemoryBudget(
+        memoryBudgetBytes(processMemory(settings.bounds.memoryMegabytes)),
+      ),
+      clock: monotonicNow,
+    });
     const serviceState = (service: string) => this.#serviceState(service);
     this.#directory = new SidecarDirectory({
       createHello: components.createHello,
@@ -335,18 +343,6 @@
   }
 }
 
-/** The memory for requests; `memoryMegabytes`: of the process, if limited. */
-function createRequestMemory(memoryMegabytes?: number): RequestMemory {
-  const processMemory = memoryMegabytes === undefined
-    ? totalmem()
-    : memoryMegabytes * MEGABYTE;
-  const budget = new MemoryBudget(memoryBudgetBytes(processMemory));
-  return new RequestMemory({ budget, clock: monotonicNow });
-}
-
-/** Bytes of a megabyte of the memory of a process. */
-const MEGABYTE = 1_000_000;
-
 /**
  * How long the outcomes of a service that is no longer configured are kept, in
  * milliseconds.
--- a/packages/daemon/src/entry/start_entry.ts
+++ b/packages/daemon/src/entry/start_entry.ts
@@ -1,5 +1,7 @@
 /** Builds and starts the entry role. @module */
 import { setTimeout as sleep } from "node:timers/promises";
+import { connectionsIn } from "@sycamorepulley/decisions";
+import { processMemory } from "@sycamorepulley/receiving";
 import { Membership } from "../common/membership.ts";
 import { createComponents } from "../common/process_components.ts";
 import { startProtocolServer } from "../common/protocol_server.ts";
@@ -11,6 +13,12 @@
 import { startHttpFrontend } from "./http_frontend.ts";
 import { PeerConnection } from "./peer_connection.ts";
 
+/** Connections that the entry accepts, and that its memory is enough for. */
+function maxConnections({ bounds }: EntrySettings): number {
+  const memory = processMemory(bounds.memoryMegabytes);
+  return Math.min(bounds.connections, connectionsIn(memory));
+}
+
 /**
  * Starts an entry. It is ready once it has a configuration and has read the
  * instance list.
@@ -44,7 +52,7 @@
     address: settings.http,
     maxHeaderBytes: settings.bounds.headerBytes,
     requestTimeout: settings.bounds.requestTimeout,
-    maxConnections: settings.bounds.connections,
+    maxConnections: maxConnections(settings),
     onReplaced: () => metrics.replacedConnections.inc(),
     processors: settings.bounds.processors,
     handle: (request, response) => entry.handle(request, response),
--- a/packages/decisions/src/connections/connection_limit.ts
+++ b/packages/decisions/src/connections/connection_limit.ts
@@ -96,9 +96,13 @@
   { descriptors, memory }: ProcessLimits,
 ): number {
   const byDescriptors = (descriptors - FILE_DESCRIPTORS) * CALLER_FRACTION;
-  const byMemory = memory * CONNECTION_MEMORY_FRACTION / CONNECTION_BYTES;
   return Math.max(
     MINIMUM_CONNECTIONS,
-    Math.floor(Math.min(byDescriptors, byMemory)),
+    Math.floor(Math.min(byDescriptors, connectionsIn(memory))),
   );
 }
+
+/** Number of connections for which the memory of a process is enough. */
+export function connectionsIn(memory: number): number {
+  return Math.floor(memory * CONNECTION_MEMORY_FRACTION / CONNECTION_BYTES);
+}
--- a/packages/gateway/src/request/entry_memory.ts
+++ b/packages/gateway/src/request/entry_memory.ts
@@ -4,10 +4,9 @@
  * @module
  */
 import { MemoryBudget, memoryBudgetBytes } from "@sycamorepulley/decisions";
-import { RequestMemory } from "@sycamorepulley/receiving";
+import { processMemory, RequestMemory } from "@sycamorepulley/receiving";
 import type { HeldBody } from "@sycamorepulley/receiving";
 import type { UnreadResponse } from "@sycamorepulley/decisions";
-import { processMemory } from "../settings.ts";
 import type { EventLog } from "../observe/event_log.ts";
 import type { GatewayMetrics } from "../observe/metrics.ts";
 
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,11 +1,9 @@
 /** Settings of one gateway process, validated before it starts. @module */
-import { totalmem } from "node:os";
 import { callerConnections } from "@sycamorepulley/decisions";
 import type { QuotaLeeway, RolloutBounds } from "@sycamorepulley/decisions";
+import { processMemory } from "@sycamorepulley/receiving";
 import * as v from "valibot";
 
-/** Bytes of a megabyte of a process limit. */
-const MEGABYTE = 1_000_000;
 /** Descriptors of a process whose settings state none. */
 const DEFAULT_DESCRIPTORS = 16_384;
 
@@ -124,13 +122,6 @@
   return { exposedShare, exposedSlack };
 }
 
-/** Bytes of memory that the process may use; the machine's if none is stated. */
-export function processMemory(memoryMegabytes: number | undefined): number {
-  return memoryMegabytes === undefined
-    ? totalmem()
-    : memoryMegabytes * MEGABYTE;
-}
-
 /** Processor capacity of the instance, in cores. */
 export function processorCapacity(settings: GatewaySettings): number {
   return settings.processorShare * settings.processors;
--- a/packages/receiving/src/mod.ts
+++ b/packages/receiving/src/mod.ts
@@ -3,5 +3,6 @@
 export { closeBeforeRest, readBody } from "./body_reader.ts";
 export type { BodyError, BodyOptions } from "./body_reader.ts";
 export { ByteBuffer } from "./byte_buffer.ts";
+export { processMemory } from "./process_memory.ts";
 export { RequestMemory } from "./request_memory.ts";
 export type { HeldBody } from "./request_memory.ts";
