Count the buffers of small bodies that fail as unused

Cause: what a refused or broken body of 64 KiB or less held was not counted for the collection of unused buffers. A crowd that sends without a stated length is refused at 64 KiB a client, and left up to 13 MB behind in each wave.

Change: such bodies count as well, with their chunks. Requests that become whole and are small still cause no collections.

--- a/packages/receiving/src/request_memory.ts
+++ b/packages/receiving/src/request_memory.ts
@@ -50,6 +50,9 @@
   readonly #clock: () => number;
   readonly #onChange: () => void;
   readonly #body: IncomingBody;
+  /** Bytes of chunks that were copied and are not recorded as unused. */
+  #copied = 0;
+  #isComplete = false;
   #onEvicted = () => {};
   #isReleased = false;
 
@@ -80,13 +83,15 @@
     if (this.#isReleased) return false;
     const body = this.#body;
     this.#bodies.recordReceived(body, length, this.#clock());
-    if (isLargeBody(body.reserved)) this.#collection.recordUnused(chunk);
+    this.#copied += chunk;
+    if (isLargeBody(body.reserved)) this.#recordCopied();
     return memory <= body.reserved || this.#reserve(memory);
   }
 
   /** Records that the body is complete and needs so many bytes. */
   complete(memory: number): void {
     if (this.#isReleased) return;
+    this.#isComplete = true;
     this.#bodies.complete(this.#body, memory);
     this.#onChange();
   }
@@ -112,8 +117,16 @@
     this.#onEvicted();
   }
 
+  /** Small bodies count only if they fail, which ordinary requests don't. */
   #recordUnused(): void {
     const { reserved } = this.#body;
-    if (isLargeBody(reserved)) this.#collection.recordUnused(reserved);
+    if (this.#isComplete && !isLargeBody(reserved)) return;
+    this.#recordCopied();
+    this.#collection.recordUnused(reserved);
+  }
+
+  #recordCopied(): void {
+    this.#collection.recordUnused(this.#copied);
+    this.#copied = 0;
   }
 }
