--- a/packages/decisions/src/memory/incoming_bodies.ts
+++ b/packages/decisions/src/memory/incoming_bodies.ts
@@ -51,8 +51,8 @@
   }
 
   /**
-   * Raises what is reserved for a body to so many bytes. Returns false if there
-   * is no room, even without the bodies that make no progress.
+   * Raises what is reserved for a body to so many bytes. Returns false if they
+   * don't fit, even without the bodies that make no progress.
    */
   reserve(body: IncomingBody, bytes: number, now: number): boolean {
     const missing = bytes - body.reserved;
--- a/packages/decisions/test/incoming_bodies_test.ts
+++ b/packages/decisions/test/incoming_bodies_test.ts
@@ -94,7 +94,7 @@
     if (now % (STALL_TIME / 8) < interval) {
       if (bodies.reserve(open(now), 4 * MIB, now)) stalling++;
     }
-    // Many small ones, which fill the rest within two seconds.
+    // Small ones that fill the other half within two seconds.
     if (!bodies.reserve(open(now), 32 * KIB, now)) refused++;
     const ordinary = open(now);
     t.ok(bodies.reserve(ordinary, 16 * KIB, now), `at ${now}`);
--- a/packages/receiving/src/body_reader.ts
+++ b/packages/receiving/src/body_reader.ts
@@ -5,12 +5,12 @@
 import type { HeldBody } from "./request_memory.ts";
 
 /**
- * Largest stated length of a refused body that is read and dropped, so that its
- * connection can be used again.
+ * Largest stated length of a refused body that is read and dropped, so that the
+ * client can use its connection again.
  */
 const DROPPED_BODY_BYTES = 64 * 1024;
 
-/** Why a body was not read; `memory`: no more may be held. */
+/** Why a body was not read; `memory`: the budget is exhausted. */
 export type BodyError = "too_large" | "cut" | "memory";
 
 /** Bounds of {@link readBody}; `held` counts the body and outlives the call. */
@@ -18,8 +18,8 @@
 
 /**
  * Reads the whole body; `undefined` if it is empty. Fails if it is larger than
- * `maxBytes` or ends early, or if there is no memory for it (any more). What was
- * received is then dropped, and so is the rest.
+ * `maxBytes`, ends early, or gets or keeps no memory. All its bytes are then
+ * dropped, also those that still arrive.
  */
 export function readBody(
   request: IncomingMessage,
@@ -62,8 +62,8 @@
 }
 
 /**
- * Closes the connection with its next response unless the rest of a refused body
- * is short: clients could send without end otherwise.
+ * Closes the connection with its next response if much of a refused body may
+ * follow: clients could send without end otherwise.
  */
 export function closeBeforeRest(
   request: IncomingMessage,
--- a/packages/receiving/src/request_memory.ts
+++ b/packages/receiving/src/request_memory.ts
@@ -77,7 +77,7 @@
 
   /**
    * Records that a chunk was received, with which the body is `length` bytes
-   * long and needs `memory` bytes. Returns false if there is no room for it.
+   * long and needs `memory` bytes. Returns false if they don't fit.
    */
   recordReceived(chunk: number, length: number, memory: number): boolean {
     if (this.#isReleased) return false;
--- a/packages/receiving/test/buffer_collection_test.ts
+++ b/packages/receiving/test/buffer_collection_test.ts
@@ -17,7 +17,7 @@
   collection.recordUnused(4 * MEBIBYTE - 1);
   t.ok(growth() > 30 * MEBIBYTE);
   collection.recordUnused(1);
-  // V8 frees the memory of collected buffers on a thread of its own.
+  // V8 frees the memory of collected buffers on another thread.
   await waitFor("the buffers to be freed", () => growth() < 4 * MEBIBYTE);
   t.equal(buffers.length, 0);
 });
