Count a connection as idle if its response came before the body's end

What callers saw: nothing yet (found by reading). A client whose body was refused early, and who sent the rest of it afterwards, kept a connection that counted as serving and was never replaced by another one.

Cause: the end of a request was recorded also if its response had been sent.

Evidence: the new test of http_frontend_test fails before (the new connection was closed instead), and passes now; the daemon's front end has the same change.

--- a/packages/daemon/src/entry/http_frontend.ts
+++ b/packages/daemon/src/entry/http_frontend.ts
@@ -125,7 +125,9 @@
   addRequest(request: IncomingMessage, response: ServerResponse): void {
     const { socket } = request;
     this.#limit.recordHead(socket);
-    request.once("end", () => this.#limit.recordRequest(socket));
+    request.once("end", () => {
+      if (!response.writableFinished) this.#limit.recordRequest(socket);
+    });
     const responses = this.#responses.get(socket);
     responses?.add(response);
     response.once("finish", () => {
--- a/packages/gateway/src/front/http_frontend.ts
+++ b/packages/gateway/src/front/http_frontend.ts
@@ -74,7 +74,9 @@
         const { socket } = request;
         this.#unreadConnections.delete(socket);
         this.#limit.recordHead(socket);
-        request.once("end", () => this.#limit.recordRequest(socket));
+        request.once("end", () => {
+          if (!response.writableFinished) this.#limit.recordRequest(socket);
+        });
         if (!this.#admit(socket, response)) return;
         handle(request, response);
       },
--- a/packages/gateway/test/http_frontend_test.ts
+++ b/packages/gateway/test/http_frontend_test.ts
@@ -101,3 +101,28 @@
   await once(socket, "close");
   frontend.closeAllConnections();
 });
+
+// Guards against connections that are kept as if their requests were served.
+t.test("a connection whose response came before the body's end is idle", async (t) => {
+  let bodyEnded = false;
+  const frontend = new HttpFrontend(
+    (request, response) => {
+      request.resume().once("end", () => bodyEnded = true);
+      response.end("refused");
+    },
+    COUNTERS,
+    1,
+  );
+  const port = await frontend.listen({ host: "127.0.0.1", port: 0 }, 1);
+  const refused = connect(port, "127.0.0.1");
+  refused.write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n");
+  await once(refused, "data");
+  refused.write("body");
+  t.ok(await waitUntil(() => bodyEnded));
+  const closed = once(refused, "close");
+  const next = connect(port, "127.0.0.1");
+  await once(next, "connect");
+  await closed;
+  t.notOk(next.destroyed);
+  frontend.closeAllConnections();
+});
