Review: a frozen gateway ends a crashed engine's stream as complete (case 7)

What a requester sees: 200, the engine's seal, 17 of 60 events and the end of the stream.

Order of events: a gateway stands still for 3.5 s; an engine whose stream it passes on, without a length, crashes and is back at its address after 2 s; the gateway goes on, sees the end of the channel and an address that accepts connections, and takes the stream for whole.

--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,5 +1,5 @@
-// A booking that crashes each engine that begins to run it comes again and
-// again, while all gateways are killed twice.
+// An engine crashes in the middle of its streams and is back two seconds
+// later, while the gateway that passes them on stands still.
 import { createServer } from "node:net";
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -7,62 +7,74 @@
   CannotRun,
   configuration,
   Gateway,
+  parseAnswer,
+  RawClient,
   runCase,
-  sendRequest,
   serverEntry,
   sleep,
   Store,
   TROUBLE,
-  until,
 } from "../stand-ins-2/harness.mjs";
 
 const HERE = dirname(fileURLToPath(import.meta.url));
-const ZONES = ["joondalup", "rockingham"];
-const FIRST_GATEWAY = 41;
-const FIRST_ENGINE = 45;
-const STORE_HOST = "127.0.0.49";
-const ENGINES = 4;
-/** Milliseconds until a crashed engine is back. */
-const DOWN_MS = 3000;
-const WORK_MS = 43;
-/** Milliseconds without an impairment after which a machine is in touch. */
-const CONTACT_MS = 3000;
-const MARGIN_MS = 300;
-/** Milliseconds between two sends of the booking. */
-const RETURN_MS = 1000;
-/** Retries that the rule allows. */
-const ALLOWED = 3;
-const DEADLY = "/puxa403/deadly";
+const ZONES = ["joondalup", "rockingham", "freo-docks", "guildford"];
+const FIRST_GATEWAY = 51;
+const ENGINE_HOSTS = ["127.0.0.55", "127.0.0.56", "127.0.0.57", "127.0.0.58"];
+const STORE_HOST = "127.0.0.59";
+const STREAMS = 20;
+const EVENTS = 60;
+const EVENT_MS = 100;
+const FREEZE_MS = 3500;
+const DOWN_MS = 2000;
 
-let born = Date.now() - 60_000;
+const event = (id, number) => `id: ${number}\ndata: ${id} ${number}/${EVENTS}\n\n`;
+
+/** One answer in twenty has no length; it is that of the engine that crashes. */
+let unframed;
 
 class Engine {
+  running = [];
   #sockets = new Set();
   #server;
   #port = 0;
   #generation = 0;
+  #isDown = false;
 
-  constructor(number, { host, store, record, onCrash }) {
-    Object.assign(this, { number, host, store, record, onCrash });
+  constructor(number, { host, store, record }) {
+    Object.assign(this, { number, host, store, record });
   }
 
   async start() {
+    this.#isDown = false;
     this.id = `i-${this.number}-${++this.#generation}`;
     this.#server = createServer((socket) => this.#serve(socket));
     await new Promise((resolve) =>
       this.#server.listen(this.#port, this.host, resolve)
     );
     this.#port = this.#server.address().port;
-    this.store.put(`servers/${this.id}`, serverEntry({
-      service: "bookings",
+    this.entry = `servers/${this.id}`;
+    this.store.put(this.entry, serverEntry({
+      service: "quote-drafter",
       address: `${this.host}:${this.#port}`,
-      zone: ZONES[this.number % ZONES.length],
-      born: born += 1000,
+      zone: ZONES[this.number],
+      slots: 11,
+      born: Date.now(),
     }));
   }
 
+  /** As the end of a process: its sockets are closed by the system. */
+  crash() {
+    this.#isDown = true;
+    const { entry } = this;
+    this.record.add(`engine ${this.id} crashes; it runs ${this.running.join(" ")}`);
+    this.#server.close();
+    for (const socket of this.#sockets) socket.destroy();
+    setTimeout(() => this.store.remove(entry), 3600);
+  }
+
   stop() {
     this.#server.close();
+    for (const socket of this.#sockets) socket.destroy();
   }
 
   #serve(socket) {
@@ -77,72 +89,83 @@
       if (end < 0) return;
       const length = Number(/content-length: (\d+)/i.exec(received)?.[1] ?? 0);
       if (received.length < end + 4 + length) return;
-      const head = received;
+      const id = /attempt-id: (\S+)/i.exec(received)?.[1];
       received = "";
-      void this.#answer(socket, head);
+      void this.#answer(socket, id);
     });
   }
 
-  async #answer(socket, head) {
-    const id = /attempt-id: (\S+)/i.exec(head)?.[1];
-    if (head.includes(DEADLY)) {
-      this.#crash(id);
-      return;
-    }
-    await sleep(WORK_MS);
-    if (socket.destroyed) return;
+  async #answer(socket, id) {
+    this.running.push(id);
+    if (this.number === 0) unframed ??= id;
+    const isUnframed = unframed === id;
+    this.record.add(
+      `engine ${this.id} runs ${id}: ${isUnframed ? "no length" : "chunked"}`,
+    );
     socket.write(
-      "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" +
-        `Sycamorepulley-Attempt-Id: ${id}\r\nKeep-Alive: timeout=15\r\n` +
+      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
+        `Sycamorepulley-Attempt-Id: ${id}\r\n` +
         "Sycamorepulley-Response-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n" +
-        "Content-Length: 6\r\n\r\nbooked",
+        (isUnframed
+          ? "Connection: close\r\n\r\n"
+          : "Transfer-Encoding: chunked\r\n\r\n"),
     );
+    for (let count = 1; count <= EVENTS; count++) {
+      await sleep(EVENT_MS);
+      if (socket.destroyed || this.#isDown) return;
+      const text = event(id, count);
+      socket.write(
+        isUnframed ? text : `${text.length.toString(16)}\r\n${text}\r\n`,
+      );
+    }
+    if (isUnframed) socket.end();
+    else socket.write("0\r\n\r\n");
   }
+}
 
-  #crash(id) {
-    const others = this.#sockets.size - 1;
-    this.record.add(`engine ${this.id} begins ${id} and crashes`);
-    this.onCrash(id, others);
-    this.#server.close();
-    for (const socket of this.#sockets) socket.resetAndDestroy();
-    const entry = `servers/${this.id}`;
-    // Its entry goes after three reports of silence.
-    setTimeout(() => this.store.remove(entry), 3600);
-    setTimeout(() => void this.start(), DOWN_MS);
-  }
+function judge({ received, ended }) {
+  const { status, headers, body } = parseAnswer(received);
+  const text = body.toString("latin1");
+  const length = headers["content-length"];
+  const isComplete = headers["transfer-encoding"] === "chunked"
+    ? text.endsWith("\r\n0\r\n\r\n")
+    : length === undefined
+    ? ended === "closed"
+    : body.length >= Number(length);
+  return { status, isComplete, events: text.match(/^id: /gm)?.length ?? 0 };
 }
 
 await runCase(HERE, async ({ record, cleanups }) => {
   const store = new Store();
   await store.start(STORE_HOST);
   cleanups.push(() => store.stop());
-  const crashes = [];
   const engines = [];
-  for (let number = 1; number <= ENGINES; number++) {
-    const engine = new Engine(number, {
-      host: `127.0.0.${FIRST_ENGINE + number - 1}`,
-      store,
-      record,
-      onCrash: (id) => crashes.push({ id, at: Date.now() }),
-    });
+  for (const [number, host] of ENGINE_HOSTS.entries()) {
+    const engine = new Engine(number, { host, store, record });
     await engine.start();
     cleanups.push(() => engine.stop());
     engines.push(engine);
   }
   store.put("op/config", configuration(3, {
     routes: [{
-      name: "callout-book",
+      name: "touchup-note",
       host: "ficu95.example",
-      prefix: "/puxa403/",
-      routeKind: "non_idempotent",
-      service: "bookings",
-      timeoutMs: 1000,
-      targetLatencyMs: 100,
-      priority: 2,
+      prefix: "/pufi791/",
+      routeKind: "streaming",
+      service: "quote-drafter",
+      timeoutMs: 15_000,
+      targetLatencyMs: 400,
+      targetGapMs: 300,
+      priority: 1,
       maxAttempts: 1,
+      resumeStreams: false,
       public: true,
     }],
-    services: [{ name: "bookings", maxConnections: 100 }],
+    services: [{
+      name: "quote-drafter",
+      maxConnections: 360,
+      engine: { strideSize: 6, kvCapacityTokens: 549505 },
+    }],
   }));
   const gateways = [];
   for (const [index, zone] of ZONES.entries()) {
@@ -156,92 +179,57 @@
     cleanups.push(() => gateway.remove());
     gateways.push(gateway);
   }
-  let calmSince = Infinity;
-  const startAll = async () => {
-    await Promise.all(gateways.map((gateway) => gateway.start()));
-    calmSince = Date.now();
-    record.add("the gateways are ready");
-    await sleep(CONTACT_MS + MARGIN_MS);
-  };
-  const killAll = async () => {
-    if (!TROUBLE) return;
-    record.add("all gateways get SIGKILL, and start a second later");
-    for (const gateway of gateways) gateway.signal("SIGKILL");
-    await Promise.all(gateways.map(({ exited }) => exited));
-    await sleep(1000);
-    await startAll();
-  };
+  await Promise.all(gateways.map((gateway) => gateway.start()));
+  record.add("four gateways are ready");
+  await sleep(1000);
 
-  let sent = 0;
-  const call = async (path) => {
-    const gateway = gateways[sent % gateways.length];
-    const id = `9c41d07be2a3${String(sent++).padStart(4, "0")}`;
-    const body = "the same booking";
-    const { status } = await sendRequest(
-      { host: gateway.host, port: gateway.front },
-      `POST ${path} HTTP/1.1\r\nHost: ficu95.example\r\n` +
-        `Sycamorepulley-Attempt-Id: ${id}\r\n` +
-        "Sycamorepulley-Request-Deadline: 1000\r\n" +
-        `Content-Length: ${body.length}\r\n\r\n`,
-      body,
-      1500,
+  const [gateway] = gateways;
+  const clients = new Map();
+  for (let number = 0; number < STREAMS; number++) {
+    const id = `9c41d07be2a3${String(number).padStart(4, "0")}`;
+    const client = new RawClient({ host: gateway.host, port: gateway.front });
+    const body = "x".repeat(800);
+    client.send(
+      "POST /pufi791/note HTTP/1.1\r\nHost: ficu95.example\r\n" +
+        `Sycamorepulley-Attempt-Id: ${id}\r\nSycamorepulley-Model: m\r\n` +
+        "Sycamorepulley-Token-Usage: 600,400\r\n" +
+        `Sycamorepulley-Prompt-Prefix: 5c1e07a2:60,${id}:540\r\n` +
+        "Sycamorepulley-Request-Deadline: 15000\r\n" +
+        `Content-Length: ${body.length}\r\n\r\n${body}`,
     );
-    return { id, status };
-  };
-  /** Sends the booking; true if it reached an engine. */
-  const sendDeadly = async () => {
-    const before = crashes.length;
-    const sentAt = Date.now();
-    const { id, status } = await call(DEADLY);
-    const reached = crashes.length > before;
-    const isInTouch = sentAt - calmSince >= CONTACT_MS;
-    if (reached) Object.assign(crashes.at(-1), { sentAt, isInTouch });
+    clients.set(id, client);
+    await sleep(30);
+  }
+  await sleep(1000);
+  if (unframed === undefined) throw new CannotRun("engine 0 runs nothing");
+  if (TROUBLE) {
+    record.add(`${gateway.name} stands still (SIGSTOP)`);
+    gateway.signal("SIGSTOP");
+    await sleep(200);
+    engines[0].crash();
+    await sleep(DOWN_MS);
+    await engines[0].start();
+    record.add(`engine ${engines[0].id} starts at the same address`);
+    await sleep(FREEZE_MS - DOWN_MS - 200);
+    gateway.signal("SIGCONT");
+    record.add(`${gateway.name} goes on (SIGCONT)`);
+  }
+  await sleep(EVENTS * EVENT_MS + 1500);
+  const broken = [];
+  let whole = 0;
+  for (const [id, client] of clients) {
+    const { status, isComplete, events } = judge(client);
+    client.close();
     record.add(
-      `booking ${id}: ${status}, ` +
-        (reached ? `crash ${crashes.length}` : "reached no engine") +
-        (isInTouch ? ", in touch" : ""),
+      `requester of ${id}: ${status}, ${events} events, ` +
+        (isComplete ? "complete" : `not complete (${client.ended})`),
     );
-    await sleep(RETURN_MS);
-    return reached;
-  };
-
-  await startAll();
-  // Sound bookings beside it, so that it is less than 3 in 100.
-  let sound = 0;
-  let lost = 0;
-  let isOver = false;
-  const soundBookings = (async () => {
-    while (!isOver) {
-      void call(`/puxa403/${sound}`).then(({ status }) => {
-        if (status === 502) lost++;
-      });
-      sound++;
-      await sleep(12);
-    }
-  })();
-  cleanups.push(() => isOver = true);
-
-  await sendDeadly();
-  await sendDeadly();
-  await killAll();
-  await sendDeadly();
-  await sleep(CONTACT_MS + MARGIN_MS - RETURN_MS);
-  await sendDeadly();
-  await killAll();
-  for (let count = 0; count < 5 && await sendDeadly(); count++);
-  isOver = true;
-  await soundBookings;
-  await until(() => false, 1500);
-  if (crashes.length < 3) throw new CannotRun(`${crashes.length} crashes`);
-  const third = crashes[2].at;
-  const retries = crashes.slice(3).filter(({ sentAt, isInTouch }) =>
-    isInTouch && sentAt > third + CONTACT_MS
-  );
-  record.add(
-    `${crashes.length} crashes, ${retries.length} retries that count; ` +
-      `${sound} sound bookings, ${lost} of them got 502`,
-  );
-  if (retries.length <= ALLOWED) return undefined;
-  return `BUDGET: the booking reached engines in ${retries.length} retries ` +
-    `after it had crashed the third, and crashed ${crashes.length} engines`;
+    if (status !== 200) continue;
+    if (isComplete && events === EVENTS) whole++;
+    if (isComplete && events < EVENTS) broken.push(`${id} (${events} events)`);
+  }
+  if (whole < 5) throw new CannotRun(`${whole} streams are whole`);
+  if (broken.length === 0) return undefined;
+  return `MIXED, ORDER: ${broken.join(", ")} looks complete, ` +
+    `its engine crashed before event ${EVENTS}`;
 });
