--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -21,12 +21,12 @@
 const GATEWAY_HOST = "127.0.0.24";
 const ENGINE_HOST = "127.0.0.25";
 const STORE_HOST = "127.0.0.26";
-const REQUESTS = 100;
-/** Every so many answers, one has no length: 5 in 100. */
+const REQUESTS = 200;
+/** Every so many answers, one has no length: 10 of 200. */
 const UNFRAMED_EVERY = 20;
 const EVENTS = 8;
 /** Requesters at a time. */
-const REQUESTERS = 4;
+const REQUESTERS = 8;
 /** Events of an answer that breaks off. */
 const EVENTS_BEFORE_RESET = 3;
 
--- a/review/stand-ins-2/harness.mjs
+++ b/review/stand-ins-2/harness.mjs
@@ -1,7 +1,7 @@
 // Stand-ins for a review case: the platform's store, engines and gateway
 // processes on loopback addresses. Only what the pages describe is served.
 import { spawn } from "node:child_process";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { createServer as createHttpServer } from "node:http";
 import { createServer as createTcpServer, connect } from "node:net";
 import { tmpdir } from "node:os";
@@ -13,13 +13,12 @@
 export const ROOT = join(dirname(fileURLToPath(import.meta.url)), "..", "..");
 /** False: the case runs without its disruption. */
 export const TROUBLE = process.env.TROUBLE !== "0";
-/** Command of the deploy file. */
-const GATEWAY_COMMAND = [
-  "--max-old-space-size=110",
-  "--max-semi-space-size=4",
-  "--liftoff-only",
-  "target/gateway.cjs",
-];
+/** Command and template of the deploy file. */
+const DEPLOY = readFileSync(join(ROOT, "deploy", "system.toml"), "utf8");
+const [, COMMAND = "node target/gateway.cjs"] = /^run = "(.*)"/m.exec(DEPLOY) ??
+  [];
+const [, TEMPLATE = "deploy/gateway.jsonc.template"] =
+  /^template = "(.*)"/m.exec(DEPLOY) ?? [];
 /** Milliseconds after which a case is given up. */
 const TIME_LIMIT = 110_000;
 
@@ -252,6 +251,88 @@
   }
 }
 
+/** What the platform tells a process on an edge machine, as on the wire page. */
+async function settingsFields({ name, host, front, ready, control }, where) {
+  const { zone, zones, store, peers } = where;
+  const internal = await freePort(host);
+  return {
+    nodeName: name,
+    role: "gateway",
+    machineClass: "edge",
+    serves: ["edge", "control_plane"],
+    ip: host,
+    zone,
+    region: "wa-coast",
+    internalPorts: [internal, internal],
+    seedAddrs: peers,
+    firstStart: true,
+    inTolerance: false,
+    discoveryMode: "platform",
+    entryPoint: "vip",
+    heartbeatMs: 1200,
+    contracts: [
+      "base", "drain", "config", "cost", "retry", "recover", "engine",
+      "stream", "tenants", "quota", "rollout", "platform",
+    ],
+    zones: Object.fromEntries(zones.map((name) => [name, "wa-coast"])),
+    listen: {
+      front: `${host}:${front}`,
+      ready: `${host}:${ready}`,
+      control: `${host}:${control}`,
+    },
+    limits: {
+      cpuShare: 0.513,
+      cpuCores: 1,
+      memoryMb: 200,
+      maxFds: 4100,
+      linkMbps: 1000,
+      diskMb: 0,
+    },
+    faultTolerance: { machines: 1, zones: 0, regions: 0 },
+    bounds: {
+      seedLagS: 3, addrReuseS: 2, contactMs: 3000, ackTimeoutMs: 4000,
+      syncS: 4, drainTimeoutMs: 2000, gracePeriodS: 8, lossSlackMs: 200,
+      configApplyMs: 2000, regressionMs: 250, outerMs: 5000,
+      strictRevocation: false, revocationMs: 5000, budgetRatio: 0.2,
+      budgetWindowS: 10, budgetSlack: 54, quotaWindowS: 8, quotaOverage: 0.1,
+      quotaSlack: 140000, exposeShare: 0.1, exposeSlack: 50,
+      rollbackMs: 5000, recoverS: 12, passMs: 120, retryAfterS: 8.3,
+    },
+    platform: {
+      address: store,
+      form: "kv",
+      writesPerS: 400,
+      readsPerS: 2000,
+      historyS: 20,
+      valueBytes: 1048576,
+      ttlMinMs: 1000,
+    },
+  };
+}
+
+/** Fills in a settings template as DEPLOY.md says. */
+export function fill(template, fields) {
+  const find = (path) =>
+    path === "."
+      ? fields
+      : path.split(".").reduce((value, key) => value?.[key], fields);
+  const isPresent = (value) =>
+    value !== undefined && value !== null && value !== false;
+  return template
+    .replace(
+      /\{\{([#^])([\w.]+)\}\}([\s\S]*?)\{\{\/\2\}\}/g,
+      (_, kind, path, inner) =>
+        isPresent(find(path)) === (kind === "#") ? fill(inner, fields) : "",
+    )
+    .replace(/\{\{([\w.]+)(\|json)?\}\}/g, (_, path, json) => {
+      const value = find(path);
+      if (json) return JSON.stringify(value ?? null);
+      if (!isPresent(value)) return value === false ? "false" : "";
+      if (Array.isArray(value)) return value.join(",");
+      return typeof value === "object" ? JSON.stringify(value) : String(value);
+    });
+}
+
 /** One gateway process with the command and the settings of the deployment. */
 export class Gateway {
   lines = [];
@@ -270,52 +351,20 @@
     gateway.control = await freePort(host);
     gateway.#directory = mkdtempSync(join(tmpdir(), "review-"));
     gateway.#settings = join(gateway.#directory, "gateway.jsonc");
-    gateway.config = {
-      store,
-      contracts: [
-        "base", "drain", "config", "cost", "retry", "recover", "engine",
-        "stream", "tenants", "quota", "rollout", "platform",
-      ],
-      gateway: {
-        instance: name,
-        dataCentre: zone,
-        regions: Object.fromEntries(zones.map((zone) => [zone, "region"])),
-        processorShare: 0.513,
-        processors: 1,
-        memoryMegabytes: 200,
-        descriptors: 4100,
-        front: `${host}:${gateway.front}`,
-        readiness: `${host}:${gateway.ready}`,
-        peers: `${host}:${gateway.control}`,
-        metrics: `${host}:${await freePort(host)}`,
-        seeds: peers,
-        scheduling: { adaptive: "reported" },
-        bounds: {
-          gracePeriodSeconds: 8,
-          drainTime: 2000,
-          exposedShare: 0.1,
-          exposedSlack: 50,
-          rollbackTime: 5000,
-          retryRatio: 0.2,
-          retrySlack: 54,
-          retryWindowSeconds: 10,
-          quotaWindowSeconds: 8,
-          quotaOverage: 0.1,
-          quotaSlack: 140000,
-        },
-      },
-    };
+    gateway.fields = await settingsFields(gateway, { zone, zones, store, peers });
     gateway.writeSettings();
     return gateway;
   }
 
   writeSettings() {
-    writeFileSync(this.#settings, JSON.stringify(this.config));
+    const template = readFileSync(join(ROOT, TEMPLATE), "utf8");
+    writeFileSync(this.#settings, fill(template, this.fields));
   }
 
   spawn() {
     const { PATH, HOME, LANG } = process.env;
-    const child = spawn(process.execPath, GATEWAY_COMMAND, {
+    const [program, ...words] = COMMAND.split(" ");
+    const child = spawn(program === "node" ? process.execPath : program, words, {
       cwd: ROOT,
       env: {
         PATH,
