--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Exit status: 1 the rule was broken, 0 it held, 2 the case couldn't run.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")"
 exec node case.mjs
