Tests: no other process takes a port that was found free

Cause: the tests choose a port that is free on 127.0.0.1 and let the gateway listen on 127.0.0.2, which all test files share. Eight files run at the same time, and for as long as it takes to start a process another one may choose the same port. The second choice of one process could repeat its first one, too.

Change: each test process has a loopback host of its own, derived from its process id, a port is looked for on the host that will listen, and no port is given twice by a process. Before, there was no such choice to test (`loopbackHost` is new; `findFreePort` ignored the host).

--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -38,7 +38,7 @@
 } from "./fleet/daemon_settings.ts";
 export type { CallOutcome, CallRecord } from "./history/call_record.ts";
 export type { RunRecord } from "./history/run_record.ts";
-export { findFreePort } from "./process/find_free_port.ts";
+export { findFreePort, loopbackHost } from "./process/find_free_port.ts";
 export { LaunchedProcess } from "./process/launched_process.ts";
 export type { ProcessExit } from "./process/launched_process.ts";
 export {
