Gateway: a reset never completes a response without a length

Cause: if bytes arrive together with the hang-up, libuv reports the end of the file after a partial read and never reads the socket's error. Node.js then emits "end" and no "error", so BackendConnection, which waited for the error, took the reset for the regular end that completes such a response.

Change: ResetDetectingSocket looks at the end whether the connection still has a peer. After a regular end the kernel knows the peer's address, after a reset it doesn't. The address is not read before, as Node.js would keep it.

--- a/packages/gateway/src/backend/backend_connection.ts
+++ b/packages/gateway/src/backend/backend_connection.ts
@@ -7,7 +7,7 @@
  * taken for the next response.
  * @module
  */
-import { connect } from "node:net";
+import { connect, isIPv6 } from "node:net";
 import { Result } from "true-myth/result";
 import { Client } from "undici";
 import type { Dispatcher } from "undici";
@@ -65,23 +65,16 @@
   readonly #socket: PausableSocket;
   readonly #client: Client;
   #closed = false;
-  #wasReset = false;
   #idleSince: number;
   #idleTimeout = DEFAULT_IDLE_TIMEOUT;
 
-  private constructor(socket: PausableSocket, now: number) {
+  private constructor(socket: PausableSocket, origin: string, now: number) {
     this.#socket = socket;
     this.#idleSince = now;
     socket.once("close", () => this.#closed = true);
-    // undici takes a reset for the end of a response without a length, which
-    // would then look complete although it is truncated. This listener is
-    // called first.
-    socket.on("error", () => {
-      this.#wasReset = true;
-      socket.destroy();
-    });
+    socket.on("error", () => socket.destroy());
     let socketUsed = false;
-    this.#client = new Client(`http://${socket.remoteAddress}`, {
+    this.#client = new Client(origin, {
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -121,7 +114,8 @@
       socket.once("connect", () => {
         socket.setTimeout(0);
         socket.off("error", refused);
-        resolve(Result.ok(new BackendConnection(socket, now)));
+        const origin = `http://${isIPv6(host) ? `[${host}]` : host}`;
+        resolve(Result.ok(new BackendConnection(socket, origin, now)));
       });
     });
   }
@@ -140,7 +134,7 @@
     const handler = new ResponseHandler(listener, {
       onHeaders: (headers) => this.#readIdleTimeout(headers),
       onFinish: () => this.#socket.resumeReading(),
-      wasReset: () => this.#wasReset,
+      wasReset: () => this.#socket.wasReset,
     });
     this.#client.dispatch({
       method: request.method as Dispatcher.HttpMethod,
@@ -266,9 +260,9 @@
     if (this.#finished) return;
     this.#finished = true;
     this.#hooks.onFinish();
-    if (this.#hooks.wasReset()) {
-      this.#listener.onError("cut");
-    } else this.#listener.onEnd();
+    // undici takes a reset for the end of a response without a length.
+    if (this.#hooks.wasReset()) this.#listener.onError("cut");
+    else this.#listener.onEnd();
   }
 
   onResponseError(
--- a/packages/gateway/src/backend/pausable_socket.ts
+++ b/packages/gateway/src/backend/pausable_socket.ts
@@ -1,8 +1,8 @@
 /** A socket whose reading can be paused. @module */
 import { nextTick } from "node:process";
-import { Socket } from "node:net";
 import type { SocketConstructorOpts } from "node:net";
 import type { DuplexOptions } from "node:stream";
+import { ResetDetectingSocket } from "@sycamorepulley/receiving";
 import { TurnQueue } from "./turn_queue.ts";
 
 /**
@@ -28,7 +28,7 @@
  * don't delay small reads. Node.js itself reads up to 2 MiB from a socket before
  * it continues with the next one.
  */
-export class PausableSocket extends Socket {
+export class PausableSocket extends ResetDetectingSocket {
   #isPaused = false;
   #awaitsTurn = false;
 
--- a/packages/receiving/src/mod.ts
+++ b/packages/receiving/src/mod.ts
@@ -6,3 +6,4 @@
 export { processMemory } from "./process_memory.ts";
 export { RequestMemory } from "./request_memory.ts";
 export type { HeldBody } from "./request_memory.ts";
+export { ResetDetectingSocket } from "./reset_detecting_socket.ts";
