Gateway: a late registration never replaces a newer one

Cause: the response to the write that registers an entry was lost, and the entry registered again under a second lease. The first write was executed two seconds later, as it had no condition, and put the key back under the first lease, which nobody renews. The key was removed with that lease while the entry went on renewing the second one and counted itself as registered. Others that started then didn't count it. Ruled out: a lost renewal (the record of the case shows that all are answered) and shares that don't add up (the two groups used 1 and 1/3, right for the lists that they had read).

Change: the entry reads its key and writes it on the condition that the revision is unchanged. A write that comes late finds a newer revision and changes nothing; one that was executed without a response only makes the next attempt read the key again. The read runs beside the grant of the lease and costs one call for each registration, not for each renewal.

--- a/packages/gateway/src/state/entry_registration.ts
+++ b/packages/gateway/src/state/entry_registration.ts
@@ -5,10 +5,15 @@
  * A store that was restored from an older copy has lost the lease, or has given
  * its number to another entry: a renewal that succeeds shows nothing then. The
  * entry registers anew whenever a restore is known.
+ *
+ * A write whose response was lost may be executed seconds later, when the entry
+ * has registered under another lease. Each write is therefore conditional on
+ * the revision of the key that was read before it.
  * @module
  */
 import { UNREGISTERED_GRACE_PERIOD } from "@sycamorepulley/decisions";
 import type { Lease, PlatformError } from "@sycamorepulley/store";
+import type { Result } from "true-myth/result";
 import type { EventLog } from "../observe/event_log.ts";
 import type { Address } from "../settings.ts";
 import type { EraCheckedStore } from "./era_checked_store.ts";
@@ -32,6 +37,7 @@
 export class EntryRegistration {
   readonly #store: EraCheckedStore;
   readonly #instance: string;
+  readonly #key: string;
   readonly #log: EventLog;
   readonly #clock: () => number;
   readonly #contact: StoreContact;
@@ -54,6 +60,7 @@
     this.#contact = options.contact;
     this.#store = options.store;
     this.#instance = options.instance;
+    this.#key = MEMBER_PREFIX + options.instance;
     this.#log = options.log;
     this.#clock = options.clock;
     options.contact.onRestore(() => this.#handleRestore());
@@ -102,14 +109,20 @@
 
   async #register(member: Member): Promise<boolean> {
     const startedAt = this.#clock();
-    const lease = await this.#store.grantLease(LEASE_DURATION);
+    const [lease, found] = await Promise.all([
+      this.#store.grantLease(LEASE_DURATION),
+      this.#readRevision(),
+    ]);
     if (lease.isErr) return this.#recordFailure(lease.error, startedAt);
+    if (found.isErr) return this.#recordFailure(found.error, startedAt);
     this.#contact.recordStoreResponse();
     this.#lease = lease.value;
+    const { revision, era: readEra } = found.value;
+    if (readEra !== lease.value.era) return false;
     const written = await this.#store.transact({
-      expected: [],
+      expected: [{ key: this.#key, revision }],
       writes: [{
-        key: MEMBER_PREFIX + member.instance,
+        key: this.#key,
         value: JSON.stringify(member),
         lease: lease.value.id,
       }],
@@ -125,6 +138,17 @@
     return true;
   }
 
+  /** Reads the revision of the entry's key; 0 if it is absent. */
+  async #readRevision(): Promise<
+    Result<{ revision: number; era: number }, PlatformError>
+  > {
+    const page = await this.#store.readPage(this.#key);
+    return page.map(({ items, era }) => {
+      const own = items.find(({ key }) => key === this.#key);
+      return { revision: own?.revision ?? 0, era };
+    });
+  }
+
   #recordValidLease(startedAt: number): void {
     this.#confirmedAt = startedAt;
     this.#leaseExpiresAt = startedAt + LEASE_DURATION;
