Gateway: an entry registers again when its key is removed or overwritten

Others that start then divide quotas without it (QUOTA), or connect to nobody.

Cause: the registration was judged by its lease, which is renewed whatever happens to the key, but others act on the key. Each entry follows the prefix of these keys already and dropped what it read of its own.

Change: the registration listens to the same follower. A change of its key that is newer than its own write ends the registration, so that it is made again at once, with a backoff of 0.4 to 4 s if that happens repeatedly. A refused write is logged.

A contested key is written 2 to 6 times in 2 s.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -341,6 +341,7 @@
       log: this.#log,
       signal,
       clock: this.#clock,
+      registration: this.#registration,
       group: () => this.#peers.watchGroup(),
     });
     this.#quarantines.read();
--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -55,6 +55,10 @@
   | { event: "reloaded"; changed: boolean; detail: string }
   | { event: "registered"; lease: number; era: number }
   | { event: "registration_lapsed"; lease: number; era: number }
+  /** The store did not execute the write that registers the entry. */
+  | { event: "registration_refused"; kind: string; era: number }
+  /** Another writer has removed or overwritten the entry's key. */
+  | { event: "registration_displaced"; revision: number; era: number }
   | {
     event: "configuration_adopted";
     version: number;
--- a/packages/gateway/src/state/entry_registration.ts
+++ b/packages/gateway/src/state/entry_registration.ts
@@ -9,9 +9,17 @@
  * A write whose response was lost may be executed seconds later, when the entry
  * has registered under another lease. Each write is therefore conditional on
  * the revision of the key that was read before it.
+ *
+ * Other entries act on the key, not on its lease: the entry follows its own key
+ * and registers again if the key was removed or overwritten.
  * @module
  */
-import { UNREGISTERED_GRACE_PERIOD } from "@sycamorepulley/decisions";
+import {
+  FIRST_POSITION,
+  isLater,
+  UNREGISTERED_GRACE_PERIOD,
+} from "@sycamorepulley/decisions";
+import type { StorePosition } from "@sycamorepulley/decisions";
 import type { Lease, PlatformError } from "@sycamorepulley/store";
 import type { Result } from "true-myth/result";
 import type { EventLog } from "../observe/event_log.ts";
@@ -19,6 +27,8 @@
 import type { EraCheckedStore } from "./era_checked_store.ts";
 import type { Member } from "./fleet_state.ts";
 import { pause } from "./pause.ts";
+import type { PrefixListener } from "./prefix_follower.ts";
+import { StateListener } from "./state_listener.ts";
 import type { StoreContact } from "./store_contact.ts";
 
 /** Prefix of the keys under which entries register. */
@@ -33,6 +43,12 @@
 /** Milliseconds until a failed registration or renewal is retried. */
 const RETRY_DELAY = 400;
 
+/**
+ * Maximum milliseconds until a lost registration is renewed, if it was lost
+ * repeatedly: another instance may have the same name.
+ */
+const MAXIMUM_BACKOFF = 4000;
+
 /** Keeps the entry registered until {@link EntryRegistration.leave}. */
 export class EntryRegistration {
   readonly #store: EraCheckedStore;
@@ -47,6 +63,15 @@
   /** Start of the last call that showed the registration to be valid. */
   #confirmedAt = -Infinity;
   #leaseExpiresAt = -Infinity;
+  /** Position at which this process last wrote the key, and when. */
+  #writtenAs: StorePosition = FIRST_POSITION;
+  #writtenAt = -Infinity;
+  /** Position of the newest change of the key that was read. */
+  #keyPosition: StorePosition = FIRST_POSITION;
+  /** Aborted when the key was changed by another writer. */
+  #displacement = new AbortController();
+  /** Milliseconds to wait after a displacement. */
+  #backoff = 0;
 
   constructor(
     options: {
@@ -83,14 +108,56 @@
     const member: Member = { instance: this.#instance, ...address };
     const { signal } = this.#stopController;
     while (!signal.aborted) {
+      const displacement = this.#displacement.signal;
       const succeeded = this.#registered
         ? await this.#renew()
         : await this.#register(member);
       const duration = succeeded ? RENEWAL_INTERVAL : RETRY_DELAY;
-      await pause(duration, signal, this.#contact.availabilityChange);
+      const { availabilityChange } = this.#contact;
+      await pause(duration, signal, availabilityChange, displacement);
+      if (displacement.aborted) await pause(this.#backoff, signal);
     }
   }
 
+  /** Returns a listener for the keys of entries, which notices this one's. */
+  keyListener(): PrefixListener {
+    return new StateListener({
+      onSnapshot: (items, asOf) => {
+        const own = items.find(({ key }) => key === this.#key);
+        const revision = own?.revision ?? asOf.revision;
+        this.#recordKeyPosition({ era: asOf.era, revision });
+      },
+      onChange: (change, era) => {
+        const { key, revision } = change.kind === "written"
+          ? change.item
+          : change;
+        if (key === this.#key) this.#recordKeyPosition({ era, revision });
+      },
+    });
+  }
+
+  #recordKeyPosition(position: StorePosition): void {
+    if (isLater(position, this.#keyPosition)) this.#keyPosition = position;
+    this.#checkKey();
+  }
+
+  /** Starts over if the key has changed since this process wrote it. */
+  #checkKey(): void {
+    const isStopping = this.#stopController.signal.aborted;
+    if (!this.#registered || isStopping) return;
+    if (!isLater(this.#keyPosition, this.#writtenAs)) return;
+    const { revision, era } = this.#keyPosition;
+    this.#log.write({ event: "registration_displaced", revision, era });
+    this.#endRegistration();
+    const heldFor = this.#clock() - this.#writtenAt;
+    this.#backoff = heldFor >= LEASE_DURATION
+      ? 0
+      : Math.min(Math.max(RETRY_DELAY, this.#backoff * 2), MAXIMUM_BACKOFF);
+    const displacement = this.#displacement;
+    this.#displacement = new AbortController();
+    displacement.abort();
+  }
+
   /** Ends the registration, so that no other entry waits for this one. */
   async leave(): Promise<void> {
     this.#stopController.abort();
@@ -103,6 +170,11 @@
 
   /** Other entries that read the restored store no longer find this one. */
   #handleRestore(): void {
+    this.#endRegistration();
+  }
+
+  /** Others may have counted this entry for the last time when confirmed. */
+  #endRegistration(): void {
     this.#registered = false;
     this.#leaseExpiresAt = Math.min(this.#leaseExpiresAt, this.#confirmedAt);
   }
@@ -130,12 +202,19 @@
     });
     if (written.isErr) return this.#recordFailure(written.error, startedAt);
     this.#contact.recordStoreResponse();
-    const { kind, era } = written.value;
-    if (kind !== "committed" || era !== lease.value.era) return false;
+    const { era, ...outcome } = written.value;
+    if (outcome.kind !== "committed" || era !== lease.value.era) {
+      const { kind } = outcome;
+      this.#log.write({ event: "registration_refused", kind, era });
+      return false;
+    }
     this.#registered = true;
+    this.#writtenAs = { era, revision: outcome.revision };
+    this.#writtenAt = startedAt;
     this.#recordValidLease(startedAt);
     this.#log.write({ event: "registered", lease: lease.value.id, era });
-    return true;
+    this.#checkKey();
+    return this.#registered;
   }
 
   /** Reads the revision of the entry's key; 0 if it is absent. */
@@ -161,6 +240,7 @@
     if (renewal.isErr) return this.#recordFailure(renewal.error, startedAt);
     this.#contact.recordStoreResponse();
     const { renewed, era } = renewal.value;
+    if (!this.#registered) return false;
     if (renewed && era === this.#lease?.era) {
       this.#recordValidLease(startedAt);
       return true;
--- a/packages/gateway/src/state/store_followers.ts
+++ b/packages/gateway/src/state/store_followers.ts
@@ -6,6 +6,8 @@
 import type { FleetState } from "./fleet_state.ts";
 import { decodeMember } from "./member_record.ts";
 import { MEMBER_PREFIX } from "./entry_registration.ts";
+import type { EntryRegistration } from "./entry_registration.ts";
+import { ListenerGroup } from "./listener_group.ts";
 import { OperatorListener } from "./operator_listener.ts";
 import { PrefixFollower } from "./prefix_follower.ts";
 import type { PrefixListener } from "./prefix_follower.ts";
@@ -34,11 +36,13 @@
     log: EventLog;
     signal: AbortSignal;
     clock: () => number;
+    registration: EntryRegistration;
     /** Connected entries, which pass on what they read. */
     group: () => WatchGroup;
   },
 ): PrefixFollower {
   const { store, codec, state, contact, log, signal, clock, group } = options;
+  const { registration } = options;
   const startFollower = (
     prefix: string,
     listener: PrefixListener,
@@ -75,7 +79,10 @@
   });
   startFollower(
     MEMBER_PREFIX,
-    state.memberListener(MEMBER_PREFIX, decodeMember),
+    new ListenerGroup([
+      state.memberListener(MEMBER_PREFIX, decodeMember),
+      registration.keyListener(),
+    ]),
     {
       shortestTimeout: SHORTEST_MEMBER_WATCH_TIMEOUT,
       coalesces: true,
--- a/packages/gateway/test/late_registration_test.ts
+++ b/packages/gateway/test/late_registration_test.ts
@@ -37,3 +37,63 @@
   await entry.stop();
   store.outage = true;
 });
+
+/** Starts an entry, and registers it under a lease that it renews. */
+async function startRegistered() {
+  const store = new MemoryMetadataStore();
+  store.put("configuration", storedConfiguration(1));
+  const entry = await Fixture.start({ store });
+  await entry.waitUntilReady();
+  t.ok(await waitUntil(() => store.keys().includes(KEY)));
+  return { store, entry };
+}
+
+function valueOf(store: MemoryMetadataStore): string | undefined {
+  return store.backup().items.find(([key]) => key === KEY)?.[1].value;
+}
+
+t.test("an entry registers again if its key alone is removed", async (t) => {
+  // Guards against a renewed lease that counts as a registration.
+  const { store, entry } = await startRegistered();
+  store.remove(KEY);
+  t.ok(await waitUntil(() => store.keys().includes(KEY)));
+  await entry.stop();
+  store.outage = true;
+});
+
+t.test("an entry replaces a record of another writer under its key", async (t) => {
+  // Guards against others that connect to a wrong address for good.
+  const { store, entry } = await startRegistered();
+  const own = valueOf(store);
+  for (let count = 0; count < 3; count++) {
+    store.put(KEY, JSON.stringify({ instance: "x", host: "h", port: 1 }));
+    t.ok(await waitUntil(() => valueOf(store) === own));
+  }
+  await entry.stop();
+  store.outage = true;
+});
+
+t.test("an entry whose key is contested writes it a few times a second at most", async (t) => {
+  // Guards against two instances of one name that write against each other.
+  const { store, entry } = await startRegistered();
+  const own = valueOf(store);
+  let replaced = 0;
+  for (let round = 0; round < 200; round++) {
+    if (valueOf(store) === own) {
+      store.put(KEY, JSON.stringify({ instance: "x", host: "h", port: 1 }));
+      replaced++;
+    }
+    await sleep(10);
+  }
+  t.ok(replaced >= 2 && replaced <= 6, `${replaced} times in 2 s`);
+  await entry.stop();
+  store.outage = true;
+});
+
+t.test("an entry that stops does not register again", async (t) => {
+  const { store, entry } = await startRegistered();
+  await entry.stop();
+  await sleep(100);
+  t.notOk(store.keys().includes(KEY));
+  store.outage = true;
+});
