Gateway: entries connect although one doesn't find the other in the list

Cause: of two entries only the first by name dialled. If it didn't find the other one, whose key was gone when it read the list, nobody did. Seeds were dialled only by an entry that knows no other one.

Change: the later entry by name dials as well once a member has had no link for a second, and seeds without a link are dialled every 2 s by entries of a group too. The entry that responds at a seed's address is remembered, so that a connected one isn't dialled again. As seeds are dialled more often now, a link to the entry itself, whose address is written differently among the seeds, is closed.

--- a/packages/gateway/src/peers/peer_link.ts
+++ b/packages/gateway/src/peers/peer_link.ts
@@ -65,8 +65,8 @@
 /** Connection to a peer, with what is known about the peer. */
 export class PeerLink {
   readonly #link: Link<PeerMessage>;
-  /** True if this side opened the connection. */
-  readonly dialled: boolean;
+  /** Address to which this side opened the connection, if it did. */
+  readonly address: string | undefined;
   /** Time of the last message from the peer. */
   lastReceivedAt: number;
   /**
@@ -100,8 +100,8 @@
   /** Time of the last probe, while it is unanswered. */
   probedAt: number | undefined;
 
-  constructor(socket: Socket, dialled: boolean, now: number) {
-    this.dialled = dialled;
+  constructor(socket: Socket, address: string | undefined, now: number) {
+    this.address = address;
     this.lastReceivedAt = now;
     this.#link = new Link<PeerMessage>({
       socket,
@@ -110,6 +110,11 @@
     });
   }
 
+  /** True if this side opened the connection. */
+  get dialled(): boolean {
+    return this.address !== undefined;
+  }
+
   get peer(): string {
     return this.instance ?? this.#link.peer;
   }
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -17,6 +17,16 @@
 
 /** Minimum milliseconds between two dials of the same address. */
 const REDIAL_DELAY = 500;
+/**
+ * Milliseconds for which an entry leaves it to the first by name to dial. The
+ * other one may not find it in the member list.
+ */
+const OTHER_SIDE_DELAY = 1000;
+/**
+ * Milliseconds until an entry of a group dials a seed that has no link, and
+ * between two such dials.
+ */
+const SEED_DIAL_DELAY = 2000;
 /** Number of peers that an entry dials as soon as it knows any. */
 const INITIAL_DIALS = 3;
 /** Milliseconds until an attempt to connect is given up. */
@@ -59,6 +69,12 @@
   readonly #links = new Map<string, PeerLink>();
   readonly #unidentified = new Set<PeerLink>();
   readonly #dialledAt = new Map<string, number>();
+  /** Entry that responded at an address when it was last dialled. */
+  readonly #entryAt = new Map<string, string>();
+  /** Since when entries of the member list, by name, have had no link. */
+  readonly #unlinkedSince = new Map<string, number>();
+  /** The same for seeds, by address. */
+  readonly #seedUnlinkedSince = new Map<string, number>();
   readonly #heartbeats: Heartbeats;
   readonly #seeds: readonly Address[];
   readonly #ownAddress: Address;
@@ -158,7 +174,7 @@
   }
 
   listen(): Promise<number> {
-    this.#server = createServer((socket) => this.#addLink(socket, false));
+    this.#server = createServer((socket) => this.#addLink(socket));
     return listen(this.#server, this.#ownAddress);
   }
 
@@ -191,25 +207,63 @@
     const now = this.#clock();
     this.#closeSilent(now);
     this.#heartbeats.round(now);
-    for (const [name, member] of members) {
-      // Only the first by name dials, or each pair of entries would open two
-      // links.
-      if (name <= this.#instance || this.#links.has(name)) continue;
-      this.#dial(member, now);
-    }
+    this.#dialMembers(members, now);
     for (const [name, member] of unregistered) {
       if (name === this.#instance || this.#links.has(name)) continue;
       this.#dial(member, now);
     }
-    if (members.size > 1) return;
+    this.#dialSeeds(members, now);
+  }
+
+  /**
+   * Dials the members without a link. Usually only the first by name dials, or
+   * each pair of entries would open two links.
+   */
+  #dialMembers(members: ReadonlyMap<string, Member>, now: number): void {
+    for (const name of this.#unlinkedSince.keys()) {
+      if (!members.has(name)) this.#unlinkedSince.delete(name);
+    }
+    for (const [name, member] of members) {
+      if (name === this.#instance) continue;
+      if (this.#links.has(name)) {
+        this.#unlinkedSince.delete(name);
+        continue;
+      }
+      const since = this.#unlinkedSince.get(name) ?? now;
+      this.#unlinkedSince.set(name, since);
+      const isFirst = this.#instance < name;
+      if (isFirst || now - since >= OTHER_SIDE_DELAY) this.#dial(member, now);
+    }
+  }
+
+  /**
+   * Dials the seeds without a link: often if this entry knows no other one,
+   * else rarely, as entries that don't find each other in the member list may
+   * form several groups.
+   */
+  #dialSeeds(members: ReadonlyMap<string, Member>, now: number): void {
+    const isAlone = members.size <= 1 && this.#links.size === 0;
+    const linked = new Set<string>();
+    for (const [name, member] of members) {
+      if (this.#links.has(name)) linked.add(addressKey(member));
+    }
     for (const seed of this.#seeds) {
-      const known = [...members.values()].some((member) =>
-        member.host === seed.host && member.port === seed.port &&
-        this.#links.has(member.instance)
-      );
-      const self = seed.host === this.#ownAddress.host &&
-        seed.port === this.#ownAddress.port;
-      if (!known && !self && this.#links.size === 0) this.#dial(seed, now);
+      const key = addressKey(seed);
+      const entry = this.#entryAt.get(key);
+      const isOwn = key === addressKey(this.#ownAddress) ||
+        entry === this.#instance;
+      const isLinked = linked.has(key) ||
+        (entry !== undefined && this.#links.has(entry));
+      if (isOwn || isLinked) {
+        this.#seedUnlinkedSince.delete(key);
+        continue;
+      }
+      const since = this.#seedUnlinkedSince.get(key) ?? now;
+      this.#seedUnlinkedSince.set(key, since);
+      if (isAlone) this.#dial(seed, now);
+      else if (now - since >= SEED_DIAL_DELAY) {
+        this.#dial(seed, now, SEED_DIAL_DELAY);
+      }
     }
   }
 
@@ -239,12 +293,10 @@
     for (const link of this.#unidentified) link.close("stopped");
   }
 
-  #dial(address: Address, now: number): void {
+  #dial(address: Address, now: number, delay = REDIAL_DELAY): void {
     const { host, port } = address;
-    const key = `${host}:${port}`;
-    if (now - (this.#dialledAt.get(key) ?? -Infinity) < REDIAL_DELAY) {
-      return;
-    }
+    const key = addressKey(address);
+    if (now - (this.#dialledAt.get(key) ?? -Infinity) < delay) return;
     this.#dialledAt.set(key, now);
     const socket = connect({ host, port });
     const giveUp = () => socket.destroy();
@@ -254,13 +306,14 @@
     socket.once("connect", () => {
       socket.setTimeout(0);
       socket.off("error", giveUp);
-      this.#addLink(socket, true);
+      this.#addLink(socket, key);
     });
   }
 
-  #addLink(socket: Socket, dialled: boolean): void {
+  /** `address`: where this side opened the connection to. */
+  #addLink(socket: Socket, address?: string): void {
     const now = this.#clock();
-    const link = new PeerLink(socket, dialled, now);
+    const link = new PeerLink(socket, address, now);
     this.#unidentified.add(link);
     const knowsMembers = this.#events.knowsMembers();
     const hasJustStarted = this.#events.hasJustStarted();
@@ -328,7 +381,13 @@
   #identify(link: PeerLink, instance: string, incarnation: string): void {
     link.instance = instance;
     link.incarnation = incarnation;
+    if (link.address !== undefined) this.#entryAt.set(link.address, instance);
     this.#unidentified.delete(link);
+    if (instance === this.#instance) {
+      link.instance = undefined;
+      link.close("this entry itself, or another one of its name");
+      return;
+    }
     const before = this.#links.get(instance);
     if (before?.incarnation === incarnation) {
       this.#resolveDuplicate(instance, before, link);
@@ -366,3 +425,7 @@
     this.#events.onPeerConnected(instance);
   }
 }
+
+function addressKey({ host, port }: Address): string {
+  return `${host}:${port}`;
+}
