Gateway: a server that was restarted never completes a response

Change: from the head of a response without a length on, one connection to its server is kept open that no request is sent on. After the end, only a connection that was open during the response and still is shows that the process lives. A connection that ended while idle, with none left, shows that it doesn't. Connections with requests don't count as ended, as that may be the end of their own response.

--- a/packages/gateway/src/backend/backend_connection.ts
+++ b/packages/gateway/src/backend/backend_connection.ts
@@ -12,6 +12,7 @@
 import { Client } from "undici";
 import type { Dispatcher } from "undici";
 import { PausableSocket } from "./pausable_socket.ts";
+import { ConnectionState } from "./process_witness.ts";
 
 /** Why no connection could be opened. */
 export type ConnectFailure = "connection_refused" | "connection_timeout";
@@ -62,6 +63,7 @@
 
 /** Wraps a connected socket in an HTTP client that never reconnects. */
 export class BackendConnection {
+  readonly state: ConnectionState;
   readonly #socket: PausableSocket;
   readonly #client: Client;
   #closed = false;
@@ -70,6 +72,8 @@
 
   private constructor(socket: PausableSocket, origin: string, now: number) {
     this.#socket = socket;
+    this.state = new ConnectionState(socket, () => socket.isReadingPaused);
+    this.state.isIdle = false;
     this.#idleSince = now;
     socket.once("close", () => this.#closed = true);
     socket.on("error", () => socket.destroy());
@@ -160,6 +164,11 @@
   /** Marks the connection as idle since `now`, after a complete response. */
   markIdle(now: number): void {
     this.#idleSince = now;
+    this.state.isIdle = true;
+  }
+
+  onceClosed(action: () => void): void {
+    this.#socket.once("close", action);
   }
 
   close(): void {
--- a/packages/gateway/src/backend/connection_pool.ts
+++ b/packages/gateway/src/backend/connection_pool.ts
@@ -7,6 +7,8 @@
   isConnectionRefused,
 } from "./backend_connection.ts";
 import type { ConnectFailure } from "./backend_connection.ts";
+import { ProcessWitness, WitnessConnection } from "./process_witness.ts";
+import type { ConnectionState } from "./process_witness.ts";
 
 /**
  * Milliseconds until an attempt to connect times out. Data centres are 1.4 ms
@@ -23,6 +25,9 @@
 /** Keeps idle connections for later requests, by incarnation of the server. */
 export class ConnectionPool {
   readonly #idle = new Map<string, BackendConnection[]>();
+  /** States of all open connections, by incarnation of the server. */
+  readonly #open = new Map<string, Set<ConnectionState>>();
+  readonly #witnesses = new Map<string, WitnessConnection>();
   readonly #clock: () => number;
 
   constructor(clock: () => number) {
@@ -43,16 +48,48 @@
       const connection = idle.pop();
       if (connection === undefined) break;
       if (connection.isUsable(this.#clock(), strict)) {
+        connection.state.isIdle = false;
         return Result.ok(connection);
       }
       connection.close();
     }
-    return await BackendConnection.open({
+    const opened = await BackendConnection.open({
       host: server.host,
       port: server.port,
       timeout: CONNECT_TIMEOUT,
       now: this.#clock(),
     });
+    if (opened.isOk) this.#track(incarnationOf(server), opened.value);
+    return opened;
+  }
+
+  /** Watches the server's process while it responds on `connection`. */
+  watchProcess(
+    server: ServerRecord,
+    connection: BackendConnection,
+  ): ProcessWitness {
+    const incarnation = incarnationOf(server);
+    const response = connection.state;
+    const others = [...this.#open.get(incarnation) ?? []]
+      .filter((state) => state !== response);
+    return new ProcessWitness({
+      response,
+      others,
+      connection: this.#witnessConnection(incarnation, server),
+    });
+  }
+
+  #witnessConnection(
+    incarnation: string,
+    { host, port }: ServerRecord,
+  ): WitnessConnection {
+    for (const [name, { isUsed }] of this.#witnesses) {
+      if (!isUsed) this.#witnesses.delete(name);
+    }
+    const connection = this.#witnesses.get(incarnation) ??
+      new WitnessConnection({ host, port });
+    this.#witnesses.set(incarnation, connection);
+    return connection;
   }
 
   /**
@@ -96,6 +133,18 @@
     }
   }
 
+  #track(incarnation: string, connection: BackendConnection): void {
+    const { state } = connection;
+    const open = this.#open.get(incarnation) ?? new Set();
+    this.#open.set(incarnation, open.add(state));
+    connection.onceClosed(() => {
+      open.delete(state);
+      if (open.size === 0 && this.#open.get(incarnation) === open) {
+        this.#open.delete(incarnation);
+      }
+    });
+  }
+
   close(): void {
     for (const idle of this.#idle.values()) {
       for (const connection of idle) connection.close();
--- a/packages/gateway/src/backend/pausable_socket.ts
+++ b/packages/gateway/src/backend/pausable_socket.ts
@@ -39,6 +39,11 @@
     super(options);
   }
 
+  /** True while nothing is read, so that the end goes unnoticed as well. */
+  get isReadingPaused(): boolean {
+    return this.#isPaused || this.#awaitsTurn;
+  }
+
   pauseReading(): void {
     this.#isPaused = true;
   }
--- a/packages/gateway/src/request/server_attempt.ts
+++ b/packages/gateway/src/request/server_attempt.ts
@@ -9,6 +9,7 @@
   BackendConnection,
   ResponseHead,
 } from "../backend/backend_connection.ts";
+import type { ProcessWitness } from "../backend/process_witness.ts";
 import type { ParsedRequest } from "../front/parsed_request.ts";
 import type { ResponseProgress } from "./response_progress.ts";
 import { backendHeaders } from "./backend_headers.ts";
@@ -87,6 +88,8 @@
   #wasPaused = false;
   #closure: RunClosure | undefined;
   #ended = false;
+  /** Set while a response arrives that ends with its connection. */
+  #processWitness: ProcessWitness | undefined;
 
   constructor(
     request: AttemptRequest,
@@ -120,6 +123,7 @@
     const time = this.#request.context.clock() - this.#sentAt;
     const closure = this.#closure;
     const judged = await this.#judge(result, time);
+    this.#processWitness?.stop();
     if (judged.runOutcome === "broken" && this.#wasCutOff(result)) {
       this.#request.caller.recordBreak();
     }
@@ -170,24 +174,43 @@
     const cancelledUnresponsive = result.kind === "aborted" && unresponsive;
     if (cancelledUnresponsive) return { result, runOutcome: "broken" };
     if (await this.#hasServerEnded(result)) return this.#endOfServer(result);
+    if (await this.#hasServerRestarted(result)) {
+      const detail = "the server has restarted, the response may be cut";
+      return { result: { kind: "broken", detail }, runOutcome: "broken" };
+    }
     return { result, runOutcome: runOutcomeOf(result) };
   }
 
   /**
    * Whether the server has ended, and a response with it that is not known to be
-   * whole. The connections of a process that ends close as after a response that
-   * ends with its connection; only a server that still accepts connections has
-   * ended the response itself.
+   * whole.
    */
   async #hasServerEnded(result: ExchangeResult): Promise<boolean> {
     const mayHaveEnded = result.kind === "broken"
       ? this.#closure === undefined
-      : this.#endsWithConnection(result) && !this.#hasAllTokens(result);
+      : this.#mayBeCut(result);
     if (!mayHaveEnded) return false;
     const { connectionPool } = this.#request.context;
     return await connectionPool.isRefusing(this.#target.server);
   }
 
+  /**
+   * Whether another process has taken the place of the server, as none of its
+   * connections has outlived a response that is not known to be whole.
+   */
+  async #hasServerRestarted(result: ExchangeResult): Promise<boolean> {
+    if (!this.#mayBeCut(result)) return false;
+    return await this.#processWitness?.evidence() === "ended";
+  }
+
+  /**
+   * Whether a response that seems complete may be cut: the connections of a
+   * process that ends close as after a response that ends with its connection.
+   */
+  #mayBeCut(result: ExchangeResult): boolean {
+    return this.#endsWithConnection(result) && !this.#hasAllTokens(result);
+  }
+
   /** Whether only the end of the connection marked the end of the response. */
   #endsWithConnection(result: ExchangeResult): boolean {
     if (this.#request.parsed.method === "HEAD") return false;
@@ -283,6 +306,10 @@
 
   /** Reads what the server states about itself. */
   #readNotices(head: ResponseHead): void {
+    if (this.#request.parsed.method !== "HEAD" && isCloseDelimited(head)) {
+      this.#processWitness = this.#request.context.connectionPool
+        .watchProcess(this.#target.server, this.#target.connection);
+    }
     const { grantClient, headerNames, recordLeaving } = this.#request.context;
     const server = incarnationOf(this.#target.server);
     const limit = head.headers[headerNames.serverLimit.toLowerCase()];
--- a/packages/gateway/test/fake_backend_server.ts
+++ b/packages/gateway/test/fake_backend_server.ts
@@ -92,6 +92,13 @@
     this.#isSilent = false;
   }
 
+  /** Closes all connections but `kept`. */
+  closeOtherConnections(kept: Socket): void {
+    for (const socket of this.#sockets) {
+      if (socket !== kept) socket.destroy();
+    }
+  }
+
   #destroySockets(): void {
     for (const socket of this.#sockets) socket.destroy();
   }
