Sidecar: a reset never completes a response without a length

Found on a related path of the gateway's fault.

Cause: undici completes a response whose end is that of its connection also on ECONNRESET, and Node.js reports a reset that arrives together with bytes as a regular end. The gateway handles both; the sidecar used undici's own connections.

Change: the sidecar's connections turn a reset into an error that undici doesn't take for an end, by the same look at the connection's peer.

Other readers of responses were looked at and are unchanged: the store client and the command line read JSON, of which a part can't be parsed, and probes read the status only.

--- a/packages/daemon/src/sidecar/backend_client.ts
+++ b/packages/daemon/src/sidecar/backend_client.ts
@@ -7,8 +7,12 @@
   HttpHeaders,
 } from "@sycamorepulley/protocol";
 import { endToEndHeaders } from "../common/end_to_end_headers.ts";
+import { connectorWithResetErrors } from "./reset_error_socket.ts";
 import { createMeter } from "./response_meter.ts";
 
+/** Milliseconds until an attempt to connect is given up. */
+const CONNECT_TIMEOUT = 2000;
+
 /** Receives a response while it is streamed. */
 export abstract class ResponseReceiver {
   abstract receiveHead(status: number, headers: HttpHeaders): void;
@@ -50,7 +54,7 @@
       // Timeouts in milliseconds; 0: none, as the deadline ends a request.
       headersTimeout: 0,
       bodyTimeout: 0,
-      connect: { timeout: 2000 },
+      connect: connectorWithResetErrors(CONNECT_TIMEOUT),
     });
   }
 
--- /dev/null
+++ b/packages/daemon/src/sidecar/reset_error_socket.ts
@@ -0,0 +1,69 @@
+/**
+ * Connections on which a reset is always an error.
+ *
+ * undici completes a response without a length at the end of its connection,
+ * and also at a reset: it takes `ECONNRESET` for an end, and Node.js reports a
+ * reset that arrives together with bytes as an end.
+ * @module
+ */
+import { ResetDetectingSocket } from "@sycamorepulley/receiving";
+import { buildConnector, errors } from "undici";
+
+/** Bytes that are read in advance. */
+const READ_AHEAD_BYTES = 64 * 1024;
+
+/** Replaces the end of a connection that was reset by an error. */
+class ResetErrorSocket extends ResetDetectingSocket {
+  override emit(event: string | symbol, ...values: unknown[]): boolean {
+    if (event === "end" && this.remoteAddress === undefined) {
+      this.destroy(new errors.SocketError("the connection was reset"));
+      return true;
+    }
+    return super.emit(event, ...values);
+  }
+
+  override _destroy(
+    error: NodeJS.ErrnoException | null,
+    callback: (error?: Error | null) => void,
+  ): void {
+    const isReset = error?.code === "ECONNRESET" && error.syscall === "read";
+    super._destroy(
+      isReset ? new errors.SocketError("the connection was reset") : error,
+      callback,
+    );
+  }
+}
+
+/** Returns a connector for undici; `timeout` in milliseconds. */
+export function connectorWithResetErrors(
+  timeout: number,
+): buildConnector.connector {
+  const connectWithTls = buildConnector({ timeout });
+  return (options, callback) => {
+    if (options.protocol === "https:") connectWithTls(options, callback);
+    else openConnection(options, timeout, callback);
+  };
+}
+
+function openConnection(
+  { hostname, port }: buildConnector.Options,
+  timeout: number,
+  callback: buildConnector.Callback,
+): void {
+  const socket = new ResetErrorSocket({
+    readableHighWaterMark: READ_AHEAD_BYTES,
+  });
+  const fail = (error: Error) => callback(error, null);
+  socket.setTimeout(timeout, () => {
+    const detail = `no connection to ${hostname}:${port} in ${timeout} ms`;
+    socket.destroy(new errors.ConnectTimeoutError(detail));
+  });
+  socket.once("error", fail);
+  socket.once("connect", () => {
+    socket.setTimeout(0);
+    socket.off("error", fail);
+    callback(null, socket);
+  });
+  socket.setNoDelay(true);
+  socket.connect({ host: hostname, port: Number(port) || 80 });
+}
