--- a/packages/daemon/test/reset_response_test.ts
+++ b/packages/daemon/test/reset_response_test.ts
@@ -105,3 +105,17 @@
   t.match(outcome, { kind: "failed", ran: "no", reason: "connect_failed" });
   await client.close();
 });
+
+for (const ending of ["end", "reset"] as const) {
+  // Guards against an empty response that looks whole.
+  t.test(`a head that stops by ${ending} is no response`, async (t) => {
+    for (let length = 0; length < HEAD.length; length += 3) {
+      const results = await run((socket) => {
+        socket.write(HEAD.slice(0, length));
+        if (ending === "end") socket.end();
+        else socket.resetAndDestroy();
+      });
+      t.equal(countComplete(results), 0);
+    }
+  });
+}
