Gateway: heads and trailers of many small lines are limited

Cause: undici limits a head to 64 KiB, but keeps two buffers for each field of it until the head is complete: 3.3 MB for one head of 16,000 lines of four bytes that then stops, and the same for trailers (20 calls each). A status line had no limit at all.

endless_bytes_test expected undici's own error for a head of many lines; it is now refused before that. The test asks for the new error there, and for undici's with long lines. A status line and a chunk's extension without end are new cases.

--- a/packages/gateway/src/backend/pausable_socket.ts
+++ b/packages/gateway/src/backend/pausable_socket.ts
@@ -31,6 +31,8 @@
 export class PausableSocket extends ResetDetectingSocket {
   #isPaused = false;
   #awaitsTurn = false;
+  /** Checks what is read; returns what is wrong with it, if anything. */
+  check: (bytes: Uint8Array) => string | undefined = () => undefined;
 
   constructor() {
     const options: SocketConstructorOpts & DuplexOptions = {
@@ -60,6 +62,11 @@
     if (size === 0) return super.read(0);
     if (this.#isPaused || this.#awaitsTurn) return null;
     const bytes = super.read(size) as Buffer | null;
+    const problem = bytes === null ? undefined : this.check(bytes);
+    if (problem !== undefined) {
+      this.destroy(new Error(problem));
+      return null;
+    }
     if (bytes !== null && bytes.length >= LARGE_READ_BYTES) this.#awaitTurn();
     return bytes;
   }
--- a/packages/gateway/test/endless_bytes_test.ts
+++ b/packages/gateway/test/endless_bytes_test.ts
@@ -46,13 +46,37 @@
   t.ok(result.bytes < CONNECTION_BYTES, `${result.bytes} bytes`);
 });
 
-t.test("a head without end is an error of its server", async (t) => {
+t.test("a head of lines without end is an error of its server", async (t) => {
   const result = await callEndless(rawResponseHead, "X-More: and more\r\n");
   t.equal(result.status, 502);
+  t.equal(result.detail, "more than 256 lines in the head");
+  t.ok(result.bytes < CONNECTION_BYTES, `${result.bytes} bytes`);
+});
+
+t.test("a head of long lines without end is an error of its server", async (t) => {
+  const line = `X-More: ${"and more ".repeat(100)}\r\n`;
+  const result = await callEndless(rawResponseHead, line);
+  t.equal(result.status, 502);
   t.match(result.detail, /Headers Overflow/);
   t.ok(result.bytes < CONNECTION_BYTES, `${result.bytes} bytes`);
 });
 
+t.test("a status line without end is an error of its server", async (t) => {
+  const result = await callEndless(() => "HTTP/1.1 200 ", "and more ");
+  t.equal(result.status, 502);
+  t.equal(result.detail, "a line of more than 65536 bytes");
+  t.ok(result.bytes < CONNECTION_BYTES, `${result.bytes} bytes`);
+});
+
+t.test("the extension of a chunk without end is an error of its server", async (t) => {
+  const head = (received: ReceivedRequest) =>
+    `${rawResponseHead(received)}Transfer-Encoding: chunked\r\n\r\n5;`;
+  const result = await callEndless(head, "more");
+  t.equal(result.status, 502);
+  t.equal(result.detail, "a line of more than 65536 bytes");
+  t.ok(result.bytes < CONNECTION_BYTES, `${result.bytes} bytes`);
+});
+
 t.test("responses of status 1xx without end are ended by the deadline", async (t) => {
   const result = await callEndless(() => "", "HTTP/1.1 102 Processing\r\n\r\n");
   t.equal(result.status, 504);
--- a/packages/gateway/test/launched_gateway.ts
+++ b/packages/gateway/test/launched_gateway.ts
@@ -43,6 +43,11 @@
     return new LaunchedGateway(child, ports);
   }
 
+  /** True once the process has ended, also by itself. */
+  get hasExited(): boolean {
+    return this.#child.exitCode !== null || this.#child.signalCode !== null;
+  }
+
   /** Resident memory in bytes. */
   residentMemory(): number {
     const status = readFileSync(`/proc/${this.#child.pid}/status`, "utf8");
