Gateway: a response with an invalid status, version or coding is broken

HTTP defines no class of status above 599. With a transfer coding other than `chunked` the body isn't what the caller takes it for; where it isn't the last one, the response ends with its connection, and the checks of such ends were left out as well.

Change: the head of such a response is a problem like a missing seal, and HeadChecks reads the version.

--- a/packages/gateway/src/backend/backend_connection.ts
+++ b/packages/gateway/src/backend/backend_connection.ts
@@ -11,7 +11,7 @@
 import { Result } from "true-myth/result";
 import { Client } from "undici";
 import type { Dispatcher } from "undici";
-import { HeadLimits } from "./head_limits.ts";
+import { HeadChecks } from "./head_checks.ts";
 import { PausableSocket } from "./pausable_socket.ts";
 import { ConnectionState } from "./process_witness.ts";
 
@@ -141,8 +141,8 @@
       onFinish: () => this.#socket.resumeReading(),
       wasReset: () => this.#socket.wasReset,
     });
-    const limits = new HeadLimits();
-    this.#socket.check = (bytes) => limits.check(bytes);
+    const checks = new HeadChecks();
+    this.#socket.check = (bytes) => checks.check(bytes);
     this.#client.dispatch({
       method: request.method as Dispatcher.HttpMethod,
       path: request.target,
--- a/packages/gateway/src/backend/head_limits.ts
+++ b/packages/gateway/src/backend/head_checks.ts
@@ -1,10 +1,11 @@
 /**
- * Limits for what a backend server sends beside the body of a response: its
+ * Checks of what a backend server sends beside the body of a response: its
  * head, its trailers, and the lines that state the sizes of chunks.
  *
  * undici limits the bytes of a head and of trailers. It needs several objects
  * for each of their fields, however small, so that their number has to be
- * limited as well; a status line and the extensions of a chunk have no limit.
+ * limited as well. A status line has no limit there, and may state any version
+ * of HTTP.
  * @module
  */
 
@@ -16,6 +17,7 @@
 const LINE_START_LENGTH = 256;
 
 const LINE_FEED = 0x0a;
+const STATUS_LINE = /^HTTP\/1\.[01] /;
 const CHUNKED = /^transfer-encoding:.*\bchunked\s*$/i;
 
 /**
@@ -25,7 +27,7 @@
 type Part = "head" | "size" | "data" | "trailers" | "rest";
 
 /** Checks the bytes of one response, in the order of their arrival. */
-export class HeadLimits {
+export class HeadChecks {
   #part: Part = "head";
   /** Lines of the current head or trailers. */
   #lines = 0;
@@ -35,8 +37,9 @@
   #isChunked = false;
   /** Bytes of the current chunk that have not arrived. */
   #missing = 0;
+  #problem: string | undefined;
 
-  /** Returns what is wrong with the response if it exceeds a limit. */
+  /** Returns what is wrong with the response, if anything is. */
   check(bytes: Uint8Array): string | undefined {
     const buffer = Buffer.from(
       bytes.buffer,
@@ -52,13 +55,8 @@
       const lineEnd = buffer.indexOf(LINE_FEED, offset);
       const end = lineEnd < 0 ? buffer.length : lineEnd;
       this.#appendToLine(buffer, offset, end);
-      if (this.#lineLength > MAX_LINE_BYTES) {
-        return `a line of more than ${MAX_LINE_BYTES} bytes`;
-      }
       if (lineEnd >= 0) this.#endLine();
-      if (this.#lines > MAX_FIELDS) {
-        return `more than ${MAX_FIELDS} lines in the ${this.#part}`;
-      }
+      if (this.#problem !== undefined) return this.#problem;
       offset = end + 1;
     }
     return undefined;
@@ -73,6 +71,9 @@
 
   #appendToLine(buffer: Buffer, start: number, end: number): void {
     this.#lineLength += end - start;
+    if (this.#lineLength > MAX_LINE_BYTES) {
+      this.#problem = `a line of more than ${MAX_LINE_BYTES} bytes`;
+    }
     const free = LINE_START_LENGTH - this.#lineStart.length;
     if (free <= 0) return;
     const last = Math.min(end, start + free);
@@ -90,13 +91,19 @@
   }
 
   #readField(line: string): void {
-    if (this.#lines === 0 && this.#part === "head") {
-      this.#status = Number(line.split(" ")[1]);
-    }
+    if (this.#lines === 0 && this.#part === "head") this.#readStatus(line);
     this.#lines++;
+    if (this.#lines > MAX_FIELDS) {
+      this.#problem = `more than ${MAX_FIELDS} lines in the ${this.#part}`;
+    }
     if (this.#part === "head" && CHUNKED.test(line)) this.#isChunked = true;
   }
 
+  #readStatus(line: string): void {
+    if (!STATUS_LINE.test(line)) this.#problem = "no status line of HTTP/1";
+    this.#status = Number(line.split(" ")[1]);
+  }
+
   #endHead(): void {
     this.#lines = 0;
     const isInterim = this.#status >= 100 && this.#status < 200;
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -26,6 +26,8 @@
 /** Largest event of a stream that is buffered, in bytes; a larger one fails. */
 const MAX_EVENT_BYTES = 1024 * 1024;
 
+/** The highest status that HTTP defines a class for. */
+const LAST_STATUS = 599;
 /** HTTP status of a server that is not the intended one; it ran nothing. */
 const MISDIRECTED = 421;
 
@@ -244,6 +246,7 @@
   /** Why the response is not one of the server to this request, if it isn't. */
   #headProblem(head: ResponseHead): string | undefined {
     const { headers, status } = head;
+    if (status > LAST_STATUS) return `status ${status}`;
     const echoed = headers[this.#headerNames.requestId.toLowerCase()];
     const notRun =
       headers[this.#headerNames.notRun.toLowerCase()] !== undefined ||
@@ -264,6 +267,10 @@
     if (headers["content-encoding"] !== undefined) {
       return "response with a content encoding";
     }
+    const coding = String(headers["transfer-encoding"] ?? "chunked");
+    if (coding.trim().toLowerCase() !== "chunked") {
+      return "response with a transfer coding";
+    }
     return undefined;
   }
 
--- a/packages/gateway/test/head_limits_test.ts
+++ b/packages/gateway/test/head_checks_test.ts
@@ -1,5 +1,5 @@
 import t from "tap";
-import { HeadLimits } from "../src/backend/head_limits.ts";
+import { HeadChecks } from "../src/backend/head_checks.ts";
 
 const OK = "HTTP/1.1 200 OK\r\n";
 const CHUNKED = `${OK}Transfer-Encoding: chunked\r\n\r\n`;
@@ -7,7 +7,7 @@
 
 /** Checks a response that arrives in pieces of `size` bytes. */
 function check(response: string, size: number): string | undefined {
-  const limits = new HeadLimits();
+  const limits = new HeadChecks();
   const bytes = Buffer.from(response, "latin1");
   for (let offset = 0; offset < bytes.length; offset += size) {
     const problem = limits.check(bytes.subarray(offset, offset + size));
