Gateway: a response 304 may state the length of the whole

Callers got 502 for a 304 whose head states a Content-Length, as HTTP allows: the length is that of the response that isn't sent.

Cause: undici compares the stated length with the bytes of the body and reports a mismatch, though a 304 has none.

Change: a 304 is whole with its head, whatever follows. The connection is closed as before, so that it isn't used again.

--- a/packages/gateway/src/backend/backend_connection.ts
+++ b/packages/gateway/src/backend/backend_connection.ts
@@ -62,6 +62,9 @@
  */
 const IDLE_MARGIN = 1000;
 
+/** HTTP status of a response that ends with its head, whatever it states. */
+const NOT_MODIFIED = 304;
+
 /** Wraps a connected socket in an HTTP client that never reconnects. */
 export class BackendConnection {
   readonly state: ConnectionState;
@@ -230,6 +233,7 @@
   readonly #listener: ResponseListener;
   readonly #hooks: ConnectionHooks;
   #finished = false;
+  #isNotModified = false;
 
   constructor(
     listener: ResponseListener,
@@ -257,6 +261,7 @@
     headers: ResponseHead["headers"],
   ): void {
     if (this.#finished || status < 200) return;
+    this.#isNotModified = status === NOT_MODIFIED;
     this.#hooks.onHeaders(headers);
     this.#listener.onHead({ status, headers });
   }
@@ -283,6 +288,8 @@
   ): void {
     if (this.#finished) return;
     this.#finished = true;
-    this.#listener.onError(error.message);
+    // undici expects a body of the stated length, which is that of the whole.
+    if (this.#isNotModified) this.#listener.onEnd();
+    else this.#listener.onError(error.message);
   }
 }
--- a/packages/gateway/test/odd_response_test.ts
+++ b/packages/gateway/test/odd_response_test.ts
@@ -72,3 +72,12 @@
   );
   t.same([status, body], [200, "sent!"]);
 });
+
+t.test("a response that is not modified may state the length of the whole", async (t) => {
+  // Guards against 502 for a response that is whole with its head.
+  const { status, body } = await callWith(
+    "HTTP/1.1 304 Not Modified",
+    'ETag: "a"\r\nContent-Length: 50\r\n\r\n',
+  );
+  t.same([status, body], [304, ""]);
+});
