Gateway: a store that responds at once without news is called less often

Cause: the follower only paused after a call that failed.

Change: CallPacing counts the calls in a row that were neither held nor led to a later position.

--- a/packages/gateway/src/state/prefix_follower.ts
+++ b/packages/gateway/src/state/prefix_follower.ts
@@ -8,7 +8,8 @@
  * have been lost, and is repeated at once. The store may report missed changes,
  * or that it has compacted its history, only at the end of a watch, so the
  * first watch after a call that ended early does not wait for changes. When the
- * store has been restored from a copy, everything is read again.
+ * store has been restored from a copy, everything is read again. A store that
+ * responds at once without news is called less and less often.
  * @module
  */
 import { isLater, laterOf } from "@sycamorepulley/decisions";
@@ -16,6 +17,7 @@
 import type { ItemChange, StoredItem } from "@sycamorepulley/store";
 import type { PlatformError } from "@sycamorepulley/store";
 import { Result } from "true-myth/result";
+import { CallPacing } from "./call_pacing.ts";
 import type { EraCheckedStore } from "./era_checked_store.ts";
 import { pause } from "./pause.ts";
 import type { StoreContact } from "./store_contact.ts";
@@ -52,6 +54,7 @@
   #changesReceived = false;
   /** Position up to which all changes are known from another source. */
   #knownPosition: WatchPosition;
+  readonly #pacing = new CallPacing();
 
   constructor(
     options: {
@@ -100,7 +103,8 @@
         position = this.#advance(next.value);
         backoff = INITIAL_BACKOFF;
         this.#lastCallFailed = false;
-        await this.#delayAfterChanges(signal);
+        const duration = this.#clock() - startedAt;
+        await this.#delayAfter({ position: next.value, duration }, signal);
         continue;
       }
       this.#lastCallFailed = true;
@@ -117,9 +121,13 @@
     }
   }
 
-  async #delayAfterChanges(signal: AbortSignal): Promise<void> {
-    const duration = this.#changesReceived ? this.#coalescingDelay() : 0;
+  async #delayAfter(
+    call: { position: WatchPosition; duration: number },
+    signal: AbortSignal,
+  ): Promise<void> {
+    const coalescing = this.#changesReceived ? this.#coalescingDelay() : 0;
     this.#changesReceived = false;
+    const duration = Math.max(coalescing, this.#pacing.delayAfter(call));
     if (duration > 0) {
       await pause(duration, signal, this.#contact.availabilityChange);
     }
