Gateway: a plain response always has a length for its caller

Change: it is passed on with the length of the body, which the gateway holds as a whole. A response to HEAD gets none, as its length isn't known.

--- a/packages/gateway/src/request/caller_connection.ts
+++ b/packages/gateway/src/request/caller_connection.ts
@@ -89,9 +89,11 @@
   sendResponse(head: ResponseHead, body: Buffer): void {
     if (this.#disconnected) return;
     const headers = responseHeaders(head.headers);
-    if (isCloseDelimited(head)) {
-      this.#useCloseDelimiting();
-    } else if (this.#request.method !== "HEAD" && head.status !== 304) {
+    if (this.#request.method === "HEAD") {
+      if (isCloseDelimited(head)) this.#useCloseDelimiting();
+    } else if (head.status !== NOT_MODIFIED) {
+      // A length shows whether the response is whole, also if this process is
+      // killed.
       headers["content-length"] = String(body.length);
     }
     this.#response.writeHead(head.status, headers);
@@ -209,7 +211,9 @@
 }
 
 /** HTTP status codes of responses that have no body. */
-const BODILESS_STATUSES: readonly number[] = [204, 304];
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
+const BODILESS_STATUSES: readonly number[] = [NO_CONTENT, NOT_MODIFIED];
 
 /** True if only the end of the connection marks the end of the response. */
 export function isCloseDelimited({ status, headers }: ResponseHead): boolean {
--- a/packages/gateway/test/close_delimited_test.ts
+++ b/packages/gateway/test/close_delimited_test.ts
@@ -206,3 +206,15 @@
   );
   t.equal(response.status, 200);
 });
+
+t.test("a response to HEAD without a length gets none", async (t) => {
+  const { response } = await callWith(
+    "/once/",
+    () => (_response, received, socket) =>
+      socket.end(rawResponseHead(received) + "\r\n"),
+    {},
+    "HEAD",
+  );
+  t.equal(response.status, 200);
+  t.equal(response.headers["content-length"], undefined);
+});
