Gateway: refused idle connections don't cut a response

Change: a connection that was opened for this purpose counts after 50 ms, and an end of a connection counts only if the response ended with it. That is decided by turns of the event loop after 10 ms, as a process that was stopped notices all ends together. An end that came while the response wasn't read counts as before. The connection is opened again after 20 ms to a second, depending on how often it is closed.

--- a/packages/gateway/src/backend/backend_connection.ts
+++ b/packages/gateway/src/backend/backend_connection.ts
@@ -76,7 +76,7 @@
 
   private constructor(socket: PausableSocket, origin: string, now: number) {
     this.#socket = socket;
-    this.state = new ConnectionState(socket, () => socket.isReadingPaused);
+    this.state = new ConnectionState(socket, socket);
     this.state.isIdle = false;
     this.#idleSince = now;
     socket.once("close", () => this.#closed = true);
--- a/packages/gateway/src/backend/pausable_socket.ts
+++ b/packages/gateway/src/backend/pausable_socket.ts
@@ -31,6 +31,7 @@
 export class PausableSocket extends ResetDetectingSocket {
   #isPaused = false;
   #awaitsTurn = false;
+  #resumedAt = -Infinity;
   /** Checks what is read; returns what is wrong with it, if anything. */
   check: (bytes: Uint8Array) => string | undefined = () => undefined;
 
@@ -46,6 +47,11 @@
     return this.#isPaused || this.#awaitsTurn;
   }
 
+  /** Time at which reading went on after the last pause. */
+  get readingResumedAt(): number {
+    return this.#resumedAt;
+  }
+
   pauseReading(): void {
     this.#isPaused = true;
   }
@@ -53,6 +59,7 @@
   resumeReading(): void {
     if (!this.#isPaused) return;
     this.#isPaused = false;
+    this.#resumedAt = performance.now();
     // The caller of this method may itself be called in the middle of a read.
     nextTick(() => this.#announceBytes());
   }
@@ -75,6 +82,7 @@
     this.#awaitsTurn = true;
     largeReads.add(() => {
       this.#awaitsTurn = false;
+      this.#resumedAt = performance.now();
       this.#announceBytes();
     });
   }
--- a/packages/gateway/src/backend/process_witness.ts
+++ b/packages/gateway/src/backend/process_witness.ts
@@ -12,56 +12,95 @@
 import type { Socket } from "node:net";
 import { setImmediate, setTimeout } from "node:timers/promises";
 
+/** Milliseconds within which all connections of a killed process end. */
+const SETTLE_TIME = 10;
 /**
- * Milliseconds after the end of a response until the other connections of a
- * process that was killed have ended as well.
+ * Milliseconds after which a connection that was opened as a witness counts. A
+ * server with too many connections closes it at once.
  */
-const SETTLE_TIME = 10;
+const MINIMUM_AGE = 50;
 /** Milliseconds until it is checked again whether a response is idle. */
 const IDLE_CHECK_INTERVAL = 20;
-/** Milliseconds until a witness connection is opened again. */
-const REOPEN_DELAY = 20;
+/**
+ * Milliseconds until a witness connection is opened again: the first and the
+ * maximum, if the server closes it again and again.
+ */
+const INITIAL_REOPEN_DELAY = 20;
+const MAXIMUM_REOPEN_DELAY = 1000;
 
-/** `ended`: connections that were open during the response have ended. */
+/** `ended`: connections to the server have ended together with the response. */
 export type ProcessEvidence = "alive" | "ended" | "unknown";
 
-/** Whether a connection to a backend server is open, and who has ended it. */
+/** Pauses of the reading, in which the end of a connection goes unnoticed. */
+type ReadingPauses = {
+  readonly isReadingPaused: boolean;
+  /** Time at which reading went on after the last pause. */
+  readonly readingResumedAt: number;
+};
+
+const NO_PAUSES: ReadingPauses = {
+  isReadingPaused: false,
+  readingResumedAt: -Infinity,
+};
+
+/**
+ * Whether a connection to a backend server is open, and when the server has
+ * ended it; times in milliseconds.
+ */
 export class ConnectionState {
   /** True while no request runs on the connection. */
   isIdle = true;
   readonly #socket: Socket;
-  readonly #isPaused: () => boolean;
-  #endedByServer = false;
-  #isClosed = false;
+  readonly #pauses: ReadingPauses;
+  #closedAt: number | undefined;
+  #wasEndedIdle = false;
+  /** Until then, all connections that ended with this one have been noticed. */
+  #settledAt = Infinity;
 
-  /** While `isPaused`, the end of the connection goes unnoticed. */
-  constructor(socket: Socket, isPaused: () => boolean = () => false) {
+  constructor(socket: Socket, pauses: ReadingPauses = NO_PAUSES) {
     this.#socket = socket;
-    this.#isPaused = isPaused;
+    this.#pauses = pauses;
     const recordEnd = () => {
       // The end of a connection with a request may be that of its response.
-      if (this.isIdle && !this.#isClosed) this.#endedByServer = true;
-      this.#isClosed = true;
+      if (this.#closedAt !== undefined) return;
+      this.#wasEndedIdle = this.isIdle;
+      this.#closedAt = performance.now();
+      void untilSettled().then(() => this.#settledAt = performance.now());
     };
     socket.once("end", recordEnd);
     socket.once("error", recordEnd);
-    socket.once("close", () => this.#isClosed = true);
+    socket.once("close", () => this.#closedAt ??= performance.now());
   }
 
   /** True if the connection is certainly open. */
   get isOpen(): boolean {
-    return !this.#isClosed && !this.#isPaused();
-  }
-
-  /** True if the server ended the connection while it was idle. */
-  get endedByServer(): boolean {
-    return this.#endedByServer;
+    return this.#closedAt === undefined && !this.#pauses.isReadingPaused;
   }
 
   /** Bytes that were read from the connection. */
   get bytesRead(): number {
     return this.#socket.bytesRead;
   }
+
+  /**
+   * True if the server ended this connection while it was idle, and `other` at
+   * the same time. An end that was noticed after a pause may be older.
+   */
+  endedWith(other: ConnectionState): boolean {
+    if (!this.#wasEndedIdle || this.#closedAt === undefined) return false;
+    const otherClosedAt = other.#closedAt ?? Infinity;
+    const wasPaused = other.#pauses.readingResumedAt >= this.#closedAt;
+    return wasPaused || otherClosedAt <= this.#settledAt;
+  }
+}
+
+/** Resolves once the ends of connections until now have been noticed. */
+async function untilSettled(): Promise<void> {
+  await setTimeout(SETTLE_TIME);
+  // After a pause of this process, timers are due before what has arrived is
+  // read.
+  await setImmediate();
+  await setImmediate();
 }
 
 /** Called when a witness connection has been opened. */
@@ -76,6 +115,7 @@
   readonly #users = new Set<OpenCallback>();
   #socket: Socket | undefined;
   #state: ConnectionState | undefined;
+  #reopenDelay = INITIAL_REOPEN_DELAY;
 
   constructor(address: { host: string; port: number }) {
     this.#address = address;
@@ -111,14 +151,21 @@
       this.#state = state;
       for (const onOpen of this.#users) onOpen(state);
     });
-    socket.once("close", () => void this.#reopen());
+    const openedAt = performance.now();
+    socket.once("close", () => {
+      const wasShort = performance.now() - openedAt < MAXIMUM_REOPEN_DELAY;
+      this.#reopenDelay = wasShort
+        ? Math.min(2 * this.#reopenDelay, MAXIMUM_REOPEN_DELAY)
+        : INITIAL_REOPEN_DELAY;
+      void this.#reopen();
+    });
     // Without a reader the end of the connection would go unnoticed.
     socket.resume();
   }
 
   async #reopen(): Promise<void> {
     this.#state = undefined;
-    if (this.isUsed) await setTimeout(REOPEN_DELAY);
+    if (this.isUsed) await setTimeout(this.#reopenDelay);
     this.#socket = undefined;
     if (this.isUsed) this.#open();
   }
@@ -154,10 +201,10 @@
 
   /** Resolves to the evidence after the end of the response. */
   async evidence(): Promise<ProcessEvidence> {
-    await setTimeout(SETTLE_TIME);
+    await untilSettled();
     if (this.#witnesses.some(({ isOpen }) => isOpen)) return "alive";
     const hasEnded = this.#witnesses
-      .some(({ endedByServer }) => endedByServer);
+      .some((witness) => witness.endedWith(this.#response));
     return hasEnded ? "ended" : "unknown";
   }
 
@@ -172,6 +219,7 @@
    * older than the connection.
    */
   async #add(state: ConnectionState): Promise<void> {
+    await setTimeout(MINIMUM_AGE);
     while (!this.#isStopped && state.isOpen) {
       const { bytesRead } = this.#response;
       await setImmediate();
