--- a/packages/gateway/src/backend/head_checks.ts
+++ b/packages/gateway/src/backend/head_checks.ts
@@ -21,8 +21,9 @@
 const CHUNKED = /^transfer-encoding:.*\bchunked\s*$/i;
 
 /**
- * `head` and `trailers`: fields follow. `size` and `data`: the size of a chunk
- * and its bytes, with the line end after them. `rest`: nothing is limited here.
+ * What the next bytes belong to. `size`: the line with the size of a chunk;
+ * `data`: the bytes of the chunk and its line end; `rest`: a body that isn't
+ * chunked, or bytes after the response, neither of which is checked.
  */
 type Part = "head" | "size" | "data" | "trailers" | "rest";
 
--- a/packages/gateway/src/backend/process_witness.ts
+++ b/packages/gateway/src/backend/process_witness.ts
@@ -2,9 +2,9 @@
  * Evidence on whether the process of a backend server has outlived a response
  * that ended with its connection.
  *
- * The kernel ends the connections of a killed process as that process itself
- * ends one after a response, and its successor may accept connections at once.
- * Only a connection that was open before the end and still is afterwards shows
+ * The kernel closes the connections of a killed process as the process itself
+ * closes one after a response, and another process may already listen at the
+ * address. Only a connection that was open before the end and still is afterwards shows
  * that the process lives.
  * @module
  */
@@ -16,7 +16,7 @@
 const SETTLE_TIME = 10;
 /**
  * Milliseconds after which a connection that was opened as a witness counts. A
- * server with too many connections closes it at once.
+ * server at its connection limit closes it immediately.
  */
 const MINIMUM_AGE = 50;
 /** Milliseconds until it is checked again whether a response is idle. */
--- a/packages/gateway/src/state/call_pacing.ts
+++ b/packages/gateway/src/state/call_pacing.ts
@@ -1,4 +1,4 @@
-/** Pauses between calls to a store that responds at once without news. @module */
+/** Pauses between calls to a store that returns early without changes. @module */
 import { isLater } from "@sycamorepulley/decisions";
 import type { StorePosition } from "@sycamorepulley/decisions";
 
--- a/packages/gateway/src/state/entry_registration.ts
+++ b/packages/gateway/src/state/entry_registration.ts
@@ -42,7 +42,6 @@
 const RENEWAL_INTERVAL = 1000;
 /** Milliseconds until a failed registration or renewal is retried. */
 const RETRY_DELAY = 400;
-
 /**
  * Maximum milliseconds until a lost registration is renewed, if it was lost
  * repeatedly: another instance may have the same name.
--- a/packages/gateway/src/state/prefix_follower.ts
+++ b/packages/gateway/src/state/prefix_follower.ts
@@ -8,8 +8,8 @@
  * have been lost, and is repeated at once. The store may report missed changes,
  * or that it has compacted its history, only at the end of a watch, so the
  * first watch after a call that ended early does not wait for changes. When the
- * store has been restored from a copy, everything is read again. A store that
- * responds at once without news is called less and less often.
+ * store has been restored from a copy, everything is read again. Calls
+ * that return early without changes are spaced by growing pauses.
  * @module
  */
 import { isLater, laterOf } from "@sycamorepulley/decisions";
--- a/packages/gateway/test/hasty_store_test.ts
+++ b/packages/gateway/test/hasty_store_test.ts
@@ -22,7 +22,7 @@
 
 type Watch = Promise<Result<ChangeBatch, PlatformError>>;
 
-/** Responds to watches at once. */
+/** Responds to watches immediately. */
 class HastyStore extends MemoryMetadataStore {
   calls = 0;
   readonly #respond: (options: WatchPrefixOptions) => ChangeBatch;
@@ -50,6 +50,27 @@
   override onChanges(): void {}
 }
 
+/** Starts a follower of a store that responds with `respond`. */
+function follow(respond: (options: WatchPrefixOptions) => ChangeBatch) {
+  const store = new HastyStore(respond);
+  const contact = createContact();
+  const stopped = new AbortController();
+  const follower = new PrefixFollower({
+    store: new EraCheckedStore(store, contact),
+    prefix: "a/",
+    listener: new IgnoringListener(),
+    contact,
+    watchTimeout: () => 2000,
+    clock: () => performance.now(),
+  });
+  const run = follower.run(stopped.signal);
+  const stop = async () => {
+    stopped.abort();
+    await run;
+  };
+  return { store, stop };
+}
+
 const RESPONSES: Record<string, (options: WatchPrefixOptions) => ChangeBatch> =
   {
     "no changes": ({ after }) => ({
@@ -76,45 +97,21 @@
 for (const [name, respond] of Object.entries(RESPONSES)) {
   // Guards against calls without a pause, which load the store and the entry.
   t.test(`a store that responds at once with ${name} is not called at once`, async (t) => {
-    const store = new HastyStore(respond);
-    const contact = createContact();
-    const stopped = new AbortController();
-    const follower = new PrefixFollower({
-      store: new EraCheckedStore(store, contact),
-      prefix: "a/",
-      listener: new IgnoringListener(),
-      contact,
-      watchTimeout: () => 2000,
-      clock: () => performance.now(),
-    });
-    const run = follower.run(stopped.signal);
+    const { store, stop } = follow(respond);
     await sleep(OBSERVED);
     t.ok(store.calls <= MAXIMUM_CALLS, `${store.calls} calls`);
     t.ok(store.calls >= 4, `${store.calls} calls`);
-    stopped.abort();
-    await run;
+    await stop();
   });
 }
 
 t.test("changes in quick succession are followed without a pause", async (t) => {
-  const store = new HastyStore(({ after }) => ({
+  const { store, stop } = follow(({ after }) => ({
     kind: "changes",
     changes: [{ kind: "removed", key: "a/1", revision: after + 1 }],
     asOf: after + 1,
     era: 1,
   }));
-  const contact = createContact();
-  const stopped = new AbortController();
-  const follower = new PrefixFollower({
-    store: new EraCheckedStore(store, contact),
-    prefix: "a/",
-    listener: new IgnoringListener(),
-    contact,
-    watchTimeout: () => 2000,
-    clock: () => performance.now(),
-  });
-  const run = follower.run(stopped.signal);
   t.ok(await waitUntil(() => store.calls > 2 * MAXIMUM_CALLS));
-  stopped.abort();
-  await run;
+  await stop();
 });
--- a/packages/receiving/src/reset_detecting_socket.ts
+++ b/packages/receiving/src/reset_detecting_socket.ts
@@ -1,4 +1,4 @@
-/** A socket that tells a reset by its peer from a regular end. @module */
+/** A socket that distinguishes a reset from a regular end. @module */
 import { Socket } from "node:net";
 import type { SocketConstructorOpts } from "node:net";
 import type { DuplexOptions } from "node:stream";
