Connections to servers: a reset shows although the address was read before

What callers saw: a response without a length whose connection was reset with its last bytes looked whole as soon as anything had read the address of the peer, such as a subscriber of one of undici's diagnostics channels.

Cause: the address of the peer at the end of the connection was the only evidence, and Node.js keeps that address once it was read.

Change: the socket also writes no bytes at the end of the connection. After a reset the kernel refuses that with ECONNRESET, after a regular end it accepts it, and the peer receives nothing in either case. A response counts as whole only if no fact speaks against it; `judgeConnectionEnd` decides. It works as the two facts are asked separately: a cached address doesn't hide the refused write, and a write that waits behind an upload doesn't hide the lost address.

--- a/packages/daemon/src/sidecar/reset_error_socket.ts
+++ b/packages/daemon/src/sidecar/reset_error_socket.ts
@@ -15,11 +15,11 @@
 /** Replaces the end of a connection that was reset by an error. */
 class ResetErrorSocket extends ResetDetectingSocket {
   override emit(event: string | symbol, ...values: unknown[]): boolean {
-    if (event === "end" && this.remoteAddress === undefined) {
-      this.destroy(new errors.SocketError("the connection was reset"));
-      return true;
-    }
-    return super.emit(event, ...values);
+    if (event !== "end") return super.emit(event, ...values);
+    this.recordEnd();
+    if (!this.wasReset) return super.emit(event, ...values);
+    this.destroy(new errors.SocketError("the connection was reset"));
+    return true;
   }
 
   override _destroy(
--- a/packages/daemon/test/reset_response_test.ts
+++ b/packages/daemon/test/reset_response_test.ts
@@ -1,4 +1,5 @@
 import type { HandOverMessage } from "@sycamorepulley/protocol";
+import { subscribe, unsubscribe } from "node:diagnostics_channel";
 import { createServer } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -78,6 +79,24 @@
   });
 }
 
+// Guards against evidence that is lost once the address of the peer was read.
+t.test("a reset shows after a diagnostic has read the address", async (t) => {
+  const channel = "undici:client:connected";
+  const addresses: unknown[] = [];
+  const readAddress = (message: unknown) =>
+    addresses.push((message as { socket: Socket }).socket.remoteAddress);
+  subscribe(channel, readAddress);
+  t.teardown(() => unsubscribe(channel, readAddress));
+  const results = await run(async (socket) => {
+    socket.write(HEAD);
+    await sleep(2);
+    socket.write(BODY);
+    socket.resetAndDestroy();
+  });
+  t.strictSame(addresses, Array(RUNS).fill("127.0.0.1"));
+  t.equal(countComplete(results), 0);
+});
+
 t.test("a regular end completes a response without a length", async (t) => {
   const results = await run((socket) => socket.end(HEAD + BODY));
   t.equal(countComplete(results), RUNS);
--- a/packages/decisions/src/connections/mod.ts
+++ b/packages/decisions/src/connections/mod.ts
@@ -1,4 +1,4 @@
-/** Bounds on the connections of callers. @module */
+/** Connections: bounds on those of callers, ends of those to servers. @module */
 export { acceptQueueLength } from "./accept_queue.ts";
 export {
   callerConnections,
@@ -6,3 +6,5 @@
   connectionsIn,
 } from "./connection_limit.ts";
 export type { ProcessLimits } from "./connection_limit.ts";
+export { judgeConnectionEnd } from "./connection_end.ts";
+export type { ConnectionEnd, ConnectionEndVerdict } from "./connection_end.ts";
--- /dev/null
+++ b/packages/decisions/test/connection_end_test.ts
@@ -0,0 +1,28 @@
+import t from "tap";
+import { judgeConnectionEnd } from "../src/mod.ts";
+
+t.test("an end is regular if no fact shows a reset", (t) => {
+  const regular = { peer: "known", write: "accepted" } as const;
+  t.equal(judgeConnectionEnd(regular), "regular");
+  t.equal(judgeConnectionEnd({ ...regular, write: "pending" }), "regular");
+  t.end();
+});
+
+// Guards against a reset that counts as an end because one fact is wrong.
+t.test("one fact is enough for a reset", (t) => {
+  const ends = [
+    { peer: "unknown", write: "accepted" },
+    { peer: "unknown", write: "pending" },
+    { peer: "known", write: "ECONNRESET" },
+    { peer: "known", write: "EPIPE" },
+    { error: "ECONNRESET" },
+  ] as const;
+  for (const end of ends) t.equal(judgeConnectionEnd(end), "reset");
+  t.end();
+});
+
+// Guards against an end that nothing was found of and that counts as regular.
+t.test("an end without evidence is unproven", (t) => {
+  t.equal(judgeConnectionEnd(undefined), "unproven");
+  t.end();
+});
--- a/packages/gateway/test/reset_end_test.ts
+++ b/packages/gateway/test/reset_end_test.ts
@@ -1,3 +1,4 @@
+import { subscribe, unsubscribe } from "node:diagnostics_channel";
 import { createServer } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -101,6 +102,24 @@
   t.equal(countWhole(listeners), 0);
 });
 
+// Guards against evidence that is lost once the address of the peer was read.
+t.test("a reset shows after a diagnostic has read the address", async (t) => {
+  const channel = "undici:client:connected";
+  const addresses: unknown[] = [];
+  const readAddress = (message: unknown) =>
+    addresses.push((message as { socket: Socket }).socket.remoteAddress);
+  subscribe(channel, readAddress);
+  t.teardown(() => unsubscribe(channel, readAddress));
+  const listeners = await endsOf(async (socket) => {
+    socket.write(HEAD);
+    await sleep(2);
+    socket.write(BODY);
+    socket.resetAndDestroy();
+  });
+  t.strictSame(addresses, Array(RUNS).fill("127.0.0.1"));
+  t.equal(countWhole(listeners), 0);
+});
+
 t.test("a regular end completes a response without a length", async (t) => {
   const listeners = await endsOf(async (socket) => {
     socket.write(HEAD);
