Gateway: log on what evidence an end without a length was judged

What operators saw: a response without a length that counted as whole left no trace, so that a wrong "whole" could not be explained from the log: only cut ones were logged, without what the kernel had been asked.

Change: `end_without_length` is logged for each such response: the judgement, whether the kernel still had an address of the peer, what became of the write of no bytes, the error if there was one, whether the server's process is known to live, whether all tokens have arrived, and the silence before the end. The connection keeps what it found at the end of the response, as the HTTP client destroys it with an error afterwards.

An end of which nothing was found counts as `unproven` and no longer as whole.

--- a/packages/gateway/src/backend/backend_connection.ts
+++ b/packages/gateway/src/backend/backend_connection.ts
@@ -7,10 +7,16 @@
  * taken for the next response.
  * @module
  */
+import { judgeConnectionEnd } from "@sycamorepulley/decisions";
+import type {
+  ConnectionEnd,
+  ConnectionEndVerdict,
+} from "@sycamorepulley/decisions";
 import { connect, isIPv6 } from "node:net";
 import { Result } from "true-myth/result";
 import { Client } from "undici";
 import type { Dispatcher } from "undici";
+import { isCloseDelimited, NOT_MODIFIED } from "./close_delimited.ts";
 import { HeadChecks } from "./head_checks.ts";
 import { PausableSocket } from "./pausable_socket.ts";
 import { ConnectionState } from "./process_witness.ts";
@@ -62,8 +68,11 @@
  */
 const IDLE_MARGIN = 1000;
 
-/** HTTP status of a response that ends with its head, whatever it states. */
-const NOT_MODIFIED = 304;
+/** How a response without a length ended; `end` as it was found then. */
+export type CloseDelimitedEnd = {
+  end: ConnectionEnd | undefined;
+  verdict: ConnectionEndVerdict;
+};
 
 /** Wraps a connected socket in an HTTP client that never reconnects. */
 export class BackendConnection {
@@ -73,6 +82,7 @@
   #closed = false;
   #idleSince: number;
   #idleTimeout = DEFAULT_IDLE_TIMEOUT;
+  #closeDelimitedEnd: CloseDelimitedEnd | undefined;
 
   private constructor(socket: PausableSocket, origin: string, now: number) {
     this.#socket = socket;
@@ -138,11 +148,17 @@
     return idle < (strict ? this.#idleTimeout / 4 : this.#idleTimeout);
   }
 
+  /** Set once a response that ends with this connection has ended. */
+  get closeDelimitedEnd(): CloseDelimitedEnd | undefined {
+    return this.#closeDelimitedEnd;
+  }
+
   send(request: BackendRequest, listener: ResponseListener): SentRequest {
     const handler = new ResponseHandler(listener, {
+      isHead: request.method === "HEAD",
       onHeaders: (headers) => this.#readIdleTimeout(headers),
       onFinish: () => this.#socket.resumeReading(),
-      wasReset: () => this.#socket.wasReset,
+      judgeEnd: () => this.#judgeEnd(),
     });
     const checks = new HeadChecks();
     this.#socket.check = (bytes) => checks.check(bytes);
@@ -183,6 +199,13 @@
     this.#socket.destroy();
   }
 
+  #judgeEnd(): ConnectionEndVerdict {
+    const end = this.#socket.connectionEnd;
+    const verdict = judgeConnectionEnd(end);
+    this.#closeDelimitedEnd = { end, verdict };
+    return verdict;
+  }
+
   #readIdleTimeout(headers: ResponseHead["headers"]): void {
     if (String(headers.connection ?? "").toLowerCase() === "close") {
       this.#idleTimeout = 0;
@@ -222,18 +245,24 @@
 
 /** What the handler of a response needs from its connection. */
 type ConnectionHooks = {
+  /** True if the request is a `HEAD`, whose response has no body. */
+  isHead: boolean;
   onHeaders: (headers: ResponseHead["headers"]) => void;
   /** Called at the end of the response, before the listener. */
   onFinish: () => void;
-  /** True if the connection was reset; checked at the end of the response. */
-  wasReset: () => boolean;
+  /** Judges the end of the connection, which is that of the response. */
+  judgeEnd: () => ConnectionEndVerdict;
 };
 
+/** Why a response without a length is not known to be whole. */
+const INCOMPLETE = { reset: "cut", unproven: "unproven end" } as const;
+
 class ResponseHandler implements Dispatcher.DispatchHandler {
   readonly #listener: ResponseListener;
   readonly #hooks: ConnectionHooks;
   #finished = false;
   #isNotModified = false;
+  #endsWithConnection = false;
 
   constructor(
     listener: ResponseListener,
@@ -262,6 +291,8 @@
   ): void {
     if (this.#finished || status < 200) return;
     this.#isNotModified = status === NOT_MODIFIED;
+    this.#endsWithConnection = !this.#hooks.isHead &&
+      isCloseDelimited({ status, headers });
     this.#hooks.onHeaders(headers);
     this.#listener.onHead({ status, headers });
   }
@@ -278,8 +309,11 @@
     this.#finished = true;
     this.#hooks.onFinish();
     // undici takes a reset for the end of a response without a length.
-    if (this.#hooks.wasReset()) this.#listener.onError("cut");
-    else this.#listener.onEnd();
+    const verdict = this.#endsWithConnection
+      ? this.#hooks.judgeEnd()
+      : "regular";
+    if (verdict === "regular") this.#listener.onEnd();
+    else this.#listener.onError(INCOMPLETE[verdict]);
   }
 
   onResponseError(
@@ -288,6 +322,7 @@
   ): void {
     if (this.#finished) return;
     this.#finished = true;
+    if (this.#endsWithConnection) this.#hooks.judgeEnd();
     // undici expects a body of the stated length, which is that of the whole.
     if (this.#isNotModified) this.#listener.onEnd();
     else this.#listener.onError(error.message);
--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -1,5 +1,6 @@
 /** All events that the gateway may log; durations in milliseconds. @module */
 import type {
+  ConnectionEndVerdict,
   CrashEvidence,
   DataCentreState,
   ExclusionCause,
@@ -244,6 +245,32 @@
     /** Why the response was not complete; absent if the gateway ended it. */
     detail?: string;
   }
+  /**
+   * A response has ended whose end is that of its connection, and on what
+   * evidence it was judged. `silence`: since the last bytes of its body;
+   * `events`: times that events of the request were passed on.
+   */
+  | {
+    event: "end_without_length";
+    request: string;
+    server: string;
+    judged: "whole" | "incomplete";
+    /** Why it is incomplete. */
+    detail?: string;
+    /** `closed_here`: the gateway closed the connection. */
+    connection: ConnectionEndVerdict | "closed_here";
+    /** Whether the kernel had an address of the peer. */
+    peer?: "known" | "unknown";
+    /** What became of a write of no bytes. */
+    write?: string;
+    /** Code of the error that ended the connection. */
+    error?: string;
+    /** `refusing`: the server's address refused connections. */
+    process: "alive" | "ended" | "unknown" | "refusing" | "not_asked";
+    hasAllTokens: boolean;
+    events: number;
+    silence: number;
+  }
   /**
    * The gateway ended a run before its response was complete. `evidence` is
    * what it knew, and `evidenceAge` how long before. `time`: since the request
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -59,6 +59,11 @@
     "Runs that the gateway ended before their answer was whole",
     ["service", "cause"],
   );
+  readonly closeDelimitedEnds = this.#counter(
+    "close_delimited_ends_total",
+    "Responses of servers that ended with their connection",
+    ["service", "judged"],
+  );
   readonly requestsCutAtStop = this.#counter(
     "requests_cut_at_stop_total",
     "Requests at a server that the end of this process ended",
--- a/packages/gateway/src/request/caller_connection.ts
+++ b/packages/gateway/src/request/caller_connection.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { ByteBuffer } from "@sycamorepulley/receiving";
 import type { ResponseHead } from "../backend/backend_connection.ts";
+import { isCloseDelimited, NOT_MODIFIED } from "../backend/close_delimited.ts";
 import { responseHeaders } from "../front/forwarded_headers.ts";
 import type { EntryMemory, HeldBytes, HeldStream } from "./entry_memory.ts";
 import { sendErrorResponse } from "./error_response.ts";
@@ -209,15 +210,3 @@
     this.#onDisconnect();
   }
 }
-
-/** HTTP status codes of responses that have no body. */
-const NO_CONTENT = 204;
-const NOT_MODIFIED = 304;
-const BODILESS_STATUSES: readonly number[] = [NO_CONTENT, NOT_MODIFIED];
-
-/** True if only the end of the connection marks the end of the response. */
-export function isCloseDelimited({ status, headers }: ResponseHead): boolean {
-  return headers["content-length"] === undefined &&
-    headers["transfer-encoding"] === undefined &&
-    !BODILESS_STATUSES.includes(status);
-}
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -14,8 +14,8 @@
   ResponseHead,
   SentRequest,
 } from "../backend/backend_connection.ts";
+import { isCloseDelimited } from "../backend/close_delimited.ts";
 import type { HeaderNames } from "../front/header_names.ts";
-import { isCloseDelimited } from "./caller_connection.ts";
 import { ByteBuffer } from "@sycamorepulley/receiving";
 import type { HeldBytes } from "./entry_memory.ts";
 import { EventBuffer } from "./event_buffer.ts";
--- a/packages/gateway/src/request/request_report.ts
+++ b/packages/gateway/src/request/request_report.ts
@@ -9,6 +9,8 @@
 import type { ParsedRequest } from "../front/parsed_request.ts";
 import type { ResponseProgress } from "./response_progress.ts";
 import type { RunClosure } from "./run_closure.ts";
+import type { EndEvidence } from "./server_attempt.ts";
+import type { ExchangeResult } from "./exchange.ts";
 import type { ErrorReason } from "./error_response.ts";
 import type { HedgeState } from "./hedged_attempt.ts";
 import type { RequestContext } from "./request_context.ts";
@@ -102,6 +104,33 @@
     });
   }
 
+  /** Records how a response ended whose end is that of its connection. */
+  recordCloseDelimitedEnd(
+    server: ServerRecord,
+    result: ExchangeResult,
+    { end, process, hasAllTokens, silence }: EndEvidence,
+    events: number,
+  ): void {
+    const { metrics, log } = this.#context;
+    const { service } = this.#resolved;
+    const isWhole = result.kind !== "broken";
+    const judged = isWhole ? "whole" : "incomplete";
+    metrics.closeDelimitedEnds.inc({ service, judged });
+    log.write({
+      event: "end_without_length",
+      request: this.#parsed.requestId,
+      server: server.id,
+      judged,
+      ...(!isWhole && { detail: result.detail }),
+      connection: end?.verdict ?? "closed_here",
+      ...end?.end,
+      process: process ?? "not_asked",
+      hasAllTokens,
+      events,
+      silence: Math.round(silence),
+    });
+  }
+
   /** Records that the gateway ended a run, and on what evidence. */
   recordClosedRun(
     server: ServerRecord,
--- a/packages/gateway/src/request/request_task.ts
+++ b/packages/gateway/src/request/request_task.ts
@@ -465,10 +465,15 @@
   /** Records the end of a run, whether or not the request depends on it. */
   #recordRunEnd(
     { grantId, server, connection }: AttemptTarget,
-    { result, runOutcome, time, closure }: AttemptResult,
+    { result, runOutcome, time, closure, endEvidence }: AttemptResult,
   ): void {
     const { grantClient, connectionPool } = this.#context;
     grantClient.recordEnd(grantId, runOutcome, this.#streamTiming());
+    if (endEvidence !== undefined) {
+      const { eventCount } = this.#progress;
+      this.#report
+        .recordCloseDelimitedEnd(server, result, endEvidence, eventCount);
+    }
     if (closure !== undefined) {
       const started = this.#caller.responseStarted;
       this.#report.recordClosedRun(server, closure, { time, started });
--- a/packages/gateway/src/request/server_attempt.ts
+++ b/packages/gateway/src/request/server_attempt.ts
@@ -7,13 +7,17 @@
 import type { RunOutcome, ServerRecord } from "@sycamorepulley/decisions";
 import type {
   BackendConnection,
+  CloseDelimitedEnd,
   ResponseHead,
 } from "../backend/backend_connection.ts";
-import type { ProcessWitness } from "../backend/process_witness.ts";
+import { isCloseDelimited } from "../backend/close_delimited.ts";
+import type {
+  ProcessEvidence,
+  ProcessWitness,
+} from "../backend/process_witness.ts";
 import type { ParsedRequest } from "../front/parsed_request.ts";
 import type { ResponseProgress } from "./response_progress.ts";
 import { backendHeaders } from "./backend_headers.ts";
-import { isCloseDelimited } from "./caller_connection.ts";
 import type { CallerConnection } from "./caller_connection.ts";
 import { Exchange } from "./exchange.ts";
 import type { ExchangeResult } from "./exchange.ts";
@@ -52,6 +56,18 @@
   connection: BackendConnection;
 };
 
+/** On what evidence a response without a length was judged. */
+export type EndEvidence = {
+  /** How its connection ended; absent if the gateway closed it. */
+  end: CloseDelimitedEnd | undefined;
+  /** Whether the server's process lives, if that was asked. */
+  process: ProcessEvidence | "refusing" | undefined;
+  /** True if a stream has all tokens that its request may get. */
+  hasAllTokens: boolean;
+  /** Milliseconds from the last bytes of the body to its end. */
+  silence: number;
+};
+
 /**
  * How an attempt ended, the outcome that the server is judged by, and the
  * milliseconds since the request was sent.
@@ -62,6 +78,8 @@
   time: number;
   /** Set if the gateway ended the run. */
   closure: RunClosure | undefined;
+  /** Set if the end of the response is that of its connection. */
+  endEvidence: EndEvidence | undefined;
 };
 
 /** What an attempt reports while it runs. */
@@ -90,6 +108,8 @@
   #ended = false;
   /** Set while a response arrives that ends with its connection. */
   #processWitness: ProcessWitness | undefined;
+  #processEvidence: EndEvidence["process"];
+  #lastBytesAt: number;
 
   constructor(
     request: AttemptRequest,
@@ -100,6 +120,7 @@
     this.#target = target;
     this.#hooks = hooks;
     this.#sentAt = request.context.clock();
+    this.#lastBytesAt = this.#sentAt;
     this.#exchange = this.#createExchange();
   }
 
@@ -120,14 +141,31 @@
     const result = await this.#exchangeResult();
     this.#ended = true;
     this.#hooks.onEnd(result);
-    const time = this.#request.context.clock() - this.#sentAt;
+    const endedAt = this.#request.context.clock();
+    const time = endedAt - this.#sentAt;
     const closure = this.#closure;
     const judged = await this.#judge(result, time);
     this.#processWitness?.stop();
+    const endEvidence = this.#endEvidence(judged.result, endedAt);
     if (judged.runOutcome === "broken" && this.#wasCutOff(result)) {
       this.#request.caller.recordBreak();
     }
-    return { ...judged, time, closure };
+    return { ...judged, time, closure, endEvidence };
+  }
+
+  #endEvidence(
+    result: ExchangeResult,
+    endedAt: number,
+  ): EndEvidence | undefined {
+    if (this.#processWitness === undefined || result.kind === "aborted") {
+      return undefined;
+    }
+    return {
+      end: this.#target.connection.closeDelimitedEnd,
+      process: this.#processEvidence,
+      hasAllTokens: this.#hasAllTokens(result),
+      silence: endedAt - this.#lastBytesAt,
+    };
   }
 
   /** Whether the server, not the gateway, ended a response that was paused. */
@@ -191,7 +229,9 @@
       : this.#mayBeCut(result);
     if (!mayHaveEnded) return false;
     const { connectionPool } = this.#request.context;
-    return await connectionPool.isRefusing(this.#target.server);
+    const isRefusing = await connectionPool.isRefusing(this.#target.server);
+    if (isRefusing) this.#processEvidence = "refusing";
+    return isRefusing;
   }
 
   /**
@@ -200,7 +240,8 @@
    */
   async #hasServerRestarted(result: ExchangeResult): Promise<boolean> {
     if (!this.#mayBeCut(result)) return false;
-    return await this.#processWitness?.evidence() === "ended";
+    this.#processEvidence = await this.#processWitness?.evidence();
+    return this.#processEvidence === "ended";
   }
 
   /**
@@ -265,7 +306,10 @@
       connection,
       held: context.memory.openBytes(),
       onHead: (head) => this.#readNotices(head),
-      onBytes: () => this.#endSilence(),
+      onBytes: () => {
+        this.#lastBytesAt = clock();
+        this.#endSilence();
+      },
       onFirstPart: (status) => {
         progress.recordFirstPart(clock());
         // An error at once says nothing of the server's speed.
