Ends without a length count only where resets are seen to show

Where the kernel, or what stands in its place, shows nothing of a reset at the end of a connection, each response without a length that was reset looked whole, and nothing in the log said that the evidence was worth nothing.

Cause: both facts about the end are answers of one kernel, and no process had ever checked that they show a reset.

Unless resets are known to show, an end without a length is `unproven`: plain responses become 502 or run again, streams are cut.

Why it works: the check meets the same circumstances as the responses, in the same process, before any response depends on them.

--- a/packages/daemon/src/sidecar/backend_client.ts
+++ b/packages/daemon/src/sidecar/backend_client.ts
@@ -1,4 +1,5 @@
 /** HTTP client for the sidecar's backend server, by `undici`. @module */
+import type { ResetDetection } from "@sycamorepulley/decisions";
 import { errors, Pool } from "undici";
 import type { Dispatcher } from "undici";
 import type {
@@ -38,6 +39,8 @@
   kind: "model" | "plain";
   /** Maximum size of a response, in bytes. */
   maxResponseBytes: number;
+  /** Whether resets are known to show on this machine. */
+  resetDetection: () => ResetDetection;
 };
 
 /** Runs requests at one backend server. */
@@ -54,7 +57,10 @@
       // Timeouts in milliseconds; 0: none, as the deadline ends a request.
       headersTimeout: 0,
       bodyTimeout: 0,
-      connect: connectorWithResetErrors(CONNECT_TIMEOUT),
+      connect: connectorWithResetErrors(
+        CONNECT_TIMEOUT,
+        options.resetDetection,
+      ),
     });
   }
 
--- a/packages/daemon/src/sidecar/reset_error_socket.ts
+++ b/packages/daemon/src/sidecar/reset_error_socket.ts
@@ -6,19 +6,29 @@
  * reset that arrives together with bytes as an end.
  * @module
  */
+import { judgeConnectionEnd } from "@sycamorepulley/decisions";
+import type { ResetDetection } from "@sycamorepulley/decisions";
 import { ResetDetectingSocket } from "@sycamorepulley/receiving";
 import { buildConnector, errors } from "undici";
 
 /** Bytes that are read in advance. */
 const READ_AHEAD_BYTES = 64 * 1024;
 
-/** Replaces the end of a connection that was reset by an error. */
+/** Replaces the end of a connection by an error unless it is a regular end. */
 class ResetErrorSocket extends ResetDetectingSocket {
+  readonly #detection: () => ResetDetection;
+
+  constructor(detection: () => ResetDetection) {
+    super({ readableHighWaterMark: READ_AHEAD_BYTES });
+    this.#detection = detection;
+  }
+
   override emit(event: string | symbol, ...values: unknown[]): boolean {
     if (event !== "end") return super.emit(event, ...values);
     this.recordEnd();
-    if (!this.wasReset) return super.emit(event, ...values);
-    this.destroy(new errors.SocketError("the connection was reset"));
+    const verdict = judgeConnectionEnd(this.connectionEnd, this.#detection());
+    if (verdict === "regular") return super.emit(event, ...values);
+    this.destroy(new errors.SocketError(`${verdict} end of the connection`));
     return true;
   }
 
@@ -34,25 +44,30 @@
   }
 }
 
-/** Returns a connector for undici; `timeout` in milliseconds. */
+/**
+ * Returns a connector for undici; `timeout` in milliseconds. `detection`:
+ * whether resets are known to show on this machine.
+ */
 export function connectorWithResetErrors(
   timeout: number,
+  detection: () => ResetDetection,
 ): buildConnector.connector {
   const connectWithTls = buildConnector({ timeout });
   return (options, callback) => {
     if (options.protocol === "https:") connectWithTls(options, callback);
-    else openConnection(options, timeout, callback);
+    else openConnection(options, { timeout, detection }, callback);
   };
 }
 
 function openConnection(
   { hostname, port }: buildConnector.Options,
-  timeout: number,
+  { timeout, detection }: {
+    timeout: number;
+    detection: () => ResetDetection;
+  },
   callback: buildConnector.Callback,
 ): void {
-  const socket = new ResetErrorSocket({
-    readableHighWaterMark: READ_AHEAD_BYTES,
-  });
+  const socket = new ResetErrorSocket(detection);
   const fail = (error: Error) => callback(error, null);
   socket.setTimeout(timeout, () => {
     const detail = `no connection to ${hostname}:${port} in ${timeout} ms`;
--- a/packages/daemon/src/sidecar/start_sidecar.ts
+++ b/packages/daemon/src/sidecar/start_sidecar.ts
@@ -7,6 +7,7 @@
   WaitingQueue,
 } from "@sycamorepulley/decisions";
 import type { ConcurrencyLimit } from "@sycamorepulley/decisions";
+import { ResetCheck } from "@sycamorepulley/receiving";
 import type { Instance, Status } from "@sycamorepulley/store";
 import type { EstablishedLink, LinkError } from "@sycamorepulley/protocol";
 import { monotonicNow } from "../common/clock.ts";
@@ -36,7 +37,12 @@
   const { metrics, log, lifecycle, configuration, random } = components;
   const configurationAbort = new AbortController();
   const limit = createLimit(settings);
-  const client = createClient(settings);
+  const resetCheck = new ResetCheck(({ detection, detail }) => {
+    if (detection === "shown") log.info("resets show", { detail });
+    else log.warn("resets are not known to show", { detection, detail });
+  });
+  await resetCheck.start(configurationAbort.signal);
+  const client = createClient(settings, resetCheck);
   const sidecar: Sidecar = createSidecar(settings, components, {
     limit,
     client,
@@ -116,10 +122,18 @@
     : new CallLimit();
 }
 
-function createClient(settings: SidecarSettings): BackendClient {
+function createClient(
+  settings: SidecarSettings,
+  resetCheck: ResetCheck,
+): BackendClient {
   const { url, kind } = settings.backendServer;
   const { answerBytes } = settings.bounds;
-  return new BackendClient({ url, kind, maxResponseBytes: answerBytes });
+  return new BackendClient({
+    url,
+    kind,
+    maxResponseBytes: answerBytes,
+    resetDetection: () => resetCheck.detection,
+  });
 }
 
 function createSidecar(
--- a/packages/daemon/test/reset_response_test.ts
+++ b/packages/daemon/test/reset_response_test.ts
@@ -47,6 +47,7 @@
     url: `http://127.0.0.1:${port}`,
     kind: "plain",
     maxResponseBytes: 10_000,
+    resetDetection: () => "shown",
   });
   const results = [];
   for (let count = 0; count < RUNS; count++) {
@@ -118,6 +119,7 @@
     url: "http://127.0.0.1:1",
     kind: "plain",
     maxResponseBytes: 10_000,
+    resetDetection: () => "shown",
   });
   const { signal } = new AbortController();
   const outcome = await client.run(REQUEST, new TextReceiver(), signal);
--- a/packages/decisions/src/connections/connection_end.ts
+++ b/packages/decisions/src/connections/connection_end.ts
@@ -17,15 +17,21 @@
 /** `unproven`: there is no evidence, or evidence that may be wrong. */
 export type ConnectionEndVerdict = "regular" | "reset" | "unproven";
 
+/** Whether a process has seen on its machine that a reset shows at the end. */
+export type ResetDetection = "shown" | "not_shown" | "unknown";
+
 /**
  * Judges the end of a connection. A reset is never reported as regular as long
- * as one of the facts shows it.
+ * as one of the facts shows it, and nothing is where resets are not known to
+ * show.
  */
 export function judgeConnectionEnd(
   end: ConnectionEnd | undefined,
+  detection: ResetDetection,
 ): ConnectionEndVerdict {
   if (end === undefined) return "unproven";
   if ("error" in end || end.peer === "unknown") return "reset";
   const { write } = end;
-  return write === "accepted" || write === "pending" ? "regular" : "reset";
+  if (write !== "accepted" && write !== "pending") return "reset";
+  return detection === "shown" ? "regular" : "unproven";
 }
--- a/packages/decisions/src/connections/mod.ts
+++ b/packages/decisions/src/connections/mod.ts
@@ -7,4 +7,8 @@
 } from "./connection_limit.ts";
 export type { ProcessLimits } from "./connection_limit.ts";
 export { judgeConnectionEnd } from "./connection_end.ts";
-export type { ConnectionEnd, ConnectionEndVerdict } from "./connection_end.ts";
+export type {
+  ConnectionEnd,
+  ConnectionEndVerdict,
+  ResetDetection,
+} from "./connection_end.ts";
--- a/packages/gateway/src/backend/backend_connection.ts
+++ b/packages/gateway/src/backend/backend_connection.ts
@@ -11,6 +11,7 @@
 import type {
   ConnectionEnd,
   ConnectionEndVerdict,
+  ResetDetection,
 } from "@sycamorepulley/decisions";
 import { connect, isIPv6 } from "node:net";
 import { Result } from "true-myth/result";
@@ -71,21 +72,38 @@
 /** How a response without a length ended; `end` as it was found then. */
 export type CloseDelimitedEnd = {
   end: ConnectionEnd | undefined;
+  detection: ResetDetection;
   verdict: ConnectionEndVerdict;
 };
 
+/** What {@link BackendConnection.open} needs; times in milliseconds. */
+type OpenOptions = {
+  host: string;
+  port: number;
+  timeout: number;
+  now: number;
+  /** Whether resets are known to show on this machine. */
+  resetDetection: () => ResetDetection;
+};
+
 /** Wraps a connected socket in an HTTP client that never reconnects. */
 export class BackendConnection {
   readonly state: ConnectionState;
   readonly #socket: PausableSocket;
   readonly #client: Client;
+  readonly #resetDetection: () => ResetDetection;
   #closed = false;
   #idleSince: number;
   #idleTimeout = DEFAULT_IDLE_TIMEOUT;
   #closeDelimitedEnd: CloseDelimitedEnd | undefined;
 
-  private constructor(socket: PausableSocket, origin: string, now: number) {
+  private constructor(
+    socket: PausableSocket,
+    origin: string,
+    { now, resetDetection }: Pick<OpenOptions, "now" | "resetDetection">,
+  ) {
     this.#socket = socket;
+    this.#resetDetection = resetDetection;
     this.state = new ConnectionState(socket, socket);
     this.state.isIdle = false;
     this.#idleSince = now;
@@ -115,9 +133,9 @@
 
   /** Connects within `timeout` milliseconds. */
   static open(
-    options: { host: string; port: number; timeout: number; now: number },
+    options: OpenOptions,
   ): Promise<Result<BackendConnection, ConnectFailure>> {
-    const { host, port, timeout, now } = options;
+    const { host, port, timeout } = options;
     return new Promise((resolve) => {
       const socket = new PausableSocket();
       socket.setNoDelay(true);
@@ -133,7 +151,7 @@
         socket.setTimeout(0);
         socket.off("error", refused);
         const origin = `http://${isIPv6(host) ? `[${host}]` : host}`;
-        resolve(Result.ok(new BackendConnection(socket, origin, now)));
+        resolve(Result.ok(new BackendConnection(socket, origin, options)));
       });
     });
   }
@@ -201,8 +219,9 @@
 
   #judgeEnd(): ConnectionEndVerdict {
     const end = this.#socket.connectionEnd;
-    const verdict = judgeConnectionEnd(end);
-    this.#closeDelimitedEnd = { end, verdict };
+    const detection = this.#resetDetection();
+    const verdict = judgeConnectionEnd(end, detection);
+    this.#closeDelimitedEnd = { end, detection, verdict };
     return verdict;
   }
 
--- a/packages/gateway/src/backend/connection_pool.ts
+++ b/packages/gateway/src/backend/connection_pool.ts
@@ -1,5 +1,5 @@
 /** Pool of idle connections to backend servers. @module */
-import type { ServerRecord } from "@sycamorepulley/decisions";
+import type { ResetDetection, ServerRecord } from "@sycamorepulley/decisions";
 import { incarnationOf } from "@sycamorepulley/decisions";
 import { Result } from "true-myth/result";
 import {
@@ -29,9 +29,12 @@
   readonly #open = new Map<string, Set<ConnectionState>>();
   readonly #witnesses = new Map<string, WitnessConnection>();
   readonly #clock: () => number;
+  readonly #resetDetection: () => ResetDetection;
 
-  constructor(clock: () => number) {
+  /** `resetDetection`: whether resets are known to show on this machine. */
+  constructor(clock: () => number, resetDetection: () => ResetDetection) {
     this.#clock = clock;
+    this.#resetDetection = resetDetection;
   }
 
   /**
@@ -58,6 +61,7 @@
       port: server.port,
       timeout: CONNECT_TIMEOUT,
       now: this.#clock(),
+      resetDetection: this.#resetDetection,
     });
     if (opened.isOk) this.#track(incarnationOf(server), opened.value);
     return opened;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { HEARTBEAT_EVERY, ProcessLifecycle } from "@sycamorepulley/decisions";
 import type { ServerRecord, SuspectStatement } from "@sycamorepulley/decisions";
+import { ResetCheck } from "@sycamorepulley/receiving";
 import type { MetadataStore } from "@sycamorepulley/store";
 import type { Result } from "true-myth/result";
 import { ConnectionPool } from "./backend/connection_pool.ts";
@@ -106,6 +107,7 @@
   readonly #metrics = new GatewayMetrics();
   readonly #storeContact: StoreContact;
   readonly #fleetState: FleetState;
+  readonly #resetCheck: ResetCheck;
   readonly #connectionPool: ConnectionPool;
   readonly #grantClient: GrantClient;
   readonly #quarantines: QuarantineSharing;
@@ -155,7 +157,13 @@
       contact: this.#storeContact,
       onChange: (kind) => this.#handleStateChange(kind),
     });
-    this.#connectionPool = new ConnectionPool(clock);
+    this.#resetCheck = new ResetCheck((result) =>
+      log.write({ event: "resets_checked", ...result })
+    );
+    this.#connectionPool = new ConnectionPool(
+      clock,
+      () => this.#resetCheck.detection,
+    );
     this.#grantClient = new GrantClient({
       instance,
       incarnation,
@@ -333,6 +341,7 @@
     const { settings } = this;
     const peers = await this.#peers.listen();
     const { signal } = this.#stopController;
+    const resetsChecked = this.#resetCheck.start(signal);
     const followers = { store: this.#store, codec: this.#codec };
     this.#configurationFollower = startStoreFollowers({
       ...followers,
@@ -370,6 +379,7 @@
     );
     this.#repeat(LOAD_LOG_INTERVAL, () => this.#loadReport.log());
     this.#repeat(LOAD_LOG_INTERVAL, () => this.#balanceReporter.update());
+    await resetsChecked;
     this.#lifecycle.apply("started");
     this.#log.write({
       event: "started",
--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -5,6 +5,7 @@
   DataCentreState,
   ExclusionCause,
   PlannedShare,
+  ResetDetection,
   RolloutOutcome,
   RouteEvidence,
   RunOutcome,
@@ -245,6 +246,12 @@
     /** Why the response was not complete; absent if the gateway ended it. */
     detail?: string;
   }
+  /**
+   * Whether resets show at the end of connections on this machine. Until they
+   * are known to, no response counts as whole whose end is that of its
+   * connection. `detail`: what was found at the ends of the check.
+   */
+  | { event: "resets_checked"; detection: ResetDetection; detail: string }
   /**
    * A response has ended whose end is that of its connection, and on what
    * evidence it was judged. `silence`: since the last bytes of its body;
@@ -259,6 +266,8 @@
     detail?: string;
     /** `closed_here`: the gateway closed the connection. */
     connection: ConnectionEndVerdict | "closed_here";
+    /** Whether resets are known to show on this machine. */
+    detection?: ResetDetection;
     /** Whether the kernel had an address of the peer. */
     peer?: "known" | "unknown";
     /** What became of a write of no bytes. */
--- a/packages/gateway/src/request/request_report.ts
+++ b/packages/gateway/src/request/request_report.ts
@@ -123,7 +123,7 @@
       judged,
       ...(!isWhole && { detail: result.detail }),
       connection: end?.verdict ?? "closed_here",
-      ...end?.end,
+      ...(end && { detection: end.detection, ...end.end }),
       process: process ?? "not_asked",
       hasAllTokens,
       events,
--- a/packages/gateway/test/backend_connection_test.ts
+++ b/packages/gateway/test/backend_connection_test.ts
@@ -54,6 +54,7 @@
     port,
     timeout: 1000,
     now: 0,
+    resetDetection: () => "shown",
   })).unwrapOrElse((failure) => {
     throw new Error(failure);
   });
--- a/packages/gateway/test/cut_head_test.ts
+++ b/packages/gateway/test/cut_head_test.ts
@@ -71,7 +71,13 @@
 }
 
 async function open(port: number): Promise<BackendConnection> {
-  const options = { host: "127.0.0.1", port, timeout: 1000, now: 0 };
+  const options = {
+    host: "127.0.0.1",
+    port,
+    timeout: 1000,
+    now: 0,
+    resetDetection: () => "shown" as const,
+  };
   return (await BackendConnection.open(options)).unwrapOrElse((failure) => {
     throw new Error(failure);
   });
--- a/packages/gateway/test/reset_end_test.ts
+++ b/packages/gateway/test/reset_end_test.ts
@@ -58,6 +58,7 @@
       port,
       timeout: 1000,
       now: 0,
+      resetDetection: () => "shown",
     })).unwrapOrElse((failure) => {
       throw new Error(failure);
     });
--- a/packages/receiving/src/mod.ts
+++ b/packages/receiving/src/mod.ts
@@ -6,4 +6,6 @@
 export { processMemory } from "./process_memory.ts";
 export { RequestMemory } from "./request_memory.ts";
 export type { HeldBody } from "./request_memory.ts";
+export { ResetCheck } from "./reset_check.ts";
+export type { ResetCheckResult } from "./reset_check.ts";
 export { ResetDetectingSocket } from "./reset_detecting_socket.ts";
--- a/packages/receiving/src/reset_detecting_socket.ts
+++ b/packages/receiving/src/reset_detecting_socket.ts
@@ -1,5 +1,4 @@
 /** A socket that distinguishes a reset from a regular end. @module */
-import { judgeConnectionEnd } from "@sycamorepulley/decisions";
 import type { ConnectionEnd } from "@sycamorepulley/decisions";
 import { Socket } from "node:net";
 import type { SocketConstructorOpts } from "node:net";
@@ -29,11 +28,6 @@
     return this.#end;
   }
 
-  /** True if the connection has ended by a reset or another error. */
-  get wasReset(): boolean {
-    return judgeConnectionEnd(this.#end) === "reset";
-  }
-
   /** Finds out how the connection has ended; for use at its `end` only. */
   protected recordEnd(): void {
     this.#end ??= {
