Build: a build that fails leaves no earlier program, and the log names the build

What operators saw: after a build that failed, such as with packages that were installed on another kind of machine, the program of an earlier build still stood in `target/` and was started; nothing in its log showed that.

Cause: the build wrote its files only once it had succeeded and removed none. V8 moreover accepts a code cache for any source of the same length, so that a cache left by an interrupted build could run functions of an earlier one.

Change: the build removes its three files first, and prints the hash of the bundle, which the gateway logs in `started` together with the version of Node.js and the system.

--- a/deploy/build.js
+++ b/deploy/build.js
@@ -6,7 +6,8 @@
  */
 import { build } from "esbuild";
 import { execFileSync } from "node:child_process";
-import { copyFileSync, readFileSync } from "node:fs";
+import { createHash } from "node:crypto";
+import { copyFileSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import process from "node:process";
 
@@ -57,8 +58,20 @@
 };
 
 const [outdir = "target"] = process.argv.slice(2);
+const bundle = join(outdir, "gateway.bundle.cjs");
+const cache = join(outdir, "gateway.cache");
+
+// A build that fails must not leave an earlier program, nor the code cache of
+// one: V8 accepts a cache for any source of the same length.
+for (const file of [bundle, cache, join(outdir, "gateway.cjs")]) {
+  rmSync(file, { force: true });
+}
+
+/** Replaced in the bundle by a hash of its text. */
+const BUILD_PLACEHOLDER = "@build-hash@";
 
 await build({
+  define: { SYCAMOREPULLEY_BUILD: JSON.stringify(BUILD_PLACEHOLDER) },
   plugins: [withoutWeb, withStateMachines],
   entryPoints: { gateway: "platform/src/main.ts" },
   outdir,
@@ -78,6 +91,11 @@
   logLevel: "warning",
 }).catch(() => process.exit(1));
 
+const text = readFileSync(bundle, "utf8");
+const hash = createHash("sha256").update(text).digest("hex").slice(0, 12);
+writeFileSync(bundle, text.replaceAll(BUILD_PLACEHOLDER, hash));
+console.log(`built gateway ${hash}`);
+
 copyFileSync("deploy/gateway.cjs", join(outdir, "gateway.cjs"));
 const flags = /^run = "node (.*) target/m
   .exec(readFileSync("deploy/system.toml", "utf8"))?.[1] ?? "";
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,6 +5,8 @@
  */
 import { randomBytes } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { release } from "node:os";
+import process from "node:process";
 import { HEARTBEAT_EVERY, ProcessLifecycle } from "@sycamorepulley/decisions";
 import type { ServerRecord, SuspectStatement } from "@sycamorepulley/decisions";
 import { ResetCheck } from "@sycamorepulley/receiving";
@@ -86,6 +88,8 @@
   headerNames: HeaderNames;
   /** Receives the log lines; standard output if absent. */
   sink?: LineSink;
+  /** Names what was built, for the log. */
+  build?: string;
 };
 
 /** Ports that a gateway listens on. */
@@ -93,6 +97,7 @@
 
 export class Gateway {
   #settings: GatewaySettings;
+  readonly #build: string;
   readonly #store: EraCheckedStore;
   readonly #codec: RecordCodec;
   readonly #lifecycle = new ProcessLifecycle();
@@ -136,6 +141,7 @@
   constructor(options: GatewayOptions) {
     const { settings, codec, headerNames } = options;
     this.#settings = settings;
+    this.#build = options.build ?? "unbundled";
     this.#codec = codec;
     const { instance } = settings;
     const incarnation = randomBytes(6).toString("hex");
@@ -383,6 +389,9 @@
     this.#lifecycle.apply("started");
     this.#log.write({
       event: "started",
+      build: this.#build,
+      node: process.version,
+      system: `${process.platform} ${release()} ${process.arch}`,
       dataCentre: settings.dataCentre,
       startTime: Math.round(performance.now() - startedAt),
     });
--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -25,7 +25,18 @@
 
 /** A decision, or a change of what the process knows. */
 export type LogEvent =
-  | { event: "started"; dataCentre: string; startTime: number }
+  /**
+   * `build`: hash of the bundle that runs; `node`: version of Node.js; `system`:
+   * operating system, its release and the processor architecture.
+   */
+  | {
+    event: "started";
+    build: string;
+    node: string;
+    system: string;
+    dataCentre: string;
+    startTime: number;
+  }
   /** `delay`: milliseconds by which the signal may have been handled late. */
   | { event: "stopping"; active: number; grace: number; delay: number }
   /**
