Load tool and test caller: a reset response is broken

What users of the tools saw: a response without a length whose connection was reset counted as answered, so that neither could judge such responses.

Cause: both used undici's own connections, which take a reset for an end.

Change: the connections of the sidecar, on which a reset is an error, are in `receiving` now, and both tools use them. The load tool checks first whether resets show on its machine.

--- a/packages/daemon/src/sidecar/backend_client.ts
+++ b/packages/daemon/src/sidecar/backend_client.ts
@@ -1,5 +1,6 @@
 /** HTTP client for the sidecar's backend server, by `undici`. @module */
 import type { ResetDetection } from "@sycamorepulley/decisions";
+import { connectorWithResetErrors } from "@sycamorepulley/receiving";
 import { errors, Pool } from "undici";
 import type { Dispatcher } from "undici";
 import type {
@@ -8,7 +9,6 @@
   HttpHeaders,
 } from "@sycamorepulley/protocol";
 import { endToEndHeaders } from "../common/end_to_end_headers.ts";
-import { connectorWithResetErrors } from "./reset_error_socket.ts";
 import { createMeter } from "./response_meter.ts";
 
 /** Milliseconds until an attempt to connect is given up. */
--- a/packages/emulator/src/load/run_load.ts
+++ b/packages/emulator/src/load/run_load.ts
@@ -4,6 +4,10 @@
  * @module
  */
 import { setTimeout } from "node:timers/promises";
+import {
+  connectorWithResetErrors,
+  ResetCheck,
+} from "@sycamorepulley/receiving";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { Agent } from "undici";
@@ -22,6 +26,8 @@
  */
 const MAX_RATE = 2000;
 const MAX_SECONDS = 600;
+/** Milliseconds until an attempt to connect is given up. */
+const CONNECT_TIMEOUT = 10_000;
 /** Requests awaiting a response; further ones are counted as `unsent`. */
 const MAX_OUTSTANDING = 20_000;
 
@@ -43,7 +49,17 @@
   checkBounds(options);
   const results = new LoadResults();
   const outstanding = new Set<Promise<void>>();
-  const agent = new Agent({ headersTimeout: 0, bodyTimeout: 0 });
+  const resetCheck = new ResetCheck(() => {});
+  const resetsChecked = new AbortController();
+  await resetCheck.start(resetsChecked.signal);
+  const agent = new Agent({
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    connect: connectorWithResetErrors(
+      CONNECT_TIMEOUT,
+      () => resetCheck.detection,
+    ),
+  });
   for await (const arrival of arrivals(options)) {
     if (outstanding.size >= MAX_OUTSTANDING) {
       results.recordOutcome(arrival.name, {
@@ -65,6 +81,7 @@
     outstanding.add(sent);
   }
   await Promise.all(outstanding);
+  resetsChecked.abort();
   await agent.close();
   return results.summaries();
 }
--- a/packages/emulator/test/load_test.ts
+++ b/packages/emulator/test/load_test.ts
@@ -1,5 +1,7 @@
 import t from "tap";
+import { startResettingServer } from "../../receiving/test/resetting_server.ts";
 import { parseMix, runLoad, startEngine } from "../src/mod.ts";
+import type { LoadOptions } from "../src/mod.ts";
 import { parseLoadTarget } from "../src/load/load_target.ts";
 import { pickPart } from "../src/load/mix.ts";
 
@@ -30,11 +32,10 @@
   t.end();
 });
 
-t.test("a load counts every response", async (t) => {
-  const engine = await startEngine({ settings: { speed: 100 } });
-  t.teardown(() => engine.close());
-  const summaries = await runLoad({
-    target: engine.url,
+/** A short load of chats and streams. */
+function shortLoad(target: string): LoadOptions {
+  return {
+    target,
     rate: 200,
     seconds: 0.3,
     seed: 7,
@@ -51,7 +52,21 @@
       token: undefined,
       direct: true,
     },
-  });
+  };
+}
+
+// Guards against a load that counts reset responses as answered.
+t.test("a load counts a reset response without a length as broken", async (t) => {
+  const server = await startResettingServer();
+  t.teardown(() => server.close());
+  const summaries = await runLoad(shortLoad(server.url));
+  t.equal(summaries.reduce((sum, part) => sum + part.answered, 0), 0);
+});
+
+t.test("a load counts every response", async (t) => {
+  const engine = await startEngine({ settings: { speed: 100 } });
+  t.teardown(() => engine.close());
+  const summaries = await runLoad(shortLoad(engine.url));
   const answered = summaries.reduce((sum, part) => sum + part.answered, 0);
   t.ok(answered > 0);
   t.equal(answered, engine.records.length);
--- a/packages/receiving/src/mod.ts
+++ b/packages/receiving/src/mod.ts
@@ -9,3 +9,4 @@
 export { ResetCheck } from "./reset_check.ts";
 export type { ResetCheckResult } from "./reset_check.ts";
 export { ResetDetectingSocket } from "./reset_detecting_socket.ts";
+export { connectorWithResetErrors } from "./reset_error_socket.ts";
--- a/packages/daemon/src/sidecar/reset_error_socket.ts
+++ b/packages/receiving/src/reset_error_socket.ts
@@ -8,8 +8,8 @@
  */
 import { judgeConnectionEnd } from "@sycamorepulley/decisions";
 import type { ResetDetection } from "@sycamorepulley/decisions";
-import { ResetDetectingSocket } from "@sycamorepulley/receiving";
 import { buildConnector, errors } from "undici";
+import { ResetDetectingSocket } from "./reset_detecting_socket.ts";
 
 /** Bytes that are read in advance. */
 const READ_AHEAD_BYTES = 64 * 1024;
--- a/packages/testing/src/caller/caller.ts
+++ b/packages/testing/src/caller/caller.ts
@@ -1,8 +1,12 @@
 /** Calls an entry and records the outcome of each call. @module */
+import { connectorWithResetErrors } from "@sycamorepulley/receiving";
 import { Agent, request } from "undici";
 import type { CallOutcome, CallRecord } from "../history/call_record.ts";
 import { readOutcome } from "./response_reader.ts";
 
+/** Milliseconds until an attempt to connect is given up. */
+const CONNECT_TIMEOUT = 10_000;
+
 /** Options common to all calls. */
 export type Call = {
   marker: string;
@@ -52,6 +56,7 @@
     connections: null,
     headersTimeout: 0,
     bodyTimeout: 0,
+    connect: connectorWithResetErrors(CONNECT_TIMEOUT, () => "shown"),
   });
 
   constructor({ url, token }: { url: string; token: string }) {
--- a/packages/testing/test/caller_test.ts
+++ b/packages/testing/test/caller_test.ts
@@ -2,6 +2,7 @@
 import type { FaultsInput } from "@sycamorepulley/emulator";
 import t from "tap";
 import type { Test } from "tap";
+import { startResettingServer } from "../../receiving/test/resetting_server.ts";
 import { Caller, checkCompleteResponses } from "../src/mod.ts";
 
 async function callEngine(t: Test, faults: FaultsInput = {}) {
@@ -34,3 +35,18 @@
     { outcome: { type: "broken", text: /streamed:2/ } },
   ]);
 });
+
+// Guards against checks that take a reset response for a complete one.
+t.test("a reset response without a length is recorded as broken", async (t) => {
+  const server = await startResettingServer();
+  const caller = new Caller({ url: server.url, token: "unread" });
+  t.teardown(async () => {
+    await caller.close();
+    server.close();
+  });
+  for (let call = 0; call < 10; call++) {
+    await caller.chat({ service: "assistant", marker: `${call}` });
+  }
+  const types = caller.calls.map(({ outcome }) => outcome.type);
+  t.strictSame(types, Array(10).fill("broken"));
+});
