Gateway: a setting for servers behind a relay

What callers saw, simulated: if something between gateway and server accepts the connections, such as a proxy, and turns a reset into a regular end, reset streams without a length look whole. No fact of the kernel can show it.

Cause: the end of the connection is that of the relay, and a relay that lives also keeps the other connections open that witness the server's process.

Change: with `relayedServers` no end of a connection proves that a response is whole. The default stays `false`: it can't be found out from here, and callers would pay with each sound response without a length.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -168,7 +168,7 @@
     );
     this.#connectionPool = new ConnectionPool(
       clock,
-      () => this.#resetCheck.detection,
+      () => settings.relayedServers ? "not_shown" : this.#resetCheck.detection,
     );
     this.#grantClient = new GrantClient({
       instance,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -51,6 +51,12 @@
   metrics: address,
   /** Entries (`host:port`) to connect to while the store lists no others. */
   seeds: v.array(address),
+  /**
+   * True if something between this process and the backend servers accepts the
+   * connections, such as a proxy or a service mesh. It may turn a reset into a
+   * regular end, so that no end of a connection shows that a response is whole.
+   */
+  relayedServers: v.optional(v.boolean(), false),
   /** Decisions for uneven load; see `SchedulingOptions`. */
   scheduling: v.optional(
     v.object({
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -182,6 +182,7 @@
       seeds?: { host: string; port: number }[];
       scheduling?: SchedulingOptions;
       memoryMegabytes?: number;
+      relayedServers?: boolean;
     } = {},
   ): Promise<Fixture> {
     const store = options.store ?? new MemoryMetadataStore();
@@ -200,6 +201,7 @@
         peers: anyPort,
         metrics: anyPort,
         seeds: options.seeds ?? [],
+        relayedServers: options.relayedServers ?? false,
         scheduling: options.scheduling ?? { adaptive: "off" },
         ...(options.memoryMegabytes !== undefined &&
           { memoryMegabytes: options.memoryMegabytes }),
