Gateway: a late write of a quarantine replaces no newer one

Cause: quarantines were written without a condition (open in design/store-records.md).

Change: a write is bound to the revision that was read just before, and leaves a stored statement that is newer. A lost write then finds another revision.

Evidence: the new check of quarantine_records_test failed before this change: revision 3 was stored in place of 4. It costs one more read for each write.

--- a/packages/decisions/src/suspects/fingerprint_status.ts
+++ b/packages/decisions/src/suspects/fingerprint_status.ts
@@ -69,7 +69,7 @@
  */
 export function supersedes(
   statement: SuspectStatement,
-  current: FingerprintStatus | undefined,
+  current: Pick<FingerprintStatus, "kind" | "revision"> | undefined,
 ): boolean {
   if (current === undefined) return true;
   const isQuarantine = statement.kind === "quarantined";
--- a/packages/gateway/src/state/quarantine_records.ts
+++ b/packages/gateway/src/state/quarantine_records.ts
@@ -9,6 +9,7 @@
  * @module
  */
 import { setTimeout } from "node:timers/promises";
+import { supersedes } from "@sycamorepulley/decisions";
 import type { SuspectStatement } from "@sycamorepulley/decisions";
 import type { PlatformError, StoredItem } from "@sycamorepulley/store";
 import * as v from "valibot";
@@ -128,7 +129,11 @@
     }
   }
 
-  /** Resolves to true once it is written, or has ended meanwhile. */
+  /**
+   * Resolves to true once it or a newer statement is stored, or it has ended
+   * meanwhile. The condition keeps a write whose response was lost from
+   * replacing a newer statement when it is executed late.
+   */
   async #writeOnce(
     statement: SuspectStatement,
     endsAt: number,
@@ -136,13 +141,22 @@
     const startedAt = this.#clock();
     const remaining = Math.floor(endsAt - startedAt);
     if (remaining <= 0) return true;
-    const lease = await this.#store
-      .grantLease(Math.max(remaining, MINIMUM_LEASE));
+    const key = QUARANTINE_PREFIX + statement.fingerprint;
+    const [lease, page] = await Promise.all([
+      this.#store.grantLease(Math.max(remaining, MINIMUM_LEASE)),
+      this.#store.readPage(key, undefined, this.#signal),
+    ]);
     if (lease.isErr) return this.#recordFailure(lease.error, startedAt);
+    if (page.isErr) return this.#recordFailure(page.error, startedAt);
+    this.#contact.recordStoreResponse();
+    if (page.value.era !== lease.value.era) return undefined;
+    // The key comes first among those that begin with it.
+    const stored = page.value.items.find((item) => item.key === key);
+    if (stored !== undefined && !isNewer(statement, stored)) return true;
     const written = await this.#store.transact({
-      expected: [],
+      expected: [{ key, revision: stored?.revision ?? 0 }],
       writes: [{
-        key: QUARANTINE_PREFIX + statement.fingerprint,
+        key,
         value: JSON.stringify({ ...statement, remaining }),
         lease: lease.value.id,
       }],
@@ -167,6 +181,12 @@
   }
 }
 
+/** Whether a statement replaces what is stored; unreadable values are replaced. */
+function isNewer(statement: SuspectStatement, { value }: StoredItem): boolean {
+  const stored = decodeStatement(value);
+  return stored === undefined || supersedes(statement, stored);
+}
+
 /** Returns `undefined` for a value that no entry wrote. */
 function decodeStatement(value: string): SuspectStatement | undefined {
   let parsed: unknown;
--- a/packages/gateway/test/quarantine_records_test.ts
+++ b/packages/gateway/test/quarantine_records_test.ts
@@ -3,6 +3,7 @@
 import { EraCheckedStore } from "../src/state/era_checked_store.ts";
 import { FleetDivision } from "../src/state/fleet_division.ts";
 import { QuarantineRecords } from "../src/state/quarantine_records.ts";
+import { LateWriteStore } from "./late_write_store.ts";
 import { createContact, QUARANTINE } from "./store_access.ts";
 
 t.test("quarantines are read again while entries are divided, each once", async (t) => {
@@ -37,3 +38,28 @@
   t.notOk(division.isDivided(1200));
   t.end();
 });
+
+// Guards against a late write that ends a newer quarantine early.
+t.test("a write that is executed late replaces no newer statement", async (t) => {
+  const store = new MemoryMetadataStore();
+  const view = new LateWriteStore(store);
+  const contact = createContact();
+  const stopped = new AbortController();
+  const records = new QuarantineRecords({
+    store: new EraCheckedStore(view, contact),
+    contact,
+    clock: () => performance.now(),
+    signal: stopped.signal,
+    onRead: () => {},
+  });
+  const newer = { ...QUARANTINE, revision: QUARANTINE.revision + 1 };
+  const first = records.write(QUARANTINE);
+  await records.write(newer);
+  await view.executeLate();
+  await first;
+  const { items } = (await store.readPage("sycamorepulley/quarantines/"))
+    .unwrapOr({ items: [], more: false, asOf: 0, era: 0 });
+  const stored = items.map(({ value }) => JSON.parse(value).revision);
+  t.strictSame(stored, [newer.revision]);
+  stopped.abort();
+});
