Gateway: crashes of a request count on after a restart of all entries

Cause: only quarantines were kept in the store. Crashes that lead to one lived in the entries, which pass them on to each other; a restart of all of them left nobody who knew.

Change: the granting entry also writes suspects of two crashes or more, under the same keys and conditions, and removes them once they are cleared. Entries read them before they handle a request. It works as the third crash then proves the cause, whichever process counted the first two.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -62,8 +62,8 @@
 import { EraCheckedStore } from "./state/era_checked_store.ts";
 import type { PrefixFollower } from "./state/prefix_follower.ts";
 import type { RecordCodec } from "./state/record_codec.ts";
-import { QuarantineRecords } from "./state/quarantine_records.ts";
-import { QuarantineSharing } from "./state/quarantine_sharing.ts";
+import { SuspectRecords } from "./state/suspect_records.ts";
+import { SuspectSharing } from "./state/suspect_sharing.ts";
 import { FleetDivision } from "./state/fleet_division.ts";
 import { StoreContact } from "./state/store_contact.ts";
 import { StartGate } from "./state/start_gate.ts";
@@ -115,7 +115,7 @@
   readonly #resetCheck: ResetCheck;
   readonly #connectionPool: ConnectionPool;
   readonly #grantClient: GrantClient;
-  readonly #quarantines: QuarantineSharing;
+  readonly #suspectSharing: SuspectSharing;
   readonly #rolloutDriver: RolloutDriver;
   readonly #division = new FleetDivision();
   readonly #groupContact: GroupContact;
@@ -178,20 +178,20 @@
       peers: () => this.#peers,
       leeway: quotaLeeway(settings.bounds),
       drainTime: settings.bounds.drainTime,
-      onQuarantine: (statement) => this.#quarantines.write(statement),
+      onSuspectDecision: (statement) => this.#suspectSharing.write(statement),
     });
-    this.#quarantines = new QuarantineSharing({
-      records: new QuarantineRecords({
+    this.#suspectSharing = new SuspectSharing({
+      records: new SuspectRecords({
         store,
         contact: this.#storeContact,
         clock,
         signal: this.#stopController.signal,
-        onRead: (statements) => this.#handleQuarantines(statements),
+        onRead: (statements) => this.#handleStoredSuspects(statements),
       }),
       isGranting: () => this.#grantClient.grantingEntry === instance,
-      quarantines: () => this.#grantClient.suspects.quarantines(),
+      statements: () => this.#grantClient.suspects.sharedStatements(),
     });
-    this.#storeContact.onRestore(() => this.#quarantines.writeAgain());
+    this.#storeContact.onRestore(() => this.#suspectSharing.writeAgain());
     this.#peers = new Peers({
       instance,
       incarnation,
@@ -359,7 +359,7 @@
       registration: this.#registration,
       group: () => this.#peers.watchGroup(),
     });
-    this.#quarantines.read();
+    this.#suspectSharing.read();
     void this.#registration.run({ ...settings.peers, port: peers });
     const { readiness, metrics } = settings;
     const ports = {
@@ -598,19 +598,19 @@
     this.#grantClient.setMemoryTokens(memoryLimits(services ?? new Map()));
   }
 
-  #handleQuarantines(statements: readonly SuspectStatement[]): void {
+  #handleStoredSuspects(statements: readonly SuspectStatement[]): void {
     this.#grantClient.suspects.merge(statements, false);
     if (this.#isStateLoaded()) this.#openStartGate();
   }
 
   /**
-   * Opens the start gate once the quarantines have been read and a peer, if
+   * Opens the start gate once the stored suspects have been read and a peer, if
    * there is any, has sent its state.
    */
   #openStartGate(): void {
     const others = this.#otherMembers();
     const hasPeerState = this.#peerStateReceived || others.length === 0;
-    if (hasPeerState && this.#quarantines.isRead) {
+    if (hasPeerState && this.#suspectSharing.isRead) {
       this.#startGate.open();
       return;
     }
@@ -649,7 +649,7 @@
       this.#clock(),
     );
     if (this.#division.isDivided(this.#clock())) {
-      this.#quarantines.readWhileDivided();
+      this.#suspectSharing.readWhileDivided();
     }
   }
 
--- a/packages/gateway/src/peers/grant_client.ts
+++ b/packages/gateway/src/peers/grant_client.ts
@@ -103,7 +103,7 @@
       /** See {@link LocalGranter}. */
       drainTime: number;
       /** See {@link SharedSuspects}. */
-      onQuarantine: (statement: SuspectStatement) => void;
+      onSuspectDecision: (statement: SuspectStatement) => void;
     },
   ) {
     this.#instance = options.instance;
--- a/packages/gateway/src/peers/shared_suspects.ts
+++ b/packages/gateway/src/peers/shared_suspects.ts
@@ -31,7 +31,7 @@
   readonly #clock: () => number;
   readonly #log: EventLog;
   readonly #peers: () => Peers;
-  readonly #onQuarantine: (statement: SuspectStatement) => void;
+  readonly #onSuspectDecision: (statement: SuspectStatement) => void;
   /** Fingerprints that were shared as suspects and have not been cleared. */
   readonly #shared = new Set<string>();
 
@@ -40,14 +40,14 @@
       clock: () => number;
       log: EventLog;
       peers: () => Peers;
-      /** Called with each quarantine that this entry has decided. */
-      onQuarantine: (statement: SuspectStatement) => void;
+      /** Called with each shared statement that this entry has decided. */
+      onSuspectDecision: (statement: SuspectStatement) => void;
     },
   ) {
     this.#clock = options.clock;
     this.#log = options.log;
     this.#peers = options.peers;
-    this.#onQuarantine = options.onQuarantine;
+    this.#onSuspectDecision = options.onSuspectDecision;
   }
 
   /** How to handle a request with these fingerprints now. */
@@ -64,15 +64,16 @@
     for (const part of promptParts) this.known.recordCompletePartRun(part, now);
   }
 
-  /** The quarantines in force. */
-  quarantines(): SuspectStatement[] {
+  /** All that is shared with other entries: quarantines and suspects. */
+  sharedStatements(): SuspectStatement[] {
     return this.known.statements(this.#clock())
-      .filter(({ kind }) => kind === "quarantined");
+      .filter(({ crashes }) => crashes >= SHARED_FROM);
   }
 
   /** Number of quarantined fingerprints. */
   countQuarantined(): number {
-    return this.quarantines().length;
+    return this.known.statements(this.#clock())
+      .filter(({ kind }) => kind === "quarantined").length;
   }
 
   /** Logs a crash that this entry has recorded as the granting entry. */
@@ -94,9 +95,7 @@
   publishChanges(): void {
     const changes = this.#takeSharedChanges();
     if (changes.length === 0) return;
-    for (const change of changes) {
-      if (change.kind === "quarantined") this.#onQuarantine(change);
-    }
+    for (const change of changes) this.#onSuspectDecision(change);
     for (const peer of this.#peers().connectedPeers()) {
       this.#send(peer, changes);
     }
@@ -104,9 +103,7 @@
 
   /** Sends everything that is shared to a peer. */
   sendAll(peer: string): void {
-    const statements = this.known.statements(this.#clock())
-      .filter(({ crashes }) => crashes >= SHARED_FROM);
-    this.#send(peer, statements);
+    this.#send(peer, this.sharedStatements());
   }
 
   /** Merges what a peer sent; `publishes`: passes it on to other peers. */
--- a/packages/gateway/src/state/quarantine_records.ts
+++ b/packages/gateway/src/state/suspect_records.ts
@@ -1,9 +1,10 @@
 /**
- * Keeps quarantines in the store, so that entries that are all restarted at the
- * same time refuse the same requests as before.
+ * Keeps requests that crash servers in the store: quarantines, so that entries
+ * that are all restarted at the same time refuse the same requests as before,
+ * and suspects of several crashes, so that they count on from there.
  *
- * Each quarantine is a key under a lease that ends with it or later. Running
- * entries share quarantines directly, so the keys are read at the start, and
+ * Each statement is a key under a lease that ends with it or later. Running
+ * entries share statements directly, so the keys are read at the start, and
  * again while entries can't reach each other. When the store has been restored
  * from an older copy, the granting entry writes all that it knows again.
  * @module
@@ -17,20 +18,24 @@
 import type { EraCheckedStore } from "./era_checked_store.ts";
 import type { StoreContact } from "./store_contact.ts";
 
-/** Prefix of the keys of quarantines; the fingerprint follows. */
-export const QUARANTINE_PREFIX = "sycamorepulley/quarantines/";
+/** Prefix of the keys of quarantines and suspects; the fingerprint follows. */
+export const SUSPECT_PREFIX = "sycamorepulley/quarantines/";
 /**
  * Milliseconds for which a record is kept at least. The first quarantine of a
  * prompt part is short and usually followed by a long one.
  */
 const MINIMUM_LEASE = 60_000;
+/** Longest lease that the store grants, in milliseconds. */
+const MAXIMUM_LEASE = 600_000;
 /** Milliseconds until a failed call is repeated. */
 const RETRY_DELAY = 400;
 /** Milliseconds between reads while entries can't reach each other. */
 const DIVIDED_READ_INTERVAL = 1000;
 
-/** Reads and writes quarantines until `signal` is aborted. */
-export class QuarantineRecords {
+type PendingStatement = { statement: SuspectStatement; endsAt: number };
+
+/** Reads and writes statements until `signal` is aborted. */
+export class SuspectRecords {
   readonly #store: EraCheckedStore;
   readonly #contact: StoreContact;
   readonly #clock: () => number;
@@ -38,6 +43,8 @@
   readonly #onRead: (statements: SuspectStatement[]) => void;
   /** Revision at which each key was read last. */
   #readRevisions = new Map<string, number>();
+  /** The newest statement to write, by fingerprint. */
+  readonly #pending = new Map<string, PendingStatement>();
   #readAt = -Infinity;
   #isReading = false;
   #isRead = false;
@@ -58,12 +65,12 @@
     this.#onRead = options.onRead;
   }
 
-  /** True once all quarantines have been read. */
+  /** True once all statements have been read. */
   get isRead(): boolean {
     return this.#isRead;
   }
 
-  /** Reads all quarantines, however often the store fails. */
+  /** Reads all statements, however often the store fails. */
   async read(): Promise<void> {
     this.#isReading = true;
     const items = await this.#repeat(() => this.#readItems());
@@ -83,14 +90,26 @@
     if (isDue && !this.#isReading) await this.read();
   }
 
-  /** Writes a quarantine, however often the store fails. */
+  /**
+   * Writes a statement, or removes the key of a request that was cleared,
+   * however often the store fails. A newer statement on the same request
+   * replaces one that has not been written yet.
+   */
   async write(statement: SuspectStatement): Promise<void> {
-    const endsAt = this.#clock() + statement.remaining;
-    await this.#repeat(() => this.#writeOnce(statement, endsAt));
+    const { fingerprint, remaining } = statement;
+    const pending = { statement, endsAt: this.#clock() + remaining };
+    this.#pending.set(fingerprint, pending);
+    await this.#repeat(async () => {
+      if (this.#pending.get(fingerprint) !== pending) return true;
+      return await this.#writeOnce(pending);
+    });
+    if (this.#pending.get(fingerprint) === pending) {
+      this.#pending.delete(fingerprint);
+    }
   }
 
   /**
-   * Returns the items that have been written since the last read. A quarantine
+   * Returns the items that have been written since the last read. A statement
    * that has ended may still be stored.
    */
   #takeNew(items: readonly StoredItem[]): StoredItem[] {
@@ -120,7 +139,7 @@
     for (;;) {
       const startedAt = this.#clock();
       const page = await this.#store
-        .readPage(QUARANTINE_PREFIX, after, this.#signal);
+        .readPage(SUSPECT_PREFIX, after, this.#signal);
       if (page.isErr) return this.#recordFailure(page.error, startedAt);
       this.#contact.recordStoreResponse();
       items.push(...page.value.items);
@@ -135,39 +154,42 @@
    * replacing a newer statement when it is executed late.
    */
   async #writeOnce(
-    statement: SuspectStatement,
-    endsAt: number,
+    { statement, endsAt }: PendingStatement,
   ): Promise<true | undefined> {
     const startedAt = this.#clock();
     const remaining = Math.floor(endsAt - startedAt);
     if (remaining <= 0) return true;
-    const key = QUARANTINE_PREFIX + statement.fingerprint;
+    const key = SUSPECT_PREFIX + statement.fingerprint;
+    const isCleared = statement.kind === "clear";
     const [lease, page] = await Promise.all([
-      this.#store.grantLease(Math.max(remaining, MINIMUM_LEASE)),
+      isCleared ? undefined : this.#store.grantLease(leaseDuration(remaining)),
       this.#store.readPage(key, undefined, this.#signal),
     ]);
-    if (lease.isErr) return this.#recordFailure(lease.error, startedAt);
+    if (lease?.isErr) return this.#recordFailure(lease.error, startedAt);
     if (page.isErr) return this.#recordFailure(page.error, startedAt);
     this.#contact.recordStoreResponse();
-    if (page.value.era !== lease.value.era) return undefined;
+    const { era, items } = page.value;
+    if (lease !== undefined && lease.value.era !== era) return undefined;
     // The key comes first among those that begin with it.
-    const stored = page.value.items.find((item) => item.key === key);
-    if (stored !== undefined && !isNewer(statement, stored)) return true;
+    const stored = items.find((item) => item.key === key);
+    const isOutdated = stored === undefined
+      ? isCleared
+      : !isNewer(statement, stored);
+    if (isOutdated) return true;
+    const value = JSON.stringify({ ...statement, remaining });
     const written = await this.#store.transact({
       expected: [{ key, revision: stored?.revision ?? 0 }],
-      writes: [{
-        key,
-        value: JSON.stringify({ ...statement, remaining }),
-        lease: lease.value.id,
-      }],
-      removals: [],
+      writes: lease === undefined
+        ? []
+        : [{ key, value, lease: lease.value.id }],
+      removals: isCleared ? [key] : [],
     });
     if (written.isErr) return this.#recordFailure(written.error, startedAt);
     this.#contact.recordStoreResponse();
-    const { kind, era } = written.value;
     // A lease of an older era may belong to another key now.
-    const valid = kind === "committed" && era === lease.value.era;
-    return valid ? true : undefined;
+    const { kind } = written.value;
+    const isValid = kind === "committed" && written.value.era === era;
+    return isValid ? true : undefined;
   }
 
   #recordFailure(error: PlatformError, startedAt: number): undefined {
@@ -175,12 +197,17 @@
     const time = this.#clock() - startedAt;
     this.#contact.recordStoreFailure({
       error,
-      prefix: QUARANTINE_PREFIX,
+      prefix: SUSPECT_PREFIX,
       time,
     });
   }
 }
 
+/** Milliseconds of a lease that lasts as long as a statement, if possible. */
+function leaseDuration(remaining: number): number {
+  return Math.min(Math.max(remaining, MINIMUM_LEASE), MAXIMUM_LEASE);
+}
+
 /** Whether a statement replaces what is stored; unreadable values are replaced. */
 function isNewer(statement: SuspectStatement, { value }: StoredItem): boolean {
   const stored = decodeStatement(value);
@@ -196,7 +223,5 @@
     return undefined;
   }
   const statement = v.safeParse(suspectStatementSchema, parsed);
-  return statement.success && statement.output.kind === "quarantined"
-    ? statement.output
-    : undefined;
+  return statement.success ? statement.output : undefined;
 }
--- a/packages/gateway/test/appointments_test.ts
+++ b/packages/gateway/test/appointments_test.ts
@@ -64,7 +64,7 @@
     peers: () => peers as unknown as Peers,
     leeway: { window: 8000, overage: 0, slack: 0 },
     drainTime: 2000,
-    onQuarantine: () => {},
+    onSuspectDecision: () => {},
   });
   const changeTo = (granting: string) =>
     client.updateGroup({
--- a/packages/gateway/test/crashing_request_test.ts
+++ b/packages/gateway/test/crashing_request_test.ts
@@ -1,6 +1,6 @@
 import { setTimeout } from "node:timers/promises";
 import t from "tap";
-import { QUARANTINE_PREFIX } from "../src/state/quarantine_records.ts";
+import { SUSPECT_PREFIX } from "../src/state/suspect_records.ts";
 import { MemoryMetadataStore } from "@sycamorepulley/store";
 import {
   CRASHING_BODY,
@@ -142,12 +142,36 @@
   await stopAll([restarted]);
 });
 
+// Guards against crashes that are forgotten when all entries are restarted.
+t.test("entries that are all restarted count the crashes before on", async (t) => {
+  const { store, entries, servers } = await startCrashingGroup(SERVER_COUNT);
+  for (let attempts = 0; servers.crashes < 2 && attempts < 4; attempts++) {
+    await sendCrashing(entries, 1);
+  }
+  t.equal(servers.crashes, 2);
+  await waitUntil(() =>
+    store.keys().some((key) => key.startsWith(SUSPECT_PREFIX))
+  );
+  await Promise.all(entries.map(({ gateway }) => gateway.stop()));
+  const restarted = await Fixture.start({
+    store,
+    servers: entries[0]!.servers,
+    instance: "entry-1",
+  });
+  await restarted.waitUntilReady();
+  const responses = await sendCrashing([restarted], 4);
+  t.equal(servers.crashes, 3);
+  t.ok(isContained(responses.at(-1)!), `status ${responses.at(-1)!.status}`);
+  await servers.stop();
+  await stopAll([restarted]);
+});
+
 t.test("a quarantine that a restored store has lost is written again", async (t) => {
   // Guards against a restart of all entries that forgets it.
   const { store, entries, servers } = await startCrashingGroup(SERVER_COUNT);
   const backup = store.backup();
   const isStored = () =>
-    store.keys().some((key) => key.startsWith(QUARANTINE_PREFIX));
+    store.keys().some((key) => key.startsWith(SUSPECT_PREFIX));
   await sendCrashing(entries, 4);
   t.ok(await waitUntil(isStored));
   store.restore(backup);
--- a/packages/gateway/test/era_checked_store_test.ts
+++ b/packages/gateway/test/era_checked_store_test.ts
@@ -2,7 +2,7 @@
 import t from "tap";
 import { EraCheckedStore } from "../src/state/era_checked_store.ts";
 import { PrefixFollower } from "../src/state/prefix_follower.ts";
-import { QuarantineRecords } from "../src/state/quarantine_records.ts";
+import { SuspectRecords } from "../src/state/suspect_records.ts";
 import { StateListener } from "../src/state/state_listener.ts";
 import { createContact, QUARANTINE } from "./store_access.ts";
 
@@ -65,7 +65,7 @@
   const data = new MemoryMetadataStore();
   const contact = createContact();
   const stopped = new AbortController();
-  const records = new QuarantineRecords({
+  const records = new SuspectRecords({
     store: new EraCheckedStore(data, contact),
     contact,
     clock: () => performance.now(),
--- a/packages/gateway/test/grant_client_test.ts
+++ b/packages/gateway/test/grant_client_test.ts
@@ -39,7 +39,7 @@
       peers: () => peers as unknown as Peers,
       leeway: { window: 8000, overage: 0, slack: 0 },
       drainTime: 2000,
-      onQuarantine: () => {},
+      onSuspectDecision: () => {},
     });
     client.setServers([JSON.parse(storedServer("s", 1)) as ServerRecord]);
     this.#clients.set(instance, client);
--- a/packages/gateway/test/rollout_handover_test.ts
+++ b/packages/gateway/test/rollout_handover_test.ts
@@ -56,7 +56,7 @@
     peers: () => peers as unknown as Peers,
     leeway: { window: 8000, overage: 0, slack: 0 },
     drainTime: 2000,
-    onQuarantine: () => {},
+    onSuspectDecision: () => {},
   });
   const setPeers = (others: readonly PeerEntry[]) =>
     client.updateGroup({
--- a/packages/gateway/test/quarantine_records_test.ts
+++ b/packages/gateway/test/suspect_records_test.ts
@@ -2,7 +2,7 @@
 import t from "tap";
 import { EraCheckedStore } from "../src/state/era_checked_store.ts";
 import { FleetDivision } from "../src/state/fleet_division.ts";
-import { QuarantineRecords } from "../src/state/quarantine_records.ts";
+import { SuspectRecords } from "../src/state/suspect_records.ts";
 import { LateWriteStore } from "./late_write_store.ts";
 import { createContact, QUARANTINE } from "./store_access.ts";
 
@@ -12,7 +12,7 @@
   const clock = () => now;
   const contact = createContact(clock);
   const reads: string[][] = [];
-  const records = new QuarantineRecords({
+  const records = new SuspectRecords({
     store: new EraCheckedStore(new MemoryMetadataStore(), contact),
     contact,
     clock,
@@ -45,7 +45,7 @@
   const view = new LateWriteStore(store);
   const contact = createContact();
   const stopped = new AbortController();
-  const records = new QuarantineRecords({
+  const records = new SuspectRecords({
     store: new EraCheckedStore(view, contact),
     contact,
     clock: () => performance.now(),
@@ -63,3 +63,24 @@
   t.strictSame(stored, [newer.revision]);
   stopped.abort();
 });
+
+// Guards against a sound request that counts as suspect after each restart.
+t.test("the record of a request that was cleared is removed", async (t) => {
+  const store = new MemoryMetadataStore();
+  const contact = createContact();
+  const records = new SuspectRecords({
+    store: new EraCheckedStore(store, contact),
+    contact,
+    clock: () => performance.now(),
+    signal: new AbortController().signal,
+    onRead: () => {},
+  });
+  const suspect = { ...QUARANTINE, kind: "suspect", crashes: 2 } as const;
+  await records.write(suspect);
+  t.strictSame(store.keys(), ["sycamorepulley/quarantines/fatal"]);
+  const cleared = { ...suspect, kind: "clear", revision: 4 } as const;
+  await records.write(cleared);
+  t.strictSame(store.keys(), []);
+  await records.write(cleared);
+  t.strictSame(store.keys(), []);
+});
