Gateway: slow heads of many headers no longer end the process

Cause: Node.js turns the headers of an incomplete head into strings as they arrive, 60 KB and more for 10 KB of bytes. Connections were bounded at 16 KiB each, and heads counted nowhere.

Change: the first head of a connection is held as raw bytes until it is complete and only then parsed. The bytes share the memory for bodies; heads of more than 64 headers share a quarter of the heap while their requests are in progress. What finds no room gets 503, which is true, as it has not run. Timeouts and errors of incomplete heads stay as they were (408, 400, 431).

Why it works: incomplete heads take no heap any more, and complete ones take a bounded part of it.

--- a/packages/decisions/src/memory/mod.ts
+++ b/packages/decisions/src/memory/mod.ts
@@ -1,4 +1,5 @@
 /** The memory that an entry holds for callers and servers. @module */
+export { HeadMemory } from "./head_memory.ts";
 export {
   bodyCapacity,
   IncomingBodies,
--- a/packages/gateway/src/front/http_frontend.ts
+++ b/packages/gateway/src/front/http_frontend.ts
@@ -4,6 +4,8 @@
 import { Server as NetServer } from "node:net";
 import type { Socket } from "node:net";
 import { acceptQueueLength, ConnectionLimit } from "@sycamorepulley/decisions";
+import { HeadReader } from "./head_reader.ts";
+import type { HeadOptions } from "./head_reader.ts";
 import { listen } from "../listen.ts";
 import type { Address } from "../settings.ts";
 import type { CallerLimits } from "../state/gateway_configuration.ts";
@@ -36,6 +38,16 @@
   replaced: () => void;
 };
 
+export type FrontendOptions = {
+  handle: HandleRequest;
+  /** Refuses a request whose headers find no room in the memory. */
+  refuse: HandleRequest;
+  counters: ConnectionCounters;
+  heads: HeadOptions;
+  /** Connections that may be open at the same time. */
+  maxConnections?: number;
+};
+
 /** Accepts callers' connections and passes their requests to a handler. */
 export class HttpFrontend {
   /** Node.js reads the largest size of a head for each connection. */
@@ -51,17 +63,17 @@
   /** Bytes that had been read of a connection when its last response ended. */
   readonly #bytesReadBefore = new WeakMap<Socket, number>();
   readonly #limit: ConnectionLimit<Socket>;
+  readonly #heads: HeadReader;
+  readonly #refuse: HandleRequest;
+  #headTimer: NodeJS.Timeout | undefined;
   #unsentConnections = 0;
   #draining = false;
 
-  /** `maxConnections`: open at the same time. */
-  constructor(
-    handle: HandleRequest,
-    counters: ConnectionCounters,
-    maxConnections = Infinity,
-  ) {
+  constructor(options: FrontendOptions) {
+    const { handle, counters, maxConnections = Infinity } = options;
     this.#counters = counters;
     this.#limit = new ConnectionLimit(maxConnections);
+    this.#refuse = options.refuse;
     this.#server = createServer(
       {
         maxHeaderSize: DEFAULT_HEAD_BYTES,
@@ -78,10 +90,21 @@
           if (!response.writableFinished) this.#limit.recordRequest(socket);
         });
         if (!this.#admit(socket, response)) return;
-        handle(request, response);
+        const headers = request.rawHeaders.length / 2;
+        if (this.#heads.admitParsed(socket, headers)) handle(request, response);
+        else this.#refuse(request, response);
       },
     );
-    this.#server.on("connection", (socket) => this.#countConnection(socket));
+    const [parse] = this.#server.listeners("connection");
+    this.#server.removeAllListeners("connection");
+    this.#heads = new HeadReader(options.heads, {
+      maxBytes: () => this.#server.maxHeaderSize ?? DEFAULT_HEAD_BYTES,
+      parse: (socket) => parse?.call(this.#server, socket),
+    });
+    this.#server.on("connection", (socket) => {
+      this.#countConnection(socket);
+      if (!socket.destroyed) this.#heads.read(socket, performance.now());
+    });
   }
 
   /** Applies the limits of a new configuration to connections from now on. */
@@ -94,6 +117,10 @@
 
   /** `cores`: processor cores that this process may use. */
   listen(address: Address, cores: number): Promise<number> {
+    this.#headTimer = setInterval(
+      () => this.#endSlowHeads(performance.now()),
+      CONNECTION_CHECK_INTERVAL,
+    ).unref();
     return listen(this.#server, address, acceptQueueLength(cores));
   }
 
@@ -129,7 +156,9 @@
 
   closeAllConnections(): void {
     this.#unsentConnections += this.#openResponses.size;
+    clearInterval(this.#headTimer);
     this.#server.close();
+    this.#heads.closeAll();
     this.#server.closeAllConnections();
   }
 
@@ -141,11 +170,16 @@
     return this.#unsentConnections;
   }
 
+  #endSlowHeads(now: number): void {
+    this.#heads.endOlderThan(now - this.#server.headersTimeout);
+  }
+
   #countConnection(socket: Socket): void {
     this.#counters.accepted();
     this.#connections.add(socket);
     this.#unreadConnections.add(socket);
     socket.once("close", () => {
+      this.#heads.release(socket);
       this.#limit.remove(socket);
       this.#connections.delete(socket);
       this.#openResponses.delete(socket);
@@ -188,6 +222,7 @@
     responses?.delete(response);
     if (responses?.size !== 0) return;
     this.#openResponses.delete(socket);
+    this.#heads.release(socket);
     this.#limit.recordIdle(socket);
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,7 +7,12 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { release } from "node:os";
 import process from "node:process";
-import { HEARTBEAT_EVERY, ProcessLifecycle } from "@sycamorepulley/decisions";
+import { getHeapStatistics } from "node:v8";
+import {
+  HeadMemory,
+  HEARTBEAT_EVERY,
+  ProcessLifecycle,
+} from "@sycamorepulley/decisions";
 import type { ServerRecord, SuspectStatement } from "@sycamorepulley/decisions";
 import { ResetCheck } from "@sycamorepulley/receiving";
 import type { MetadataStore } from "@sycamorepulley/store";
@@ -294,15 +299,23 @@
         memory,
       },
     });
-    this.#frontend = new HttpFrontend(
-      (request, response) => this.#serve(request, response),
-      {
+    this.#frontend = new HttpFrontend({
+      handle: (request, response) => this.#serve(request, response),
+      refuse: (request, response) =>
+        this.#requestHandler.refuseHead(request, response),
+      counters: {
         accepted: () => this.#metrics.connections.inc(),
         unread: () => this.#metrics.unreadConnections.inc(),
         replaced: () => this.#metrics.replacedConnections.inc(),
       },
-      maxCallerConnections(settings),
-    );
+      heads: {
+        memory: new HeadMemory(getHeapStatistics().heap_size_limit),
+        openBytes: () => memory.openBody(),
+        retryAfter: () => memory.retryAfter(),
+        onRefused: () => this.#metrics.refusedHeads.inc(),
+      },
+      maxConnections: maxCallerConnections(settings),
+    });
     this.#loadReport = new LoadReport({
       grantClient: this.#grantClient,
       log,
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -59,6 +59,11 @@
     "Runs that the gateway ended before their answer was whole",
     ["service", "cause"],
   );
+  readonly refusedHeads = this.#counter(
+    "refused_heads_total",
+    "Requests refused because their headers found no room in the memory",
+    [],
+  );
   readonly closeDelimitedEnds = this.#counter(
     "close_delimited_ends_total",
     "Responses of servers that ended with their connection",
--- a/packages/gateway/src/request/request_handler.ts
+++ b/packages/gateway/src/request/request_handler.ts
@@ -79,6 +79,15 @@
     }
   }
 
+  /** Refuses a request whose headers find no room in the memory. */
+  refuseHead(request: IncomingMessage, response: ServerResponse): void {
+    this.#context.metrics.refusedHeads.inc();
+    closeBeforeRest(request, response);
+    request.resume();
+    const parsed = this.#parser.parse(request, this.#context.clock());
+    this.#refuseForMemory(response, parsed);
+  }
+
   async #handle(
     request: IncomingMessage,
     response: ServerResponse,
--- a/packages/gateway/test/accept_queue_test.ts
+++ b/packages/gateway/test/accept_queue_test.ts
@@ -30,7 +30,17 @@
  */
 async function startFrontend() {
   const script = `
+    import { HeadMemory, MemoryBudget } from "@sycamorepulley/decisions";
+    import { RequestMemory } from "@sycamorepulley/receiving";
     import { HttpFrontend } from "${FRONTEND}";
+    const requests = new RequestMemory({
+      budget: new MemoryBudget(1e8),
+      clock: () => performance.now(),
+    });
+    const heads = {
+      memory: new HeadMemory(1e8),
+      openBytes: () => requests.openBody(),
+    };
     let handled = 0;
     let unread = 0;
     const handle = (_request, response) => {
@@ -40,7 +50,7 @@
       response.end("ok");
     };
     const counters = { accepted: () => {}, unread: () => unread++ };
-    const frontend = new HttpFrontend(handle, counters);
+    const frontend = new HttpFrontend({ handle, counters, heads });
     const address = { host: "127.0.0.1", port: 0 };
     console.log(await frontend.listen(address, ${CORES}));
     process.on("SIGTERM", () => {
--- a/packages/gateway/test/http_frontend_test.ts
+++ b/packages/gateway/test/http_frontend_test.ts
@@ -4,6 +4,7 @@
 import t from "tap";
 import { HttpFrontend } from "../src/front/http_frontend.ts";
 import { waitUntil } from "./fixture.ts";
+import { frontendOptions } from "./frontend_options.ts";
 
 /** More bytes than the kernel buffers of a connection. */
 const LARGE_BODY = "x".repeat(20_000_000);
@@ -20,14 +21,14 @@
   // Guards against closing the connection before the response is handed over.
   let ended = () => {};
   const hasEnded = new Promise<void>((resolve) => ended = resolve);
-  const frontend = new HttpFrontend(
-    (_request, response) => {
+  const frontend = new HttpFrontend(frontendOptions({
+    handle: (_request, response) => {
       response.end(LARGE_BODY);
       ended();
     },
-    COUNTERS,
-    MAX_CONNECTIONS,
-  );
+    counters: COUNTERS,
+    maxConnections: MAX_CONNECTIONS,
+  }));
   const port = await frontend.listen({ host: "127.0.0.1", port: 0 }, 1);
   const socket = connect(port, "127.0.0.1");
   let size = 0;
@@ -56,11 +57,11 @@
 // Guards against more connections than the process may have descriptors.
 t.test("a new connection replaces one that sends no request", async (t) => {
   const responses: ServerResponse[] = [];
-  const frontend = new HttpFrontend(
-    (_request, response) => responses.push(response),
-    COUNTERS,
-    MAX_CONNECTIONS,
-  );
+  const frontend = new HttpFrontend(frontendOptions({
+    handle: (_request, response) => responses.push(response),
+    counters: COUNTERS,
+    maxConnections: MAX_CONNECTIONS,
+  }));
   const port = await frontend.listen({ host: "127.0.0.1", port: 0 }, 1);
   const open = async () => {
     const socket = connect(port, "127.0.0.1");
@@ -85,7 +86,9 @@
 
 // Guards against heads that fill the memory before their limit is checked.
 t.test("a head beyond the configured limit is refused before it ends", async (t) => {
-  const frontend = new HttpFrontend(() => {}, COUNTERS, MAX_CONNECTIONS);
+  const frontend = new HttpFrontend(
+    frontendOptions({ counters: COUNTERS, maxConnections: MAX_CONNECTIONS }),
+  );
   frontend.applyLimits({
     headerBytes: 1000,
     bodyBytes: 1000,
@@ -105,14 +108,14 @@
 // Guards against connections that are kept as if their requests were served.
 t.test("a connection whose response came before the body's end is idle", async (t) => {
   let bodyEnded = false;
-  const frontend = new HttpFrontend(
-    (request, response) => {
+  const frontend = new HttpFrontend(frontendOptions({
+    handle: (request, response) => {
       request.resume().once("end", () => bodyEnded = true);
       response.end("refused");
     },
-    COUNTERS,
-    1,
-  );
+    counters: COUNTERS,
+    maxConnections: 1,
+  }));
   const port = await frontend.listen({ host: "127.0.0.1", port: 0 }, 1);
   const refused = connect(port, "127.0.0.1");
   refused.write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n");
--- a/packages/receiving/src/byte_buffer.ts
+++ b/packages/receiving/src/byte_buffer.ts
@@ -24,6 +24,11 @@
     this.#length = length;
   }
 
+  /** Whether the text is in the bytes collected. */
+  includes(text: string): boolean {
+    return this.#bytes.subarray(0, this.#length).includes(text);
+  }
+
   /** Returns the bytes collected, and starts again without any. */
   take(): Buffer {
     const bytes = this.#bytes.subarray(0, this.#length);
--- a/packages/testing/src/crowd/crowd.ts
+++ b/packages/testing/src/crowd/crowd.ts
@@ -45,6 +45,11 @@
     }
   }
 
+  /** Sends the same bytes on each connection. */
+  sendOnAll(bytes: string): void {
+    for (const socket of this.#sockets) socket.write(bytes);
+  }
+
   /** Closes all connections. */
   leave(): void {
     for (const socket of this.#sockets.splice(0)) socket.destroy();
