Gateway: slow heads on used connections don't end the process either

What callers saw, in a crowd test: 2,600 callers that were served once each and then sent heads of 1,000 short headers slowly ended a gateway.

Cause: only the first head of a connection was held as bytes; Node.js reads the following ones from the system itself.

Change: while there are more connections than the heap has room for largest heads, the next head of each connection that becomes idle is held as well. Its parser then gets what was read, which takes more time; below that number nothing changes.

--- a/packages/decisions/src/memory/head_memory.ts
+++ b/packages/decisions/src/memory/head_memory.ts
@@ -14,6 +14,8 @@
 const HEADER_BYTES = 256;
 /** Headers up to which a head doesn't count. */
 const ORDINARY_HEADERS = 64;
+/** Headers that Node.js keeps of a head at most. */
+const MAXIMUM_HEADERS = 1000;
 
 /** Counts the large heads of requests that are in progress. */
 export class HeadMemory {
@@ -25,6 +27,11 @@
     this.#budget = heap * HEAP_FRACTION;
   }
 
+  /** Number of the largest heads that find room together. */
+  get capacity(): number {
+    return Math.floor(this.#budget / (MAXIMUM_HEADERS * HEADER_BYTES));
+  }
+
   /**
    * Admits a head with so many headers. Returns the bytes to release with it, or
    * `undefined` if there is no room.
--- a/packages/gateway/src/front/head_reader.ts
+++ b/packages/gateway/src/front/head_reader.ts
@@ -1,5 +1,6 @@
 /**
- * Reads the first head of each connection before it is parsed.
+ * Reads heads before they are parsed: the first one of each connection, and the
+ * following ones while there are many connections.
  *
  * The parser of Node.js turns the headers of an incomplete head into strings as
  * they arrive, and keeps them for as long as the caller takes to complete it. As
@@ -13,6 +14,7 @@
 
 const HEAD_END = "\r\n\r\n";
 const LINE_END = 10;
+const LINE_BREAK = Buffer.from("\r\n");
 
 /** Bytes of a head up to which its headers are not counted. */
 const SMALL_HEAD_BYTES = 1024;
@@ -40,7 +42,7 @@
 export class HeadReader {
   readonly #options: HeadOptions;
   readonly #hooks: ReaderHooks;
-  readonly #waiting = new Map<Socket, { since: number; end: () => void }>();
+  readonly #waiting = new Map<Socket, { since: number; stop: () => void }>();
   /** Bytes of heap that the head of a connection was admitted with. */
   readonly #admitted = new Map<Socket, number>();
 
@@ -51,54 +53,59 @@
 
   /** Reads the first head of a new connection. */
   read(socket: Socket, now: number): void {
-    const head = new ByteBuffer();
-    let held: HeldBody | undefined;
-    const stop = () => {
-      this.#waiting.delete(socket);
-      held?.release();
-      socket.off("data", receive);
-      socket.off("error", stop);
-      socket.off("close", stop);
-      socket.off("end", endEarly);
-    };
-    const refuse = () => {
-      stop();
-      this.#options.onRefused();
-      end(socket, this.#refusal());
-    };
-    const passOn = (bytes: Buffer) => {
-      stop();
-      if (!this.#admit(socket, bytes)) return refuse();
+    const head = this.#start(socket, (bytes) => {
       socket.pause();
       socket.unshift(bytes);
       this.#hooks.parse(socket);
       socket.resume();
-    };
-    const receive = (chunk: Buffer) => {
-      if (held === undefined && chunk.includes(HEAD_END)) return passOn(chunk);
-      held ??= this.#hold(refuse);
-      // The end may begin in the bytes before.
-      head.append(chunk);
-      const bytes = head.length;
-      const isOver = bytes > this.#hooks.maxBytes() || head.includes(HEAD_END);
-      if (isOver) return passOn(head.take());
-      if (!held.recordReceived(chunk.length, bytes, bytes)) refuse();
-    };
-    const endEarly = () => {
-      stop();
-      end(socket, head.length > 0 ? errorHead("400 Bad Request") : "");
-    };
-    socket.on("data", receive);
-    socket.once("error", stop);
-    socket.once("close", stop);
-    socket.once("end", endEarly);
-    this.#waiting.set(socket, { since: now, end: stop });
+    });
+    head.handleEnd();
+    this.#waiting.set(socket, { since: now, stop: () => head.stop() });
+  }
+
+  /**
+   * Reads the next head of an idle connection. Its parser no longer reads from
+   * the system itself, which takes more time, so that this is for times at which
+   * the heap has no room for the heads of all connections.
+   */
+  readNext(socket: Socket, clock: () => number): void {
+    const listeners = socket.listeners("data") as DataListener[];
+    const head = this.#start(socket, (bytes) => {
+      for (const listener of listeners) {
+        socket.on("data", listener);
+        listener.call(socket, bytes);
+      }
+    });
+    for (const listener of listeners) socket.off("data", listener);
+    socket.prependOnceListener("data", () => {
+      this.#waiting.set(socket, { since: clock(), stop: () => head.stop() });
+    });
+  }
+
+  /** `passOn` gets all bytes once the head is complete or too large. */
+  #start(socket: Socket, passOn: (bytes: Buffer) => void): PartialHead {
+    const head = new PartialHead(socket, {
+      openBytes: this.#options.openBytes,
+      maxBytes: this.#hooks.maxBytes,
+      onStop: () => this.#waiting.delete(socket),
+      onRefused: () => this.#refuseHead(socket),
+      onComplete: (bytes) => {
+        if (this.#admit(socket, bytes)) passOn(bytes);
+        else this.#refuseHead(socket);
+      },
+    });
+    return head;
+  }
+
+  #refuseHead(socket: Socket): void {
+    this.#options.onRefused();
+    end(socket, this.#refusal());
   }
 
   /** Ends connections that have not sent a head since `time`. */
   endOlderThan(time: number): void {
-    for (const [socket, { since, end: stop }] of this.#waiting) {
-      // The first connection is the oldest one.
+    for (const [socket, { since, stop }] of this.#waiting) {
+      // The first head is the oldest one.
       if (since > time) return;
       stop();
       end(socket, errorHead("408 Request Timeout"));
@@ -136,18 +143,95 @@
     return true;
   }
 
-  #hold(onEvicted: () => void): HeldBody {
-    const held = this.#options.openBytes();
-    held.onEvicted(onEvicted);
-    return held;
-  }
-
   #refusal(): string {
     const seconds = (this.#options.retryAfter() / 1000).toFixed(2);
     return errorHead("503 Service Unavailable", `Retry-After: ${seconds}\r\n`);
   }
 }
 
+type DataListener = (this: Socket, bytes: Buffer) => void;
+
+type PartialHeadHooks = {
+  openBytes: () => HeldBody;
+  maxBytes: () => number;
+  /** Called first, however the reading ends. */
+  onStop: () => void;
+  /** There is no memory for more bytes. */
+  onRefused: () => void;
+  onComplete: (bytes: Buffer) => void;
+};
+
+/** Collects the bytes of one head until it is complete or too large. */
+class PartialHead {
+  readonly #socket: Socket;
+  readonly #hooks: PartialHeadHooks;
+  readonly #bytes = new ByteBuffer();
+  #held: HeldBody | undefined;
+
+  constructor(socket: Socket, hooks: PartialHeadHooks) {
+    this.#socket = socket;
+    this.#hooks = hooks;
+    socket.on("data", this.#receive);
+    socket.once("error", this.stop);
+    socket.once("close", this.stop);
+  }
+
+  /** Responds to a caller that ends the connection before its head. */
+  handleEnd(): void {
+    this.#socket.once("end", this.#endEarly);
+  }
+
+  readonly stop = () => {
+    this.#held?.release();
+    this.#socket.off("data", this.#receive);
+    this.#socket.off("error", this.stop);
+    this.#socket.off("close", this.stop);
+    this.#socket.off("end", this.#endEarly);
+    this.#hooks.onStop();
+  };
+
+  readonly #receive = (chunk: Buffer) => {
+    const isFirst = this.#held === undefined;
+    if (isFirst && (chunk.includes(HEAD_END) || beginsWithEnd(chunk))) {
+      this.stop();
+      this.#hooks.onComplete(chunk);
+      return;
+    }
+    this.#held ??= this.#openBytes();
+    this.#bytes.append(chunk);
+    const { length } = this.#bytes;
+    const isTooLarge = length > this.#hooks.maxBytes();
+    if (isTooLarge || this.#bytes.includes(HEAD_END)) {
+      this.stop();
+      this.#hooks.onComplete(this.#bytes.take());
+    } else if (!this.#held.recordReceived(chunk.length, length, length)) {
+      this.#refuse();
+    }
+  };
+
+  readonly #endEarly = () => {
+    this.stop();
+    if (this.#bytes.length === 0) this.#socket.end();
+    else end(this.#socket, errorHead("400 Bad Request"));
+  };
+
+  readonly #refuse = () => {
+    this.stop();
+    this.#hooks.onRefused();
+  };
+
+  #openBytes(): HeldBody {
+    const held = this.#hooks.openBytes();
+    held.onEvicted(this.#refuse);
+    return held;
+  }
+}
+
+/** Whether the end of a head of which the parser has the start comes first. */
+function beginsWithEnd(chunk: Buffer): boolean {
+  return chunk[0] === LINE_END || chunk.subarray(0, 2).equals(LINE_BREAK);
+}
+
 /** Number of lines of the head at the start of `bytes`. */
 function countHeaders(bytes: Buffer): number {
   const end = bytes.indexOf(HEAD_END);
--- a/packages/gateway/src/front/http_frontend.ts
+++ b/packages/gateway/src/front/http_frontend.ts
@@ -65,6 +65,8 @@
   readonly #limit: ConnectionLimit<Socket>;
   readonly #heads: HeadReader;
   readonly #refuse: HandleRequest;
+  /** Connections up to which the heap has room for the heads of all. */
+  readonly #headCapacity: number;
   #headTimer: NodeJS.Timeout | undefined;
   #unsentConnections = 0;
   #draining = false;
@@ -74,6 +76,7 @@
     this.#counters = counters;
     this.#limit = new ConnectionLimit(maxConnections);
     this.#refuse = options.refuse;
+    this.#headCapacity = options.heads.memory.capacity;
     this.#server = createServer(
       {
         maxHeaderSize: DEFAULT_HEAD_BYTES,
@@ -224,5 +227,9 @@
     this.#openResponses.delete(socket);
     this.#heads.release(socket);
     this.#limit.recordIdle(socket);
+    const isCrowded = this.#connections.size > this.#headCapacity;
+    if (isCrowded && !socket.destroyed) {
+      this.#heads.readNext(socket, () => performance.now());
+    }
   }
 }
--- a/packages/gateway/test/head_reader_test.ts
+++ b/packages/gateway/test/head_reader_test.ts
@@ -149,3 +149,28 @@
   t.strictSame(requests, ["/a", "/c", "/d"]);
   for (const socket of [first, second, small]) socket.destroy();
 });
+
+// Guards against bounds that count the first head of a connection only.
+t.test("the next heads are held while there are many connections", async (t) => {
+  const memory = new HeadMemory(0);
+  const { requests, open } = await start(
+    t,
+    { heads: { ...frontendOptions().heads, memory } },
+    { ...LIMITS, headerTimeout: 300 },
+  );
+  const socket = open();
+  const request =
+    "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody";
+  for (let sent = 1; sent <= 3; sent++) {
+    socket.write(request.slice(0, 30));
+    await sleep(20);
+    socket.write(request.slice(30, -2));
+    await sleep(20);
+    socket.write(request.slice(-2));
+    t.match(await firstResponse(socket), "served");
+    t.equal(requests.length, sent);
+  }
+  await sleep(600);
+  socket.write("GET / HT");
+  t.match(await firstResponse(socket), /^HTTP\/1.1 408 /);
+});
