--- a/packages/gateway/src/front/http_frontend.ts
+++ b/packages/gateway/src/front/http_frontend.ts
@@ -46,6 +46,8 @@
   heads: HeadOptions;
   /** Connections that may be open at the same time. */
   maxConnections?: number;
+  /** Called once if the address to listen at is in use. */
+  onAddressInUse?: (address: Address) => void;
 };
 
 /** Accepts callers' connections and passes their requests to a handler. */
@@ -65,6 +67,7 @@
   readonly #limit: ConnectionLimit<Socket>;
   readonly #heads: HeadReader;
   readonly #refuse: HandleRequest;
+  readonly #onAddressInUse: (address: Address) => void;
   /** Connections up to which the heap has room for the heads of all. */
   readonly #headCapacity: number;
   #headTimer: NodeJS.Timeout | undefined;
@@ -76,6 +79,7 @@
     this.#counters = counters;
     this.#limit = new ConnectionLimit(maxConnections);
     this.#refuse = options.refuse;
+    this.#onAddressInUse = options.onAddressInUse ?? (() => {});
     this.#headCapacity = options.heads.memory.capacity;
     this.#server = createServer(
       {
@@ -124,7 +128,10 @@
       () => this.#endSlowHeads(performance.now()),
       CONNECTION_CHECK_INTERVAL,
     ).unref();
-    return listen(this.#server, address, acceptQueueLength(cores));
+    return listen(this.#server, address, {
+      backlog: acceptQueueLength(cores),
+      onInUse: this.#onAddressInUse,
+    });
   }
 
   /**
--- a/packages/gateway/src/front/status_server.ts
+++ b/packages/gateway/src/front/status_server.ts
@@ -16,6 +16,8 @@
   /** Updates the gauges before metrics are read. */
   updateGauges: () => void;
   rollouts: () => RolloutStatuses;
+  /** Called once if an address to listen at is in use. */
+  onAddressInUse: (address: Address) => void;
 };
 
 /**
@@ -71,6 +73,6 @@
       application.handler(request as Request, response)
     );
     this.#servers.push(server);
-    return listen(server, address);
+    return listen(server, address, { onInUse: this.#options.onAddressInUse });
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -57,7 +57,7 @@
   quotaLeeway,
   rolloutBounds,
 } from "./settings.ts";
-import type { GatewaySettings } from "./settings.ts";
+import type { Address, GatewaySettings } from "./settings.ts";
 import { settingsAfterReload } from "./settings_reload.ts";
 import { FleetState } from "./state/fleet_state.ts";
 import type { Member, StateChangeCallback } from "./state/fleet_state.ts";
@@ -315,6 +315,7 @@
         onRefused: () => this.#metrics.refusedHeads.inc(),
       },
       maxConnections: maxCallerConnections(settings),
+      onAddressInUse: (address) => this.#logAddressInUse(address),
     });
     this.#loadReport = new LoadReport({
       grantClient: this.#grantClient,
@@ -351,6 +352,7 @@
         rolloutView.updateGauges(this.#metrics);
       },
       rollouts: () => rolloutView.statuses(),
+      onAddressInUse: (address) => this.#logAddressInUse(address),
     });
   }
 
@@ -537,6 +539,10 @@
     return !this.#peerStateReceived;
   }
 
+  #logAddressInUse({ host, port }: Address): void {
+    this.#log.write({ event: "address_in_use", address: `${host}:${port}` });
+  }
+
   #sendMembers(peer: string): void {
     const connected = new Set(this.#peers.connectedPeers());
     const members = this.#peers.knowsMembers(peer)
--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -65,6 +65,8 @@
     age: number;
     remaining: number;
   }
+  /** It is tried again for five seconds, then the start fails. */
+  | { event: "address_in_use"; address: string }
   | { event: "reloaded"; changed: boolean; detail: string }
   | { event: "registered"; lease: number; era: number }
   | { event: "registration_lapsed"; lease: number; era: number }
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -175,7 +175,13 @@
 
   listen(): Promise<number> {
     this.#server = createServer((socket) => this.#addLink(socket));
-    return listen(this.#server, this.#ownAddress);
+    return listen(this.#server, this.#ownAddress, {
+      onInUse: ({ host, port }) =>
+        this.#log.write({
+          event: "address_in_use",
+          address: `${host}:${port}`,
+        }),
+    });
   }
 
   send(peer: string, message: PeerMessage): boolean {
