Sidecar: a response of a server that restarted is no whole one

What callers saw: a plain response without a length whose server was killed and restarted in the middle counted as whole at the sidecar, as its kernel ends connections of a killed process regularly.

Change: the witness of the gateway is in `receiving` now, and the sidecar keeps one connection to its server while a response without a length arrives. If that connection ends together with the response, the response is cut.

Responses that another connection outlives stay complete, 5 of 5.

--- a/packages/daemon/src/sidecar/backend_client.ts
+++ b/packages/daemon/src/sidecar/backend_client.ts
@@ -1,6 +1,10 @@
 /** HTTP client for the sidecar's backend server, by `undici`. @module */
 import type { ResetDetection } from "@sycamorepulley/decisions";
-import { connectorWithResetErrors } from "@sycamorepulley/receiving";
+import {
+  connectorWithResetErrors,
+  ProcessWitness,
+  WitnessConnection,
+} from "@sycamorepulley/receiving";
 import { errors, Pool } from "undici";
 import type { Dispatcher } from "undici";
 import type {
@@ -9,6 +13,8 @@
   HttpHeaders,
 } from "@sycamorepulley/protocol";
 import { endToEndHeaders } from "../common/end_to_end_headers.ts";
+import { monotonicNow } from "../common/clock.ts";
+import { RelayedResponse } from "./relayed_response.ts";
 import { createMeter } from "./response_meter.ts";
 
 /** Milliseconds until an attempt to connect is given up. */
@@ -48,10 +54,12 @@
   readonly #pool: Pool;
   readonly #kind: "model" | "plain";
   readonly #maxResponseBytes: number;
+  readonly #witnessConnection: WitnessConnection;
 
   constructor(options: BackendClientOptions) {
     this.#kind = options.kind;
     this.#maxResponseBytes = options.maxResponseBytes;
+    this.#witnessConnection = new WitnessConnection(addressOf(options.url));
     this.#pool = new Pool(options.url, {
       pipelining: 1,
       // Timeouts in milliseconds; 0: none, as the deadline ends a request.
@@ -78,7 +86,7 @@
         body: request.body.byteLength > 0 ? request.body : null,
         signal,
       });
-      return await this.#relayResponse(response, receiver);
+      return await this.#relayResponse(request.method, response, receiver);
     } catch (error) {
       return outcomeOfError(error, signal);
     }
@@ -110,8 +118,33 @@
   }
 
   async #relayResponse(
+    method: string,
     response: Dispatcher.ResponseData,
     receiver: ResponseReceiver,
+  ): Promise<RunOutcome> {
+    const relayed = new RelayedResponse();
+    if (!isCloseDelimited(method, response)) {
+      return await this.#relayBody(response, relayed, receiver);
+    }
+    const witness = new ProcessWitness({
+      response: relayed,
+      others: [],
+      connection: this.#witnessConnection,
+    });
+    try {
+      const outcome = await this.#relayBody(response, relayed, receiver);
+      const hasRestarted = outcome.kind === "complete" &&
+        await witness.evidence() === "ended";
+      return hasRestarted ? CUT : outcome;
+    } finally {
+      witness.stop();
+    }
+  }
+
+  async #relayBody(
+    response: Dispatcher.ResponseData,
+    relayed: RelayedResponse,
+    receiver: ResponseReceiver,
   ): Promise<RunOutcome> {
     const headers = endToEndHeaders(response.headers);
     const meter = createMeter({
@@ -127,15 +160,47 @@
         response.body.destroy();
         return failedOutcome("yes", "answer_too_large");
       }
-      await receiver.receiveChunk(bytes, meter.read(bytes).outputTokens);
-    }
-    if (!meter.isComplete) {
-      return { ...failedOutcome("yes", "answer_cut"), connectionLost: true };
+      const { outputTokens } = meter.read(bytes);
+      await relayed.recordChunk(
+        bytes.byteLength,
+        () => receiver.receiveChunk(bytes, outputTokens),
+        monotonicNow,
+      );
     }
+    relayed.recordEnd(monotonicNow());
+    if (!meter.isComplete) return CUT;
     return { kind: "complete", status: response.statusCode };
   }
 }
 
+/** The server's connection ended in the middle of its response. */
+const CUT: RunOutcome = {
+  kind: "failed",
+  ran: "yes",
+  reason: "answer_cut",
+  connectionLost: true,
+};
+
+/** HTTP status codes of responses that have no body. */
+const BODILESS_STATUSES: readonly number[] = [204, 304];
+const DEFAULT_PORTS: Record<string, number> = { "http:": 80, "https:": 443 };
+
+function addressOf(url: string): { host: string; port: number } {
+  const { hostname, port, protocol } = new URL(url);
+  const host = hostname.replace(/^\[|\]$/g, "");
+  return { host, port: Number(port) || DEFAULT_PORTS[protocol] || 80 };
+}
+
+/** Whether only the end of the connection marks the end of the response. */
+function isCloseDelimited(
+  method: string,
+  { statusCode, headers }: Dispatcher.ResponseData,
+): boolean {
+  return method !== "HEAD" && !BODILESS_STATUSES.includes(statusCode) &&
+    headers["content-length"] === undefined &&
+    headers["transfer-encoding"] === undefined;
+}
+
 function failedOutcome(
   ran: FailedMessage["ran"],
   reason: FailedMessage["reason"],
--- a/packages/daemon/test/reset_response_test.ts
+++ b/packages/daemon/test/reset_response_test.ts
@@ -140,3 +140,51 @@
     }
   });
 }
+
+/** Milliseconds of a response, enough for a witness connection to count. */
+const LONG_RESPONSE = 200;
+
+/** Lets servers end a long response; returns how many count as complete. */
+async function completeOf(
+  end: (response: Socket, all: ReadonlySet<Socket>) => void,
+): Promise<number> {
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on("error", () => {});
+    socket.once("close", () => sockets.delete(socket));
+    socket.once("data", () => {
+      socket.write(HEAD + BODY);
+      setTimeout(() => end(socket, sockets), LONG_RESPONSE);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  let complete = 0;
+  for (let count = 0; count < 5; count++) {
+    const client = new BackendClient({
+      url: `http://127.0.0.1:${port}`,
+      kind: "plain",
+      maxResponseBytes: 10_000,
+      resetDetection: () => "shown",
+    });
+    const { signal } = new AbortController();
+    const outcome = await client.run(REQUEST, new TextReceiver(), signal);
+    if (outcome.kind === "complete") complete++;
+    await client.close();
+  }
+  server.close();
+  return complete;
+}
+
+// Guards against a response that was cut as its server was killed and restarted.
+t.test("a response that ends with all connections is no whole one", async (t) => {
+  const complete = await completeOf((_response, all) => {
+    for (const socket of all) socket.end();
+  });
+  t.equal(complete, 0);
+});
+
+t.test("a response that another connection outlives is whole", async (t) => {
+  t.equal(await completeOf((response) => response.end()), 5);
+});
--- a/packages/gateway/src/backend/backend_connection.ts
+++ b/packages/gateway/src/backend/backend_connection.ts
@@ -20,7 +20,7 @@
 import { isCloseDelimited, NOT_MODIFIED } from "./close_delimited.ts";
 import { HeadChecks } from "./head_checks.ts";
 import { PausableSocket } from "./pausable_socket.ts";
-import { ConnectionState } from "./process_witness.ts";
+import { ConnectionState } from "@sycamorepulley/receiving";
 
 /** Why no connection could be opened. */
 export type ConnectFailure = "connection_refused" | "connection_timeout";
--- a/packages/gateway/src/backend/connection_pool.ts
+++ b/packages/gateway/src/backend/connection_pool.ts
@@ -7,8 +7,8 @@
   isConnectionRefused,
 } from "./backend_connection.ts";
 import type { ConnectFailure } from "./backend_connection.ts";
-import { ProcessWitness, WitnessConnection } from "./process_witness.ts";
-import type { ConnectionState } from "./process_witness.ts";
+import { ProcessWitness, WitnessConnection } from "@sycamorepulley/receiving";
+import type { ConnectionState } from "@sycamorepulley/receiving";
 
 /**
  * Milliseconds until an attempt to connect times out. Data centres are 1.4 ms
--- a/packages/gateway/src/request/server_attempt.ts
+++ b/packages/gateway/src/request/server_attempt.ts
@@ -14,7 +14,7 @@
 import type {
   ProcessEvidence,
   ProcessWitness,
-} from "../backend/process_witness.ts";
+} from "@sycamorepulley/receiving";
 import type { ParsedRequest } from "../front/parsed_request.ts";
 import type { ResponseProgress } from "./response_progress.ts";
 import { backendHeaders } from "./backend_headers.ts";
--- a/packages/receiving/src/mod.ts
+++ b/packages/receiving/src/mod.ts
@@ -1,8 +1,15 @@
-/** Receives callers' requests within bounds. @module */
+/** Receives requests and responses: their bounds, and whether they are whole. @module */
 export { BodyBuffer } from "./body_buffer.ts";
 export { closeBeforeRest, readBody } from "./body_reader.ts";
 export type { BodyError, BodyOptions } from "./body_reader.ts";
 export { ByteBuffer } from "./byte_buffer.ts";
+export {
+  ConnectionState,
+  ProcessWitness,
+  WatchedResponse,
+  WitnessConnection,
+} from "./process_witness.ts";
+export type { ProcessEvidence, ReadingPauses } from "./process_witness.ts";
 export { processMemory } from "./process_memory.ts";
 export { RequestMemory } from "./request_memory.ts";
 export type { HeldBody } from "./request_memory.ts";
--- a/packages/gateway/src/backend/process_witness.ts
+++ b/packages/receiving/src/process_witness.ts
@@ -32,7 +32,7 @@
 export type ProcessEvidence = "alive" | "ended" | "unknown";
 
 /** Pauses of the reading, in which the end of a connection goes unnoticed. */
-type ReadingPauses = {
+export type ReadingPauses = {
   readonly isReadingPaused: boolean;
   /** Time at which reading went on after the last pause. */
   readonly readingResumedAt: number;
@@ -43,11 +43,23 @@
   readingResumedAt: -Infinity,
 };
 
+/** A response that is watched; times in milliseconds. */
+export abstract class WatchedResponse {
+  /** True if its end has certainly not arrived. */
+  abstract readonly isOpen: boolean;
+  /** Bytes of it that were read. */
+  abstract readonly bytesRead: number;
+  /** When its end was noticed; `undefined` before. */
+  abstract readonly closedAt: number | undefined;
+  /** Time at which reading went on after the last pause. */
+  abstract readonly readingResumedAt: number;
+}
+
 /**
  * Whether a connection to a backend server is open, and when the server has
  * ended it; times in milliseconds.
  */
-export class ConnectionState {
+export class ConnectionState extends WatchedResponse {
   /** True while no request runs on the connection. */
   isIdle = true;
   readonly #socket: Socket;
@@ -58,6 +70,7 @@
   #settledAt = Infinity;
 
   constructor(socket: Socket, pauses: ReadingPauses = NO_PAUSES) {
+    super();
     this.#socket = socket;
     this.#pauses = pauses;
     const recordEnd = () => {
@@ -72,25 +85,31 @@
     socket.once("close", () => this.#closedAt ??= performance.now());
   }
 
-  /** True if the connection is certainly open. */
-  get isOpen(): boolean {
+  override get isOpen(): boolean {
     return this.#closedAt === undefined && !this.#pauses.isReadingPaused;
   }
 
-  /** Bytes that were read from the connection. */
-  get bytesRead(): number {
+  override get bytesRead(): number {
     return this.#socket.bytesRead;
   }
 
+  override get closedAt(): number | undefined {
+    return this.#closedAt;
+  }
+
+  override get readingResumedAt(): number {
+    return this.#pauses.readingResumedAt;
+  }
+
   /**
-   * True if the server ended this connection while it was idle, and `other` at
-   * the same time. An end that was noticed after a pause may be older.
+   * True if the server ended this connection while it was idle, and the response
+   * at the same time. An end that was noticed after a pause may be older.
    */
-  endedWith(other: ConnectionState): boolean {
+  endedWith(response: WatchedResponse): boolean {
     if (!this.#wasEndedIdle || this.#closedAt === undefined) return false;
-    const otherClosedAt = other.#closedAt ?? Infinity;
-    const wasPaused = other.#pauses.readingResumedAt >= this.#closedAt;
-    return wasPaused || otherClosedAt <= this.#settledAt;
+    const responseEndedAt = response.closedAt ?? Infinity;
+    const wasPaused = response.readingResumedAt >= this.#closedAt;
+    return wasPaused || responseEndedAt <= this.#settledAt;
   }
 }
 
@@ -173,7 +192,7 @@
 
 /** Watches the other connections to a server during one response. */
 export class ProcessWitness {
-  readonly #response: ConnectionState;
+  readonly #response: WatchedResponse;
   /** Connections that were open while the response was. */
   readonly #witnesses: ConnectionState[];
   readonly #connection: WitnessConnection;
@@ -181,12 +200,11 @@
   #isStopped = false;
 
   /**
-   * `response`: the connection of the response; `others`: all others to the
-   * same server.
+   * `others`: open connections to the same server, without that of the response.
    */
   constructor(
     options: {
-      response: ConnectionState;
+      response: WatchedResponse;
       others: Iterable<ConnectionState>;
       connection: WitnessConnection;
     },
