Gateway: a server's own 503 after a run is no promise to its caller

Cause: a plain response was passed on whatever its status, although 408, 421, 429 and 503 are promises to callers.

Change: for requests that must not be repeated such a response becomes 502 without the server's seal, which promises nothing. Requests that may be repeated get it unchanged.

--- a/packages/gateway/src/request/request_task.ts
+++ b/packages/gateway/src/request/request_task.ts
@@ -68,6 +68,9 @@
 const NO_HOME_RETRY_AFTER = 10_000;
 /** Lowest HTTP status of a server's own errors. */
 const FIRST_SERVER_ERROR = 500;
+/** HTTP statuses that promise callers that the request has not run. */
+const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
+
 /** Gets grants for a request, sends it to servers, responds to the caller. */
 export class RequestTask {
   readonly #context: RequestContext;
@@ -552,7 +555,17 @@
       this.#eligibility.exclude(incarnationOf(server));
       return;
     }
-    this.#response.sendPlain(server, result, this.#progress);
+    if (this.#isFalsePromise(result.head.status)) this.#giveUp("broken");
+    else this.#response.sendPlain(server, result, this.#progress);
+  }
+
+  /**
+   * Whether a caller would take the status of a run for the promise that the
+   * request has not run, and send it again although it must run once only.
+   */
+  #isFalsePromise(status: number): boolean {
+    return NOT_RUN_STATUSES.includes(status) &&
+      !isRepeatable(this.#resolved.route);
   }
 
   #handleBrokenResponse(server: ServerRecord, detail: string): void {
--- a/packages/gateway/test/request_path_test.ts
+++ b/packages/gateway/test/request_path_test.ts
@@ -123,6 +123,27 @@
   await fixture.stop();
 });
 
+for (const status of [408, 429, 503]) {
+  // Guards against a second run by a caller that is promised there was none.
+  t.test(`a run that must not be repeated promises nothing with ${status}`, async (t) => {
+    const fixture = await Fixture.startReady();
+    for (const server of fixture.servers) {
+      server.respond = (response, received) => {
+        const requestId = String(received.headers["x-request"]);
+        const headers = { "x-request": requestId, "x-seal": "sealed" };
+        response.writeHead(status, headers).end("failed");
+      };
+    }
+    const once = await fixture.call("/once/", { method: "POST", body: "{}" });
+    t.equal(once.status, 502);
+    t.equal(once.headers["x-seal"], undefined);
+    const repeatable = await fixture.call("/calls/");
+    t.equal(repeatable.status, status);
+    t.equal(repeatable.body, "failed");
+    await fixture.stop();
+  });
+}
+
 t.test("a request that no server runs is refused with 503 and a retry-after header", async (t) => {
   const fixture = await Fixture.startReady();
   for (const server of fixture.servers) {
