--- a/packages/decisions/src/memory/head_memory.ts
+++ b/packages/decisions/src/memory/head_memory.ts
@@ -3,8 +3,8 @@
  *
  * Load condition addressed: many clients send heads of a thousand short headers,
  * each within the configured limit. Parsed, such a head takes many times its
- * size, as each name and value is an object of its own. Heads of ordinary
- * requests are part of what a connection may need and don't count.
+ * size, as each name and value is a separate object. Heads of ordinary requests
+ * are part of what a connection may need and don't count.
  * @module
  */
 
@@ -27,14 +27,14 @@
     this.#budget = heap * HEAP_FRACTION;
   }
 
-  /** Number of the largest heads that find room together. */
+  /** Number of the largest heads that fit together. */
   get capacity(): number {
     return Math.floor(this.#budget / (MAXIMUM_HEADERS * HEADER_BYTES));
   }
 
   /**
    * Admits a head with so many headers. Returns the bytes to release with it, or
-   * `undefined` if there is no room.
+   * `undefined` if it doesn't fit.
    */
   admit(headers: number): number | undefined {
     if (headers <= ORDINARY_HEADERS) return 0;
--- a/packages/gateway/src/front/head_reader.ts
+++ b/packages/gateway/src/front/head_reader.ts
@@ -30,7 +30,7 @@
   onRefused: () => void;
 };
 
-/** What a reader needs besides; it is asked again for each connection. */
+/** What a reader needs of the HTTP server. */
 type ReaderHooks = {
   /** Largest head in bytes. */
   maxBytes: () => number;
@@ -66,7 +66,7 @@
   /**
    * Reads the next head of an idle connection. Its parser no longer reads from
    * the system itself, which takes more time, so that this is for times at which
-   * the heap has no room for the heads of all connections.
+   * the heap is too small for the heads of all connections.
    */
   readNext(socket: Socket, clock: () => number): void {
     const listeners = socket.listeners("data") as DataListener[];
@@ -119,7 +119,7 @@
 
   /**
    * Admits the head of a request that was parsed, if that of its connection was
-   * not admitted before. Returns false if there is no room.
+   * not admitted before. Returns false if the heap has no space for it.
    */
   admitParsed(socket: Socket, headers: number): boolean {
     return this.#admitted.has(socket) || this.#reserve(socket, headers);
@@ -198,10 +198,12 @@
       return;
     }
     this.#held ??= this.#openBytes();
+    // The end may begin in the bytes before.
+    const from = Math.max(0, this.#bytes.length - HEAD_END.length);
     this.#bytes.append(chunk);
     const { length } = this.#bytes;
     const isTooLarge = length > this.#hooks.maxBytes();
-    if (isTooLarge || this.#bytes.includes(HEAD_END)) {
+    if (isTooLarge || this.#bytes.includes(HEAD_END, from)) {
       this.stop();
       this.#hooks.onComplete(this.#bytes.take());
     } else if (!this.#held.recordReceived(chunk.length, length, length)) {
--- a/packages/gateway/src/front/http_frontend.ts
+++ b/packages/gateway/src/front/http_frontend.ts
@@ -40,7 +40,7 @@
 
 export type FrontendOptions = {
   handle: HandleRequest;
-  /** Refuses a request whose headers find no room in the memory. */
+  /** Refuses a request whose headers don't fit into the heap. */
   refuse: HandleRequest;
   counters: ConnectionCounters;
   heads: HeadOptions;
@@ -68,7 +68,7 @@
   readonly #heads: HeadReader;
   readonly #refuse: HandleRequest;
   readonly #onAddressInUse: (address: Address) => void;
-  /** Connections up to which the heap has room for the heads of all. */
+  /** Connections up to which the heads of all fit into the heap. */
   readonly #headCapacity: number;
   #headTimer: NodeJS.Timeout | undefined;
   #unsentConnections = 0;
--- a/packages/gateway/src/observe/events.ts
+++ b/packages/gateway/src/observe/events.ts
@@ -65,7 +65,7 @@
     age: number;
     remaining: number;
   }
-  /** It is tried again for five seconds, then the start fails. */
+  /** The gateway repeats the attempt for five seconds, then its start fails. */
   | { event: "address_in_use"; address: string }
   | { event: "reloaded"; changed: boolean; detail: string }
   | { event: "registered"; lease: number; era: number }
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -61,7 +61,7 @@
   );
   readonly refusedHeads = this.#counter(
     "refused_heads_total",
-    "Requests refused because their headers found no room in the memory",
+    "Requests refused because their headers didn't fit into the memory",
     [],
   );
   readonly closeDelimitedEnds = this.#counter(
--- a/packages/gateway/src/request/request_handler.ts
+++ b/packages/gateway/src/request/request_handler.ts
@@ -79,7 +79,7 @@
     }
   }
 
-  /** Refuses a request whose headers find no room in the memory. */
+  /** Refuses a request whose headers don't fit into the heap. */
   refuseHead(request: IncomingMessage, response: ServerResponse): void {
     this.#context.metrics.refusedHeads.inc();
     closeBeforeRest(request, response);
--- a/packages/receiving/src/byte_buffer.ts
+++ b/packages/receiving/src/byte_buffer.ts
@@ -24,9 +24,9 @@
     this.#length = length;
   }
 
-  /** Whether the text is in the bytes collected. */
-  includes(text: string): boolean {
-    return this.#bytes.subarray(0, this.#length).includes(text);
+  /** Whether the text is in the bytes collected, at `from` or later. */
+  includes(text: string, from = 0): boolean {
+    return this.#bytes.subarray(0, this.#length).includes(text, from);
   }
 
   /** Returns the bytes collected, and starts again without any. */
