Entry: slow heads of many headers stay within the memory

What callers saw, in a crowd test: 2,600 callers that sent valid heads of 1,000 short headers slowly made the daemon's entry grow to 588 MB of 350.

Cause: as in the gateway, heads counted nowhere.

Change: the reader of heads is in `receiving` now and takes over the connections of an HTTP server, for gateway and entry alike; the entry counts heads in the memory for bodies and bounds what is parsed by its memory.

--- a/packages/daemon/src/common/metrics.ts
+++ b/packages/daemon/src/common/metrics.ts
@@ -26,6 +26,11 @@
     "Requests received",
     ["service", "tier"],
   );
+  readonly refusedHeads = this.#counter(
+    "refused_heads_total",
+    "Requests refused because their headers didn't fit into the memory",
+    [],
+  );
   readonly replacedConnections = this.#counter(
     "connections_replaced_total",
     "Connections of callers that were closed for new ones",
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -131,6 +131,11 @@
     };
   }
 
+  /** Starts to count bytes of a request, which must be released. */
+  openBody(): HeldBody {
+    return this.#memory.openBody();
+  }
+
   /**
    * Whether requests can be resolved and placed. An entry that has not read the
    * instance list yet knows no sidecar, and would refuse every request that a
--- a/packages/daemon/src/entry/http_frontend.ts
+++ b/packages/daemon/src/entry/http_frontend.ts
@@ -8,8 +8,11 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Server as NetServer } from "node:net";
 import type { Socket } from "node:net";
+import { HeadReader } from "@sycamorepulley/receiving";
+import type { HeadOptions } from "@sycamorepulley/receiving";
 import polka from "polka";
 import type { Request } from "polka";
+import { monotonicNow } from "../common/clock.ts";
 import { listen } from "../common/listen.ts";
 import type { Address } from "../common/settings.ts";
 
@@ -40,6 +43,7 @@
   maxConnections: number;
   /** Called when a connection was closed for a new one. */
   onReplaced?: () => void;
+  heads: Omit<HeadOptions, "onConnection">;
   /** Processor cores that this process may use. */
   processors: number;
   handle: RequestHandler;
@@ -47,6 +51,9 @@
   isDraining: () => boolean;
 };
 
+/** HTTP status of a request whose headers don't fit into the memory. */
+const UNAVAILABLE = 503;
+
 /** A started server and the port it listens on. */
 export type HttpFrontend = {
   port: number;
@@ -85,11 +92,26 @@
       connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL,
     },
     (request, response) => {
+      const { socket } = request;
+      const isAdmitted = heads
+        .admitParsed(socket, request.rawHeaders.length / 2);
       connections.addRequest(request, response);
-      application.handler(request as Request, response);
+      if (isAdmitted) application.handler(request as Request, response);
+      else refuse(request, response, options.heads);
     },
   );
-  server.on("connection", (socket) => connections.add(socket));
+  const heads = new HeadReader(server, {
+    ...options.heads,
+    onConnection: (socket) => {
+      connections.add(socket);
+      socket.once("close", () => heads.release(socket));
+    },
+  });
+  connections.onIdle((socket) => {
+    heads.release(socket);
+    const isCrowded = heads.isCrowded(connections.count);
+    if (isCrowded && !socket.destroyed) heads.readNext(socket, monotonicNow);
+  });
   const port = await listen(server, address, acceptQueueLength(processors));
   const close = () =>
     new Promise<void>((resolve) => {
@@ -101,17 +123,40 @@
   return { port, close };
 }
 
+function refuse(
+  request: IncomingMessage,
+  response: ServerResponse,
+  { onRefused, retryAfter }: HttpFrontendOptions["heads"],
+): void {
+  onRefused();
+  request.resume();
+  response.writeHead(UNAVAILABLE, {
+    connection: "close",
+    "retry-after": (retryAfter() / 1000).toFixed(2),
+  }).end();
+}
+
 /** The connections of callers, and the responses that they wait for. */
 class OpenConnections {
   readonly #responses = new Map<Socket, Set<ServerResponse>>();
   readonly #limit: ConnectionLimit<Socket>;
   readonly #onReplaced: () => void;
+  #onIdle: (socket: Socket) => void = () => {};
 
   constructor(maxConnections: number, onReplaced: () => void) {
     this.#limit = new ConnectionLimit(maxConnections);
     this.#onReplaced = onReplaced;
   }
 
+  get count(): number {
+    return this.#responses.size;
+  }
+
+  /** Calls `action` with each connection without a request in progress. */
+  onIdle(action: (socket: Socket) => void): void {
+    this.#onIdle = action;
+  }
+
   add(socket: Socket): void {
     this.#responses.set(socket, new Set());
     socket.once("close", () => this.#remove(socket));
@@ -132,7 +177,9 @@
     responses?.add(response);
     response.once("finish", () => {
       responses?.delete(response);
-      if (responses?.size === 0) this.#limit.recordIdle(socket);
+      if (responses?.size !== 0) return;
+      this.#limit.recordIdle(socket);
+      this.#onIdle(socket);
     });
   }
 
--- a/packages/daemon/src/entry/start_entry.ts
+++ b/packages/daemon/src/entry/start_entry.ts
@@ -1,7 +1,7 @@
 /** Builds and starts the entry role. @module */
 import { setTimeout as sleep } from "node:timers/promises";
 import { connectionsIn } from "@sycamorepulley/decisions";
-import { processMemory } from "@sycamorepulley/receiving";
+import { headMemory, processMemory } from "@sycamorepulley/receiving";
 import { Membership } from "../common/membership.ts";
 import { createComponents } from "../common/process_components.ts";
 import { startProtocolServer } from "../common/protocol_server.ts";
@@ -13,6 +13,12 @@
 import { startHttpFrontend } from "./http_frontend.ts";
 import { PeerConnection } from "./peer_connection.ts";
 
+/**
+ * Milliseconds after which a caller may return whose headers did not fit into
+ * the memory, plus up to as many again.
+ */
+const HEAD_RETRY_AFTER = 500;
+
 /** Connections that the entry accepts, and that its memory is enough for. */
 function maxConnections({ bounds }: EntrySettings): number {
   const memory = processMemory(bounds.memoryMegabytes);
@@ -54,6 +60,12 @@
     requestTimeout: settings.bounds.requestTimeout,
     maxConnections: maxConnections(settings),
     onReplaced: () => metrics.replacedConnections.inc(),
+    heads: {
+      memory: headMemory(settings.bounds.memoryMegabytes),
+      openBytes: () => entry.openBody(),
+      retryAfter: () => HEAD_RETRY_AFTER * (1 + random()),
+      onRefused: () => metrics.refusedHeads.inc(),
+    },
     processors: settings.bounds.processors,
     handle: (request, response) => entry.handle(request, response),
     isDraining: () => lifecycle.state === "leaving",
--- a/packages/daemon/test/connection_limit_test.ts
+++ b/packages/daemon/test/connection_limit_test.ts
@@ -1,6 +1,7 @@
 import { once } from "node:events";
 import { connect } from "node:net";
 import t from "tap";
+import { ampleHeads } from "../../receiving/test/ample_heads.ts";
 import { startHttpFrontend } from "../src/entry/http_frontend.ts";
 
 const MAX_CONNECTIONS = 2;
@@ -14,6 +15,7 @@
     requestTimeout: 60_000,
     maxConnections: MAX_CONNECTIONS,
     onReplaced: () => replaced++,
+    heads: ampleHeads(),
     processors: 1,
     isDraining: () => false,
     handle: (_request, response) => {
--- a/packages/daemon/test/http_frontend_close_test.ts
+++ b/packages/daemon/test/http_frontend_close_test.ts
@@ -1,5 +1,6 @@
 import { connect } from "node:net";
 import t from "tap";
+import { ampleHeads } from "../../receiving/test/ample_heads.ts";
 import { startHttpFrontend } from "../src/entry/http_frontend.ts";
 
 /** More bytes than the kernel buffers of a connection. */
@@ -14,6 +15,7 @@
     maxHeaderBytes: 16_384,
     requestTimeout: 60_000,
     maxConnections: 10,
+    heads: ampleHeads(),
     processors: 1,
     isDraining: () => true,
     handle: (_request, response) => {
--- a/packages/daemon/test/request_timeout_test.ts
+++ b/packages/daemon/test/request_timeout_test.ts
@@ -1,6 +1,7 @@
 import { once } from "node:events";
 import { connect } from "node:net";
 import t from "tap";
+import { ampleHeads } from "../../receiving/test/ample_heads.ts";
 import { startHttpFrontend } from "../src/entry/http_frontend.ts";
 
 // Guards against a stop that waits for a body that never ends.
@@ -11,6 +12,7 @@
     maxHeaderBytes: 16_384,
     requestTimeout: 500,
     maxConnections: 10,
+    heads: ampleHeads(),
     processors: 1,
     isDraining: () => false,
     handle: async (request) => {
--- a/packages/gateway/src/front/http_frontend.ts
+++ b/packages/gateway/src/front/http_frontend.ts
@@ -4,8 +4,8 @@
 import { Server as NetServer } from "node:net";
 import type { Socket } from "node:net";
 import { acceptQueueLength, ConnectionLimit } from "@sycamorepulley/decisions";
-import { HeadReader } from "./head_reader.ts";
-import type { HeadOptions } from "./head_reader.ts";
+import { HeadReader } from "@sycamorepulley/receiving";
+import type { HeadOptions } from "@sycamorepulley/receiving";
 import { listen } from "../listen.ts";
 import type { Address } from "../settings.ts";
 import type { CallerLimits } from "../state/gateway_configuration.ts";
@@ -43,7 +43,7 @@
   /** Refuses a request whose headers don't fit into the heap. */
   refuse: HandleRequest;
   counters: ConnectionCounters;
-  heads: HeadOptions;
+  heads: Omit<HeadOptions, "onConnection">;
   /** Connections that may be open at the same time. */
   maxConnections?: number;
   /** Called once if the address to listen at is in use. */
@@ -68,9 +68,6 @@
   readonly #heads: HeadReader;
   readonly #refuse: HandleRequest;
   readonly #onAddressInUse: (address: Address) => void;
-  /** Connections up to which the heads of all fit into the heap. */
-  readonly #headCapacity: number;
-  #headTimer: NodeJS.Timeout | undefined;
   #unsentConnections = 0;
   #draining = false;
 
@@ -80,7 +77,6 @@
     this.#limit = new ConnectionLimit(maxConnections);
     this.#refuse = options.refuse;
     this.#onAddressInUse = options.onAddressInUse ?? (() => {});
-    this.#headCapacity = options.heads.memory.capacity;
     this.#server = createServer(
       {
         maxHeaderSize: DEFAULT_HEAD_BYTES,
@@ -102,15 +98,9 @@
         else this.#refuse(request, response);
       },
     );
-    const [parse] = this.#server.listeners("connection");
-    this.#server.removeAllListeners("connection");
-    this.#heads = new HeadReader(options.heads, {
-      maxBytes: () => this.#server.maxHeaderSize ?? DEFAULT_HEAD_BYTES,
-      parse: (socket) => parse?.call(this.#server, socket),
-    });
-    this.#server.on("connection", (socket) => {
-      this.#countConnection(socket);
-      if (!socket.destroyed) this.#heads.read(socket, performance.now());
+    this.#heads = new HeadReader(this.#server, {
+      ...options.heads,
+      onConnection: (socket) => this.#countConnection(socket),
     });
   }
 
@@ -124,10 +114,6 @@
 
   /** `cores`: processor cores that this process may use. */
   listen(address: Address, cores: number): Promise<number> {
-    this.#headTimer = setInterval(
-      () => this.#endSlowHeads(performance.now()),
-      CONNECTION_CHECK_INTERVAL,
-    ).unref();
     return listen(this.#server, address, {
       backlog: acceptQueueLength(cores),
       onInUse: this.#onAddressInUse,
@@ -166,7 +152,6 @@
 
   closeAllConnections(): void {
     this.#unsentConnections += this.#openResponses.size;
-    clearInterval(this.#headTimer);
     this.#server.close();
     this.#heads.closeAll();
     this.#server.closeAllConnections();
@@ -180,10 +165,6 @@
     return this.#unsentConnections;
   }
 
-  #endSlowHeads(now: number): void {
-    this.#heads.endOlderThan(now - this.#server.headersTimeout);
-  }
-
   #countConnection(socket: Socket): void {
     this.#counters.accepted();
     this.#connections.add(socket);
@@ -234,7 +215,7 @@
     this.#openResponses.delete(socket);
     this.#heads.release(socket);
     this.#limit.recordIdle(socket);
-    const isCrowded = this.#connections.size > this.#headCapacity;
+    const isCrowded = this.#heads.isCrowded(this.#connections.size);
     if (isCrowded && !socket.destroyed) {
       this.#heads.readNext(socket, () => performance.now());
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,14 +7,9 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { release } from "node:os";
 import process from "node:process";
-import { getHeapStatistics } from "node:v8";
-import {
-  HeadMemory,
-  HEARTBEAT_EVERY,
-  ProcessLifecycle,
-} from "@sycamorepulley/decisions";
+import { HEARTBEAT_EVERY, ProcessLifecycle } from "@sycamorepulley/decisions";
 import type { ServerRecord, SuspectStatement } from "@sycamorepulley/decisions";
-import { ResetCheck } from "@sycamorepulley/receiving";
+import { headMemory, ResetCheck } from "@sycamorepulley/receiving";
 import type { MetadataStore } from "@sycamorepulley/store";
 import type { Result } from "true-myth/result";
 import { ConnectionPool } from "./backend/connection_pool.ts";
@@ -309,7 +304,7 @@
         replaced: () => this.#metrics.replacedConnections.inc(),
       },
       heads: {
-        memory: new HeadMemory(getHeapStatistics().heap_size_limit),
+        memory: headMemory(settings.memoryMegabytes),
         openBytes: () => memory.openBody(),
         retryAfter: () => memory.retryAfter(),
         onRefused: () => this.#metrics.refusedHeads.inc(),
--- a/packages/gateway/src/front/head_reader.ts
+++ b/packages/receiving/src/head_reader.ts
@@ -7,10 +7,11 @@
  * raw bytes they need a fraction of that, and no heap.
  * @module
  */
+import type { Server } from "node:http";
 import type { Socket } from "node:net";
-import { ByteBuffer } from "@sycamorepulley/receiving";
-import type { HeldBody } from "@sycamorepulley/receiving";
 import type { HeadMemory } from "@sycamorepulley/decisions";
+import { ByteBuffer } from "./byte_buffer.ts";
+import type { HeldBody } from "./request_memory.ts";
 
 const HEAD_END = "\r\n\r\n";
 const LINE_END = 10;
@@ -18,6 +19,13 @@
 
 /** Bytes of a head up to which its headers are not counted. */
 const SMALL_HEAD_BYTES = 1024;
+/** Bytes of a head for servers that state no limit; that of Node.js. */
+const DEFAULT_HEAD_BYTES = 16 * 1024;
+/** Milliseconds between checks for heads that take too long. */
+const CHECK_INTERVAL = 500;
+
+/** Node.js reads the largest size of a head for each connection. */
+type HttpServer = Server & { maxHeaderSize?: number };
 
 /** What the heads of a process share. */
 export type HeadOptions = {
@@ -28,35 +36,48 @@
   retryAfter: () => number;
   /** Called when a head is refused for lack of memory. */
   onRefused: () => void;
-};
-
-/** What a reader needs of the HTTP server. */
-type ReaderHooks = {
-  /** Largest head in bytes. */
-  maxBytes: () => number;
-  /** Passes the connection on to the parser, with the bytes read so far. */
-  parse: (socket: Socket) => void;
+  /** Called with each new connection, which it may destroy. */
+  onConnection: (socket: Socket) => void;
 };
 
 /** Reads heads until they are complete, too large, or take too long. */
 export class HeadReader {
+  readonly #server: HttpServer;
   readonly #options: HeadOptions;
-  readonly #hooks: ReaderHooks;
+  /** Passes a connection on to the parser, with the bytes read so far. */
+  readonly #parse: (socket: Socket) => void;
   readonly #waiting = new Map<Socket, { since: number; stop: () => void }>();
   /** Bytes of heap that the head of a connection was admitted with. */
   readonly #admitted = new Map<Socket, number>();
 
-  constructor(options: HeadOptions, hooks: ReaderHooks) {
+  /** Takes over the new connections of `server`, until it is closed. */
+  constructor(server: HttpServer, options: HeadOptions) {
+    this.#server = server;
     this.#options = options;
-    this.#hooks = hooks;
+    const [parse] = server.listeners("connection");
+    this.#parse = (socket) => parse?.call(server, socket);
+    server.removeAllListeners("connection");
+    server.on("connection", (socket) => {
+      options.onConnection(socket);
+      if (!socket.destroyed) this.#read(socket, performance.now());
+    });
+    const timer = setInterval(
+      () => this.#endOlderThan(performance.now() - server.headersTimeout),
+      CHECK_INTERVAL,
+    ).unref();
+    server.once("close", () => clearInterval(timer));
+  }
+
+  /** True if the heads of so many connections may not fit into the heap. */
+  isCrowded(connections: number): boolean {
+    return connections > this.#options.memory.capacity;
   }
 
-  /** Reads the first head of a new connection. */
-  read(socket: Socket, now: number): void {
+  #read(socket: Socket, now: number): void {
     const head = this.#start(socket, (bytes) => {
       socket.pause();
       socket.unshift(bytes);
-      this.#hooks.parse(socket);
+      this.#parse(socket);
       socket.resume();
     });
     head.handleEnd();
@@ -86,7 +107,7 @@
   #start(socket: Socket, passOn: (bytes: Buffer) => void): PartialHead {
     const head = new PartialHead(socket, {
       openBytes: this.#options.openBytes,
-      maxBytes: this.#hooks.maxBytes,
+      maxBytes: () => this.#server.maxHeaderSize ?? DEFAULT_HEAD_BYTES,
       onStop: () => this.#waiting.delete(socket),
       onRefused: () => this.#refuseHead(socket),
       onComplete: (bytes) => {
@@ -103,7 +124,7 @@
   }
 
   /** Ends connections that have not sent a head since `time`. */
-  endOlderThan(time: number): void {
+  #endOlderThan(time: number): void {
     for (const [socket, { since, stop }] of this.#waiting) {
       // The first head is the oldest one.
       if (since > time) return;
--- a/packages/receiving/src/mod.ts
+++ b/packages/receiving/src/mod.ts
@@ -10,7 +10,9 @@
   WitnessConnection,
 } from "./process_witness.ts";
 export type { ProcessEvidence, ReadingPauses } from "./process_witness.ts";
-export { processMemory } from "./process_memory.ts";
+export { HeadReader } from "./head_reader.ts";
+export type { HeadOptions } from "./head_reader.ts";
+export { headMemory, processMemory } from "./process_memory.ts";
 export { RequestMemory } from "./request_memory.ts";
 export type { HeldBody } from "./request_memory.ts";
 export { ResetCheck } from "./reset_check.ts";
--- a/packages/receiving/src/process_memory.ts
+++ b/packages/receiving/src/process_memory.ts
@@ -1,5 +1,7 @@
 /** The memory that a process may use. @module */
+import { HeadMemory } from "@sycamorepulley/decisions";
 import { totalmem } from "node:os";
+import { getHeapStatistics } from "node:v8";
 
 /** Bytes of a megabyte of the memory of a process. */
 const MEGABYTE = 1_000_000;
@@ -10,3 +12,9 @@
     ? totalmem()
     : memoryMegabytes * MEGABYTE;
 }
+
+/** The memory for heads of requests, by the heap that this process may use. */
+export function headMemory(memoryMegabytes: number | undefined): HeadMemory {
+  const { heap_size_limit: heap } = getHeapStatistics();
+  return new HeadMemory(Math.min(heap, processMemory(memoryMegabytes)));
+}
