Heads: the rest of a body is not read as the next head

What callers saw, while there are many connections: if a response was sent before the whole body of its request had arrived, the rest of the body waited with the bytes of the next head, and the connection ended with 408 if none came.

Cause: the connection counted as idle once its response was sent.

Change: the next head is only held if the last request is complete.

--- a/packages/daemon/src/entry/http_frontend.ts
+++ b/packages/daemon/src/entry/http_frontend.ts
@@ -107,10 +107,13 @@
       socket.once("close", () => heads.release(socket));
     },
   });
-  connections.onIdle((socket) => {
+  connections.onIdle((socket, request) => {
     heads.release(socket);
     const isCrowded = heads.isCrowded(connections.count);
-    if (isCrowded && !socket.destroyed) heads.readNext(socket, monotonicNow);
+    // What follows an incomplete request is its body.
+    if (isCrowded && request.complete && !socket.destroyed) {
+      heads.readNext(socket, monotonicNow);
+    }
   });
   const port = await listen(server, address, acceptQueueLength(processors));
   const close = () =>
@@ -136,12 +139,15 @@
   }).end();
 }
 
+/** `request` is the last one of the connection. */
+type IdleAction = (socket: Socket, request: IncomingMessage) => void;
+
 /** The connections of callers, and the responses that they wait for. */
 class OpenConnections {
   readonly #responses = new Map<Socket, Set<ServerResponse>>();
   readonly #limit: ConnectionLimit<Socket>;
   readonly #onReplaced: () => void;
-  #onIdle: (socket: Socket) => void = () => {};
+  #onIdle: IdleAction = () => {};
 
   constructor(maxConnections: number, onReplaced: () => void) {
     this.#limit = new ConnectionLimit(maxConnections);
@@ -152,8 +158,8 @@
     return this.#responses.size;
   }
 
-  /** Calls `action` with each connection without a request in progress. */
-  onIdle(action: (socket: Socket) => void): void {
+  /** Calls `action` once a connection has no request in progress. */
+  onIdle(action: IdleAction): void {
     this.#onIdle = action;
   }
 
@@ -179,7 +185,7 @@
       responses?.delete(response);
       if (responses?.size !== 0) return;
       this.#limit.recordIdle(socket);
-      this.#onIdle(socket);
+      this.#onIdle(socket, request);
     });
   }
 
--- a/packages/gateway/src/front/http_frontend.ts
+++ b/packages/gateway/src/front/http_frontend.ts
@@ -216,7 +216,8 @@
     this.#heads.release(socket);
     this.#limit.recordIdle(socket);
     const isCrowded = this.#heads.isCrowded(this.#connections.size);
-    if (isCrowded && !socket.destroyed) {
+    // What follows an incomplete request is its body.
+    if (isCrowded && response.req.complete && !socket.destroyed) {
       this.#heads.readNext(socket, () => performance.now());
     }
   }
--- a/packages/gateway/test/head_reader_test.ts
+++ b/packages/gateway/test/head_reader_test.ts
@@ -174,3 +174,27 @@
   socket.write("GET / HT");
   t.match(await firstResponse(socket), /^HTTP\/1.1 408 /);
 });
+
+// Guards against the rest of a body that is read as the next head.
+t.test("a body whose response came early is read to its end", async (t) => {
+  const memory = new HeadMemory(0);
+  const paths: string[] = [];
+  let ended = 0;
+  const { open } = await start(t, {
+    handle: (request, response) => {
+      paths.push(String(request.url));
+      request.resume().once("end", () => ended++);
+      response.end("served");
+    },
+    heads: { ...frontendOptions().heads, memory },
+  });
+  const socket = open();
+  socket.write("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbo");
+  t.match(await firstResponse(socket), "served");
+  socket.write("dy");
+  t.ok(await waitUntil(() => ended === 1));
+  socket.write("GET /b HTTP/1.1\r\nHost: a\r\n\r\n");
+  t.match(await firstResponse(socket), "served");
+  t.strictSame(paths, ["/a", "/b"]);
+  socket.destroy();
+});
