Gateway: the start does not wait for the check of resets

Cause: the start waited for the check, up to a second while the process is short of time, although only readiness has to.

Change: the gateway is ready once the first check has ended; its start goes on.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -357,7 +357,7 @@
     const { settings } = this;
     const peers = await this.#peers.listen();
     const { signal } = this.#stopController;
-    const resetsChecked = this.#resetCheck.start(signal);
+    void this.#resetCheck.start(signal);
     const followers = { store: this.#store, codec: this.#codec };
     this.#configurationFollower = startStoreFollowers({
       ...followers,
@@ -395,7 +395,6 @@
     );
     this.#repeat(LOAD_LOG_INTERVAL, () => this.#loadReport.log());
     this.#repeat(LOAD_LOG_INTERVAL, () => this.#balanceReporter.update());
-    await resetsChecked;
     this.#lifecycle.apply("started");
     this.#log.write({
       event: "started",
@@ -551,7 +550,8 @@
   }
 
   #isReady(): boolean {
-    return this.#lifecycle.state === "ready" && this.#isStateLoaded();
+    return this.#lifecycle.state === "ready" && this.#isStateLoaded() &&
+      this.#resetCheck.hasRun;
   }
 
   /** True once configuration, servers and entries are known from any source. */
--- a/packages/receiving/src/reset_check.ts
+++ b/packages/receiving/src/reset_check.ts
@@ -40,6 +40,7 @@
 export class ResetCheck {
   readonly #onResult: (result: ResetCheckResult) => void;
   #detection: ResetDetection = "unknown";
+  #hasRun = false;
 
   constructor(onResult: (result: ResetCheckResult) => void) {
     this.#onResult = onResult;
@@ -49,9 +50,15 @@
     return this.#detection;
   }
 
+  /** True once the first check has ended. */
+  get hasRun(): boolean {
+    return this.#hasRun;
+  }
+
   /** Resolves after the first check; others follow until `signal` is aborted. */
   async start(signal: AbortSignal): Promise<void> {
     await this.#check();
+    this.#hasRun = true;
     void this.#repeat(signal);
   }
 
